--- /dev/null
+++ b/Source/Base/error.h
@@ -0,0 +1,53 @@
+#ifndef SOURCE_BASE_ERROR_H_
+#define SOURCE_BASE_ERROR_H_
+
+#include <ostream>
+#include <string>
+#include <system_error>
+
+namespace cowslip {
+
+/// The kinds of error that callers of the library tell apart.
+enum class ErrorKind {
+  kInvalidArgument = 1,
+  kNotFound,
+  kConflict,
+  kTooLarge,
+  kPermissionDenied,
+  kRateLimited,
+  kTimeout,
+  /// The operation surely had no effect.
+  kUnavailable,
+  /// The operation may or may not have had an effect.
+  kInDoubt,
+  kMalformedMessage,
+  kCancelled,
+  kInternal,
+};
+
+/// Returns the category of `ErrorKind` codes.
+const std::error_category& CowslipCategory();
+
+std::error_code make_error_code(ErrorKind kind);
+
+/// \class Error
+/// \brief A typed error with a message that names the remedy.
+struct Error {
+  Error() = default;
+  Error(ErrorKind kind, std::string message);
+
+  ErrorKind kind() const { return static_cast<ErrorKind>(code.value()); }
+
+  std::error_code code;
+  /// One or two sentences: what went wrong, and what to change.
+  std::string message;
+};
+
+std::ostream& operator<<(std::ostream& out, const Error& error);
+
+}  // namespace cowslip
+
+template <>
+struct std::is_error_code_enum<cowslip::ErrorKind> : std::true_type {};
+
+#endif  // SOURCE_BASE_ERROR_H_
--- /dev/null
+++ b/Source/Base/ids.h
@@ -0,0 +1,44 @@
+#ifndef SOURCE_BASE_IDS_H_
+#define SOURCE_BASE_IDS_H_
+
+#include <cstdint>
+
+#include "Base/strong_id.h"
+#include "Base/strong_number.h"
+
+namespace cowslip {
+
+/// A virtual machine, as named in the platform's VM list.
+using VmId = StrongId<struct VmIdTag>;
+/// An availability zone.
+using ZoneId = StrongId<struct ZoneIdTag>;
+/// A region, which holds availability zones.
+using RegionId = StrongId<struct RegionIdTag>;
+/// A tenant, which owns keys, limits and batch jobs.
+using OrganisationId = StrongId<struct OrganisationIdTag>;
+/// A service that operators declare.
+using ServiceId = StrongId<struct ServiceIdTag>;
+/// A route of a service.
+using RouteId = StrongId<struct RouteIdTag>;
+/// A batch job.
+using JobId = StrongId<struct JobIdTag>;
+/// A caller's name for one item of a batch job (`custom_id`).
+using ItemId = StrongId<struct ItemIdTag>;
+/// The lower-case hexadecimal SHA-256 digest of some bytes.
+using Digest = StrongId<struct DigestTag>;
+
+/// One request's passage between an entry and a side process. Unique for the
+/// sending process incarnation.
+using ExchangeId = StrongNumber<struct ExchangeIdTag, uint64_t>;
+/// A random number drawn when a process starts; tells restarts apart.
+using Incarnation = StrongNumber<struct IncarnationTag, uint64_t>;
+/// A number that grows with every lease; stale holders carry a lower one.
+using FencingNumber = StrongNumber<struct FencingNumberTag, uint64_t>;
+/// The version of the fleet's configuration.
+using ConfigVersion = StrongNumber<struct ConfigVersionTag, uint64_t>;
+/// A version of one object in the platform's object API.
+using ObjectVersion = StrongNumber<struct ObjectVersionTag, uint64_t>;
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BASE_IDS_H_
--- /dev/null
+++ b/Source/Base/time.h
@@ -0,0 +1,38 @@
+#ifndef SOURCE_BASE_TIME_H_
+#define SOURCE_BASE_TIME_H_
+
+#include <chrono>
+
+namespace cowslip {
+
+using Duration = std::chrono::nanoseconds;
+
+/// \class MonotonicClock
+/// \brief Tags time points of a process's own monotonic clock. Decision cores
+/// get such time points passed in and never read a clock themselves.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+  /// Only daemons call this.
+  static time_point now() {
+    return time_point(std::chrono::steady_clock::now().time_since_epoch());
+  }
+};
+
+using MonotonicTime = MonotonicClock::time_point;
+
+/// Wall-clock time, used only where people or other VMs read it.
+using WallTime = std::chrono::time_point<std::chrono::system_clock,
+                                         std::chrono::milliseconds>;
+
+inline WallTime WallNow() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BASE_TIME_H_
--- /dev/null
+++ b/Source/Link/peer_link.cc
@@ -0,0 +1,1 @@
+#include "Link/peer_link.h"
--- /dev/null
+++ b/Source/Net/http_client.cc
@@ -0,0 +1,245 @@
+#include "Net/http_client.h"
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "Net/beast.h"
+
+namespace cowslip {
+
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+
+struct ClientConnection {
+  explicit ClientConnection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+using ConnectionPtr = std::unique_ptr<ClientConnection>;
+
+Error CallError(const boost::system::error_code& error, const char* step) {
+  const ErrorKind kind = error == beast::error::timeout ? ErrorKind::kTimeout
+                                                        : ErrorKind::kInDoubt;
+  return Error(kind, std::string("The call failed while ") + step + ": " +
+                         error.message() +
+                         ". Check the server, and retry only what is "
+                         "idempotent.");
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  Impl(asio::any_io_executor executor,
+       Endpoint endpoint,
+       HttpClientOptions options)
+      : m_executor(std::move(executor)),
+        m_endpoint(std::move(endpoint)),
+        m_options(options) {}
+
+  const HttpClientOptions& options() const { return m_options; }
+  const Endpoint& endpoint() const { return m_endpoint; }
+
+  asio::awaitable<Result<ConnectionPtr>> Acquire();
+  void Release(ConnectionPtr connection) {
+    if (m_idle.size() < m_options.max_idle_connections) {
+      m_idle.push_back(std::move(connection));
+    }
+  }
+
+ private:
+  asio::awaitable<Result<ConnectionPtr>> Connect();
+
+  const asio::any_io_executor m_executor;
+  const Endpoint m_endpoint;
+  const HttpClientOptions m_options;
+  std::vector<ConnectionPtr> m_idle;
+};
+
+asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Acquire() {
+  while (!m_idle.empty()) {
+    ConnectionPtr connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (!PeerHasClosed(connection->stream.socket())) {
+      co_return connection;
+    }
+  }
+  co_return co_await Connect();
+}
+
+asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Connect() {
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  const auto address = asio::ip::make_address(m_endpoint.address, error);
+  auto connection = std::make_unique<ClientConnection>(m_executor);
+  if (!error) {
+    connection->stream.expires_after(m_options.connect_timeout);
+    const tcp::endpoint target(address, m_endpoint.port);
+    co_await connection->stream.async_connect(target, token);
+  }
+  if (error) {
+    co_return Error(ErrorKind::kUnavailable,
+                    "Cannot connect to " + m_endpoint.ToString() + ": " +
+                        error.message() +
+                        ". Check that the server runs there.");
+  }
+  connection->stream.socket().set_option(tcp::no_delay(true), error);
+  co_return connection;
+}
+
+namespace {
+
+class ResponseStream final : public HttpResponseStream {
+ public:
+  ResponseStream(
+      std::shared_ptr<HttpClient::Impl> client,
+      ConnectionPtr connection,
+      std::unique_ptr<http::response_parser<http::buffer_body>> parser)
+      : m_client(std::move(client)),
+        m_connection(std::move(connection)),
+        m_parser(std::move(parser)),
+        m_headers(ToHeaders(m_parser->get())) {}
+
+  int status() const override { return m_parser->get().result_int(); }
+  const HttpHeaders& headers() const override { return m_headers; }
+
+  asio::awaitable<Result<std::optional<std::string>>> ReadSome(
+      Duration timeout) override {
+    while (m_connection != nullptr && !m_parser->is_done()) {
+      boost::system::error_code error;
+      auto token = asio::redirect_error(asio::use_awaitable, error);
+      auto& body = m_parser->get().body();
+      body.data = m_space.data();
+      body.size = m_space.size();
+      body.more = true;
+      m_connection->stream.expires_after(timeout);
+      co_await http::async_read_some(m_connection->stream, m_connection->buffer,
+                                     *m_parser, token);
+      if (error == http::error::need_buffer) {
+        error = {};
+      }
+      if (error) {
+        m_connection.reset();
+        co_return CallError(error, "reading the body");
+      }
+      const size_t got = m_space.size() - body.size;
+      if (got > 0) {
+        co_return std::optional<std::string>(std::string(m_space.data(), got));
+      }
+    }
+    Finish();
+    co_return std::optional<std::string>();
+  }
+
+  void Abort() override {
+    if (m_connection != nullptr) {
+      boost::system::error_code ignored;
+      m_connection->stream.socket().close(ignored);
+    }
+  }
+
+ private:
+  void Finish() {
+    if (m_connection == nullptr) {
+      return;
+    }
+    m_connection->stream.expires_never();
+    if (m_parser->keep_alive()) {
+      m_client->Release(std::move(m_connection));
+    }
+    m_connection.reset();
+  }
+
+  const std::shared_ptr<HttpClient::Impl> m_client;
+  ConnectionPtr m_connection;
+  const std::unique_ptr<http::response_parser<http::buffer_body>> m_parser;
+  const HttpHeaders m_headers;
+  std::array<char, kReadBytes> m_space;
+};
+
+http::request<http::string_body> ToBeast(HttpRequest request,
+                                         const Endpoint& endpoint) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, endpoint.ToString());
+  for (const HttpHeader& header : request.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor,
+                       Endpoint endpoint,
+                       HttpClientOptions options)
+    : m_impl(std::make_shared<Impl>(std::move(executor),
+                                    std::move(endpoint),
+                                    options)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> HttpClient::Open(
+    HttpRequest request,
+    Duration timeout) {
+  const auto impl = m_impl;
+  Result<ConnectionPtr> acquired = co_await impl->Acquire();
+  if (!acquired.has_value()) {
+    co_return acquired.error();
+  }
+  ConnectionPtr connection = std::move(acquired.value());
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  const auto message = ToBeast(std::move(request), impl->endpoint());
+  connection->stream.expires_after(timeout);
+  http::request_serializer<http::string_body> serializer(message);
+  co_await http::async_write(connection->stream, serializer, token);
+  if (error) {
+    co_return CallError(error, "sending");
+  }
+  auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
+  parser->body_limit(impl->options().max_response_bytes);
+  co_await http::async_read_header(connection->stream, connection->buffer,
+                                   *parser, token);
+  if (error) {
+    co_return CallError(error, "waiting for the response");
+  }
+  std::unique_ptr<HttpResponseStream> stream = std::make_unique<ResponseStream>(
+      impl, std::move(connection), std::move(parser));
+  co_return stream;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::Send(HttpRequest request,
+                                                       Duration timeout) {
+  const MonotonicTime deadline = MonotonicClock::now() + timeout;
+  Result<std::unique_ptr<HttpResponseStream>> opened =
+      co_await Open(std::move(request), timeout);
+  if (!opened.has_value()) {
+    co_return opened.error();
+  }
+  const std::unique_ptr<HttpResponseStream> stream = std::move(opened.value());
+  HttpResponse response;
+  response.status = stream->status();
+  response.headers = stream->headers();
+  while (true) {
+    const Duration left = deadline - MonotonicClock::now();
+    Result<std::optional<std::string>> piece = co_await stream->ReadSome(left);
+    if (!piece.has_value()) {
+      co_return piece.error();
+    }
+    if (!piece.value().has_value()) {
+      co_return response;
+    }
+    response.body += *piece.value();
+  }
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Net/http_client.h
@@ -0,0 +1,77 @@
+#ifndef SOURCE_NET_HTTP_CLIENT_H_
+#define SOURCE_NET_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "Base/endpoint.h"
+#include "Base/result.h"
+#include "Base/time.h"
+#include "Net/http_message.h"
+
+namespace cowslip {
+
+/// \class HttpClientOptions
+/// \brief Bounds on calls and on kept connections.
+struct HttpClientOptions {
+  size_t max_idle_connections = 16;
+  size_t max_response_bytes = 64 << 20;
+  Duration connect_timeout = std::chrono::seconds(2);
+};
+
+/// \class HttpResponseStream
+/// \brief A response whose body is read piece by piece. Destroying it before
+/// its end closes the connection, which cancels the request at the server.
+class HttpResponseStream {
+ public:
+  virtual ~HttpResponseStream() = default;
+  virtual int status() const = 0;
+  virtual const HttpHeaders& headers() const = 0;
+  /// The next piece; nullopt at the proper end. A truncated body is
+  /// kInDoubt, a passed timeout kTimeout.
+  virtual boost::asio::awaitable<Result<std::optional<std::string>>> ReadSome(
+      Duration timeout) = 0;
+  /// Closes the connection at once; a pending ReadSome fails.
+  virtual void Abort() = 0;
+};
+
+/// \class HttpClient
+/// \brief Sends HTTP/1.1 requests to one endpoint over kept connections.
+///
+/// Errors: kUnavailable when no byte of the request can have reached the
+/// server; kInDoubt when it may have; kTimeout when the time passed after
+/// sending began. A request is never sent twice by the client itself, except
+/// that a kept connection found closed before anything was written is
+/// replaced.
+class HttpClient {
+ public:
+  HttpClient(boost::asio::any_io_executor executor,
+             Endpoint endpoint,
+             HttpClientOptions options = {});
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  class Impl;
+
+  /// Sends a request and reads the whole response.
+  boost::asio::awaitable<Result<HttpResponse>> Send(HttpRequest request,
+                                                    Duration timeout);
+  /// Sends a request and returns once the response's header has come.
+  boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> Open(
+      HttpRequest request,
+      Duration timeout);
+
+ private:
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/Source/Net/http_server.cc
@@ -0,0 +1,410 @@
+#include "Net/http_server.h"
+
+#include <set>
+#include <utility>
+
+#include "Base/log.h"
+#include "Net/beast.h"
+#include "Net/http_exchange.h"
+
+namespace cowslip {
+
+namespace {
+
+constexpr char kProblemType[] = "application/problem+json";
+
+// What a bad request is told before its connection is closed.
+HttpResponse RefusalFor(const boost::system::error_code& error,
+                        const HttpServerOptions& options) {
+  HttpResponse response;
+  response.status = 400;
+  std::string type = "malformed-request";
+  std::string detail = "Send a valid HTTP/1.1 request: " + error.message();
+  if (error == http::error::body_limit) {
+    response.status = 413;
+    type = "body-too-large";
+    detail = "Send a body of at most " +
+             std::to_string(options.max_body_bytes) + " bytes";
+  } else if (error == http::error::header_limit) {
+    response.status = 431;
+    type = "header-too-large";
+    detail = "Send header fields of at most " +
+             std::to_string(options.max_header_bytes) + " bytes in all";
+  } else if (error == beast::error::timeout) {
+    response.status = 408;
+    type = "request-timeout";
+    detail = "Send the whole request sooner";
+  }
+  response.headers.push_back({"Content-Type", kProblemType});
+  response.body = R"({"type":"urn:cowslip:)" + type + R"(","title":")" + type +
+                  R"(","status":)" + std::to_string(response.status) +
+                  R"(,"detail":")" + detail + R"(.","not_run":true})";
+  return response;
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  Impl(asio::io_context& context, HttpServerOptions options, Handler handler)
+      : m_context(context),
+        m_options(std::move(options)),
+        m_handler(std::move(handler)),
+        m_acceptor(context) {}
+
+  Result<void> Start();
+  void Drain();
+  void Close();
+
+  class Connection;
+
+  asio::io_context& m_context;
+  const HttpServerOptions m_options;
+  const Handler m_handler;
+  tcp::acceptor m_acceptor;
+  std::set<Connection*> m_connections;
+  size_t m_active = 0;
+  bool m_draining = false;
+
+ private:
+  asio::awaitable<void> Accept();
+};
+
+// One connection and the exchange that it carries at the moment.
+class HttpServer::Impl::Connection final
+    : public HttpExchange,
+      public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> server, tcp::socket socket)
+      : m_server(std::move(server)), m_stream(std::move(socket)) {
+    m_server->m_connections.insert(this);
+  }
+  ~Connection() override { m_server->m_connections.erase(this); }
+
+  asio::awaitable<void> Run();
+  void CloseIfIdle() {
+    if (!m_busy) {
+      Abort();
+    }
+  }
+
+  const HttpRequest& request() const override { return m_request; }
+  const std::string& client_address() const override { return m_address; }
+  asio::awaitable<Result<void>> Respond(HttpResponse response) override;
+  asio::awaitable<Result<void>> StartStream(int status,
+                                            HttpHeaders headers) override;
+  asio::awaitable<Result<void>> WriteChunk(std::string data) override;
+  asio::awaitable<Result<void>> FinishStream() override;
+  void OnClientGone(std::function<void()> callback) override {
+    m_on_gone = std::move(callback);
+  }
+  void Abort() override {
+    boost::system::error_code ignored;
+    m_stream.socket().close(ignored);
+  }
+
+ private:
+  enum class State { kOpen, kStreaming, kFinished, kBroken };
+
+  // Returns false when the connection is to be closed.
+  asio::awaitable<bool> ReadRequest();
+  asio::awaitable<void> RefuseRequest(boost::system::error_code error);
+  asio::awaitable<void> RunHandler();
+  void WatchClient();
+  Result<void> Written(const boost::system::error_code& error);
+  template <class Message>
+  void SetFields(Message& message, const HttpHeaders& headers);
+
+  const std::shared_ptr<Impl> m_server;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  HttpRequest m_request;
+  std::string m_address;
+  std::function<void()> m_on_gone;
+  State m_state = State::kOpen;
+  bool m_keep_alive = true;
+  bool m_busy = false;
+  uint64_t m_requests = 0;
+};
+
+asio::awaitable<void> HttpServer::Impl::Connection::Run() {
+  const auto self = shared_from_this();
+  boost::system::error_code error;
+  m_stream.socket().set_option(tcp::no_delay(true), error);
+  const tcp::endpoint remote = m_stream.socket().remote_endpoint(error);
+  m_address = remote.address().to_string();
+  while (m_stream.socket().is_open()) {
+    const bool readable = co_await ReadRequest();
+    if (!readable) {
+      break;
+    }
+    co_await RunHandler();
+    if (m_state != State::kFinished || !m_keep_alive) {
+      break;
+    }
+  }
+  m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+}
+
+asio::awaitable<bool> HttpServer::Impl::Connection::ReadRequest() {
+  m_busy = false;
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(
+      static_cast<uint32_t>(m_server->m_options.max_header_bytes));
+  parser.body_limit(m_server->m_options.max_body_bytes);
+  if (m_buffer.size() == 0) {
+    m_stream.expires_after(m_server->m_options.idle_timeout);
+    const auto space = m_buffer.prepare(4096);
+    const size_t got = co_await m_stream.async_read_some(space, token);
+    m_buffer.commit(got);
+    if (error) {
+      co_return false;
+    }
+  }
+  m_busy = true;
+  m_stream.expires_after(m_server->m_options.read_timeout);
+  co_await http::async_read(m_stream, m_buffer, parser, token);
+  if (error) {
+    co_await RefuseRequest(error);
+    co_return false;
+  }
+  http::request<http::string_body> message = parser.release();
+  m_keep_alive = message.keep_alive() && !m_server->m_draining;
+  m_request.method = std::string(message.method_string());
+  m_request.target = std::string(message.target());
+  m_request.headers = ToHeaders(message);
+  m_request.body = std::move(message.body());
+  co_return true;
+}
+
+asio::awaitable<void> HttpServer::Impl::Connection::RefuseRequest(
+    boost::system::error_code error) {
+  const bool silent = error == http::error::end_of_stream ||
+                      error == http::error::partial_message ||
+                      error == asio::error::connection_reset ||
+                      error == asio::error::operation_aborted;
+  if (silent) {
+    co_return;
+  }
+  m_keep_alive = false;
+  m_state = State::kOpen;
+  HttpResponse refusal = RefusalFor(error, m_server->m_options);
+  const Result<void> ignored = co_await Respond(std::move(refusal));
+  static_cast<void>(ignored);
+}
+
+asio::awaitable<void> HttpServer::Impl::Connection::RunHandler() {
+  m_state = State::kOpen;
+  m_on_gone = nullptr;
+  ++m_requests;
+  ++m_server->m_active;
+  m_stream.expires_never();
+  WatchClient();
+  try {
+    co_await m_server->m_handler(*this);
+  } catch (const std::exception& thrown) {
+    LOG(ERROR) << "http: A handler failed: " << thrown.what() << ".";
+    m_state = State::kBroken;
+  }
+  --m_server->m_active;
+  m_on_gone = nullptr;
+  boost::system::error_code ignored;
+  m_stream.socket().cancel(ignored);
+  if (m_state != State::kFinished) {
+    Abort();
+  }
+}
+
+void HttpServer::Impl::Connection::WatchClient() {
+  const uint64_t request = m_requests;
+  m_stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [weak = weak_from_this(), request](boost::system::error_code error) {
+        const auto self = weak.lock();
+        const bool stale = self == nullptr || error ||
+                           self->m_requests != request || !self->m_busy;
+        if (stale || !self->m_stream.socket().is_open() ||
+            !PeerHasClosed(self->m_stream.socket())) {
+          return;
+        }
+        const auto callback = std::exchange(self->m_on_gone, nullptr);
+        if (callback) {
+          callback();
+        }
+      });
+}
+
+template <class Message>
+void HttpServer::Impl::Connection::SetFields(Message& message,
+                                             const HttpHeaders& headers) {
+  for (const HttpHeader& header : headers) {
+    message.insert(header.name, header.value);
+  }
+  m_keep_alive = m_keep_alive && !m_server->m_draining;
+  message.keep_alive(m_keep_alive);
+}
+
+Result<void> HttpServer::Impl::Connection::Written(
+    const boost::system::error_code& error) {
+  if (!error) {
+    return Ok();
+  }
+  m_state = State::kBroken;
+  return Error(ErrorKind::kUnavailable,
+               "The client went away: " + error.message() + ".");
+}
+
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::Respond(
+    HttpResponse response) {
+  http::response<http::string_body> message(
+      static_cast<http::status>(response.status), 11);
+  SetFields(message, response.headers);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  m_stream.expires_after(m_server->m_options.write_timeout);
+  http::response_serializer<http::string_body> serializer(message);
+  co_await http::async_write(m_stream, serializer, token);
+  m_state = State::kFinished;
+  co_return Written(error);
+}
+
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::StartStream(
+    int status,
+    HttpHeaders headers) {
+  http::response<http::empty_body> message(static_cast<http::status>(status),
+                                           11);
+  SetFields(message, headers);
+  message.chunked(true);
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  m_stream.expires_after(m_server->m_options.write_timeout);
+  http::response_serializer<http::empty_body> serializer(message);
+  co_await http::async_write_header(m_stream, serializer, token);
+  m_state = State::kStreaming;
+  co_return Written(error);
+}
+
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::WriteChunk(
+    std::string data) {
+  if (data.empty()) {
+    co_return Ok();
+  }
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  m_stream.expires_after(m_server->m_options.write_timeout);
+  const auto chunk = http::make_chunk(asio::buffer(data));
+  co_await asio::async_write(m_stream, chunk, token);
+  co_return Written(error);
+}
+
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::FinishStream() {
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  m_stream.expires_after(m_server->m_options.write_timeout);
+  const auto last = http::make_chunk_last();
+  co_await asio::async_write(m_stream, last, token);
+  m_state = State::kFinished;
+  co_return Written(error);
+}
+
+Result<void> HttpServer::Impl::Start() {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(m_options.listen.address, error);
+  if (!error) {
+    const tcp::endpoint endpoint(address, m_options.listen.port);
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+      m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+      m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+  }
+  if (error) {
+    return Error(ErrorKind::kUnavailable,
+                 "Cannot listen on " + m_options.listen.ToString() + ": " +
+                     error.message() + ". Choose a free address and port.");
+  }
+  asio::co_spawn(
+      m_context, [self = shared_from_this()] { return self->Accept(); },
+      asio::detached);
+  return Ok();
+}
+
+asio::awaitable<void> HttpServer::Impl::Accept() {
+  const auto self = shared_from_this();
+  while (m_acceptor.is_open()) {
+    boost::system::error_code error;
+    tcp::socket socket = co_await m_acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error || m_connections.size() >= m_options.max_connections) {
+      LOG_EVERY_N(WARNING, 100) << "http: A connection was turned away.";
+      continue;
+    }
+    const auto connection =
+        std::make_shared<Connection>(self, std::move(socket));
+    asio::co_spawn(
+        m_context, [connection] { return connection->Run(); }, asio::detached);
+  }
+}
+
+void HttpServer::Impl::Drain() {
+  m_draining = true;
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const std::set<Connection*> connections = m_connections;
+  for (Connection* connection : connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::Impl::Close() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+  const std::set<Connection*> connections = m_connections;
+  for (Connection* connection : connections) {
+    connection->Abort();
+  }
+}
+
+HttpServer::HttpServer(asio::io_context& context,
+                       HttpServerOptions options,
+                       Handler handler)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(options),
+                                    std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  m_impl->Close();
+}
+
+Result<void> HttpServer::Start() {
+  return m_impl->Start();
+}
+
+uint16_t HttpServer::port() const {
+  boost::system::error_code ignored;
+  return m_impl->m_acceptor.local_endpoint(ignored).port();
+}
+
+void HttpServer::Drain() {
+  m_impl->Drain();
+}
+
+size_t HttpServer::active_requests() const {
+  return m_impl->m_active;
+}
+
+size_t HttpServer::connections() const {
+  return m_impl->m_connections.size();
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Net/http_server.h
@@ -0,0 +1,70 @@
+#ifndef SOURCE_NET_HTTP_SERVER_H_
+#define SOURCE_NET_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Base/endpoint.h"
+#include "Base/result.h"
+#include "Base/time.h"
+
+namespace cowslip {
+
+class HttpExchange;
+
+/// \class HttpServerOptions
+/// \brief Bounds that keep one client from harming others.
+struct HttpServerOptions {
+  Endpoint listen;
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 1 << 20;
+  /// How long a client may take to send one request, from its first byte.
+  Duration read_timeout = std::chrono::seconds(20);
+  /// How long a kept-alive connection may stay idle.
+  Duration idle_timeout = std::chrono::seconds(60);
+  /// How long one write may wait for a client that does not read.
+  Duration write_timeout = std::chrono::seconds(30);
+  size_t max_connections = 20000;
+};
+
+/// \class HttpServer
+/// \brief Accepts HTTP/1.1 connections and runs one handler per request.
+class HttpServer {
+ public:
+  using Handler =
+      std::function<boost::asio::awaitable<void>(HttpExchange& exchange)>;
+
+  HttpServer(boost::asio::io_context& context,
+             HttpServerOptions options,
+             Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Opens the port. Errors: kUnavailable.
+  Result<void> Start();
+  /// The bound port, once started.
+  uint16_t port() const;
+
+  /// Stops accepting, closes idle connections and lets running requests
+  /// finish; responses from now on carry `Connection: close`.
+  void Drain();
+  /// Requests whose response has not ended.
+  size_t active_requests() const;
+  /// Open connections.
+  size_t connections() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/Tests/Net/http_test.cc
@@ -0,0 +1,141 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include "Net/http_client.h"
+#include "Net/http_exchange.h"
+#include "Net/http_server.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+constexpr Duration kTimeout = 5s;
+
+awaitable<void> Echo(HttpExchange& exchange) {
+  HttpResponse response;
+  response.body = exchange.request().method + exchange.request().body;
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<void> StreamOrTruncate(HttpExchange& exchange) {
+  (void)co_await exchange.StartStream(200, HttpHeaders());
+  (void)co_await exchange.WriteChunk("one ");
+  (void)co_await exchange.WriteChunk("two");
+  if (exchange.request().Path() == "/whole") {
+    (void)co_await exchange.FinishStream();
+  }
+}
+
+// Runs one client coroutine against one server.
+template <class Client>
+void Run(HttpServer::Handler handler,
+         Client client,
+         HttpServerOptions options = {}) {
+  boost::asio::io_context context;
+  HttpServer server(context, options, std::move(handler));
+  REQUIRE(server.Start().has_value());
+  HttpClient http(context.get_executor(), Endpoint{.port = server.port()});
+  bool done = false;
+  boost::asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        co_await client(http);
+        done = true;
+        context.stop();
+      },
+      boost::asio::detached);
+  context.run_for(10s);
+  CHECK(done);
+}
+
+TEST_CASE("Requests on one kept connection are answered in turn") {
+  Run(Echo, [](HttpClient& http) -> awaitable<void> {
+    for (int i = 0; i < 3; ++i) {
+      HttpRequest request{.method = "POST", .body = std::to_string(i)};
+      auto got = co_await http.Send(std::move(request), kTimeout);
+      REQUIRE(got.has_value());
+      CHECK(got.value().body == "POST" + std::to_string(i));
+    }
+  });
+}
+
+TEST_CASE("A truncated stream is an error, never a short success") {
+  Run(StreamOrTruncate, [](HttpClient& http) -> awaitable<void> {
+    HttpRequest whole{.target = "/whole"};
+    auto good = co_await http.Send(std::move(whole), kTimeout);
+    REQUIRE(good.has_value());
+    CHECK(good.value().body == "one two");
+    HttpRequest cut{.target = "/cut"};
+    auto bad = co_await http.Send(std::move(cut), kTimeout);
+    REQUIRE_FALSE(bad.has_value());
+    CHECK(bad.error().kind() == ErrorKind::kInDoubt);
+  });
+}
+
+TEST_CASE("A body over the limit gets 413 and a remedy") {
+  const HttpServerOptions options{.max_body_bytes = 10};
+  Run(
+      Echo,
+      [](HttpClient& http) -> awaitable<void> {
+        HttpRequest request{.method = "POST", .body = std::string(100, 'x')};
+        auto got = co_await http.Send(std::move(request), kTimeout);
+        REQUIRE(got.has_value());
+        CHECK(got.value().status == 413);
+        CHECK_THAT(got.value().body, Catch::Contains("at most 10 bytes"));
+      },
+      options);
+}
+
+TEST_CASE("A handler hears that its client went away") {
+  bool gone = false;
+  const auto wait = [&gone](HttpExchange& exchange) -> awaitable<void> {
+    auto executor = co_await boost::asio::this_coro::executor;
+    boost::asio::steady_timer timer(executor, 20s);
+    exchange.OnClientGone([&] {
+      gone = true;
+      timer.cancel();
+    });
+    (void)co_await exchange.StartStream(200, HttpHeaders());
+    try {
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    } catch (const boost::system::system_error&) {
+    }
+  };
+  Run(wait, [&gone](HttpClient& http) -> awaitable<void> {
+    HttpRequest request;
+    auto opened = co_await http.Open(std::move(request), kTimeout);
+    REQUIRE(opened.has_value());
+    opened.value().reset();
+    auto executor = co_await boost::asio::this_coro::executor;
+    boost::asio::steady_timer poll(executor);
+    for (int i = 0; i < 500 && !gone; ++i) {
+      poll.expires_after(10ms);
+      co_await poll.async_wait(boost::asio::use_awaitable);
+    }
+    CHECK(gone);
+  });
+}
+
+TEST_CASE("A refused connection surely had no effect") {
+  boost::asio::io_context context;
+  HttpClient http(context.get_executor(), Endpoint{.port = 1});
+  boost::asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        HttpRequest request;
+        auto got = co_await http.Send(std::move(request), kTimeout);
+        REQUIRE_FALSE(got.has_value());
+        CHECK(got.error().kind() == ErrorKind::kUnavailable);
+      },
+      boost::asio::detached);
+  context.run_for(5s);
+}
+
+}  // namespace
+}  // namespace cowslip
