--- a/Tests/Base/json_test.cc
+++ b/Tests/Base/json_test.cc
@@ -30,9 +30,9 @@
 TEST_CASE("The CBOR decoder survives any bytes") {
   CHECK(rc::check([](const std::string& bytes) {
     const auto parsed = ParseCbor(bytes);
-    const bool refused = !parsed.has_value();
-    RC_ASSERT(!refused ||
-              parsed.error().kind() == ErrorKind::kMalformedMessage);
+    if (!parsed.has_value()) {
+      RC_ASSERT(parsed.error().kind() == ErrorKind::kMalformedMessage);
+    }
   }));
 }
 
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -21,7 +21,7 @@
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$' | grep -v '^Tests/' || true)
 [ ${#sources[@]} -eq 0 ] && exit 0
 # clang 14 knows std coroutines only when told that they are there.
-printf '%s\n' "${sources[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 2 "$tidy" -p build --quiet \
+printf '%s\n' "${sources[@]}" | xargs -P "${JOBS:-$(nproc)}" -n 1 "$tidy" -p build --quiet \
   --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
   --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 \
   --extra-arg=-D__cpp_impl_coroutine=201902L \
