--- /dev/null
+++ b/Source/Link/link_endpoint.h
@@ -0,0 +1,76 @@
+#ifndef SOURCE_LINK_LINK_ENDPOINT_H_
+#define SOURCE_LINK_LINK_ENDPOINT_H_
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace cowslip {
+
+using WebsocketServer = websocketpp::server<websocketpp::config::asio>;
+using WebsocketClient = websocketpp::client<websocketpp::config::asio_client>;
+
+/// A connection that a peer dialled or that this process dialled.
+using WebsocketConnection = std::variant<WebsocketServer::connection_ptr,
+                                         WebsocketClient::connection_ptr>;
+
+/// \class LinkEndpoint
+/// \brief The websocket server and client of one process, and their timeouts.
+///
+/// A connection keeps the handlers' captures alive until Asio lets go of it,
+/// so handlers may own the object that owns the endpoint; Stop() breaks the
+/// cycle.
+class LinkEndpoint {
+ public:
+  struct Handlers {
+    /// `dialled_vm` is empty for a connection that a peer dialled.
+    std::function<void(WebsocketConnection, const std::string& dialled_vm)>
+        on_open;
+    /// A dialled connection that never opened.
+    std::function<void(const std::string& dialled_vm)> on_fail;
+    std::function<void(const void* connection)> on_close;
+    std::function<void(const void* connection, const std::string& bytes)>
+        on_message;
+  };
+
+  LinkEndpoint(boost::asio::io_context& context, size_t max_frame_bytes);
+
+  /// Call before Listen() and Dial().
+  void SetHandlers(Handlers handlers);
+  /// Returns an empty string or what went wrong.
+  std::string Listen(const std::string& address, uint16_t port);
+  uint16_t port() const { return m_port; }
+  /// Returns false when no attempt was begun.
+  bool Dial(const std::string& vm, const std::string& address, uint16_t port);
+  void Stop();
+
+ private:
+  template <class Endpoint>
+  void Prepare(Endpoint& endpoint, size_t max_frame_bytes);
+  template <class ConnectionPtr>
+  void AttachHandlers(const ConnectionPtr& connection, const std::string& vm);
+
+  WebsocketServer m_server;
+  WebsocketClient m_client;
+  Handlers m_handlers;
+  size_t m_max_frame_bytes;
+  uint16_t m_port = 0;
+};
+
+/// Identifies a connection in maps.
+const void* ConnectionKey(const WebsocketConnection& connection);
+bool SendBytes(const WebsocketConnection& connection, const std::string& bytes);
+size_t BufferedBytes(const WebsocketConnection& connection);
+/// Closes without waiting for the peer longer than the close timeout.
+void CloseConnection(const WebsocketConnection& connection,
+                     const std::string& reason);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_LINK_LINK_ENDPOINT_H_
