--- /dev/null
+++ b/Source/Membership/membership_core.cc
@@ -0,0 +1,220 @@
+#include "Membership/membership_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/rendezvous.h"
+
+namespace cowslip {
+
+MembershipCore::MembershipCore(MembershipCoreOptions options)
+    : m_options(std::move(options)) {}
+
+std::vector<MembershipAction> MembershipCore::Handle(
+    const MembershipEvent& event,
+    MonotonicTime now) {
+  m_actions.clear();
+  std::visit([this](const auto& alternative) { Apply(alternative); }, event);
+  const std::vector<VmId> backends = KeptBackends();
+  UpdateDials(backends, now);
+  UpdateViews(backends);
+  ForgetLostPeers();
+  return std::exchange(m_actions, {});
+}
+
+void MembershipCore::Apply(const VmListRead& event) {
+  const bool had_list =
+      std::any_of(m_peers.begin(), m_peers.end(),
+                  [](const auto& peer) { return peer.second.listed; });
+  if (event.vms.empty() && had_list) {
+    return;
+  }
+  for (auto& [vm, peer] : m_peers) {
+    peer.listed.reset();
+  }
+  m_self_listed_leaving = false;
+  for (const ListedVm& listed : event.vms) {
+    if (listed.vm == m_options.self) {
+      m_self_listed_leaving = listed.leaving;
+    } else {
+      m_peers[listed.vm].listed = listed;
+    }
+  }
+}
+
+void MembershipCore::Apply(const MemberPeerUp& event) {
+  Peer& peer = m_peers[event.vm];
+  peer.up = event.incarnation;
+  if (peer.goodbye != event.incarnation) {
+    peer.goodbye.reset();
+  }
+  if (m_leaving) {
+    m_actions.push_back(SendGoodbye{event.vm});
+  }
+}
+
+void MembershipCore::Apply(const MemberPeerDown& event) {
+  m_peers[event.vm].up.reset();
+}
+
+void MembershipCore::Apply(const MemberGoodbye& event) {
+  m_peers[event.vm].goodbye = event.incarnation;
+}
+
+void MembershipCore::Apply(const LeaveRequested&) {
+  if (std::exchange(m_leaving, true)) {
+    return;
+  }
+  for (const auto& [vm, peer] : m_peers) {
+    if (peer.up) {
+      m_actions.push_back(SendGoodbye{vm});
+    }
+  }
+}
+
+void MembershipCore::ForgetLostPeers() {
+  std::erase_if(m_peers, [](const auto& entry) {
+    return !entry.second.listed && !entry.second.up;
+  });
+}
+
+bool MembershipCore::TakesNewWork(const Peer& peer) const {
+  return peer.listed && !peer.listed->leaving && peer.up &&
+         peer.goodbye != peer.up;
+}
+
+std::vector<VmId> MembershipCore::StayingEntries() const {
+  std::vector<VmId> entries;
+  for (const auto& [vm, peer] : m_peers) {
+    const bool is_entry = peer.listed && peer.listed->role == VmRole::kEntry;
+    if (is_entry && !peer.listed->leaving) {
+      entries.push_back(vm);
+    }
+  }
+  if (m_options.role == VmRole::kEntry) {
+    entries.push_back(m_options.self);
+  }
+  return entries;
+}
+
+std::vector<VmId> MembershipCore::KeptBackends() const {
+  if (m_options.role != VmRole::kEntry) {
+    return {};
+  }
+  std::map<ServiceId, std::vector<VmId>> by_service;
+  for (const auto& [vm, peer] : m_peers) {
+    const bool is_backend =
+        peer.listed && peer.listed->role == VmRole::kBackend;
+    if (is_backend && !peer.listed->leaving) {
+      by_service[peer.listed->service].push_back(vm);
+    }
+  }
+  const std::vector<VmId> entries = StayingEntries();
+  std::vector<VmId> kept;
+  for (const auto& [service, backends] : by_service) {
+    for (const VmId& backend : backends) {
+      if (KeepsBackend(backend, backends.size(), entries)) {
+        kept.push_back(backend);
+      }
+    }
+  }
+  std::sort(kept.begin(), kept.end());
+  return kept;
+}
+
+bool MembershipCore::KeepsBackend(const VmId& backend,
+                                  size_t backends_of_service,
+                                  const std::vector<VmId>& entries) const {
+  const size_t most = m_options.max_backends_per_entry;
+  if (backends_of_service <= most) {
+    return true;
+  }
+  // The backend server's side picks the entries, so that every backend server
+  // is kept by some; on average an entry then keeps `most`.
+  const size_t links = most * entries.size();
+  const size_t keepers =
+      std::max((links + backends_of_service - 1) / backends_of_service,
+               kMinEntriesPerBackend);
+  const std::vector<VmId> picked =
+      RendezvousPick(backend.value(), entries, keepers);
+  return std::find(picked.begin(), picked.end(), m_options.self) !=
+         picked.end();
+}
+
+void MembershipCore::UpdateDials(const std::vector<VmId>& backends,
+                                 MonotonicTime now) {
+  if (m_options.role != VmRole::kEntry) {
+    return;
+  }
+  std::vector<VmId> wanted = backends;
+  for (const VmId& entry : StayingEntries()) {
+    if (m_options.self < entry) {
+      wanted.push_back(entry);
+    }
+  }
+  std::sort(wanted.begin(), wanted.end());
+  DialWanted(wanted);
+  HangUpUnwanted(wanted, now);
+}
+
+void MembershipCore::DialWanted(const std::vector<VmId>& wanted) {
+  for (const VmId& vm : wanted) {
+    const Endpoint& link = m_peers.at(vm).listed->link;
+    const auto [dialled, is_new] = m_dialled.try_emplace(vm, Dialled{link, {}});
+    dialled->second.unwanted_since.reset();
+    if (is_new || dialled->second.link != link) {
+      dialled->second.link = link;
+      m_actions.push_back(DialPeer{vm, link});
+    }
+  }
+}
+
+void MembershipCore::HangUpUnwanted(const std::vector<VmId>& wanted,
+                                    MonotonicTime now) {
+  for (auto next = m_dialled.begin(); next != m_dialled.end();) {
+    const auto current = next++;
+    const VmId& vm = current->first;
+    if (std::binary_search(wanted.begin(), wanted.end(), vm)) {
+      continue;
+    }
+    std::optional<MonotonicTime>& since = current->second.unwanted_since;
+    since = since.value_or(now);
+    const auto peer = m_peers.find(vm);
+    const bool is_up = peer != m_peers.end() && peer->second.up;
+    if (!is_up || now - *since >= kUnwantedLinkGrace) {
+      m_actions.push_back(HangupPeer{vm});
+      m_dialled.erase(current);
+    }
+  }
+}
+
+void MembershipCore::UpdateViews(const std::vector<VmId>& backends) {
+  std::vector<VmId> entries;
+  for (const auto& [vm, peer] : m_peers) {
+    if (TakesNewWork(peer) && peer.listed->role == VmRole::kEntry) {
+      entries.push_back(vm);
+    }
+  }
+  const bool is_entry = m_options.role == VmRole::kEntry;
+  if (is_entry && !m_leaving && !m_self_listed_leaving) {
+    entries.push_back(m_options.self);
+  }
+  std::sort(entries.begin(), entries.end());
+  if (m_last_entries != entries) {
+    m_last_entries = entries;
+    m_actions.push_back(MembersChanged{std::move(entries)});
+  }
+  std::vector<BackendMember> members;
+  for (const VmId& vm : backends) {
+    const Peer& peer = m_peers.at(vm);
+    if (TakesNewWork(peer)) {
+      members.push_back({vm, peer.listed->service, peer.listed->zone});
+    }
+  }
+  if (m_last_backends != members) {
+    m_last_backends = members;
+    m_actions.push_back(BackendsChanged{std::move(members)});
+  }
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Membership/membership_core_test.cc
@@ -0,0 +1,179 @@
+#include "Membership/membership_core.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace cowslip {
+namespace {
+
+ListedVm Entry(const std::string& vm) {
+  return {.vm = VmId(vm), .role = VmRole::kEntry, .link = {"10.0.0.1", 1}};
+}
+
+ListedVm Backend(const std::string& vm) {
+  return {.vm = VmId(vm),
+          .role = VmRole::kBackend,
+          .service = ServiceId("s"),
+          .link = {"10.0.0.2", 2}};
+}
+
+// Applies actions as the driver does and keeps the latest views.
+struct Node {
+  explicit Node(const std::string& vm,
+                VmRole role = VmRole::kEntry,
+                size_t most = kMaxBackendsPerEntry)
+      : core({.self = VmId(vm), .role = role, .max_backends_per_entry = most}) {
+  }
+
+  void Handle(const MembershipEvent& event, Duration after = {}) {
+    now += after;
+    for (const auto& action : core.Handle(event, now)) {
+      if (const auto* dial = std::get_if<DialPeer>(&action)) {
+        dialled.insert(dial->vm.value());
+      } else if (const auto* hangup = std::get_if<HangupPeer>(&action)) {
+        dialled.erase(hangup->vm.value());
+      } else if (const auto* members = std::get_if<MembersChanged>(&action)) {
+        entries.clear();
+        for (const VmId& vm : members->entries) {
+          entries.insert(vm.value());
+        }
+      } else if (const auto* changed = std::get_if<BackendsChanged>(&action)) {
+        backends.clear();
+        for (const BackendMember& member : changed->backends) {
+          backends.insert(member.vm.value());
+        }
+      } else if (const auto* goodbye = std::get_if<SendGoodbye>(&action)) {
+        goodbyes.insert(goodbye->vm.value());
+      }
+    }
+  }
+  void Up(const std::string& vm, uint64_t incarnation = 1) {
+    Handle(MemberPeerUp{VmId(vm), Incarnation(incarnation)});
+  }
+
+  MembershipCore core;
+  MonotonicTime now;
+  std::set<std::string> dialled, entries, backends, goodbyes;
+};
+
+using Names = std::set<std::string>;
+
+const VmListRead kList{{Entry("a"), Entry("b"), Entry("c"), Backend("x")}};
+
+TEST_CASE("Entries dial backend servers and the entries with a greater id") {
+  Node a("a");
+  Node b("b");
+  Node x("x", VmRole::kBackend);
+  for (Node* node : {&a, &b, &x}) {
+    node->Handle(kList);
+  }
+  CHECK(a.dialled == Names{"b", "c", "x"});
+  CHECK(b.dialled == Names{"c", "x"});
+  CHECK(x.dialled.empty());
+  CHECK(x.entries.empty());
+  CHECK(b.entries == Names{"b"});
+  b.Up("a");
+  b.Up("x");
+  b.Up("stranger");
+  CHECK(b.entries == Names{"a", "b"});
+  CHECK(b.backends == Names{"x"});
+}
+
+TEST_CASE("The first of list, goodbye and link ends new work") {
+  Node node("a");
+  node.Handle(kList);
+  node.Up("b");
+  node.Up("x");
+  REQUIRE(node.backends == Names{"x"});
+
+  SECTION("the list says leaving; the link stays for work in flight") {
+    VmListRead list = kList;
+    list.vms.back().leaving = true;
+    node.Handle(list);
+    CHECK(node.backends.empty());
+    CHECK(node.dialled.count("x") == 1);
+    node.Handle(MembershipTick{}, kUnwantedLinkGrace);
+    CHECK(node.dialled.count("x") == 0);
+  }
+  SECTION("the list drops it") {
+    node.Handle(VmListRead{{Entry("a"), Entry("b")}});
+    CHECK(node.backends.empty());
+    node.Handle(MemberPeerDown{VmId("x")});
+    CHECK(node.dialled == Names{"b"});
+  }
+  SECTION("its goodbye, until it has restarted") {
+    node.Handle(MemberGoodbye{VmId("x"), Incarnation(1)});
+    CHECK(node.backends.empty());
+    node.Handle(MemberPeerDown{VmId("x")});
+    node.Up("x", 1);
+    CHECK(node.backends.empty());
+    node.Up("x", 2);
+    CHECK(node.backends == Names{"x"});
+    // A goodbye of the process before comes late.
+    node.Handle(MemberGoodbye{VmId("x"), Incarnation(1)});
+    CHECK(node.backends == Names{"x"});
+  }
+  SECTION("a failed link, until it is back") {
+    node.Handle(MemberPeerDown{VmId("x")});
+    CHECK(node.backends.empty());
+    CHECK(node.dialled.count("x") == 1);
+    node.Up("x");
+    CHECK(node.backends == Names{"x"});
+  }
+}
+
+TEST_CASE("A list that fails or is suddenly empty changes nothing") {
+  Node node("a");
+  node.Handle(kList);
+  node.Up("b");
+  node.Up("x");
+  node.Handle(VmListFailed{});
+  node.Handle(VmListRead{});
+  CHECK(node.entries == Names{"a", "b"});
+  CHECK(node.backends == Names{"x"});
+  node.Handle(MemberPeerDown{VmId("x")});
+  CHECK(node.backends.empty());
+}
+
+TEST_CASE("A leaving process tells every peer, later ones too") {
+  Node node("a");
+  node.Handle(kList);
+  node.Up("b");
+  node.Handle(LeaveRequested{});
+  CHECK(node.goodbyes == Names{"b"});
+  CHECK(node.entries == Names{"b"});
+  node.Up("c");
+  CHECK(node.goodbyes == Names{"b", "c"});
+}
+
+TEST_CASE("Every backend server of a large fleet is kept by enough entries") {
+  rc::check([] {
+    const auto entry_count = *rc::gen::inRange<size_t>(1, 12);
+    const auto backend_count = *rc::gen::inRange<size_t>(1, 80);
+    constexpr size_t kMost = 10;
+    VmListRead list;
+    for (size_t i = 0; i < entry_count; ++i) {
+      list.vms.push_back(Entry("e" + std::to_string(i)));
+    }
+    for (size_t i = 0; i < backend_count; ++i) {
+      list.vms.push_back(Backend("x" + std::to_string(i)));
+    }
+    std::map<std::string, size_t> keepers;
+    for (size_t i = 0; i < entry_count; ++i) {
+      Node node("e" + std::to_string(i), VmRole::kEntry, kMost);
+      node.Handle(list);
+      for (const std::string& vm : node.dialled) {
+        ++keepers[vm];
+      }
+    }
+    for (size_t i = 0; i < backend_count; ++i) {
+      const size_t enough = std::min(entry_count, kMinEntriesPerBackend);
+      RC_ASSERT(keepers["x" + std::to_string(i)] >= enough);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
