--- /dev/null
+++ b/Source/Routing/crash_registry.cc
@@ -0,0 +1,103 @@
+#include "Routing/crash_registry.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace cowslip {
+
+Fingerprint FingerprintOf(const OrganisationId& organisation,
+                          const RouteId& route,
+                          std::string_view body) {
+  std::string text = organisation.value() + '\0' + route.value() + '\0';
+  text += body;
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, hash);
+  static constexpr char kHex[] = "0123456789abcdef";
+  std::string hex;
+  for (const unsigned char byte : canonical.digest) {
+    hex += kHex[byte >> 4];
+    hex += kHex[byte & 15];
+  }
+  return Fingerprint(hex);
+}
+
+CrashRegistry::CrashRegistry(CrashRegistryOptions options)
+    : m_options(options) {}
+
+CrashRegistry::Verdict CrashRegistry::Judge(const Fingerprint& fingerprint,
+                                            MonotonicTime now) const {
+  const auto found = m_records.find(fingerprint);
+  if (found == m_records.end() || found->second.until <= now) {
+    return Verdict::kUnknown;
+  }
+  return found->second.quarantined ? Verdict::kQuarantined : Verdict::kSuspect;
+}
+
+CrashReport CrashRegistry::Crashed(const Fingerprint& fingerprint,
+                                   bool alone,
+                                   MonotonicTime now) {
+  Remember(fingerprint, alone, now);
+  return {.fingerprint = fingerprint, .quarantined = alone};
+}
+
+CrashReport CrashRegistry::Cleared(const Fingerprint& fingerprint) {
+  Forgive(fingerprint);
+  return {.fingerprint = fingerprint, .cleared = true};
+}
+
+void CrashRegistry::Learn(const CrashReport& report, MonotonicTime now) {
+  if (!report.cleared) {
+    Remember(report.fingerprint, report.quarantined, now);
+    return;
+  }
+  Forgive(report.fingerprint);
+}
+
+// A late "cleared" must not lift a quarantine that came after it.
+void CrashRegistry::Forgive(const Fingerprint& fingerprint) {
+  const auto found = m_records.find(fingerprint);
+  if (found != m_records.end() && !found->second.quarantined) {
+    m_records.erase(found);
+  }
+}
+
+std::vector<Fingerprint> CrashRegistry::Quarantined(MonotonicTime now) const {
+  std::vector<Fingerprint> fingerprints;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (record.quarantined && record.until > now) {
+      fingerprints.push_back(fingerprint);
+    }
+  }
+  return fingerprints;
+}
+
+void CrashRegistry::Release(const Fingerprint& fingerprint) {
+  m_records.erase(fingerprint);
+}
+
+void CrashRegistry::Remember(const Fingerprint& fingerprint,
+                             bool quarantined,
+                             MonotonicTime now) {
+  Record& record = m_records[fingerprint];
+  const bool still = record.quarantined && record.until > now;
+  record.quarantined = still || quarantined;
+  const Duration lifetime = record.quarantined ? m_options.quarantine_lifetime
+                                               : m_options.suspicion_lifetime;
+  record.until = now + lifetime;
+  MakeRoom();
+}
+
+void CrashRegistry::MakeRoom() {
+  if (m_records.size() <= m_options.max_records) {
+    return;
+  }
+  const auto oldest = std::min_element(m_records.begin(), m_records.end(),
+                                       [](const auto& a, const auto& b) {
+                                         return a.second.until < b.second.until;
+                                       });
+  m_records.erase(oldest);
+}
+
+}  // namespace cowslip
