--- /dev/null
+++ b/Source/Configuration/sha256.h
@@ -0,0 +1,15 @@
+#ifndef SOURCE_CONFIGURATION_SHA256_H_
+#define SOURCE_CONFIGURATION_SHA256_H_
+
+#include <string_view>
+
+#include "Base/ids.h"
+
+namespace cowslip {
+
+/// The SHA-256 digest of some bytes, in lower-case hexadecimal.
+Digest Sha256(std::string_view bytes);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_CONFIGURATION_SHA256_H_
