--- /dev/null
+++ b/Source/Metrics/metrics_registry.h
@@ -0,0 +1,50 @@
+#ifndef SOURCE_METRICS_METRICS_REGISTRY_H_
+#define SOURCE_METRICS_METRICS_REGISTRY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace cowslip {
+
+class Counter;
+class Gauge;
+class Summary;
+
+/// \class MetricsRegistry
+/// \brief Owns a process's metrics and renders them for a Prometheus scraper.
+///
+/// A name may carry labels: `cowslip_requests_total{route="chat"}`; metrics
+/// that differ only in labels share one help text. Asking for a name again
+/// returns the same metric. References stay valid as long as the registry.
+class MetricsRegistry {
+ public:
+  MetricsRegistry();
+  ~MetricsRegistry();
+  MetricsRegistry(const MetricsRegistry&) = delete;
+  MetricsRegistry& operator=(const MetricsRegistry&) = delete;
+
+  Counter& counter(const std::string& name, const std::string& help);
+  Gauge& gauge(const std::string& name, const std::string& help);
+  Summary& summary(const std::string& name, const std::string& help);
+
+  /// The Prometheus text format, version 0.0.4.
+  std::string Render() const;
+
+ private:
+  using Metric = std::variant<std::unique_ptr<Counter>,
+                              std::unique_ptr<Gauge>,
+                              std::unique_ptr<Summary>>;
+  template <class T>
+  T& Find(const std::string& name, const std::string& help);
+
+  // Keyed by full name, so that metrics of one family stand together.
+  std::map<std::string, Metric> m_metrics;
+  // Keyed by family name.
+  std::map<std::string, std::string> m_help;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_METRICS_METRICS_REGISTRY_H_
