--- a/Source/Entry/crash_sync.cc
+++ b/Source/Entry/crash_sync.cc
@@ -98,6 +98,9 @@
 }
 
 boost::asio::awaitable<bool> CrashSync::Release(Fingerprint fingerprint) {
+  const CrashReport report = {.fingerprint = fingerprint, .released = true};
+  m_learn(report);
+  m_send(ToCbor(report));
   const Precondition any = Unconditional{};
   const Result<void> deleted = co_await m_store.Delete(KeyOf(fingerprint), any);
   co_return deleted.has_value() ||
--- a/Source/Entry/crash_sync.h
+++ b/Source/Entry/crash_sync.h
@@ -36,8 +36,8 @@
   void Broadcast(const CrashReport& report);
   /// Another entry sent a frame.
   void OnPeerFrame(const std::string& cbor);
-  /// Lifts a quarantine in the store; entries that run keep it until they are
-  /// told or restarted.
+  /// Lifts a quarantine, on every entry that can be reached and in the store.
+  /// False when the store could not be written: repeat it.
   boost::asio::awaitable<bool> Release(Fingerprint fingerprint);
 
  private:
--- a/Source/Routing/crash_registry.cc
+++ b/Source/Routing/crash_registry.cc
@@ -48,6 +48,10 @@
 }
 
 void CrashRegistry::Learn(const CrashReport& report, MonotonicTime now) {
+  if (report.released) {
+    Release(report.fingerprint);
+    return;
+  }
   if (!report.cleared) {
     Remember(report.fingerprint, report.quarantined, now);
     return;
--- a/Source/Routing/crash_registry.h
+++ b/Source/Routing/crash_registry.h
@@ -33,11 +33,14 @@
   bool quarantined = false;
   /// The request ran alone to its end: it is innocent.
   bool cleared = false;
+  /// An operator lifted the quarantine.
+  bool released = false;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashReport,
                                    fingerprint,
                                    quarantined,
-                                   cleared)
+                                   cleared,
+                                   released)
 
 /// \class CrashRegistryOptions
 /// \brief How long a suspicion and a quarantine last.
