--- a/Source/Metrics/metrics_registry.cc
+++ b/Source/Metrics/metrics_registry.cc
@@ -1,5 +1,6 @@
 #include "Metrics/metrics_registry.h"
 
+#include <array>
 #include <sstream>
 
 #include "Base/log.h"
@@ -12,6 +13,9 @@
 
 namespace {
 
+// In the order of the alternatives of a metric.
+constexpr std::array<const char*, 3> kTypes = {"counter", "gauge", "summary"};
+
 std::string FamilyOf(const std::string& name) {
   return name.substr(0, name.find('{'));
 }
@@ -79,7 +83,6 @@
   out.precision(12);
   std::string family;
   for (const auto& [name, metric] : m_metrics) {
-    constexpr const char* kTypes[] = {"counter", "gauge", "summary"};
     if (FamilyOf(name) != family) {
       family = FamilyOf(name);
       out << "# HELP " << family << " " << m_help.at(family) << "\n";
