--- a/Source/Access/key_text.cc
+++ b/Source/Access/key_text.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr size_t kKeyLength = kKeyPrefix.size() + kKeyRandomDigits;
 constexpr std::string_view kBase32Digits = "abcdefghijklmnopqrstuvwxyz234567";
 
 bool IsBase32Digit(char c) {
@@ -65,7 +66,6 @@
 }
 
 std::string RedactKeys(std::string text) {
-  constexpr size_t kKeyLength = kKeyPrefix.size() + kKeyRandomDigits;
   size_t found = FindKeyText(text, 0);
   while (found != std::string::npos) {
     text.replace(found, kKeyLength, kKeyLength, 'x');
--- a/Source/Configuration/sha256.cc
+++ b/Source/Configuration/sha256.cc
@@ -7,8 +7,13 @@
 
 namespace cowslip {
 
+namespace {
+
+constexpr char kHexDigits[] = "0123456789abcdef";
+
+}  // namespace
+
 Digest Sha256(std::string_view bytes) {
-  constexpr char kHexDigits[] = "0123456789abcdef";
   std::array<unsigned char, SHA256_DIGEST_LENGTH> raw;
   SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
          raw.data());
