Membership: dial an entry that stays away from both sides

Cause: the entry with the smallest id dials everyone and is dialled by nobody; when it restarts while the platform is down it has no VM list, so it stays alone and never learns the configuration. Change: after 3 s without a link the entries with greater ids dial it too. Measured: the new case in membership tests passes; without the change nobody dials it.

--- a/Source/Membership/membership_core.cc
+++ b/Source/Membership/membership_core.cc
@@ -14,6 +14,7 @@
     const MembershipEvent& event,
     MonotonicTime now) {
   m_actions.clear();
+  m_now = now;
   std::visit([this](const auto& alternative) { Apply(alternative); }, event);
   const std::vector<VmId> backends = KeptBackends();
   UpdateDials(backends, now);
@@ -37,7 +38,9 @@
     if (listed.vm == m_options.self) {
       m_self_listed_leaving = listed.leaving;
     } else {
-      m_peers[listed.vm].listed = listed;
+      Peer& peer = m_peers[listed.vm];
+      peer.listed = listed;
+      peer.down_since = peer.down_since.value_or(m_now);
     }
   }
 }
@@ -54,7 +57,9 @@
 }
 
 void MembershipCore::Apply(const MemberPeerDown& event) {
-  m_peers[event.vm].up.reset();
+  Peer& peer = m_peers[event.vm];
+  peer.up.reset();
+  peer.down_since = m_now;
 }
 
 void MembershipCore::Apply(const MemberGoodbye& event) {
@@ -148,7 +153,7 @@
   }
   std::vector<VmId> wanted = backends;
   for (const VmId& entry : StayingEntries()) {
-    if (m_options.self < entry) {
+    if (DialsEntry(entry)) {
       wanted.push_back(entry);
     }
   }
@@ -157,6 +162,17 @@
   HangUpUnwanted(wanted, now);
 }
 
+bool MembershipCore::DialsEntry(const VmId& entry) const {
+  if (entry == m_options.self) {
+    return false;
+  }
+  if (m_options.self < entry || m_dialled.contains(entry)) {
+    return true;
+  }
+  const Peer& peer = m_peers.at(entry);
+  return !peer.up && m_now - *peer.down_since >= kReverseDialDelay;
+}
+
 void MembershipCore::DialWanted(const std::vector<VmId>& wanted) {
   for (const VmId& vm : wanted) {
     const Endpoint& link = m_peers.at(vm).listed->link;
--- a/Source/Membership/membership_core.h
+++ b/Source/Membership/membership_core.h
@@ -21,6 +21,11 @@
 /// flight on it can end.
 inline constexpr Duration kUnwantedLinkGrace = std::chrono::minutes(15);
 
+/// An entry is dialled by those with a smaller id. When it stays away for this
+/// long, the others dial it too: one that restarts while the platform is down
+/// has no VM list and can dial nobody.
+inline constexpr Duration kReverseDialDelay = std::chrono::seconds(3);
+
 /// \class MembershipCoreOptions
 /// \brief Who this process is.
 struct MembershipCoreOptions {
@@ -54,6 +59,7 @@
     std::optional<Incarnation> up;
     /// The incarnation that said goodbye.
     std::optional<Incarnation> goodbye;
+    std::optional<MonotonicTime> down_since;
   };
   /// \class Dialled
   /// \brief A VM that PeerLink was told to dial.
@@ -81,11 +87,13 @@
                     const std::vector<VmId>& entries) const;
 
   void UpdateDials(const std::vector<VmId>& backends, MonotonicTime now);
+  bool DialsEntry(const VmId& entry) const;
   void DialWanted(const std::vector<VmId>& wanted);
   void HangUpUnwanted(const std::vector<VmId>& wanted, MonotonicTime now);
   void UpdateViews(const std::vector<VmId>& backends);
 
   const MembershipCoreOptions m_options;
+  MonotonicTime m_now;
   bool m_leaving = false;
   bool m_self_listed_leaving = false;
   std::map<VmId, Peer> m_peers;
--- a/Tests/Membership/membership_core_test.cc
+++ b/Tests/Membership/membership_core_test.cc
@@ -81,6 +81,22 @@
   CHECK(b.backends == Names{"x"});
 }
 
+TEST_CASE("An entry that stays away is dialled from both sides") {
+  // The smallest entry restarts while the platform is down: it has no VM list.
+  Node b("b");
+  b.Handle(kList);
+  b.Up("a");
+  b.Handle(MembershipTick{}, kReverseDialDelay * 2);
+  CHECK_FALSE(b.dialled.contains("a"));
+  b.Handle(MemberPeerDown{VmId("a")});
+  b.Handle(VmListFailed{}, kReverseDialDelay / 2);
+  CHECK_FALSE(b.dialled.contains("a"));
+  b.Handle(MembershipTick{}, kReverseDialDelay);
+  CHECK(b.dialled.contains("a"));
+  b.Up("a", 2);
+  CHECK(b.dialled.contains("a"));
+}
+
 TEST_CASE("The first of list, goodbye and link ends new work") {
   Node node("a");
   node.Handle(kList);
