--- a/Source/Net/http_message.cc
+++ b/Source/Net/http_message.cc
@@ -3,33 +3,17 @@
 #include <algorithm>
 #include <cctype>
 
+#include "Net/percent_encoding.h"
+
 namespace cowslip {
 
 namespace {
 
-int HexValue(char c) {
-  if (c >= '0' && c <= '9') {
-    return c - '0';
-  }
-  const int lower = std::tolower(static_cast<unsigned char>(c));
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string PercentDecode(std::string_view text) {
-  std::string decoded;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const bool escaped = text[i] == '%' && i + 2 < text.size() &&
-                         HexValue(text[i + 1]) >= 0 &&
-                         HexValue(text[i + 2]) >= 0;
-    if (escaped) {
-      decoded +=
-          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
-      i += 2;
-    } else {
-      decoded += text[i] == '+' ? ' ' : text[i];
-    }
-  }
-  return decoded;
+// In a query, a plus sign stands for a space.
+std::string DecodeQueryPart(std::string_view text) {
+  std::string spaced(text);
+  std::replace(spaced.begin(), spaced.end(), '+', ' ');
+  return PercentDecode(spaced);
 }
 
 }  // namespace
@@ -65,8 +49,8 @@
     const size_t end = std::min(rest.find('&'), rest.size());
     const std::string_view pair = rest.substr(0, end);
     const size_t equals = std::min(pair.find('='), pair.size());
-    if (PercentDecode(pair.substr(0, equals)) == name) {
-      return PercentDecode(pair.substr(std::min(equals + 1, pair.size())));
+    if (DecodeQueryPart(pair.substr(0, equals)) == name) {
+      return DecodeQueryPart(pair.substr(std::min(equals + 1, pair.size())));
     }
     rest.remove_prefix(std::min(end + 1, rest.size()));
   }
