--- a/Utilities/StandIns/Platform/change_wait.cc
+++ b/Utilities/StandIns/Platform/change_wait.cc
@@ -7,14 +7,14 @@
 
 namespace cowslip {
 
-ChangeWait::ChangeWait(boost::asio::any_io_executor executor,
+ChangeWait::ChangeWait(const boost::asio::any_io_executor& executor,
                        FakePlatform& platform,
                        std::string prefix,
                        ObjectVersion since)
     : m_platform(platform),
       m_prefix(std::move(prefix)),
       m_since(since),
-      m_timer(std::move(executor)) {
+      m_timer(executor) {
   m_subscription =
       m_platform.Subscribe([this](const ObjectKey&) { m_timer.cancel(); });
 }
--- a/Utilities/StandIns/Platform/change_wait.h
+++ b/Utilities/StandIns/Platform/change_wait.h
@@ -15,7 +15,7 @@
 /// \brief One waiting watch on a FakePlatform.
 class ChangeWait {
  public:
-  ChangeWait(boost::asio::any_io_executor executor,
+  ChangeWait(const boost::asio::any_io_executor& executor,
              FakePlatform& platform,
              std::string prefix,
              ObjectVersion since);
