--- /dev/null
+++ b/Source/Batch/partition_core.cc
@@ -0,0 +1,359 @@
+#include "Batch/partition_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/log.h"
+
+namespace cowslip {
+
+namespace {
+
+// An owner stops this much before its lease ends, so that what it sends in its
+// last moment has left before a successor may claim.
+constexpr Duration kStopBeforeLeaseEnd = std::chrono::milliseconds(500);
+
+}  // namespace
+
+PartitionCore::PartitionCore(PartitionOptions options)
+    : m_options(std::move(options)), m_slots(kJournalSlots) {}
+
+std::vector<PartitionAction> PartitionCore::Handle(PartitionEvent event,
+                                                   MonotonicTime now) {
+  m_now = now;
+  if (m_phase == Phase::kOwning && !LeaseHolds()) {
+    StepDown("The lease lapsed.");
+  }
+  std::visit([this](const auto& alternative) { On(alternative); }, event);
+  if (m_phase == Phase::kOwning) {
+    AppendWhenDue();
+    CheckpointWhenDue();
+  }
+  return std::exchange(m_actions, {});
+}
+
+bool PartitionCore::LeaseHolds() const {
+  return m_now + kStopBeforeLeaseEnd < m_lease_until;
+}
+
+bool PartitionCore::IsOwner(MonotonicTime now) const {
+  return m_phase == Phase::kOwning && now + kStopBeforeLeaseEnd < m_lease_until;
+}
+
+bool PartitionCore::drained() const {
+  return m_phase == Phase::kPassive;
+}
+
+int64_t PartitionCore::WallMs() const {
+  return m_options.wall_at_zero_ms +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             m_now.time_since_epoch())
+             .count();
+}
+
+MonotonicTime PartitionCore::FromWallMs(int64_t wall_ms) const {
+  return MonotonicTime(
+      std::chrono::milliseconds(wall_ms - m_options.wall_at_zero_ms));
+}
+
+void PartitionCore::On(const Tick&) {
+  switch (m_phase) {
+    case Phase::kPassive:
+      return;
+    case Phase::kReplaying:
+    case Phase::kFollowing:
+      FollowOrClaim();
+      return;
+    case Phase::kClaiming:
+      ContinueAppend();
+      return;
+    case Phase::kOwning:
+      ExpireJobs();
+      ContinueAppend();
+      ContinueCheckpoint();
+      ReleaseWhenIdle();
+      return;
+  }
+}
+
+void PartitionCore::On(const AssignmentChanged& event) {
+  if (m_assigned == event.assigned) {
+    return;
+  }
+  m_assigned = event.assigned;
+  if (m_assigned && !m_draining && m_phase == Phase::kPassive) {
+    BeginReplay();
+    return;
+  }
+  const bool reading =
+      m_phase == Phase::kReplaying || m_phase == Phase::kFollowing;
+  if (!m_assigned && reading) {
+    m_phase = Phase::kPassive;
+    RefuseAllRequests();
+  }
+  if (!m_assigned && m_phase == Phase::kOwning) {
+    m_drain_started = m_now;
+  }
+}
+
+void PartitionCore::On(const DrainRequested&) {
+  m_draining = true;
+  m_drain_started = m_now;
+  if (m_phase == Phase::kReplaying || m_phase == Phase::kFollowing) {
+    m_phase = Phase::kPassive;
+    RefuseAllRequests();
+  }
+}
+
+void PartitionCore::On(const ReadAnswered& event) {
+  if (m_reading && event.call == m_read_call) {
+    OnReplayRead(event);
+  } else if (m_append && event.call == m_append->call &&
+             m_append->step == AppendStep::kReadSlot) {
+    OnAppendSlotRead(event);
+  } else if (m_checkpoint && event.call == m_checkpoint->call &&
+             m_checkpoint->step == CheckpointStep::kRead) {
+    OnCheckpointRead(event);
+  }
+}
+
+void PartitionCore::On(const WriteAnswered& event) {
+  if (m_append && event.call == m_append->call &&
+      m_append->step == AppendStep::kWrite) {
+    OnAppendWritten(event.answer);
+  } else if (m_checkpoint && event.call == m_checkpoint->call) {
+    OnCheckpointWritten(event.answer);
+  }
+}
+
+void PartitionCore::BeginReplay() {
+  m_phase = Phase::kReplaying;
+  m_state = PartitionState();
+  m_slots.assign(kJournalSlots, Slot());
+  m_reading = true;
+  m_reading_checkpoint = true;
+  m_read_call = NextCall();
+  Emit(ReadCheckpoint{.call = m_read_call});
+}
+
+void PartitionCore::OnReplayRead(const ReadAnswered& event) {
+  m_reading = false;
+  if (m_phase != Phase::kReplaying && m_phase != Phase::kFollowing) {
+    return;
+  }
+  if (!event.answered) {
+    m_next_read = m_now + m_options.store_retry;
+    return;
+  }
+  if (m_reading_checkpoint) {
+    OnCheckpointReplayed(event);
+  } else {
+    OnSlotReplayed(event);
+  }
+}
+
+void PartitionCore::OnCheckpointReplayed(const ReadAnswered& event) {
+  m_reading_checkpoint = false;
+  m_checkpoint_version.reset();
+  if (event.bytes) {
+    auto checkpoint = DecodeCheckpoint(*event.bytes);
+    if (!checkpoint.has_value()) {
+      LOG(ERROR) << "batch: partition " << m_options.partition
+                 << " stays unowned, its checkpoint cannot be read: "
+                 << checkpoint.error();
+      m_phase = Phase::kPassive;
+      RefuseAllRequests();
+      return;
+    }
+    m_state = std::move(checkpoint.value().state);
+    m_checkpoint_version = event.version;
+  }
+  m_checkpoint_next = m_state.next;
+  ReadNextSlot();
+}
+
+void PartitionCore::ReadNextSlot() {
+  m_reading = true;
+  m_read_call = NextCall();
+  Emit(ReadSlot{.call = m_read_call, .sequence = m_state.next});
+}
+
+void PartitionCore::OnSlotReplayed(const ReadAnswered& event) {
+  Slot& slot = m_slots[m_state.next.value() % kJournalSlots];
+  std::optional<JournalRecord> record;
+  if (event.bytes) {
+    auto decoded = DecodeRecord(*event.bytes);
+    if (!decoded.has_value()) {
+      LOG(ERROR) << "batch: partition " << m_options.partition
+                 << " stays unowned: " << decoded.error();
+      m_phase = Phase::kPassive;
+      RefuseAllRequests();
+      return;
+    }
+    record = std::move(decoded.value());
+  }
+  if (record && record->sequence > m_state.next) {
+    // The owner has come round the ring; its checkpoint is newer than ours.
+    BeginReplay();
+    return;
+  }
+  slot.known = true;
+  slot.version = event.bytes ? std::optional(event.version) : std::nullopt;
+  if (record && record->sequence == m_state.next) {
+    m_state.Apply(*record);
+    m_observed_at = m_now;
+    ReadNextSlot();
+    return;
+  }
+  if (m_phase == Phase::kReplaying) {
+    m_phase = Phase::kFollowing;
+    m_observed_at = m_now;
+  }
+  m_next_read = m_now + (WantsOwnership() ? m_options.poll_interval
+                                          : m_options.idle_poll_interval);
+  FollowOrClaim();
+}
+
+bool PartitionCore::WantsOwnership() const {
+  return !handing_over() && (!m_held.empty() || m_state.has_running_jobs());
+}
+
+bool PartitionCore::LeaseOfOthersLapsed() const {
+  const bool own = m_state.owner == m_options.self &&
+                   m_state.incarnation == m_options.incarnation;
+  return m_state.released || own ||
+         m_now >= m_observed_at + m_options.lease + m_options.lease_margin;
+}
+
+void PartitionCore::FollowOrClaim() {
+  const bool following = m_phase == Phase::kFollowing;
+  if (m_reading || (!following && m_phase != Phase::kReplaying)) {
+    return;
+  }
+  if (following && WantsOwnership() && LeaseOfOthersLapsed()) {
+    Claim();
+    return;
+  }
+  const bool wanted = WantsOwnership() && following &&
+                      m_now + m_options.poll_interval < m_next_read;
+  if (m_now < m_next_read && !wanted) {
+    return;
+  }
+  if (m_phase == Phase::kReplaying && m_reading_checkpoint) {
+    BeginReplay();
+  } else {
+    ReadNextSlot();
+  }
+}
+
+void PartitionCore::Claim() {
+  const uint64_t since = m_state.next.value() - m_checkpoint_next.value();
+  if (since >= kJournalSlots) {
+    // The owners that were followed have written newer checkpoints.
+    BeginReplay();
+    return;
+  }
+  m_phase = Phase::kClaiming;
+  m_epoch = m_state.epoch + FencingNumber(1);
+  StartAppend({LeaseClaimed{.owner = m_options.self,
+                            .incarnation = m_options.incarnation,
+                            .epoch = m_epoch}});
+}
+
+void PartitionCore::OnClaimed() {
+  m_phase = Phase::kOwning;
+  m_last_busy = m_now;
+  ++m_counters.claims;
+  LOG(INFO) << "batch: " << m_options.self << " owns partition "
+            << m_options.partition << " in epoch " << m_epoch << ".";
+  EndLostIntents();
+  if (!m_assigned) {
+    m_drain_started = m_now;
+  }
+  ServeHeldRequests();
+}
+
+void PartitionCore::StepDown(const char* reason) {
+  LOG(WARNING) << "batch: " << m_options.self << " gives up partition "
+               << m_options.partition << ". " << reason;
+  ++m_counters.leases_lost;
+  StopRunningItems();
+  m_releasing = false;
+  m_queues.clear();
+  m_stopping.clear();
+  m_entries.clear();
+  m_entry_bytes = 0;
+  m_commit_at.reset();
+  m_append.reset();
+  m_checkpoint.reset();
+  RefuseAllRequests();
+  if (handing_over()) {
+    m_phase = Phase::kPassive;
+    return;
+  }
+  BeginReplay();
+}
+
+void PartitionCore::StopRunningItems() {
+  for (const auto& [dispatch, running] : m_running) {
+    Emit(CancelItem{
+        .dispatch = dispatch, .job = running.job, .item = running.item});
+  }
+  m_running.clear();
+}
+
+void PartitionCore::ReleaseWhenIdle() {
+  if (handing_over() && m_now >= m_drain_started + m_options.drain_timeout) {
+    StopRunningItems();
+  }
+  if (m_releasing) {
+    return;
+  }
+  const bool busy = !m_running.empty() || m_append || m_checkpoint ||
+                    !m_entries.empty() || !m_looking_up.empty();
+  const bool wanted = !handing_over() && m_state.has_running_jobs();
+  if (busy || wanted) {
+    m_last_busy = m_now;
+    return;
+  }
+  if (handing_over() || m_now >= m_last_busy + m_options.idle_release) {
+    m_releasing = true;
+    StartAppend({LeaseReleased{.epoch = m_epoch}});
+  }
+}
+
+void PartitionCore::OnReleased() {
+  LOG(INFO) << "batch: " << m_options.self << " releases partition "
+            << m_options.partition << ".";
+  m_releasing = false;
+  m_queues.clear();
+  m_checkpoint.reset();
+  if (handing_over()) {
+    m_phase = Phase::kPassive;
+    RefuseAllRequests();
+    return;
+  }
+  m_phase = Phase::kFollowing;
+  m_observed_at = m_now;
+  m_next_read = m_now + m_options.idle_poll_interval;
+  FollowOrClaim();
+}
+
+size_t PartitionCore::StateBytes() const {
+  constexpr size_t kJobBytes = 512;
+  constexpr size_t kSegmentRefBytes = 16;
+  constexpr size_t kItemBytes = 96;
+  size_t bytes = 0;
+  for (const auto& [id, job] : m_state.jobs) {
+    bytes += kJobBytes + sizeof(uint32_t) * job.header.segment_starts.size() +
+             kSegmentRefBytes * job.segments.size() + job.done.window_bytes() +
+             kItemBytes * (job.intents.size() + job.failed_attempts.size()) +
+             UnflushedBytes(job);
+  }
+  for (const auto& [id, queue] : m_queues) {
+    bytes += kItemBytes * queue.items().size();
+  }
+  return bytes;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Batch/partition_core.h
@@ -0,0 +1,305 @@
+#ifndef SOURCE_BATCH_PARTITION_CORE_H_
+#define SOURCE_BATCH_PARTITION_CORE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Base/ids.h"
+#include "Base/time.h"
+#include "Batch/batch_keys.h"
+#include "Batch/job_queue.h"
+#include "Batch/partition_events.h"
+#include "Batch/partition_state.h"
+
+namespace cowslip {
+
+/// \class PartitionOptions
+/// \brief Bounds and periods of one partition's owner.
+struct PartitionOptions {
+  PartitionId partition;
+  VmId self;
+  Incarnation incarnation;
+  /// Wall-clock time at the zero of the monotonic clock.
+  int64_t wall_at_zero_ms = 0;
+
+  /// An owner stops by its own clock this long after the start of its last
+  /// committed append.
+  Duration lease = std::chrono::seconds(10);
+  /// How much longer a successor waits, for clocks that run apart.
+  Duration lease_margin = std::chrono::seconds(2);
+  /// How often a VM that wants the partition looks at the journal.
+  Duration poll_interval = std::chrono::seconds(1);
+  /// How often the assigned VM looks at an idle partition.
+  Duration idle_poll_interval = std::chrono::seconds(30);
+  /// An owner without running jobs releases the partition after this.
+  Duration idle_release = std::chrono::seconds(5);
+  /// The longest wait of an outcome for the next append.
+  Duration commit_interval = std::chrono::milliseconds(500);
+  /// Wait before a failed call to the store is repeated.
+  Duration store_retry = std::chrono::milliseconds(500);
+  /// How long a draining owner lets its items finish.
+  Duration drain_timeout = std::chrono::seconds(20);
+
+  /// Attempts of an item before it ends with an error.
+  uint32_t max_attempts = 4;
+  /// Wait before the second attempt; doubles for each further one.
+  Duration attempt_backoff = std::chrono::seconds(1);
+  /// A job that is not done this long after its deadline ends as expired.
+  Duration expire_after_deadline = std::chrono::hours(24);
+  /// The most bytes of one result.
+  size_t max_result_bytes = 256 * 1024;
+  /// Bytes of outcomes after which an append does not wait any longer.
+  size_t max_record_bytes = 512 * 1024;
+  /// Journal records after which a checkpoint is due.
+  uint32_t checkpoint_records = 32;
+  /// Bytes of outcomes held in memory and in the checkpoint; beyond it they
+  /// go to output segments.
+  size_t unflushed_bytes = 384 * 1024;
+  /// Bytes of job state beyond which new jobs are refused for a while.
+  size_t max_state_bytes = 256 * 1024;
+};
+
+/// \class PartitionCounters
+/// \brief What the owner's metrics show.
+struct PartitionCounters {
+  uint64_t appends = 0;
+  uint64_t checkpoints = 0;
+  uint64_t object_writes = 0;
+  uint64_t claims = 0;
+  uint64_t leases_lost = 0;
+  uint64_t dispatches = 0;
+  uint64_t attempts_failed = 0;
+  uint64_t preemptions = 0;
+  uint64_t outcomes = 0;
+};
+
+/// \class PartitionCore
+/// \brief Decides for one partition on one VM: who owns it, what is committed,
+/// what is dispatched.
+///
+/// The journal is a ring of slots in the store, each written by conditional
+/// update over the version that was read, so that one record follows another
+/// whoever writes. The first record of an owner is its claim; after a
+/// successor's claim every append of a paused owner conflicts.
+class PartitionCore {
+ public:
+  explicit PartitionCore(PartitionOptions options);
+
+  std::vector<PartitionAction> Handle(PartitionEvent event, MonotonicTime now);
+
+  /// Jobs with an item that may be dispatched now.
+  std::vector<DispatchCandidate> Candidates(MonotonicTime now);
+
+  bool IsOwner(MonotonicTime now) const;
+  bool drained() const;
+  /// Items dispatched and not answered.
+  size_t running_items() const { return m_running.size(); }
+  const PartitionState& state() const { return m_state; }
+  const PartitionCounters& counters() const { return m_counters; }
+  /// Bytes of bookkeeping held for running jobs, roughly.
+  size_t StateBytes() const;
+
+ private:
+  enum class Phase {
+    /// Not assigned, and nothing is read.
+    kPassive,
+    /// Reading the checkpoint and the journal.
+    kReplaying,
+    /// At the journal's end; another VM may hold the lease.
+    kFollowing,
+    /// The claim is being appended.
+    kClaiming,
+    kOwning,
+  };
+  enum class AppendStep { kReadSlot, kWrite, kWaitToRetry };
+  enum class CheckpointStep { kWriteObjects, kWrite, kRead, kWaitToRetry };
+
+  struct PendingAppend {
+    JournalRecord record;
+    std::string bytes;
+    AppendStep step = AppendStep::kReadSlot;
+    StoreCallId call;
+    // When the first write began; a lease counts from here.
+    std::optional<MonotonicTime> written_at;
+    MonotonicTime retry_at;
+  };
+  struct PendingCheckpoint {
+    Checkpoint checkpoint;
+    std::vector<ObjectWrite> writes;
+    std::string bytes;
+    // How many unflushed outcomes of each job went to segments.
+    std::map<JobId, size_t> flushed;
+    std::vector<JobId> ended;
+    CheckpointStep step = CheckpointStep::kWriteObjects;
+    CheckpointStep retry_step = CheckpointStep::kWriteObjects;
+    StoreCallId call;
+    MonotonicTime retry_at;
+  };
+  struct Slot {
+    bool known = false;
+    std::optional<ObjectVersion> version;
+  };
+  struct RunningItem {
+    JobId job;
+    uint32_t item = 0;
+  };
+  struct HeldRequest {
+    PartitionEvent event;
+    BatchRequestId request;
+  };
+  // Requests that wait until it is known whether their job has ended.
+  struct Lookup {
+    StoreCallId call;
+    std::vector<HeldRequest> requests;
+  };
+
+  // Events.
+  void On(const Tick&);
+  void On(const AssignmentChanged& event);
+  void On(const DrainRequested&);
+  void On(const ReadAnswered& event);
+  void On(const WriteAnswered& event);
+  void On(const EndedJobRead& event);
+  void On(const SubmitRequested& event);
+  void On(const ViewRequested& event);
+  void On(const CancelRequested& event);
+  void On(const DispatchNext& event);
+  void On(const ItemAnswered& event);
+
+  // Lease and replay (partition_core.cc).
+  void BeginReplay();
+  void OnReplayRead(const ReadAnswered& event);
+  void OnCheckpointReplayed(const ReadAnswered& event);
+  void OnSlotReplayed(const ReadAnswered& event);
+  void ReadNextSlot();
+  void FollowOrClaim();
+  bool WantsOwnership() const;
+  bool LeaseOfOthersLapsed() const;
+  void Claim();
+  void OnClaimed();
+  void StepDown(const char* reason);
+  void ReleaseWhenIdle();
+  void OnReleased();
+  void StopRunningItems();
+  bool handing_over() const { return m_draining || !m_assigned; }
+  bool serving() const { return m_phase == Phase::kOwning && !m_releasing; }
+
+  // Journal and checkpoint (partition_journal.cc).
+  void AddEntry(JournalEntry entry, bool urgent);
+  void AppendWhenDue();
+  void StartAppend(std::vector<JournalEntry> entries);
+  void ContinueAppend();
+  void OnAppendSlotRead(const ReadAnswered& event);
+  void OnAppendWritten(const WriteAnswer& answer);
+  void OnAppendLost();
+  void OnCommitted(std::optional<ObjectVersion> version);
+  void AfterCommit(const JournalRecord& record);
+  std::vector<JournalEntry> TakeEntries();
+  void CheckpointWhenDue();
+  bool CheckpointIsDue() const;
+  void BuildCheckpoint();
+  void FlushJob(PendingCheckpoint& pending, JobState& job);
+  void ContinueCheckpoint();
+  void OnCheckpointRead(const ReadAnswered& event);
+  void OnCheckpointWritten(const WriteAnswer& answer);
+  void OnCheckpointDone(ObjectVersion version);
+  void RetryCheckpoint(CheckpointStep step);
+
+  // Requests (partition_requests.cc).
+  void Reply(BatchRequestId request, JobView view);
+  void Refuse(BatchRequestId request, ErrorKind kind, std::string message);
+  void HoldOrRefuse(BatchRequestId request, PartitionEvent event);
+  void ServeHeldRequests();
+  void RefuseAllRequests();
+  void LookUpEnded(const JobId& job, HeldRequest request);
+  void AcceptJob(const SubmitRequested& event);
+  void StopJob(const JobId& job, JobStatus status);
+  void ExpireJobs();
+  void AnswerFromEnded(const HeldRequest& held, const JobState& job);
+  void AnswerWithoutJob(const HeldRequest& held);
+
+  // Items (partition_items.cc).
+  void Dispatch(const JobId& job, uint32_t item);
+  void EndItem(const JobId& job, ItemOutcome outcome);
+  void OnAttemptFailed(const JobState& job,
+                       uint32_t item,
+                       const ItemId& custom_id,
+                       int status,
+                       std::string detail);
+  void OnResult(const JobState& job,
+                uint32_t item,
+                const ItemId& custom_id,
+                const ItemResult& result);
+  void OnCompleted(const JobState& job,
+                   uint32_t item,
+                   const ItemId& custom_id,
+                   const ItemCompleted& completed);
+  void DropQueue(const JobId& job);
+  void EndLostIntents();
+
+  StoreCallId NextCall() { return ++m_last_call; }
+  int64_t WallMs() const;
+  MonotonicTime FromWallMs(int64_t wall_ms) const;
+  bool LeaseHolds() const;
+  template <class Action>
+  void Emit(Action action) {
+    m_actions.push_back(std::move(action));
+  }
+
+  const PartitionOptions m_options;
+  MonotonicTime m_now;
+  std::vector<PartitionAction> m_actions;
+  StoreCallId m_last_call;
+  PartitionCounters m_counters;
+
+  Phase m_phase = Phase::kPassive;
+  bool m_assigned = false;
+  bool m_draining = false;
+  MonotonicTime m_drain_started;
+  PartitionState m_state;
+  std::vector<Slot> m_slots;
+
+  // Replaying and following.
+  StoreCallId m_read_call;
+  bool m_reading = false;
+  bool m_reading_checkpoint = false;
+  MonotonicTime m_next_read;
+  MonotonicTime m_observed_at;
+
+  // Owning.
+  FencingNumber m_epoch;
+  MonotonicTime m_lease_until;
+  MonotonicTime m_last_busy;
+  bool m_releasing = false;
+  std::vector<JournalEntry> m_entries;
+  size_t m_entry_bytes = 0;
+  std::optional<MonotonicTime> m_commit_at;
+  std::optional<PendingAppend> m_append;
+  uint64_t m_last_token = 0;
+  std::optional<PendingCheckpoint> m_checkpoint;
+  std::optional<ObjectVersion> m_checkpoint_version;
+  JournalSequence m_checkpoint_next;
+
+  // Requests.
+  std::vector<HeldRequest> m_held;
+  std::map<JobId, Lookup> m_looking_up;
+  std::map<JobId, JobHeader> m_accepting;
+  std::map<JobId, std::vector<BatchRequestId>> m_submitters;
+  std::map<JobId, std::vector<BatchRequestId>> m_cancellers;
+
+  // Items.
+  std::map<JobId, JobQueue> m_queues;
+  std::map<JobId, JobStatus> m_stopping;
+  std::map<DispatchId, RunningItem> m_running;
+  DispatchId m_last_dispatch;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_PARTITION_CORE_H_
--- /dev/null
+++ b/Source/Batch/partition_state.h
@@ -0,0 +1,92 @@
+#ifndef SOURCE_BATCH_PARTITION_STATE_H_
+#define SOURCE_BATCH_PARTITION_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/result.h"
+#include "Batch/batch_messages.h"
+#include "Batch/item_set.h"
+
+namespace cowslip {
+
+/// \class JobState
+/// \brief What the journal says of one job; no bodies of items.
+struct JobState {
+  JobHeader header;
+  JobStatus status = JobStatus::kRunning;
+  ItemSet done;
+  /// Non-idempotent items that may be running.
+  std::set<uint32_t> intents;
+  /// Failed attempts of items that are not done.
+  std::map<uint32_t, uint32_t> failed_attempts;
+  uint32_t succeeded = 0;
+  uint32_t failed = 0;
+  int64_t ended_ms = 0;
+  std::vector<SegmentRef> segments;
+  /// Committed outcomes that are in no segment yet.
+  std::vector<ItemOutcome> unflushed;
+
+  bool running() const { return status == JobStatus::kRunning; }
+  uint32_t remaining() const { return header.items - done.size(); }
+  JobView View() const;
+};
+
+void to_json(nlohmann::json& json, const JobState& state);
+void from_json(const nlohmann::json& json, JobState& state);
+
+/// Bytes that an outcome takes in a segment, roughly.
+size_t ApproximateBytes(const ItemOutcome& outcome);
+size_t UnflushedBytes(const JobState& job);
+
+/// \class PartitionState
+/// \brief The sum of a partition's journal up to `next`.
+///
+/// Every process that applies the same records comes to the same state; owners
+/// and readers share this class.
+class PartitionState {
+ public:
+  /// Applies the record at `next`.
+  void Apply(const JournalRecord& record);
+
+  JobState* Find(const JobId& job);
+  const JobState* Find(const JobId& job) const;
+  bool has_running_jobs() const;
+
+  JournalSequence next;
+  VmId owner;
+  Incarnation incarnation;
+  FencingNumber epoch;
+  bool released = true;
+  std::map<JobId, JobState> jobs;
+};
+
+/// A checkpoint holds the state and the token of its writer.
+struct Checkpoint {
+  std::string token;
+  PartitionState state;
+};
+
+std::string EncodeCheckpoint(const Checkpoint& checkpoint);
+/// Errors: kMalformedMessage.
+Result<Checkpoint> DecodeCheckpoint(const std::string& bytes);
+
+std::string EncodeRecord(const JournalRecord& record);
+/// Errors: kMalformedMessage.
+Result<JournalRecord> DecodeRecord(const std::string& bytes);
+
+std::string EncodeJob(const JobState& job);
+/// Errors: kMalformedMessage.
+Result<JobState> DecodeJob(const std::string& bytes);
+
+std::string EncodeOutcomes(const std::vector<ItemOutcome>& outcomes);
+/// Errors: kMalformedMessage.
+Result<std::vector<ItemOutcome>> DecodeOutcomes(const std::string& bytes);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_PARTITION_STATE_H_
--- /dev/null
+++ b/Tests/Batch/fake_partition_world.h
@@ -0,0 +1,336 @@
+#ifndef TESTS_BATCH_FAKE_PARTITION_WORLD_H_
+#define TESTS_BATCH_FAKE_PARTITION_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/overloaded.h"
+#include "Batch/partition_core.h"
+
+namespace cowslip {
+
+/// \class FakePartitionWorld
+/// \brief Several VMs with a core each for one partition, a store with faults,
+/// backend servers, and a clock that only the test moves.
+class FakePartitionWorld {
+ public:
+  struct Faults {
+    /// Out of 1000 writes: the answer is lost; the write took effect, will do
+    /// so later, or never does.
+    int lost_answers = 0;
+    bool store_down = false;
+  };
+  /// What a backend server does with an item; called once for each run.
+  using Backend = std::function<ItemResult(const DispatchItem& item)>;
+
+  struct Vm {
+    std::unique_ptr<PartitionCore> core;
+    uint64_t incarnation = 0;
+    bool paused = false;
+    std::deque<PartitionEvent> inbox;
+    std::set<DispatchId> cancelled;
+  };
+  struct Reply {
+    std::optional<JobView> view;
+    std::optional<Error> error;
+  };
+
+  explicit FakePartitionWorld(uint64_t seed, size_t vms = 3) : m_random(seed) {
+    m_vms.resize(vms);
+    for (size_t vm = 0; vm < vms; ++vm) {
+      Restart(vm);
+    }
+    Assign(0);
+  }
+
+  void Restart(size_t vm) {
+    PartitionOptions options = m_options;
+    options.partition = PartitionId(7);
+    options.self = VmId("vm" + std::to_string(vm));
+    options.incarnation = Incarnation(++m_last_incarnation);
+    m_vms[vm] = Vm();
+    m_vms[vm].core = std::make_unique<PartitionCore>(options);
+    m_vms[vm].incarnation = m_last_incarnation;
+    if (m_assigned == vm) {
+      Feed(vm, AssignmentChanged{.assigned = true});
+    }
+  }
+  void Assign(size_t vm) {
+    m_assigned = vm;
+    for (size_t other = 0; other < m_vms.size(); ++other) {
+      Feed(other, AssignmentChanged{.assigned = other == vm});
+    }
+  }
+  void Pause(size_t vm) { m_vms[vm].paused = true; }
+  void Resume(size_t vm) {
+    m_vms[vm].paused = false;
+    for (PartitionEvent& event : std::exchange(m_vms[vm].inbox, {})) {
+      Feed(vm, std::move(event));
+    }
+  }
+
+  BatchRequestId Submit(size_t vm, const JobHeader& header) {
+    const BatchRequestId request(++m_last_request);
+    Feed(vm, SubmitRequested{.request = request, .header = header});
+    return request;
+  }
+  BatchRequestId Cancel(size_t vm, const JobHeader& header) {
+    const BatchRequestId request(++m_last_request);
+    Feed(vm, CancelRequested{.request = request,
+                             .organisation = header.organisation,
+                             .job = header.job});
+    return request;
+  }
+
+  /// Moves the clock in steps of 50 ms.
+  void Run(Duration time) {
+    const MonotonicTime end = m_now + time;
+    while (m_now < end) {
+      m_now += std::chrono::milliseconds(50);
+      while (!m_later.empty() && m_later.begin()->first <= m_now) {
+        auto due = std::move(m_later.begin()->second);
+        m_later.erase(m_later.begin());
+        due();
+      }
+      for (size_t vm = 0; vm < m_vms.size(); ++vm) {
+        Feed(vm, Tick{});
+        OfferCapacity(vm);
+      }
+    }
+  }
+
+  /// The partition as any reader finds it in the store.
+  PartitionState ReadState() const {
+    PartitionState state;
+    const PartitionId partition(7);
+    if (const auto* bytes = Find(CheckpointKey(partition))) {
+      state = DecodeCheckpoint(*bytes).value().state;
+    }
+    while (const auto* bytes = Find(JournalSlotKey(partition, state.next))) {
+      const JournalRecord record = DecodeRecord(*bytes).value();
+      if (record.sequence != state.next) {
+        break;
+      }
+      state.Apply(record);
+    }
+    for (const auto& [key, object] : m_objects) {
+      if (key.rfind(EndedJobPrefix(partition), 0) == 0) {
+        const JobState job = DecodeJob(object.bytes).value();
+        state.jobs[job.header.job] = job;
+      }
+    }
+    return state;
+  }
+  /// All committed outcomes of a job, in their order.
+  std::vector<ItemOutcome> ReadOutcomes(const JobState& job) const {
+    std::vector<ItemOutcome> outcomes;
+    for (const SegmentRef& segment : job.segments) {
+      const auto part = DecodeOutcomes(
+          *Find(OutputSegmentKey(PartitionId(7), job.header.job, segment)));
+      outcomes.insert(outcomes.end(), part.value().begin(), part.value().end());
+    }
+    outcomes.insert(outcomes.end(), job.unflushed.begin(), job.unflushed.end());
+    return outcomes;
+  }
+
+  std::mt19937_64& random() { return m_random; }
+  int Roll(int sides) { return static_cast<int>(m_random() % sides); }
+  MonotonicTime now() const { return m_now; }
+  PartitionCore& core(size_t vm) { return *m_vms[vm].core; }
+  size_t assigned() const { return m_assigned; }
+  size_t store_writes() const { return m_store_writes; }
+
+  Faults faults;
+  Backend backend = [](const DispatchItem&) {
+    return ItemCompleted{.status = 200, .body = "ok"};
+  };
+  /// Items that one VM runs at a time.
+  size_t capacity = 8;
+  Duration item_time = std::chrono::milliseconds(200);
+  std::map<BatchRequestId, Reply> replies;
+
+ private:
+  struct Object {
+    std::string bytes;
+    ObjectVersion version;
+  };
+
+  const std::string* Find(const std::string& key) const {
+    const auto found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second.bytes;
+  }
+
+  void Feed(size_t vm, PartitionEvent event) {
+    Vm& process = m_vms[vm];
+    if (process.paused) {
+      if (!std::holds_alternative<Tick>(event)) {
+        process.inbox.push_back(std::move(event));
+      }
+      return;
+    }
+    for (PartitionAction& action : process.core->Handle(event, m_now)) {
+      std::visit([&](const auto& each) { Do(vm, each); }, action);
+    }
+  }
+  // An answer that reaches the process only if it has not restarted since.
+  void Answer(size_t vm, Duration delay, PartitionEvent event) {
+    const uint64_t incarnation = m_vms[vm].incarnation;
+    m_later.emplace(m_now + delay, [this, vm, incarnation, event] {
+      if (m_vms[vm].incarnation == incarnation) {
+        Feed(vm, event);
+      }
+    });
+  }
+  Duration StoreDelay() { return std::chrono::milliseconds(Roll(30)); }
+
+  void OfferCapacity(size_t vm) {
+    Vm& process = m_vms[vm];
+    while (!process.paused && process.core->running_items() < capacity) {
+      const auto candidates = process.core->Candidates(m_now);
+      if (candidates.empty()) {
+        return;
+      }
+      const size_t pick = Roll(static_cast<int>(candidates.size()));
+      const size_t before = process.core->running_items();
+      Feed(vm, DispatchNext{.job = candidates[pick].job});
+      if (process.core->running_items() == before) {
+        return;
+      }
+    }
+  }
+
+  WriteAnswer Put(const std::string& key,
+                  const std::string& bytes,
+                  bool conditional,
+                  std::optional<ObjectVersion> over) {
+    const auto found = m_objects.find(key);
+    const bool there = found != m_objects.end();
+    const bool matches =
+        over ? there && found->second.version == *over : !there;
+    if (conditional && !matches) {
+      return WriteConflict{};
+    }
+    m_objects[key] = {bytes, ObjectVersion(++m_last_version)};
+    return Written{.version = ObjectVersion(m_last_version)};
+  }
+
+  void Write(size_t vm, StoreCallId call, std::function<WriteAnswer()> put) {
+    ++m_store_writes;
+    const Duration delay = StoreDelay();
+    const auto answer = [this, vm, call](WriteAnswer written) {
+      Answer(vm, StoreDelay(), WriteAnswered{.call = call, .answer = written});
+    };
+    if (faults.store_down) {
+      answer(WriteFailed{});
+      return;
+    }
+    if (Roll(1000) >= faults.lost_answers) {
+      m_later.emplace(m_now + delay, [put, answer] { answer(put()); });
+      return;
+    }
+    const int when = Roll(3);
+    if (when < 2) {
+      const auto late = std::chrono::milliseconds(when * Roll(8000));
+      m_later.emplace(m_now + delay + late, [put] { put(); });
+    }
+    answer(WriteInDoubt{});
+  }
+
+  std::optional<std::string> Copy(const std::string& key) const {
+    const std::string* bytes = Find(key);
+    return bytes ? std::optional(*bytes) : std::nullopt;
+  }
+  void Read(size_t vm, StoreCallId call, const std::string& key) {
+    if (faults.store_down) {
+      Answer(vm, StoreDelay(), ReadAnswered{.call = call});
+      return;
+    }
+    m_later.emplace(m_now + StoreDelay(), [this, vm, call, key] {
+      ReadAnswered answer{.call = call, .answered = true, .bytes = Copy(key)};
+      if (answer.bytes) {
+        answer.version = m_objects.at(key).version;
+      }
+      Answer(vm, StoreDelay(), answer);
+    });
+  }
+
+  void Do(size_t vm, const ReadCheckpoint& action) {
+    Read(vm, action.call, CheckpointKey(PartitionId(7)));
+  }
+  void Do(size_t vm, const ReadSlot& action) {
+    Read(vm, action.call, JournalSlotKey(PartitionId(7), action.sequence));
+  }
+  void Do(size_t vm, const AppendRecord& action) {
+    const std::string key = JournalSlotKey(PartitionId(7), action.sequence);
+    Write(vm, action.call, [this, key, action] {
+      return Put(key, action.bytes, true, action.over);
+    });
+  }
+  void Do(size_t vm, const WriteCheckpoint& action) {
+    Write(vm, action.call, [this, action] {
+      return Put(CheckpointKey(PartitionId(7)), action.bytes, true,
+                 action.over);
+    });
+  }
+  void Do(size_t vm, const WriteObjects& action) {
+    m_store_writes += action.writes.size() - 1;
+    Write(vm, action.call, [this, action] {
+      WriteAnswer last;
+      for (const ObjectWrite& write : action.writes) {
+        last = Put(write.key, write.bytes, false, std::nullopt);
+      }
+      return last;
+    });
+  }
+  void Do(size_t vm, const ReadEndedJob& action) {
+    const bool answered = !faults.store_down;
+    m_later.emplace(m_now + StoreDelay(), [this, vm, action, answered] {
+      EndedJobRead read{
+          .call = action.call, .job = action.job, .answered = answered};
+      if (answered) {
+        read.bytes = Copy(EndedJobKey(PartitionId(7), action.job));
+      }
+      Answer(vm, StoreDelay(), read);
+    });
+  }
+  void Do(size_t vm, const DispatchItem& action) {
+    ItemAnswered answer{
+        .dispatch = action.dispatch,
+        .custom_id = ItemId("item-" + std::to_string(action.item)),
+        .result = backend(action)};
+    const Duration time = item_time + std::chrono::milliseconds(Roll(200));
+    Answer(vm, time, answer);
+  }
+  void Do(size_t vm, const CancelItem& action) {
+    m_vms[vm].cancelled.insert(action.dispatch);
+  }
+  void Do(size_t, const ReplyWithJob& action) {
+    replies[action.request].view = action.view;
+  }
+  void Do(size_t, const ReplyWithError& action) {
+    replies[action.request].error = action.error;
+  }
+
+  PartitionOptions m_options;
+  std::mt19937_64 m_random;
+  MonotonicTime m_now{std::chrono::seconds(1)};
+  std::vector<Vm> m_vms;
+  size_t m_assigned = 0;
+  uint64_t m_last_incarnation = 0;
+  uint64_t m_last_request = 0;
+  uint64_t m_last_version = 0;
+  size_t m_store_writes = 0;
+  std::multimap<MonotonicTime, std::function<void()>> m_later;
+  std::map<std::string, Object> m_objects;
+};
+
+}  // namespace cowslip
+
+#endif  // TESTS_BATCH_FAKE_PARTITION_WORLD_H_
