--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -12,6 +12,10 @@
 // An owner stops this much before its lease ends, so that what it sends in its
 // last moment has left before a successor may claim.
 constexpr Duration kStopBeforeLeaseEnd = std::chrono::milliseconds(500);
+// Rough sizes of bookkeeping, for StateBytes().
+constexpr size_t kJobBytes = 512;
+constexpr size_t kSegmentRefBytes = 16;
+constexpr size_t kItemBytes = 96;
 
 }  // namespace
 
@@ -340,9 +344,6 @@
 }
 
 size_t PartitionCore::StateBytes() const {
-  constexpr size_t kJobBytes = 512;
-  constexpr size_t kSegmentRefBytes = 16;
-  constexpr size_t kItemBytes = 96;
   size_t bytes = 0;
   for (const auto& [id, job] : m_state.jobs) {
     bytes += kJobBytes + sizeof(uint32_t) * job.header.segment_starts.size() +
