--- a/Source/Entry/request_driver.cc
+++ b/Source/Entry/request_driver.cc
@@ -63,6 +63,10 @@
   Feed(ReplyReceived{vm, std::move(message.value())});
 }
 
+std::vector<Fingerprint> RequestDriver::Quarantined() const {
+  return m_core.crashes().Quarantined(MonotonicClock::now());
+}
+
 void RequestDriver::Stop() {
   m_stopped = true;
   m_tick.cancel();
--- a/Source/Entry/request_driver.h
+++ b/Source/Entry/request_driver.h
@@ -57,7 +57,8 @@
   void Stop();
 
   const RequestCore& core() const { return m_core; }
-  CrashRegistry& crashes() { return m_core.crashes(); }
+  /// The requests held back now.
+  std::vector<Fingerprint> Quarantined() const;
 
  private:
   void Process();
--- a/Source/Requests/request_core.h
+++ b/Source/Requests/request_core.h
@@ -65,7 +65,7 @@
 
   const RequestCoreCounters& counters() const { return m_counters; }
   const BackendTable& backends() const { return m_backends; }
-  CrashRegistry& crashes() { return m_crashes; }
+  const CrashRegistry& crashes() const { return m_crashes; }
   size_t active() const { return m_requests.size(); }
 
  private:
