--- a/Source/Configuration/declaration_json.cc
+++ b/Source/Configuration/declaration_json.cc
@@ -140,6 +140,18 @@
       {"service", service.id}, {"routes", routes}, {"batch_classes", classes}};
 }
 
+json DescribeService(const ServiceDeclaration& service) {
+  json routes = json::object();
+  for (const RouteDeclaration& route : service.routes) {
+    routes[route.id.value()] = ToJson(route);
+  }
+  json classes = json::object();
+  for (const BatchDeclaration& batch : service.batches) {
+    classes[batch.id.value()] = ToJson(batch);
+  }
+  return {{"routes", routes}, {"batch_classes", classes}};
+}
+
 json ToJson(const OrganisationDeclaration& organisation) {
   return {{"id", organisation.id},
           {"set", organisation.set},
--- a/Source/Configuration/declaration_json.h
+++ b/Source/Configuration/declaration_json.h
@@ -21,6 +21,10 @@
 nlohmann::json ToJson(const OrganisationDeclaration& organisation);
 nlohmann::json ToJson(const KeyRecord& key);
 
+/// A service with its routes and batch classes by name, so that two versions
+/// compare field by field.
+nlohmann::json DescribeService(const ServiceDeclaration& service);
+
 /// Throw nlohmann::json::exception on a missing field or a wrong type.
 RouteDeclaration RouteFromJson(const ServiceId& service,
                                const nlohmann::json& json);
