Backend: the gate's decision core

Cause: online requests must not wait behind batch, and a refusal that says "not run" must be true. Change: GateCore with GateAdmission, answers that are forwarded, streamed or assembled, credit, suspects, drain.

--- /dev/null
+++ b/Source/Backend/engine_answer.h
@@ -0,0 +1,68 @@
+#ifndef SOURCE_BACKEND_ENGINE_ANSWER_H_
+#define SOURCE_BACKEND_ENGINE_ANSWER_H_
+
+#include <cstddef>
+#include <string>
+#include <variant>
+
+#include "Backend/resume_token.h"
+#include "Backend/sse_reader.h"
+#include "Base/result.h"
+
+namespace cowslip {
+
+/// \class ForwardedAnswer
+/// \brief An answer that is passed on byte by byte.
+class ForwardedAnswer {
+ public:
+  /// Returns the bytes to pass on.
+  Result<std::string> Feed(std::string data) { return data; }
+  Result<std::string> Finish() { return std::string(); }
+  ResumeToken Progress() const { return {}; }
+};
+
+/// \class StreamedAnswer
+/// \brief A stream of events that is passed on; it is whole only with its
+/// closing event.
+class StreamedAnswer {
+ public:
+  Result<std::string> Feed(std::string data);
+  Result<std::string> Finish();
+  ResumeToken Progress() const { return {}; }
+
+ private:
+  // The end of what has passed, long enough to hold the closing event.
+  std::string m_tail;
+};
+
+/// \class AssembledAnswer
+/// \brief A stream of events that is gathered into one JSON answer, so that a
+/// preempted batch item can resume without its reader noticing.
+class AssembledAnswer {
+ public:
+  AssembledAnswer(ResumeToken earlier, size_t max_bytes)
+      : m_progress(std::move(earlier)), m_max_bytes(max_bytes) {}
+
+  /// Returns nothing to pass on yet. Errors: kMalformedMessage, kTooLarge.
+  Result<std::string> Feed(std::string data);
+  /// Returns the whole answer. Errors: kMalformedMessage for a stream without
+  /// its closing event.
+  Result<std::string> Finish();
+  /// What a later stream need not produce again.
+  ResumeToken Progress() const { return m_progress; }
+
+ private:
+  Result<void> TakeEvent(const std::string& data);
+
+  SseReader m_reader;
+  ResumeToken m_progress;
+  size_t m_max_bytes;
+  bool m_done = false;
+};
+
+using EngineAnswer =
+    std::variant<ForwardedAnswer, StreamedAnswer, AssembledAnswer>;
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BACKEND_ENGINE_ANSWER_H_
--- /dev/null
+++ b/Source/Backend/engine_request.cc
@@ -0,0 +1,90 @@
+#include "Backend/engine_request.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <string_view>
+
+#include "Base/json.h"
+
+namespace cowslip {
+
+namespace {
+
+constexpr std::string_view kChatPath = "/chat/completions";
+
+// Each is either about one connection or may hold a credential.
+constexpr std::array<std::string_view, 14> kDropped = {"connection",
+                                                       "keep-alive",
+                                                       "proxy-connection",
+                                                       "transfer-encoding",
+                                                       "te",
+                                                       "trailer",
+                                                       "upgrade",
+                                                       "host",
+                                                       "content-length",
+                                                       "authorization",
+                                                       "cookie",
+                                                       "proxy-authorization",
+                                                       "x-api-key",
+                                                       "cowslip-organisation"};
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+}  // namespace
+
+bool IsChatCompletion(const DispatchRequest& request) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  return request.method == "POST" && path.size() >= kChatPath.size() &&
+         path.ends_with(kChatPath);
+}
+
+std::vector<ForwardedHeader> EndToEndHeaders(
+    const std::vector<ForwardedHeader>& headers) {
+  std::vector<ForwardedHeader> kept;
+  for (const ForwardedHeader& header : headers) {
+    const std::string name = LowerCase(header.name);
+    if (std::find(kDropped.begin(), kDropped.end(), name) == kDropped.end()) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+EngineRequest ForwardAsIs(const DispatchRequest& request) {
+  EngineRequest forwarded{.method = request.method,
+                          .target = request.target,
+                          .headers = EndToEndHeaders(request.headers),
+                          .body = request.body};
+  if (!request.organisation.empty()) {
+    forwarded.headers.push_back(
+        {.name = kOrganisationHeader, .value = request.organisation.value()});
+  }
+  return forwarded;
+}
+
+Result<EngineRequest> AskAsStream(const DispatchRequest& request,
+                                  const ResumeToken& resume) {
+  Result<nlohmann::json> body = ParseJson(request.body, {.max_bytes = 4 << 20});
+  if (!body.has_value()) {
+    return body.error();
+  }
+  if (!body.value().is_object()) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "Send the body of a chat completion as a JSON object.");
+  }
+  body.value()["stream"] = true;
+  if (resume.tokens > 0) {
+    body.value()["resume_from"] = resume.tokens;
+  }
+  EngineRequest asked = ForwardAsIs(request);
+  asked.body = DumpJson(body.value());
+  return asked;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Backend/exchange_key.h
@@ -0,0 +1,24 @@
+#ifndef SOURCE_BACKEND_EXCHANGE_KEY_H_
+#define SOURCE_BACKEND_EXCHANGE_KEY_H_
+
+#include <compare>
+
+#include "Base/ids.h"
+
+namespace cowslip {
+
+/// \class ExchangeKey
+/// \brief Names one exchange among those of all entries. The incarnation keeps
+/// an answer for an entry's earlier life from its next one.
+struct ExchangeKey {
+  VmId entry;
+  Incarnation incarnation;
+  ExchangeId exchange;
+
+  friend bool operator==(const ExchangeKey&, const ExchangeKey&) = default;
+  friend auto operator<=>(const ExchangeKey&, const ExchangeKey&) = default;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BACKEND_EXCHANGE_KEY_H_
--- /dev/null
+++ b/Source/Backend/gate_actions.h
@@ -0,0 +1,59 @@
+#ifndef SOURCE_BACKEND_GATE_ACTIONS_H_
+#define SOURCE_BACKEND_GATE_ACTIONS_H_
+
+#include <variant>
+
+#include "Backend/engine_request.h"
+#include "Backend/exchange_key.h"
+#include "Base/time.h"
+#include "Exchange/exchange_messages.h"
+
+namespace cowslip {
+
+/// Sends a request to the backend server, once.
+struct StartEngine {
+  ExchangeKey key;
+  EngineRequest request;
+  /// Time left until the deadline.
+  Duration timeout;
+};
+
+/// Closes the call's connection; EngineClosed follows.
+struct AbortEngine {
+  ExchangeKey key;
+};
+
+/// Stops reading the call's answer until ResumeEngine.
+struct PauseEngine {
+  ExchangeKey key;
+};
+
+struct ResumeEngine {
+  ExchangeKey key;
+};
+
+/// Sends a message to one entry.
+struct ReplyToEntry {
+  VmId entry;
+  ExchangeReplyMessage message;
+};
+
+/// Sends the status to every linked entry.
+struct AnnounceStatus {
+  BackendStatus status;
+};
+
+/// Everything taken has ended; the process may exit.
+struct DrainFinished {};
+
+using GateAction = std::variant<StartEngine,
+                                AbortEngine,
+                                PauseEngine,
+                                ResumeEngine,
+                                ReplyToEntry,
+                                AnnounceStatus,
+                                DrainFinished>;
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BACKEND_GATE_ACTIONS_H_
--- /dev/null
+++ b/Source/Backend/gate_admission.cc
@@ -0,0 +1,174 @@
+#include "Backend/gate_admission.h"
+
+#include <algorithm>
+
+#include "Backend/gate_exchange.h"
+#include "Base/overloaded.h"
+
+namespace cowslip {
+
+namespace {
+
+// How much the latest service time weighs in the moving average.
+constexpr double kServiceWeight = 0.1;
+// English text averages about four bytes a token.
+constexpr size_t kBytesPerToken = 4;
+
+// What preempting a stream throws away: its prompt and its tokens have to be
+// computed again where it resumes.
+size_t LossOf(const GateExchange& exchange) {
+  size_t tokens = 0;
+  if (exchange.answer.has_value()) {
+    tokens =
+        std::visit([](const auto& answer) { return answer.Progress().tokens; },
+                   *exchange.answer);
+  }
+  return tokens + exchange.request.body.size() / kBytesPerToken;
+}
+
+}  // namespace
+
+GateAdmission::GateAdmission(const GateOptions& options)
+    : m_policy(options.policy),
+      m_slots(options.slots),
+      m_service(options.first_service_estimate) {}
+
+bool GateAdmission::HasGate() const {
+  return !std::holds_alternative<NoGate>(m_policy);
+}
+
+bool GateAdmission::Preempts() const {
+  return std::holds_alternative<HeadroomWithPreemption>(m_policy);
+}
+
+size_t GateAdmission::BatchLimit() const {
+  const size_t headroom = std::visit(
+      Overloaded{[](const NoGate&) { return size_t{0}; },
+                 [](const auto& policy) { return size_t{policy.headroom}; }},
+      m_policy);
+  return m_slots - std::min(m_slots, headroom);
+}
+
+void GateAdmission::Enqueue(GateExchange& exchange) {
+  (exchange.IsOnline() ? m_online : m_batch).push_back(&exchange);
+}
+
+void GateAdmission::Unqueue(GateExchange& exchange) {
+  std::erase(exchange.IsOnline() ? m_online : m_batch, &exchange);
+}
+
+GateExchange* GateAdmission::StartNext() {
+  GateExchange* next = Next();
+  if (next != nullptr) {
+    Unqueue(*next);
+    m_running.push_back(next);
+  }
+  return next;
+}
+
+GateExchange* GateAdmission::Next() const {
+  if (!HasGate()) {
+    const auto& queue = m_online.empty() ? m_batch : m_online;
+    return queue.empty() ? nullptr : queue.front();
+  }
+  if (RunsAlone()) {
+    return nullptr;
+  }
+  const bool online = !m_online.empty();
+  const auto& queue = online ? m_online : m_batch;
+  if (queue.empty()) {
+    return nullptr;
+  }
+  GateExchange* front = queue.front();
+  const size_t limit = online ? m_slots : BatchLimit();
+  const bool fits = front->alone ? used() == 0 : used() < limit;
+  return fits ? front : nullptr;
+}
+
+std::vector<GateExchange*> GateAdmission::ChooseVictims() const {
+  std::vector<GateExchange*> victims;
+  const size_t wanted = SlotsWanted();
+  if (wanted == 0) {
+    return victims;
+  }
+  for (GateExchange* exchange : m_running) {
+    if (exchange->preemptible) {
+      victims.push_back(exchange);
+    }
+  }
+  std::sort(victims.begin(), victims.end(),
+            [](const GateExchange* a, const GateExchange* b) {
+              return LossOf(*a) < LossOf(*b);
+            });
+  victims.resize(std::min(victims.size(), wanted));
+  return victims;
+}
+
+size_t GateAdmission::SlotsWanted() const {
+  if (!Preempts() || m_online.empty()) {
+    return 0;
+  }
+  if (m_online.front()->alone || RunsAlone()) {
+    return m_running.size();
+  }
+  const size_t free = m_slots - std::min(m_slots, used());
+  const size_t coming = free + m_closing.size();
+  return m_online.size() - std::min(m_online.size(), coming);
+}
+
+void GateAdmission::Finish(GateExchange& exchange) {
+  std::erase(m_running, &exchange);
+}
+
+void GateAdmission::Abort(GateExchange& exchange) {
+  std::erase(m_running, &exchange);
+  m_closing.insert(exchange.key);
+}
+
+bool GateAdmission::Closed(const ExchangeKey& key) {
+  return m_closing.erase(key) > 0;
+}
+
+size_t GateAdmission::CountRunning(WorkClass work) const {
+  return static_cast<size_t>(
+      std::count_if(m_running.begin(), m_running.end(),
+                    [&](const GateExchange* e) { return e->work == work; }));
+}
+
+bool GateAdmission::RunsAlone() const {
+  return std::any_of(m_running.begin(), m_running.end(),
+                     [](const GateExchange* e) { return e->alone; });
+}
+
+Duration GateAdmission::ExpectedWait() const {
+  const auto holds_its_slot = [&](const GateExchange* exchange) {
+    return !exchange->IsOnline() && !(Preempts() && exchange->preemptible);
+  };
+  const auto held = static_cast<size_t>(
+      std::count_if(m_running.begin(), m_running.end(), holds_its_slot));
+  const size_t available =
+      std::max<size_t>(m_slots - std::min(m_slots, held), 1);
+  const size_t ahead = CountRunning(WorkClass::kOnline) + m_online.size();
+  if (ahead < available) {
+    return Duration(0);
+  }
+  const auto departures = static_cast<Duration::rep>(ahead - available + 1);
+  return m_service * departures / static_cast<Duration::rep>(available);
+}
+
+void GateAdmission::ObserveService(Duration time) {
+  const double old_part = static_cast<double>(m_service.count());
+  const double new_part = static_cast<double>(time.count());
+  m_service = Duration(static_cast<Duration::rep>(
+      old_part + kServiceWeight * (new_part - old_part)));
+}
+
+LoadStatus GateAdmission::Load() const {
+  return {.slots = static_cast<uint32_t>(m_slots),
+          .online = static_cast<uint32_t>(CountRunning(WorkClass::kOnline)),
+          .batch = static_cast<uint32_t>(CountRunning(WorkClass::kBatch)),
+          .waiting_online = static_cast<uint32_t>(m_online.size()),
+          .waiting_batch = static_cast<uint32_t>(m_batch.size())};
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Backend/gate_core_engine.cc
@@ -0,0 +1,196 @@
+// How GateCore takes what the backend server sends.
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "Backend/gate_core.h"
+
+namespace cowslip {
+
+namespace {
+
+constexpr std::string_view kEventStream = "text/event-stream";
+constexpr int kStatusOk = 200;
+
+bool IsEventStream(const std::vector<ForwardedHeader>& headers) {
+  return std::any_of(headers.begin(), headers.end(),
+                     [&](const ForwardedHeader& header) {
+                       return header.value.starts_with(kEventStream);
+                     });
+}
+
+EngineAnswer MakeAnswer(const GateExchange& exchange,
+                        const EngineHead& head,
+                        const GateOptions& options) {
+  const bool stream = head.status == kStatusOk && IsEventStream(head.headers);
+  if (!stream || options.kind == BackendKind::kPlain) {
+    return ForwardedAnswer();
+  }
+  if (exchange.assembled) {
+    return AssembledAnswer(exchange.earlier, options.max_answer_bytes);
+  }
+  return StreamedAnswer();
+}
+
+}  // namespace
+
+void GateCore::On(const EngineHead& event) {
+  GateExchange* exchange = Find(event.key);
+  if (exchange == nullptr || exchange->answer.has_value()) {
+    return;
+  }
+  exchange->answer = MakeAnswer(*exchange, event, m_options);
+  ResponseHead head{.exchange = event.key.exchange,
+                    .status = event.status,
+                    .headers = EndToEndHeaders(event.headers)};
+  if (std::holds_alternative<AssembledAnswer>(*exchange->answer)) {
+    // It goes out with the assembled answer: a preempted item has no head.
+    return;
+  }
+  // From here on bytes have gone out, which cannot be taken back.
+  exchange->preemptible = false;
+  Emit(ReplyToEntry{event.key.entry, std::move(head)});
+}
+
+void GateCore::On(EngineChunk event) {
+  GateExchange* exchange = Find(event.key);
+  if (exchange == nullptr || !exchange->answer.has_value()) {
+    return;
+  }
+  Result<std::string> forwarded = std::visit(
+      [&](auto& answer) { return answer.Feed(std::move(event.data)); },
+      *exchange->answer);
+  if (!forwarded.has_value()) {
+    Fail(*exchange, {.detail = forwarded.error().message});
+    return;
+  }
+  exchange->flow.Push(forwarded.value());
+  Flush(*exchange);
+}
+
+void GateCore::On(const EngineEnd& event) {
+  GateExchange* exchange = Find(event.key);
+  if (exchange == nullptr) {
+    m_admission.Closed(event.key);
+    return;
+  }
+  m_admission.Finish(*exchange);
+  if (exchange->IsOnline()) {
+    m_admission.ObserveService(m_now - exchange->started);
+  }
+  exchange->state = GateExchange::State::kFlushing;
+  if (!exchange->answer.has_value()) {
+    Fail(*exchange, {.detail = "The backend server sent no status."});
+    return;
+  }
+  Result<std::string> rest = std::visit(
+      [](auto& answer) { return answer.Finish(); }, *exchange->answer);
+  if (!rest.has_value()) {
+    Fail(*exchange, {.detail = rest.error().message});
+    return;
+  }
+  if (std::holds_alternative<AssembledAnswer>(*exchange->answer)) {
+    ResponseHead head{
+        .exchange = event.key.exchange,
+        .status = 200,
+        .headers = {{.name = "Content-Type", .value = "application/json"}}};
+    Emit(ReplyToEntry{event.key.entry, std::move(head)});
+  }
+  exchange->flow.Push(rest.value());
+  Flush(*exchange);
+}
+
+void GateCore::On(const EngineFailed& event) {
+  if (event.failure == EngineFailure::kNotSent) {
+    MarkEngineDown();
+  }
+  GateExchange* exchange = Find(event.key);
+  if (exchange == nullptr) {
+    m_admission.Closed(event.key);
+    return;
+  }
+  m_admission.Finish(*exchange);
+  exchange->state = GateExchange::State::kFlushing;
+  Failure failure{.detail = event.detail};
+  switch (event.failure) {
+    case EngineFailure::kNotSent:
+      failure.reason = FailureReason::kEngineRefused;
+      failure.not_run = true;
+      failure.retry_after = kEngineDownRetryAfter;
+      break;
+    case EngineFailure::kConnectionBroken:
+      failure.suspect = true;
+      break;
+    case EngineFailure::kTimeout:
+      failure.reason = FailureReason::kTimeout;
+      break;
+  }
+  Fail(*exchange, std::move(failure));
+}
+
+void GateCore::On(const EngineUp&) {
+  if (!m_engine_up) {
+    m_engine_up = true;
+    Announce();
+  }
+}
+
+void GateCore::On(const EngineDown&) {
+  const auto running = [](const GateExchange& exchange) {
+    return exchange.state == GateExchange::State::kRunning;
+  };
+  for (const ExchangeKey& key : KeysWhere(running)) {
+    Fail(m_exchanges.at(key),
+         {.suspect = true,
+          .detail = "The backend server went down while the request ran."});
+  }
+  MarkEngineDown();
+}
+
+void GateCore::MarkEngineDown() {
+  if (!m_engine_up) {
+    return;
+  }
+  m_engine_up = false;
+  FailWaiting({.reason = FailureReason::kEngineRefused,
+               .not_run = true,
+               .detail = "The backend server is down. Use another one.",
+               .retry_after = kEngineDownRetryAfter},
+              false);
+  Announce();
+}
+
+void GateCore::Flush(GateExchange& exchange) {
+  for (ResponseChunk& chunk : exchange.flow.Take(exchange.key.exchange)) {
+    Emit(ReplyToEntry{exchange.key.entry, std::move(chunk)});
+  }
+  const bool done = exchange.state == GateExchange::State::kFlushing;
+  if (!done) {
+    PauseOrResume(exchange);
+    return;
+  }
+  if (!exchange.flow.empty()) {
+    return;
+  }
+  ++m_counters.completed;
+  ResponseEnd end{.exchange = exchange.key.exchange,
+                  .chunks = exchange.flow.chunks(),
+                  .load = m_admission.Load()};
+  Emit(ReplyToEntry{exchange.key.entry, end});
+  m_exchanges.erase(exchange.key);
+}
+
+void GateCore::PauseOrResume(GateExchange& exchange) {
+  const bool pause = !exchange.flow.empty();
+  if (pause == exchange.paused) {
+    return;
+  }
+  exchange.paused = pause;
+  if (pause) {
+    Emit(PauseEngine{exchange.key});
+  } else {
+    Emit(ResumeEngine{exchange.key});
+  }
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Backend/gate_events.h
@@ -0,0 +1,111 @@
+#ifndef SOURCE_BACKEND_GATE_EVENTS_H_
+#define SOURCE_BACKEND_GATE_EVENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Backend/exchange_key.h"
+#include "Exchange/exchange_messages.h"
+
+namespace cowslip {
+
+/// An entry asks for a request to be run.
+struct Dispatched {
+  VmId entry;
+  Incarnation incarnation;
+  DispatchRequest request;
+};
+
+/// An entry no longer wants the answer.
+struct CancelAsked {
+  ExchangeKey key;
+};
+
+/// An entry can take more bytes of an answer.
+struct CreditGranted {
+  ExchangeKey key;
+  uint64_t bytes = 0;
+};
+
+/// The backend server's status and headers have come.
+struct EngineHead {
+  ExchangeKey key;
+  int status = 0;
+  std::vector<ForwardedHeader> headers;
+};
+
+/// A piece of the body has come.
+struct EngineChunk {
+  ExchangeKey key;
+  std::string data;
+};
+
+/// The body has come to its proper end.
+struct EngineEnd {
+  ExchangeKey key;
+};
+
+/// How a call to the backend server failed.
+enum class EngineFailure {
+  /// No byte of the request can have reached the backend server.
+  kNotSent,
+  /// The connection broke after the request may have reached it.
+  kConnectionBroken,
+  kTimeout,
+};
+
+/// The call has ended without a whole answer.
+struct EngineFailed {
+  ExchangeKey key;
+  EngineFailure failure = EngineFailure::kConnectionBroken;
+  std::string detail;
+};
+
+/// An aborted call has left the backend server.
+struct EngineClosed {
+  ExchangeKey key;
+};
+
+/// A link from an entry has come up.
+struct EntryLinkUp {
+  VmId entry;
+  Incarnation incarnation;
+};
+
+/// The link from an entry has failed.
+struct EntryLinkDown {
+  VmId entry;
+};
+
+/// The process is to leave.
+struct DrainRequested {};
+
+/// The backend server answers.
+struct EngineUp {};
+
+/// The backend server does not answer any more.
+struct EngineDown {};
+
+/// Time has passed.
+struct GateTick {};
+
+using GateEvent = std::variant<Dispatched,
+                               CancelAsked,
+                               CreditGranted,
+                               EngineHead,
+                               EngineChunk,
+                               EngineEnd,
+                               EngineFailed,
+                               EngineClosed,
+                               EntryLinkUp,
+                               EntryLinkDown,
+                               DrainRequested,
+                               EngineUp,
+                               EngineDown,
+                               GateTick>;
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BACKEND_GATE_EVENTS_H_
