--- /dev/null
+++ b/Source/Entry/caller_handler.h
@@ -0,0 +1,80 @@
+#ifndef SOURCE_ENTRY_CALLER_HANDLER_H_
+#define SOURCE_ENTRY_CALLER_HANDLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Access/access.h"
+#include "Base/ids.h"
+#include "Entry/request_driver.h"
+#include "Net/http_message.h"
+
+namespace cowslip {
+
+class HttpExchange;
+class ResponseQueue;
+class Snapshot;
+
+/// Answers a request on `/v1/batches` for an authenticated organisation.
+using BatchHandler =
+    std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest&,
+                                                       OrganisationId)>;
+
+/// \class CallerHandler
+/// \brief Serves callers: finds the route, checks the key on every request,
+/// and passes the response on as it comes.
+class CallerHandler {
+ public:
+  CallerHandler(RequestDriver& requests, BatchHandler batches);
+
+  /// Puts a new configuration in force and cuts the requests that it no longer
+  /// allows.
+  void SetSnapshot(std::shared_ptr<const Snapshot> snapshot);
+  /// When false, keyed routes are refused and their running requests cut.
+  void SetKeysTrusted(bool trusted);
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+  /// Online requests that are running.
+  size_t running() const { return m_running.size(); }
+
+ private:
+  struct Running {
+    RouteId route;
+    /// Empty on routes open to all.
+    std::optional<Allowed> allowed;
+  };
+
+  boost::asio::awaitable<void> HandleBatch(HttpExchange& exchange);
+  boost::asio::awaitable<void> HandleRoute(HttpExchange& exchange,
+                                           const RouteDeclaration& route);
+  boost::asio::awaitable<void> Serve(HttpExchange& exchange,
+                                     RequestArrived arrival,
+                                     Running running);
+  boost::asio::awaitable<void> WriteResponse(HttpExchange& exchange,
+                                             RequestId request,
+                                             ResponseQueue& queue);
+  boost::asio::awaitable<bool> WriteEvent(HttpExchange& exchange,
+                                          RequestId request,
+                                          const ResponseEvent& event);
+  std::optional<Problem> Check(const HttpExchange& exchange,
+                               const RouteDeclaration& route,
+                               std::optional<Allowed>& allowed) const;
+
+  RequestDriver& m_requests;
+  const BatchHandler m_batches;
+  std::shared_ptr<const Snapshot> m_snapshot;
+  bool m_keys_trusted = true;
+  std::unordered_map<RequestId, Running> m_running;
+};
+
+/// Writes a problem as a whole HTTP response.
+HttpResponse ToHttpResponse(const Problem& problem);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_ENTRY_CALLER_HANDLER_H_
