Net, Entry: decide the body limit from the request's head

Cause: every connection could send 256 MB, because a batch job may. Change: the limit comes from the route, and a batch job's from a good key; Expect: 100-continue is answered. Measured: net.http passes with a new case.

--- a/Source/Access/access.cc
+++ b/Source/Access/access.cc
@@ -35,8 +35,7 @@
   if (key->withdrawn.has_value()) {
     return WithdrawnKey{};
   }
-  const bool declared = snapshot.FindOrganisation(key->organisation) != nullptr;
-  if (!declared || !MayUse(route.allow, key->organisation)) {
+  if (!AllowsOrganisation(snapshot, route, key->organisation)) {
     return OrganisationNotAllowed{.organisation = key->organisation};
   }
   return Allowed{.organisation = key->organisation, .key = digest};
@@ -44,6 +43,13 @@
 
 }  // namespace
 
+bool AllowsOrganisation(const Snapshot& snapshot,
+                        const RouteDeclaration& route,
+                        const OrganisationId& organisation) {
+  return snapshot.FindOrganisation(organisation) != nullptr &&
+         MayUse(route.allow, organisation);
+}
+
 AccessDecision Authorise(const Snapshot& snapshot,
                          const RouteDeclaration& route,
                          const std::optional<std::string>& presented_key) {
--- a/Source/Access/access.h
+++ b/Source/Access/access.h
@@ -45,6 +45,12 @@
                   const RouteId& route,
                   const Allowed& allowed);
 
+/// Whether an organisation may use a route, whatever its key: for batch items,
+/// whose job was accepted with one.
+bool AllowsOrganisation(const Snapshot& snapshot,
+                        const RouteDeclaration& route,
+                        const OrganisationId& organisation);
+
 /// The error that a refusal shows to the caller: kPermissionDenied with a
 /// message that names the remedy and no key. Nullopt when it is no refusal.
 std::optional<Error> RefusalOf(const AccessDecision& decision);
--- a/Source/Entry/caller_handler.cc
+++ b/Source/Entry/caller_handler.cc
@@ -1,5 +1,7 @@
 #include "Entry/caller_handler.h"
 
+#include <limits>
+
 #include <boost/asio/this_coro.hpp>
 
 #include "Access/key_stripping.h"
@@ -15,6 +17,9 @@
 constexpr char kBatchPath[] = "/v1/batches";
 // Enough of a body to hold the shared beginning of a prompt.
 constexpr size_t kAffinityBytes = 512;
+// The body of a request that is refused anyhow; small ones are read, so that
+// the connection can be kept.
+constexpr size_t kRefusedBodyBytes = 64 * 1024;
 constexpr Duration kNotReadyRetryAfter = std::chrono::seconds(1);
 
 bool IsBatchPath(const std::string& path) {
@@ -57,6 +62,16 @@
           .not_run = true};
 }
 
+// Stands for the batch paths, which no service declares.
+const RouteDeclaration& AnyKeyRoute() {
+  static const RouteDeclaration route = [] {
+    RouteDeclaration any_key;
+    any_key.allow = AllowAllOrganisations{};
+    return any_key;
+  }();
+  return route;
+}
+
 Problem KeyProblem(ProblemKind kind, const AccessDecision& decision) {
   const std::optional<Error> refusal = RefusalOf(decision);
   return {.kind = kind,
@@ -143,10 +158,9 @@
 }
 
 std::optional<Problem> CallerHandler::Check(
-    const HttpExchange& exchange,
+    const HttpRequest& request,
     const RouteDeclaration& route,
     std::optional<Allowed>& allowed) const {
-  const HttpRequest& request = exchange.request();
   const AccessDecision decision = Authorise(
       *m_snapshot, route, ExtractKey(request.headers, request.target));
   std::optional<Problem> problem = std::visit(
@@ -178,12 +192,36 @@
   return problem;
 }
 
+size_t CallerHandler::BodyLimit(const HttpRequest& head) const {
+  if (m_snapshot == nullptr) {
+    return kRefusedBodyBytes;
+  }
+  if (IsBatchPath(head.Path())) {
+    std::optional<Allowed> allowed;
+    const bool good = !Check(head, AnyKeyRoute(), allowed).has_value();
+    return good ? std::numeric_limits<size_t>::max() : kRefusedBodyBytes;
+  }
+  const RouteDeclaration* route =
+      m_snapshot->FindRoute(head.method, head.Path());
+  return route == nullptr ? kRefusedBodyBytes : route->max_body_bytes;
+}
+
+std::optional<HttpResponse> CallerHandler::ExplainLimit(
+    const HttpRequest& head) const {
+  if (m_snapshot == nullptr || !IsBatchPath(head.Path())) {
+    return std::nullopt;
+  }
+  std::optional<Allowed> allowed;
+  const std::optional<Problem> problem = Check(head, AnyKeyRoute(), allowed);
+  return problem.has_value() ? std::optional(ToHttpResponse(*problem))
+                             : std::nullopt;
+}
+
 boost::asio::awaitable<void> CallerHandler::HandleBatch(
     HttpExchange& exchange) {
-  RouteDeclaration any_key;
-  any_key.allow = AllowAllOrganisations{};
   std::optional<Allowed> allowed;
-  const std::optional<Problem> problem = Check(exchange, any_key, allowed);
+  const std::optional<Problem> problem =
+      Check(exchange.request(), AnyKeyRoute(), allowed);
   HttpResponse response;
   if (problem.has_value()) {
     response = ToHttpResponse(*problem);
@@ -198,7 +236,7 @@
     const RouteDeclaration& route) {
   const HttpRequest& request = exchange.request();
   Running running = {.route = route.id};
-  std::optional<Problem> problem = Check(exchange, route, running.allowed);
+  std::optional<Problem> problem = Check(request, route, running.allowed);
   if (!problem.has_value() && request.body.size() > route.max_body_bytes) {
     problem = {.kind = ProblemKind::kBodyTooLarge,
                .detail = "The route takes at most " +
--- a/Source/Entry/caller_handler.h
+++ b/Source/Entry/caller_handler.h
@@ -39,6 +39,12 @@
 
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
+  /// How long a body may be, decided from the request's head: only a caller
+  /// with a good key may send a batch job.
+  size_t BodyLimit(const HttpRequest& head) const;
+  /// Why a long body was not read, when its key is the reason.
+  std::optional<HttpResponse> ExplainLimit(const HttpRequest& head) const;
+
   /// Online requests that are running.
   size_t running() const { return m_running.size(); }
 
@@ -61,7 +67,7 @@
   boost::asio::awaitable<bool> WriteEvent(HttpExchange& exchange,
                                           RequestId request,
                                           const ResponseEvent& event);
-  std::optional<Problem> Check(const HttpExchange& exchange,
+  std::optional<Problem> Check(const HttpRequest& request,
                                const RouteDeclaration& route,
                                std::optional<Allowed>& allowed) const;
 
--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -165,7 +165,15 @@
       m_admin(MakeAdminHooks()),
       m_caller_server(context,
                       {.listen = m_settings.http,
-                       .max_body_bytes = m_settings.max_body_bytes},
+                       .max_body_bytes = m_settings.max_body_bytes,
+                       .body_limit =
+                           [this](const HttpRequest& head) {
+                             return m_callers.BodyLimit(head);
+                           },
+                       .over_limit =
+                           [this](const HttpRequest& head) {
+                             return m_callers.ExplainLimit(head);
+                           }},
                       [this](HttpExchange& exchange) {
                         return m_callers.Handle(exchange);
                       }),
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -1,5 +1,6 @@
 #include "Net/http_server.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -15,7 +16,8 @@
 
 // What a bad request is told before its connection is closed.
 HttpResponse RefusalFor(const boost::system::error_code& error,
-                        const HttpServerOptions& options) {
+                        size_t max_body_bytes,
+                        size_t max_header_bytes) {
   HttpResponse response;
   response.status = 400;
   std::string type = "malformed-request";
@@ -23,13 +25,13 @@
   if (error == http::error::body_limit) {
     response.status = 413;
     type = "body-too-large";
-    detail = "Send a body of at most " +
-             std::to_string(options.max_body_bytes) + " bytes";
+    detail =
+        "Send a body of at most " + std::to_string(max_body_bytes) + " bytes";
   } else if (error == http::error::header_limit) {
     response.status = 431;
     type = "header-too-large";
     detail = "Send header fields of at most " +
-             std::to_string(options.max_header_bytes) + " bytes in all";
+             std::to_string(max_header_bytes) + " bytes in all";
   } else if (error == beast::error::timeout) {
     response.status = 408;
     type = "request-timeout";
@@ -108,6 +110,9 @@
 
   // Returns false when the connection is to be closed.
   asio::awaitable<bool> ReadRequest();
+  // Copies the head and sets the limit on the body.
+  boost::system::error_code TakeHead(
+      http::request_parser<http::string_body>& parser);
   asio::awaitable<void> RefuseRequest(boost::system::error_code error);
   asio::awaitable<void> RunHandler();
   void WatchClient();
@@ -124,6 +129,7 @@
   State m_state = State::kOpen;
   bool m_keep_alive = true;
   bool m_busy = false;
+  size_t m_body_limit = 0;
   uint64_t m_requests = 0;
 };
 
@@ -153,7 +159,6 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(
       static_cast<uint32_t>(m_server->m_options.max_header_bytes));
-  parser.body_limit(m_server->m_options.max_body_bytes);
   if (m_buffer.size() == 0) {
     m_stream.expires_after(m_server->m_options.idle_timeout);
     const auto space = m_buffer.prepare(4096);
@@ -165,18 +170,45 @@
   }
   m_busy = true;
   m_stream.expires_after(m_server->m_options.read_timeout);
-  co_await http::async_read(m_stream, m_buffer, parser, token);
+  parser.body_limit(boost::none);
+  co_await http::async_read_header(m_stream, m_buffer, parser, token);
+  if (!error) {
+    error = TakeHead(parser);
+  }
+  if (!error &&
+      HeaderNameEquals(parser.get()[http::field::expect], "100-continue")) {
+    const std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(m_stream, asio::buffer(go_on), token);
+  }
+  if (!error) {
+    co_await http::async_read(m_stream, m_buffer, parser, token);
+  }
   if (error) {
     co_await RefuseRequest(error);
     co_return false;
   }
-  http::request<http::string_body> message = parser.release();
+  m_request.body = std::move(parser.get().body());
+  co_return true;
+}
+
+boost::system::error_code HttpServer::Impl::Connection::TakeHead(
+    http::request_parser<http::string_body>& parser) {
+  const auto& message = parser.get();
   m_keep_alive = message.keep_alive() && !m_server->m_draining;
   m_request.method = std::string(message.method_string());
   m_request.target = std::string(message.target());
   m_request.headers = ToHeaders(message);
-  m_request.body = std::move(message.body());
-  co_return true;
+  const HttpServerOptions& options = m_server->m_options;
+  m_body_limit = options.max_body_bytes;
+  if (options.body_limit) {
+    m_body_limit = std::min(m_body_limit, options.body_limit(m_request));
+  }
+  const auto length = parser.content_length();
+  if (length.has_value() && *length > m_body_limit) {
+    return http::make_error_code(http::error::body_limit);
+  }
+  parser.body_limit(m_body_limit);
+  return {};
 }
 
 asio::awaitable<void> HttpServer::Impl::Connection::RefuseRequest(
@@ -190,7 +222,8 @@
   }
   m_keep_alive = false;
   m_state = State::kOpen;
-  HttpResponse refusal = RefusalFor(error, m_server->m_options);
+  HttpResponse refusal =
+      RefusalFor(error, m_body_limit, m_server->m_options.max_header_bytes);
   const Result<void> ignored = co_await Respond(std::move(refusal));
   static_cast<void>(ignored);
 }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -17,6 +18,8 @@
 namespace cowslip {
 
 class HttpExchange;
+struct HttpRequest;
+struct HttpResponse;
 
 /// \class HttpServerOptions
 /// \brief Bounds that keep one client from harming others.
@@ -24,6 +27,13 @@
   Endpoint listen;
   size_t max_header_bytes = 16 * 1024;
   size_t max_body_bytes = 1 << 20;
+  /// When set, the limit for one request, decided from its head before any of
+  /// its body is read; `max_body_bytes` still bounds it.
+  std::function<size_t(const HttpRequest& head)> body_limit;
+  /// When set, may answer a request whose body is over its limit with
+  /// something better than 413, such as why the limit is so low.
+  std::function<std::optional<HttpResponse>(const HttpRequest& head)>
+      over_limit;
   /// How long a client may take to send one request, from its first byte.
   Duration read_timeout = std::chrono::seconds(20);
   /// How long a kept-alive connection may stay idle.
--- a/Tests/Net/http_test.cc
+++ b/Tests/Net/http_test.cc
@@ -92,6 +92,30 @@
       options);
 }
 
+TEST_CASE("The limit on a body can depend on the request's head") {
+  HttpServerOptions options{.max_body_bytes = 1000};
+  options.body_limit = [](const HttpRequest& head) {
+    return size_t{head.target == "/large" ? 500u : 10u};
+  };
+  Run(
+      Echo,
+      [](HttpClient& http) -> awaitable<void> {
+        HttpRequest large{.method = "POST",
+                          .target = "/large",
+                          .body = std::string(100, 'x')};
+        auto taken = co_await http.Send(std::move(large), kTimeout);
+        REQUIRE(taken.has_value());
+        CHECK(taken.value().status == 200);
+        HttpRequest small{.method = "POST",
+                          .target = "/small",
+                          .body = std::string(100, 'x')};
+        auto refused = co_await http.Send(std::move(small), kTimeout);
+        REQUIRE(refused.has_value());
+        CHECK(refused.value().status == 413);
+      },
+      options);
+}
+
 TEST_CASE("A handler hears that its client went away") {
   bool gone = false;
   const auto wait = [&gone](HttpExchange& exchange) -> awaitable<void> {
