--- /dev/null
+++ b/Source/Backend/gate_driver.cc
@@ -0,0 +1,342 @@
+#include "Backend/gate_driver.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Backend/gate_core.h"
+#include "Base/log.h"
+#include "Net/http_client.h"
+
+namespace cowslip {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kTickInterval = std::chrono::milliseconds(20);
+constexpr auto kProbeInterval = std::chrono::milliseconds(200);
+constexpr Duration kProbeTimeout = std::chrono::seconds(5);
+// One failed probe may be an accident; two in a row are an outage.
+constexpr int kProbesUntilDown = 2;
+// The core's own deadline comes first.
+constexpr Duration kDeadlineMargin = std::chrono::seconds(1);
+
+// One call to the backend server.
+struct EngineCall {
+  explicit EngineCall(asio::io_context& context)
+      : wake(context, asio::steady_timer::time_point::max()) {}
+  // Rings when `paused` or `aborted` changes.
+  asio::steady_timer wake;
+  HttpResponseStream* stream = nullptr;
+  bool paused = false;
+  bool aborted = false;
+};
+
+HttpRequest ToHttp(EngineRequest request) {
+  HttpRequest http{.method = std::move(request.method),
+                   .target = std::move(request.target),
+                   .body = std::move(request.body)};
+  for (ForwardedHeader& header : request.headers) {
+    http.headers.push_back({std::move(header.name), std::move(header.value)});
+  }
+  return http;
+}
+
+std::vector<ForwardedHeader> FromHttp(const HttpHeaders& headers) {
+  std::vector<ForwardedHeader> forwarded;
+  for (const HttpHeader& header : headers) {
+    forwarded.push_back({.name = header.name, .value = header.value});
+  }
+  return forwarded;
+}
+
+EngineFailure ToFailure(const Error& error) {
+  switch (error.kind()) {
+    case ErrorKind::kUnavailable:
+      return EngineFailure::kNotSent;
+    case ErrorKind::kTimeout:
+      return EngineFailure::kTimeout;
+    default:
+      return EngineFailure::kConnectionBroken;
+  }
+}
+
+}  // namespace
+
+class GateDriver::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context,
+       GateOptions options,
+       Endpoint engine,
+       GateDriverHooks hooks)
+      : m_context(context),
+        m_probe_target(options.kind == BackendKind::kEngine ? "/load"
+                                                            : "/healthz"),
+        m_core(std::move(options)),
+        m_hooks(std::move(hooks)),
+        m_client(context.get_executor(),
+                 std::move(engine),
+                 HttpClientOptions{.max_idle_connections = 0}),
+        m_tick(context),
+        m_probe(context) {}
+
+  void Start() {
+    ScheduleTick();
+    asio::co_spawn(
+        m_context, [self = shared_from_this()] { return self->Probe(); },
+        asio::detached);
+  }
+  void Stop();
+  void Feed(GateEvent event);
+  const GateCore& core() const { return m_core; }
+
+ private:
+  void ScheduleTick();
+  asio::awaitable<void> Probe();
+  asio::awaitable<void> Call(StartEngine action,
+                             std::shared_ptr<EngineCall> call);
+  asio::awaitable<void> ReadBody(ExchangeKey key,
+                                 std::shared_ptr<EngineCall> call,
+                                 MonotonicTime deadline);
+  asio::awaitable<void> WaitWhilePaused(std::shared_ptr<EngineCall> call);
+  void EndCall(const ExchangeKey& key, GateEvent event);
+  EngineCall* Find(const ExchangeKey& key);
+
+  void Carry(StartEngine action);
+  void Carry(const AbortEngine& action);
+  void Carry(const PauseEngine& action);
+  void Carry(const ResumeEngine& action);
+  void Carry(const ReplyToEntry& action);
+  void Carry(const AnnounceStatus& action);
+  void Carry(const DrainFinished& action);
+
+  asio::io_context& m_context;
+  const std::string m_probe_target;
+  GateCore m_core;
+  const GateDriverHooks m_hooks;
+  HttpClient m_client;
+  asio::steady_timer m_tick;
+  asio::steady_timer m_probe;
+  std::map<ExchangeKey, std::shared_ptr<EngineCall>> m_calls;
+  std::deque<GateEvent> m_events;
+  bool m_processing = false;
+  bool m_stopped = false;
+};
+
+void GateDriver::Impl::Stop() {
+  m_stopped = true;
+  m_tick.cancel();
+  m_probe.cancel();
+  for (const auto& [key, call] : m_calls) {
+    Carry(AbortEngine{key});
+  }
+}
+
+// Actions may lead to further events; those wait until the actions of this
+// one have been carried out.
+void GateDriver::Impl::Feed(GateEvent event) {
+  m_events.push_back(std::move(event));
+  if (m_processing || m_stopped) {
+    return;
+  }
+  m_processing = true;
+  while (!m_events.empty()) {
+    GateEvent next = std::move(m_events.front());
+    m_events.pop_front();
+    for (GateAction& action :
+         m_core.Handle(std::move(next), MonotonicClock::now())) {
+      std::visit([this](auto&& alternative) { Carry(std::move(alternative)); },
+                 std::move(action));
+    }
+  }
+  m_processing = false;
+}
+
+void GateDriver::Impl::ScheduleTick() {
+  m_tick.expires_after(kTickInterval);
+  m_tick.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (!error && self != nullptr && !self->m_stopped) {
+      self->Feed(GateTick());
+      self->ScheduleTick();
+    }
+  });
+}
+
+asio::awaitable<void> GateDriver::Impl::Probe() {
+  int failures = 0;
+  while (!m_stopped) {
+    HttpRequest request{.target = m_probe_target};
+    const Result<HttpResponse> got =
+        co_await m_client.Send(std::move(request), kProbeTimeout);
+    // A slow answer is an answer: only a broken or refused connection counts.
+    const bool down =
+        !got.has_value() && got.error().kind() != ErrorKind::kTimeout;
+    failures = down ? failures + 1 : 0;
+    if (failures >= kProbesUntilDown) {
+      Feed(EngineDown());
+    } else if (got.has_value()) {
+      Feed(EngineUp());
+    }
+    boost::system::error_code ignored;
+    auto token = asio::redirect_error(asio::use_awaitable, ignored);
+    m_probe.expires_after(kProbeInterval);
+    co_await m_probe.async_wait(token);
+  }
+}
+
+void GateDriver::Impl::Carry(StartEngine action) {
+  const auto call = std::make_shared<EngineCall>(m_context);
+  m_calls[action.key] = call;
+  asio::co_spawn(
+      m_context,
+      [self = shared_from_this(), action = std::move(action), call]() mutable {
+        return self->Call(std::move(action), call);
+      },
+      asio::detached);
+}
+
+asio::awaitable<void> GateDriver::Impl::Call(StartEngine action,
+                                             std::shared_ptr<EngineCall> call) {
+  const auto self = shared_from_this();
+  const ExchangeKey key = action.key;
+  const Duration timeout = action.timeout + kDeadlineMargin;
+  const MonotonicTime deadline = MonotonicClock::now() + timeout;
+  HttpRequest request = ToHttp(std::move(action.request));
+  Result<std::unique_ptr<HttpResponseStream>> opened =
+      co_await m_client.Open(std::move(request), timeout);
+  if (call->aborted) {
+    EndCall(key, EngineClosed{key});
+    co_return;
+  }
+  if (!opened.has_value()) {
+    const Error& error = opened.error();
+    EndCall(key, EngineFailed{key, ToFailure(error), error.message});
+    co_return;
+  }
+  const std::unique_ptr<HttpResponseStream> stream = std::move(opened.value());
+  call->stream = stream.get();
+  Feed(EngineHead{key, stream->status(), FromHttp(stream->headers())});
+  co_await ReadBody(key, call, deadline);
+  call->stream = nullptr;
+}
+
+asio::awaitable<void> GateDriver::Impl::ReadBody(
+    ExchangeKey key,
+    std::shared_ptr<EngineCall> call,
+    MonotonicTime deadline) {
+  while (true) {
+    co_await WaitWhilePaused(call);
+    if (call->aborted) {
+      break;
+    }
+    const Duration left = deadline - MonotonicClock::now();
+    Result<std::optional<std::string>> piece =
+        co_await call->stream->ReadSome(left);
+    if (call->aborted) {
+      break;
+    }
+    if (!piece.has_value()) {
+      const Error& error = piece.error();
+      EndCall(key, EngineFailed{key, ToFailure(error), error.message});
+      co_return;
+    }
+    if (!piece.value().has_value()) {
+      EndCall(key, EngineEnd{key});
+      co_return;
+    }
+    Feed(EngineChunk{key, std::move(*piece.value())});
+  }
+  EndCall(key, EngineClosed{key});
+}
+
+asio::awaitable<void> GateDriver::Impl::WaitWhilePaused(
+    std::shared_ptr<EngineCall> call) {
+  while (call->paused && !call->aborted) {
+    boost::system::error_code ignored;
+    auto token = asio::redirect_error(asio::use_awaitable, ignored);
+    co_await call->wake.async_wait(token);
+  }
+}
+
+void GateDriver::Impl::EndCall(const ExchangeKey& key, GateEvent event) {
+  m_calls.erase(key);
+  Feed(std::move(event));
+}
+
+EngineCall* GateDriver::Impl::Find(const ExchangeKey& key) {
+  const auto found = m_calls.find(key);
+  return found == m_calls.end() ? nullptr : found->second.get();
+}
+
+void GateDriver::Impl::Carry(const AbortEngine& action) {
+  EngineCall* call = Find(action.key);
+  if (call == nullptr) {
+    return;
+  }
+  call->aborted = true;
+  call->wake.cancel();
+  if (call->stream != nullptr) {
+    call->stream->Abort();
+  }
+}
+
+void GateDriver::Impl::Carry(const PauseEngine& action) {
+  if (EngineCall* call = Find(action.key)) {
+    call->paused = true;
+  }
+}
+
+void GateDriver::Impl::Carry(const ResumeEngine& action) {
+  if (EngineCall* call = Find(action.key)) {
+    call->paused = false;
+    call->wake.cancel();
+  }
+}
+
+void GateDriver::Impl::Carry(const ReplyToEntry& action) {
+  m_hooks.reply(action.entry, action.message);
+}
+
+void GateDriver::Impl::Carry(const AnnounceStatus& action) {
+  m_hooks.announce(action.status);
+}
+
+void GateDriver::Impl::Carry(const DrainFinished&) {
+  m_hooks.drained();
+}
+
+GateDriver::GateDriver(asio::io_context& context,
+                       GateOptions options,
+                       Endpoint engine,
+                       GateDriverHooks hooks)
+    : m_impl(std::make_shared<Impl>(context,
+                                    std::move(options),
+                                    std::move(engine),
+                                    std::move(hooks))) {}
+
+GateDriver::~GateDriver() {
+  m_impl->Stop();
+}
+
+void GateDriver::Start() {
+  m_impl->Start();
+}
+
+void GateDriver::Feed(GateEvent event) {
+  m_impl->Feed(std::move(event));
+}
+
+const GateCore& GateDriver::core() const {
+  return m_impl->core();
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Backend/order_core.cc
@@ -0,0 +1,102 @@
+#include "Backend/order_core.h"
+
+#include <utility>
+
+namespace cowslip {
+
+namespace {
+
+// Conflicts and lost answers are resolved by reading again, up to this many
+// calls for one order.
+constexpr int kMaxStoreCalls = 8;
+
+}  // namespace
+
+OrderCore::OrderCore(std::string writer) : m_writer(std::move(writer)) {}
+
+std::vector<OrderAction> OrderCore::Handle(OrderEvent event, MonotonicTime) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(event));
+  while (m_step == Step::kIdle && !m_orders.empty()) {
+    Advance();
+  }
+  return std::exchange(m_actions, {});
+}
+
+void OrderCore::On(OrderReceived event) {
+  m_orders.push_back(std::move(event));
+}
+
+void OrderCore::On(const FenceRead& event) {
+  m_step = Step::kIdle;
+  m_version.reset();
+  m_current = FencingNumber(0);
+  if (event.fence.has_value()) {
+    m_version = event.version;
+    m_current = event.fence->fencing;
+  }
+}
+
+void OrderCore::On(const FenceWritten& event) {
+  m_step = Step::kIdle;
+  m_version = event.version;
+  m_current = m_orders.front().fencing;
+}
+
+void OrderCore::On(const FenceCallFailed& event) {
+  const bool wrote = m_step == Step::kWriting;
+  m_step = Step::kIdle;
+  const bool read_again = wrote && event.kind != ErrorKind::kUnavailable;
+  if (read_again && m_store_calls < kMaxStoreCalls) {
+    // Another process wrote, or the answer to this write was lost. What the
+    // store holds now decides.
+    m_current.reset();
+    return;
+  }
+  if (wrote) {
+    m_current.reset();
+  }
+  Answer(OrderOutcome::kStoreUnavailable, 0, "");
+}
+
+void OrderCore::On(EngineOrderDone event) {
+  m_step = Step::kIdle;
+  const OrderOutcome outcome =
+      event.status > 0 ? OrderOutcome::kAnswered : OrderOutcome::kInDoubt;
+  Answer(outcome, event.status, std::move(event.body));
+}
+
+void OrderCore::Advance() {
+  const OrderReceived& order = m_orders.front();
+  if (!m_current.has_value()) {
+    ++m_store_calls;
+    m_step = Step::kReading;
+    Emit(ReadFence());
+    return;
+  }
+  if (order.fencing < *m_current) {
+    Answer(OrderOutcome::kStale, 0, "");
+    return;
+  }
+  if (order.fencing > *m_current) {
+    ++m_store_calls;
+    m_step = Step::kWriting;
+    Emit(WriteFence{.fence = {.fencing = order.fencing, .writer = m_writer},
+                    .over = m_version});
+    return;
+  }
+  m_step = Step::kSending;
+  Emit(SendOrder{.order = order.order, .body = order.body});
+}
+
+void OrderCore::Answer(OrderOutcome outcome, int status, std::string body) {
+  Emit(AnswerOrder{.order = m_orders.front().order,
+                   .outcome = outcome,
+                   .current = m_current.value_or(FencingNumber(0)),
+                   .status = status,
+                   .body = std::move(body)});
+  m_orders.pop_front();
+  m_store_calls = 0;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Backend/side_metrics.h
@@ -0,0 +1,28 @@
+#ifndef SOURCE_BACKEND_SIDE_METRICS_H_
+#define SOURCE_BACKEND_SIDE_METRICS_H_
+
+#include <string>
+
+#include "Exchange/exchange_messages.h"
+#include "Metrics/metrics_registry.h"
+
+namespace cowslip {
+
+class GateCore;
+
+/// \class SideMetrics
+/// \brief What a side process tells a scraper.
+class SideMetrics {
+ public:
+  /// Counts a reply that is sent to an entry.
+  void Count(const ExchangeReplyMessage& message);
+  /// Renders the gate's state and all counts.
+  std::string Render(const GateCore& gate);
+
+ private:
+  MetricsRegistry m_registry;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BACKEND_SIDE_METRICS_H_
