Batch: ingest, driver and HTTP handler

Cause: callers need jobs that any entry accepts, shows and cancels. Change: BatchParser, JobIngest, BatchReader, BatchDriver, BatchHttpHandler and the ItemDispatcher interface for the entry. Measured: ctest -R batch: batch.partition and batch.driver pass.

--- /dev/null
+++ b/Source/Batch/batch_driver.h
@@ -0,0 +1,144 @@
+#ifndef SOURCE_BATCH_BATCH_DRIVER_H_
+#define SOURCE_BATCH_BATCH_DRIVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Base/ids.h"
+#include "Base/result.h"
+#include "Base/time.h"
+#include "Batch/batch_input.h"
+#include "Batch/batch_keys.h"
+#include "Batch/batch_messages.h"
+#include "Batch/batch_reader.h"
+#include "Batch/fair_share_scheduler.h"
+#include "Batch/partition_core.h"
+
+namespace cowslip {
+
+class ItemDispatcher;
+class ObjectStore;
+
+/// \class BatchDriverOptions
+/// \brief Who this process is, and the bounds on batch work.
+struct BatchDriverOptions {
+  VmId self;
+  Incarnation incarnation;
+  /// The same on every VM, for ever.
+  uint32_t partitions = kBatchPartitions;
+  BatchLimits limits;
+  /// Periods and bounds of a partition; the driver fills in who and which.
+  PartitionOptions partition;
+  FairShareOptions fair_share;
+  Duration tick = std::chrono::milliseconds(50);
+  /// How long a request waits for a partition's owner.
+  Duration request_timeout = std::chrono::seconds(25);
+  /// How long one attempt of an item may take.
+  Duration item_timeout = std::chrono::minutes(10);
+  /// A job's deadline when the caller gives none.
+  Duration default_deadline = std::chrono::hours(24);
+  /// Input segments kept in memory, up to a megabyte each.
+  size_t input_segments = 32;
+  /// Jobs being uploaded at a time; more are refused for a moment.
+  size_t max_uploads = 4;
+};
+
+/// \class SubmitOptions
+/// \brief What a caller says of a job besides its items.
+struct SubmitOptions {
+  /// Route of the items that name none.
+  RouteId route;
+  /// Time from now until the results are due.
+  std::optional<Duration> deadline;
+  /// Runs after the organisation's other jobs while its deadline is far.
+  bool bulk = false;
+};
+
+/// \class BatchCounters
+/// \brief For metrics; counts since the start.
+struct BatchCounters {
+  PartitionCounters partitions;
+  uint64_t owned_partitions = 0;
+  uint64_t running_items = 0;
+  uint64_t jobs_submitted = 0;
+  uint64_t requests_forwarded = 0;
+  uint64_t reads_without_owner = 0;
+};
+
+/// \class BatchDriver
+/// \brief Accepts batch jobs on this VM, owns some partitions, and runs their
+/// items through an ItemDispatcher.
+///
+/// All calls on the io_context's thread. `store` and `dispatcher` must outlive
+/// the io_context's last turn.
+class BatchDriver {
+ public:
+  /// Sends a frame on kBatchChannel; false when surely nothing was sent.
+  using SendPeer = std::function<bool(const VmId& peer, const std::string&)>;
+
+  BatchDriver(boost::asio::io_context& context,
+              ObjectStore& store,
+              BatchDriverOptions options,
+              SendPeer send_peer,
+              ItemDispatcher& dispatcher);
+  ~BatchDriver();
+  BatchDriver(const BatchDriver&) = delete;
+  BatchDriver& operator=(const BatchDriver&) = delete;
+
+  void Start();
+
+  /// Accepts a job, or finds the one that was accepted under this key before;
+  /// answers once it is in the store. Errors: kInvalidArgument, kTooLarge
+  /// (nothing is kept), kConflict (another body under this key), kNotFound and
+  /// kPermissionDenied (route), kRateLimited, kUnavailable, kInDoubt (send it
+  /// again under the same key).
+  boost::asio::awaitable<Result<JobView>> Submit(OrganisationId organisation,
+                                                 std::string idempotency_key,
+                                                 std::string jsonl,
+                                                 SubmitOptions options);
+  /// Errors: kNotFound, kUnavailable.
+  boost::asio::awaitable<Result<JobView>> Get(OrganisationId organisation,
+                                              JobId job);
+  /// Outcomes from the `after`th on. Errors: kNotFound, kUnavailable.
+  boost::asio::awaitable<Result<ResultsPage>>
+  Results(OrganisationId organisation, JobId job, uint64_t after, size_t limit);
+  /// Cancels a job for good; answers once that is in the store. A job that has
+  /// ended stays as it is. Errors: kNotFound, kUnavailable, kInDoubt.
+  boost::asio::awaitable<Result<JobView>> Cancel(OrganisationId organisation,
+                                                 JobId job);
+  /// Jobs of one or of all organisations, running ones first.
+  boost::asio::awaitable<Result<std::vector<JobView>>> List(
+      std::optional<OrganisationId> organisation,
+      size_t limit);
+
+  void OnPeerFrame(const VmId& peer, const std::string& cbor);
+  void OnPeerDown(const VmId& peer);
+  /// The live entries that are not leaving, this one included.
+  void OnMembers(std::vector<VmId> entries);
+  void SetWeight(const OrganisationId& organisation, double weight);
+  /// The dispatcher may have room again.
+  void OnCapacity();
+
+  /// Lets running items finish and releases every partition.
+  boost::asio::awaitable<void> Drain();
+  void Stop();
+
+  BatchCounters counters() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_BATCH_DRIVER_H_
--- /dev/null
+++ b/Source/Batch/batch_driver_impl.h
@@ -0,0 +1,136 @@
+#ifndef SOURCE_BATCH_BATCH_DRIVER_IMPL_H_
+#define SOURCE_BATCH_BATCH_DRIVER_IMPL_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Batch/batch_driver.h"
+#include "Batch/batch_peer_messages.h"
+#include "Batch/input_reader.h"
+#include "Batch/item_dispatcher.h"
+#include "Batch/job_ingest.h"
+#include "Batch/partition_runner.h"
+#include "Batch/pending_requests.h"
+
+namespace cowslip {
+
+/// \class AskedOfOwner
+/// \brief One request in the two forms it takes: for an owner on this VM, and
+/// for one on a peer.
+struct AskedOfOwner {
+  PartitionEvent event;
+  BatchPeerMessage message;
+};
+
+/// \class BatchDriver::Impl
+/// \brief The driver's state; lives until its last coroutine has ended.
+class BatchDriver::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  using Ask = std::function<AskedOfOwner(BatchRequestId request)>;
+
+  Impl(boost::asio::io_context& context,
+       ObjectStore& store,
+       BatchDriverOptions options,
+       SendPeer send_peer,
+       ItemDispatcher& dispatcher);
+
+  void Start();
+  void Stop();
+  void BeginDrain();
+  bool drained() const;
+
+  /// Asks the assigned owner of the job's partition and waits for its reply.
+  boost::asio::awaitable<Result<JobView>> AskOwner(JobId job, Ask ask);
+
+  void OnPeerFrame(const VmId& peer, const std::string& cbor);
+  void OnPeerDown(const VmId& peer);
+  void OnMembers(std::vector<VmId> entries);
+  /// Dispatches items while the dispatcher has room.
+  void Pump();
+
+  BatchCounters counters() const;
+  const BatchDriverOptions& options() const { return m_options; }
+  boost::asio::io_context& context() { return m_context; }
+  JobIngest& ingest() { return m_ingest; }
+  BatchReader& reader() { return m_reader; }
+  InputReader& inputs() { return m_inputs; }
+  FairShareScheduler& scheduler() { return m_scheduler; }
+
+  size_t uploads = 0;
+  uint64_t jobs_submitted = 0;
+  uint64_t reads_without_owner = 0;
+
+ private:
+  // A dispatch of one partition's owner.
+  using DispatchKey = std::pair<PartitionId, DispatchId>;
+  struct ActiveItem {
+    JobId job;
+    uint32_t item = 0;
+    ItemId custom_id;
+    // False while the item is read from the store.
+    bool dispatched = false;
+    MonotonicTime deadline;
+  };
+  struct PeerRequest {
+    VmId peer;
+    uint64_t request = 0;
+  };
+
+  void MakeRunner(PartitionId partition);
+  VmId OwnerOf(PartitionId partition) const;
+  void ScheduleTick();
+  void OnTick();
+  void EndOverdueItems();
+
+  bool PumpOne();
+  size_t items_before_dispatch() const;
+  void OnDispatch(PartitionId partition, const DispatchItem& action);
+  boost::asio::awaitable<void> RunItem(DispatchKey key, DispatchItem action);
+  void OnItemResult(DispatchKey key, ItemResult result);
+  void OnCancelItem(PartitionId partition, const CancelItem& action);
+
+  void OnReply(BatchRequestId request, Result<JobView> reply);
+  void On(const VmId& peer, const PeerSubmit& message);
+  void On(const VmId& peer, const PeerView& message);
+  void On(const VmId& peer, const PeerCancel& message);
+  void On(const VmId& peer, const PeerJobReply& message);
+  void On(const VmId& peer, const PeerErrorReply& message);
+  BatchRequestId AddPeerRequest(const VmId& peer, uint64_t request);
+  void SendTo(const VmId& peer, const BatchPeerMessage& message);
+
+  boost::asio::io_context& m_context;
+  const BatchDriverOptions m_options;
+  const SendPeer m_send_peer;
+  ItemDispatcher& m_dispatcher;
+  ObjectStore& m_store;
+  JobIngest m_ingest;
+  BatchReader m_reader;
+  InputReader m_inputs;
+  FairShareScheduler m_scheduler;
+  PendingRequests m_pending;
+  boost::asio::steady_timer m_timer;
+  bool m_stopped = false;
+  bool m_draining = false;
+  bool m_pumping = false;
+
+  std::vector<std::shared_ptr<PartitionRunner>> m_runners;
+  std::vector<VmId> m_entries;
+  std::map<DispatchKey, ActiveItem> m_active;
+  // Requests of peers, under the numbers that this VM gave them.
+  std::map<BatchRequestId, PeerRequest> m_peer_requests;
+  uint64_t m_last_peer_request = 0;
+  uint64_t m_requests_forwarded = 0;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_BATCH_DRIVER_IMPL_H_
--- /dev/null
+++ b/Source/Batch/batch_http_handler.h
@@ -0,0 +1,52 @@
+#ifndef SOURCE_BATCH_BATCH_HTTP_HANDLER_H_
+#define SOURCE_BATCH_BATCH_HTTP_HANDLER_H_
+
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Base/ids.h"
+#include "Base/result.h"
+#include "Net/http_message.h"
+
+namespace cowslip {
+
+class BatchDriver;
+
+/// \class BatchHttpHandler
+/// \brief Maps `/v1/batches` to a BatchDriver, for a caller whose key has been
+/// checked.
+///
+/// - `POST /v1/batches`: JSONL body; headers `Idempotency-Key` (required),
+///   `X-Batch-Deadline` (seconds from now), `X-Batch-Class` (`standard` or
+///   `bulk`), `X-Batch-Route`. 201 for a new job, 200 for a resent one.
+/// - `GET /v1/batches/ID`
+/// - `GET /v1/batches/ID/results?after=N&limit=M`
+/// - `POST /v1/batches/ID/cancel`
+///
+/// Errors are RFC 9457 problems.
+class BatchHttpHandler {
+ public:
+  /// `driver` must outlive the handler.
+  explicit BatchHttpHandler(BatchDriver& driver);
+
+  boost::asio::awaitable<HttpResponse> Handle(const HttpRequest& request,
+                                              OrganisationId organisation);
+
+ private:
+  boost::asio::awaitable<HttpResponse> Submit(const HttpRequest& request,
+                                              OrganisationId organisation);
+  boost::asio::awaitable<HttpResponse> Get(OrganisationId organisation,
+                                           JobId job);
+  boost::asio::awaitable<HttpResponse> Results(const HttpRequest& request,
+                                               OrganisationId organisation,
+                                               JobId job);
+  boost::asio::awaitable<HttpResponse> Cancel(OrganisationId organisation,
+                                              JobId job);
+
+  BatchDriver& m_driver;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_BATCH_HTTP_HANDLER_H_
--- /dev/null
+++ b/Source/Batch/fair_share_scheduler.cc
@@ -0,0 +1,95 @@
+#include "Batch/fair_share_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cowslip {
+
+namespace {
+
+constexpr int kSmoothing = 16;
+// Pauses between picks say nothing about the pace of work.
+constexpr Duration kLongestInterval = std::chrono::milliseconds(500);
+constexpr double kSmallestWeight = 0.01;
+
+}  // namespace
+
+FairShareScheduler::FairShareScheduler(FairShareOptions options)
+    : m_options(options) {}
+
+void FairShareScheduler::SetWeight(const OrganisationId& organisation,
+                                   double weight) {
+  m_weights[organisation] = std::max(weight, kSmallestWeight);
+}
+
+Duration FairShareScheduler::Slack(const DispatchCandidate& candidate,
+                                   MonotonicTime now) const {
+  return candidate.deadline - now - m_interval * candidate.remaining;
+}
+
+bool FairShareScheduler::Before(const DispatchCandidate& a,
+                                const DispatchCandidate& b,
+                                MonotonicTime now) const {
+  const auto rank = [&](const DispatchCandidate& candidate) {
+    const Duration slack = Slack(candidate, now);
+    const bool waits = candidate.bulk && slack >= m_options.urgent_slack;
+    return std::tuple(waits, slack, candidate.job);
+  };
+  return rank(a) < rank(b);
+}
+
+double FairShareScheduler::Start(const OrganisationId& organisation) const {
+  const auto served = m_served.find(organisation);
+  // Time without work earns no claim on the others.
+  return served == m_served.end() ? m_level : std::max(served->second, m_level);
+}
+
+void FairShareScheduler::Charge(const OrganisationId& organisation,
+                                MonotonicTime now) {
+  const auto weight = m_weights.find(organisation);
+  const double share = weight == m_weights.end() ? 1 : weight->second;
+  m_served[organisation] = Start(organisation) + 1 / share;
+  if (m_last_pick) {
+    const Duration since = std::min(now - *m_last_pick, kLongestInterval);
+    m_interval += (since - m_interval) / kSmoothing;
+  }
+  m_last_pick = now;
+  ++m_picks;
+}
+
+std::optional<size_t> FairShareScheduler::Pick(
+    const std::vector<DispatchCandidate>& candidates,
+    MonotonicTime now) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  size_t most_urgent = 0;
+  size_t fairest = 0;
+  for (size_t i = 1; i < candidates.size(); ++i) {
+    const DispatchCandidate& candidate = candidates[i];
+    if (Slack(candidate, now) < Slack(candidates[most_urgent], now)) {
+      most_urgent = i;
+    }
+    const double mine = Start(candidate.organisation);
+    const double best = Start(candidates[fairest].organisation);
+    const bool same =
+        candidate.organisation == candidates[fairest].organisation;
+    const bool before = mine == best || same
+                            ? Before(candidate, candidates[fairest], now)
+                            : mine < best;
+    if (before) {
+      fairest = i;
+    }
+  }
+  const bool urgent =
+      m_picks % m_options.urgent_period == 0 &&
+      Slack(candidates[most_urgent], now) < m_options.urgent_slack;
+  const size_t picked = urgent ? most_urgent : fairest;
+  if (!urgent) {
+    m_level = Start(candidates[picked].organisation);
+  }
+  Charge(candidates[picked].organisation, now);
+  return picked;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Batch/fair_share_scheduler.h
@@ -0,0 +1,67 @@
+#ifndef SOURCE_BATCH_FAIR_SHARE_SCHEDULER_H_
+#define SOURCE_BATCH_FAIR_SHARE_SCHEDULER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "Base/ids.h"
+#include "Base/time.h"
+#include "Batch/partition_events.h"
+
+namespace cowslip {
+
+/// \class FairShareOptions
+/// \brief How urgency and fairness are weighed.
+struct FairShareOptions {
+  /// A job with less slack than this is urgent.
+  Duration urgent_slack = std::chrono::minutes(10);
+  /// One pick in this many goes to the most urgent job, whoever owns it; the
+  /// others are shared between organisations by weight.
+  uint32_t urgent_period = 2;
+};
+
+/// \class FairShareScheduler
+/// \brief Picks the job that gives the next item.
+///
+/// Organisations share picks by weight: the one with the least picks for its
+/// weight is next, and one that comes back from idleness starts level with the
+/// others. Within an organisation the job with the least slack is next; bulk
+/// jobs wait for the others while they are not urgent. Urgent jobs of any
+/// organisation take at most every second pick, so that none is starved.
+class FairShareScheduler {
+ public:
+  explicit FairShareScheduler(FairShareOptions options = {});
+
+  /// Organisations without a weight have 1.
+  void SetWeight(const OrganisationId& organisation, double weight);
+
+  /// Returns the index of the candidate to dispatch; none when there is none.
+  std::optional<size_t> Pick(const std::vector<DispatchCandidate>& candidates,
+                             MonotonicTime now);
+
+ private:
+  Duration Slack(const DispatchCandidate& candidate, MonotonicTime now) const;
+  bool Before(const DispatchCandidate& a,
+              const DispatchCandidate& b,
+              MonotonicTime now) const;
+  void Charge(const OrganisationId& organisation, MonotonicTime now);
+  double Start(const OrganisationId& organisation) const;
+
+  const FairShareOptions m_options;
+  std::map<OrganisationId, double> m_weights;
+  // Picks divided by weight.
+  std::map<OrganisationId, double> m_served;
+  double m_level = 0;
+  uint64_t m_picks = 0;
+  // The time between picks, smoothed: how long one item of work takes here.
+  std::optional<MonotonicTime> m_last_pick;
+  Duration m_interval{};
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_FAIR_SHARE_SCHEDULER_H_
--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -286,6 +286,7 @@
   m_queues.clear();
   m_stopping.clear();
   m_entries.clear();
+  m_intending = 0;
   m_entry_bytes = 0;
   m_commit_at.reset();
   m_append.reset();
--- a/Source/Batch/partition_core.h
+++ b/Source/Batch/partition_core.h
@@ -100,6 +100,8 @@
   bool drained() const;
   /// Items dispatched and not answered.
   size_t running_items() const { return m_running.size(); }
+  /// Non-idempotent items taken up whose intent is not committed yet.
+  size_t intending_items() const { return m_intending; }
   const PartitionState& state() const { return m_state; }
   const PartitionCounters& counters() const { return m_counters; }
   /// Bytes of bookkeeping held for running jobs, roughly.
@@ -298,6 +300,7 @@
   std::map<JobId, JobStatus> m_stopping;
   std::map<DispatchId, RunningItem> m_running;
   DispatchId m_last_dispatch;
+  size_t m_intending = 0;
 };
 
 }  // namespace cowslip
--- a/Source/Batch/partition_items.cc
+++ b/Source/Batch/partition_items.cc
@@ -56,6 +56,7 @@
     Dispatch(event.job, *item);
     return;
   }
+  ++m_intending;
   AddEntry(ItemIntended{.job = event.job, .item = *item}, /*urgent=*/false);
 }
 
--- a/Source/Batch/partition_journal.cc
+++ b/Source/Batch/partition_journal.cc
@@ -209,6 +209,7 @@
         m_submitters.erase(job);
       },
       [this](const ItemIntended& intent) {
+        --m_intending;
         const JobState* job = m_state.Find(intent.job);
         const auto queue = m_queues.find(intent.job);
         if (LeaseHolds() && job != nullptr && job->running() &&
--- /dev/null
+++ b/Source/Batch/partition_runner.cc
@@ -0,0 +1,173 @@
+#include "Batch/partition_runner.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "Base/log.h"
+#include "Batch/batch_keys.h"
+#include "Platform/object_store.h"
+
+namespace cowslip {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+
+namespace {
+
+WriteAnswer ToWriteAnswer(const Result<ObjectVersion>& written) {
+  if (written.has_value()) {
+    return Written{.version = written.value()};
+  }
+  switch (written.error().kind()) {
+    case ErrorKind::kConflict:
+      return WriteConflict{};
+    case ErrorKind::kUnavailable:
+      return WriteFailed{};
+    case ErrorKind::kTooLarge:
+      LOG(ERROR) << "batch: a record is too large for the store: "
+                 << written.error();
+      return WriteFailed{};
+    default:
+      return WriteInDoubt{};
+  }
+}
+
+Precondition Over(std::optional<ObjectVersion> version) {
+  if (version) {
+    return IfVersion{.version = *version};
+  }
+  return IfAbsent{};
+}
+
+}  // namespace
+
+PartitionRunner::PartitionRunner(asio::io_context& context,
+                                 ObjectStore& store,
+                                 PartitionOptions options,
+                                 PartitionCallbacks callbacks)
+    : m_context(context),
+      m_store(store),
+      m_partition(options.partition),
+      m_callbacks(std::move(callbacks)),
+      m_core(std::move(options)) {}
+
+void PartitionRunner::Feed(PartitionEvent event) {
+  if (m_stopped) {
+    return;
+  }
+  auto actions = m_core.Handle(std::move(event), MonotonicClock::now());
+  for (PartitionAction& action : actions) {
+    std::visit([this](auto& alternative) { Do(alternative); }, action);
+  }
+}
+
+void PartitionRunner::Spawn(awaitable<void> work) {
+  // The runner lives until its last call to the store has ended.
+  asio::co_spawn(m_context, std::move(work),
+                 [self = shared_from_this()](const std::exception_ptr& error) {
+                   if (error) {
+                     LOG(ERROR) << "batch: a call to the store threw.";
+                   }
+                 });
+}
+
+void PartitionRunner::Do(const ReadCheckpoint& action) {
+  Spawn(Read(action.call, CheckpointKey(m_partition)));
+}
+
+void PartitionRunner::Do(const ReadSlot& action) {
+  Spawn(Read(action.call, JournalSlotKey(m_partition, action.sequence)));
+}
+
+void PartitionRunner::Do(AppendRecord& action) {
+  Spawn(Write(action.call, JournalSlotKey(m_partition, action.sequence),
+              std::move(action.bytes), action.over));
+}
+
+void PartitionRunner::Do(WriteObjects& action) {
+  Spawn(WriteAll(std::move(action)));
+}
+
+void PartitionRunner::Do(WriteCheckpoint& action) {
+  Spawn(Write(action.call, CheckpointKey(m_partition), std::move(action.bytes),
+              action.over));
+}
+
+void PartitionRunner::Do(const ReadEndedJob& action) {
+  Spawn(ReadEnded(action));
+}
+
+void PartitionRunner::Do(const DispatchItem& action) {
+  m_callbacks.dispatch(action);
+}
+
+void PartitionRunner::Do(const CancelItem& action) {
+  m_callbacks.cancel(action);
+}
+
+void PartitionRunner::Do(const ReplyWithJob& action) {
+  m_callbacks.reply(action.request, action.view);
+}
+
+void PartitionRunner::Do(const ReplyWithError& action) {
+  m_callbacks.reply(action.request, action.error);
+}
+
+awaitable<void> PartitionRunner::Read(StoreCallId call, std::string key) {
+  const ObjectKey object_key(std::move(key));
+  auto stored = co_await m_store.Get(object_key);
+  ReadAnswered answer{.call = call};
+  if (stored.has_value()) {
+    answer.answered = true;
+    answer.bytes = std::move(stored.value().value);
+    answer.version = stored.value().version;
+  } else {
+    answer.answered = stored.error().kind() == ErrorKind::kNotFound;
+  }
+  Feed(std::move(answer));
+}
+
+awaitable<void> PartitionRunner::ReadEnded(ReadEndedJob action) {
+  const ObjectKey key(EndedJobKey(m_partition, action.job));
+  auto stored = co_await m_store.Get(key);
+  EndedJobRead answer{.call = action.call, .job = action.job};
+  if (stored.has_value()) {
+    answer.answered = true;
+    answer.bytes = std::move(stored.value().value);
+  } else {
+    answer.answered = stored.error().kind() == ErrorKind::kNotFound;
+  }
+  Feed(std::move(answer));
+}
+
+awaitable<void> PartitionRunner::Write(StoreCallId call,
+                                       std::string key,
+                                       std::string bytes,
+                                       std::optional<ObjectVersion> over) {
+  const ObjectKey object_key(std::move(key));
+  const Precondition precondition = Over(over);
+  const auto written =
+      co_await m_store.Put(object_key, std::move(bytes), precondition);
+  WriteAnswered answer{.call = call, .answer = ToWriteAnswer(written)};
+  Feed(std::move(answer));
+}
+
+awaitable<void> PartitionRunner::WriteAll(WriteObjects action) {
+  WriteAnswer last = Written{};
+  for (ObjectWrite& write : action.writes) {
+    const ObjectKey key(write.key);
+    const Precondition precondition = Unconditional{};
+    const auto written =
+        co_await m_store.Put(key, std::move(write.bytes), precondition);
+    if (!written.has_value()) {
+      last = WriteFailed{};
+      break;
+    }
+  }
+  WriteAnswered answer{.call = action.call, .answer = last};
+  Feed(std::move(answer));
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Batch/partition_runner.h
@@ -0,0 +1,72 @@
+#ifndef SOURCE_BATCH_PARTITION_RUNNER_H_
+#define SOURCE_BATCH_PARTITION_RUNNER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Base/result.h"
+#include "Batch/partition_core.h"
+
+namespace cowslip {
+
+class ObjectStore;
+
+/// \class PartitionCallbacks
+/// \brief Where a partition's decisions go that are not calls to the store.
+struct PartitionCallbacks {
+  std::function<void(const DispatchItem&)> dispatch;
+  std::function<void(const CancelItem&)> cancel;
+  std::function<void(BatchRequestId, Result<JobView>)> reply;
+};
+
+/// \class PartitionRunner
+/// \brief Carries out one PartitionCore's calls to the store.
+class PartitionRunner : public std::enable_shared_from_this<PartitionRunner> {
+ public:
+  PartitionRunner(boost::asio::io_context& context,
+                  ObjectStore& store,
+                  PartitionOptions options,
+                  PartitionCallbacks callbacks);
+
+  void Feed(PartitionEvent event);
+  /// Nothing is fed or called back after this.
+  void Stop() { m_stopped = true; }
+
+  PartitionCore& core() { return m_core; }
+
+ private:
+  void Do(const ReadCheckpoint& action);
+  void Do(const ReadSlot& action);
+  void Do(AppendRecord& action);
+  void Do(WriteObjects& action);
+  void Do(WriteCheckpoint& action);
+  void Do(const ReadEndedJob& action);
+  void Do(const DispatchItem& action);
+  void Do(const CancelItem& action);
+  void Do(const ReplyWithJob& action);
+  void Do(const ReplyWithError& action);
+
+  boost::asio::awaitable<void> Read(StoreCallId call, std::string key);
+  boost::asio::awaitable<void> ReadEnded(ReadEndedJob action);
+  boost::asio::awaitable<void> Write(StoreCallId call,
+                                     std::string key,
+                                     std::string bytes,
+                                     std::optional<ObjectVersion> over);
+  boost::asio::awaitable<void> WriteAll(WriteObjects action);
+  void Spawn(boost::asio::awaitable<void> work);
+
+  boost::asio::io_context& m_context;
+  ObjectStore& m_store;
+  const PartitionId m_partition;
+  const PartitionCallbacks m_callbacks;
+  PartitionCore m_core;
+  bool m_stopped = false;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BATCH_PARTITION_RUNNER_H_
--- /dev/null
+++ b/Tests/Batch/batch_driver_test.cc
@@ -0,0 +1,232 @@
+#include <map>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include "Base/json.h"
+#include "Batch/batch_driver.h"
+#include "Batch/batch_http_handler.h"
+#include "Batch/item_dispatcher.h"
+#include "Utilities/StandIns/Platform/fake_object_store.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+/// \class FakeDispatcher
+/// \brief Answers each item with its own body.
+class FakeDispatcher : public ItemDispatcher {
+ public:
+  size_t Capacity() override { return 8; }
+  void Dispatch(ItemDispatch item,
+                std::function<void(ItemResult)> done) override {
+    ++runs[item.body];
+    if (hold) {
+      held.push_back(std::move(done));
+      return;
+    }
+    done(ItemCompleted{.status = 200, .body = item.body});
+  }
+  void Cancel(const JobId&, uint32_t) override { ++cancels; }
+  Result<bool> IsIdempotent(const OrganisationId&,
+                            const ItemTarget& target) override {
+    if (target.route != RouteId("sheets")) {
+      return Error(ErrorKind::kNotFound, "Name the route sheets.");
+    }
+    return true;
+  }
+
+  bool hold = false;
+  std::vector<std::function<void(ItemResult)>> held;
+  std::map<std::string, int> runs;
+  int cancels = 0;
+};
+
+/// \class Fleet
+/// \brief Entries on one event loop that share a platform.
+class Fleet {
+ public:
+  explicit Fleet(size_t size) {
+    for (size_t i = 0; i < size; ++i) {
+      m_vms.emplace_back("vm" + std::to_string(i));
+      stores.push_back(std::make_unique<FakeObjectStore>(m_platform));
+      dispatchers.push_back(std::make_unique<FakeDispatcher>());
+    }
+    drivers.resize(size);
+    for (size_t i = 0; i < size; ++i) {
+      Start(i);
+    }
+    SetMembers(m_vms);
+  }
+  ~Fleet() {
+    for (auto& driver : drivers) {
+      driver.reset();
+    }
+    context.run_for(50ms);
+  }
+
+  void Start(size_t i) {
+    BatchDriverOptions options{.self = m_vms[i],
+                               .incarnation = Incarnation(++m_incarnation),
+                               .partitions = 2,
+                               .tick = 5ms,
+                               .request_timeout = 3s};
+    options.partition.lease = 900ms;
+    options.partition.lease_margin = 50ms;
+    options.partition.poll_interval = 20ms;
+    options.partition.commit_interval = 10ms;
+    options.partition.store_retry = 10ms;
+    drivers[i] = std::make_unique<BatchDriver>(
+        context, *stores[i], options,
+        [this, i](const VmId& peer, const std::string& frame) {
+          return Send(i, peer, frame);
+        },
+        *dispatchers[i]);
+    drivers[i]->Start();
+  }
+  void Kill(size_t i) {
+    drivers[i].reset();
+    std::vector<VmId> left;
+    for (size_t other = 0; other < m_vms.size(); ++other) {
+      if (drivers[other]) {
+        left.push_back(m_vms[other]);
+      }
+    }
+    SetMembers(left);
+  }
+  void SetMembers(const std::vector<VmId>& members) {
+    for (auto& driver : drivers) {
+      if (driver) {
+        driver->OnMembers(members);
+      }
+    }
+  }
+
+  template <class Test>
+  void Run(Test test) {
+    bool done = false;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+          co_await test();
+          done = true;
+          context.stop();
+        },
+        boost::asio::detached);
+    context.run_for(20s);
+    CHECK(done);
+    context.restart();
+  }
+
+  awaitable<HttpResponse> Call(size_t i, HttpRequest request) {
+    BatchHttpHandler handler(*drivers[i]);
+    const OrganisationId organisation("mill");
+    HttpResponse response = co_await handler.Handle(request, organisation);
+    co_return response;
+  }
+  awaitable<void> Sleep(Duration time) {
+    boost::asio::steady_timer timer(context, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  awaitable<nlohmann::json> WaitForEnd(size_t i, std::string id) {
+    nlohmann::json job;
+    for (int round = 0; round < 1000; ++round) {
+      HttpRequest get{.target = "/v1/batches/" + id};
+      const HttpResponse response = co_await Call(i, get);
+      job = nlohmann::json::parse(response.body);
+      if (response.status == 200 && job["status"] != "running") {
+        break;
+      }
+      co_await Sleep(10ms);
+    }
+    co_return job;
+  }
+
+  boost::asio::io_context context;
+  std::vector<std::unique_ptr<FakeObjectStore>> stores;
+  std::vector<std::unique_ptr<FakeDispatcher>> dispatchers;
+  std::vector<std::unique_ptr<BatchDriver>> drivers;
+
+ private:
+  bool Send(size_t from, const VmId& peer, const std::string& frame) {
+    for (size_t i = 0; i < m_vms.size(); ++i) {
+      if (m_vms[i] == peer && drivers[i]) {
+        boost::asio::post(context, [this, i, from, frame] {
+          if (drivers[i]) {
+            drivers[i]->OnPeerFrame(m_vms[from], frame);
+          }
+        });
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::shared_ptr<FakePlatform> m_platform = std::make_shared<FakePlatform>();
+  std::vector<VmId> m_vms;
+  uint64_t m_incarnation = 0;
+};
+
+std::string Lines(int count) {
+  std::string lines;
+  for (int i = 0; i < count; ++i) {
+    lines += R"({"custom_id":"s)" + std::to_string(i) + R"(","body":{"n":)" +
+             std::to_string(i) + "}}\n";
+  }
+  return lines;
+}
+
+HttpRequest Post(std::string body, const std::string& key = "lot-1") {
+  return {.method = "POST",
+          .target = "/v1/batches",
+          .headers = {{"Idempotency-Key", key}, {"X-Batch-Route", "sheets"}},
+          .body = std::move(body)};
+}
+
+TEST_CASE("A job submitted at one entry is read and resent at another") {
+  Fleet fleet(2);
+  fleet.Run([&]() -> awaitable<void> {
+    const HttpRequest post = Post(Lines(50));
+    const HttpResponse first = co_await fleet.Call(0, post);
+    CHECK(first.status == 201);
+    const HttpResponse again = co_await fleet.Call(1, post);
+    CHECK(again.status == 200);
+    const std::string id = nlohmann::json::parse(first.body)["id"];
+    CHECK(nlohmann::json::parse(again.body)["id"] == id);
+    const HttpRequest other = Post(Lines(3));
+    const HttpResponse conflict = co_await fleet.Call(1, other);
+    CHECK(conflict.status == 422);
+
+    const nlohmann::json job = co_await fleet.WaitForEnd(1, id);
+    CHECK(job["status"] == "completed");
+    CHECK(job["succeeded"] == 50);
+    std::set<std::string> seen;
+    nlohmann::json page = {{"next", 0}, {"complete", false}};
+    while (!page["complete"]) {
+      HttpRequest get{.target =
+                          "/v1/batches/" + id +
+                          "/results?limit=20&after=" + page["next"].dump()};
+      const HttpResponse results = co_await fleet.Call(0, get);
+      page = nlohmann::json::parse(results.body);
+      for (const auto& result : page["results"]) {
+        CHECK(seen.insert(result["custom_id"]).second);
+        const std::string n = result["response"]["body"]["n"].dump();
+        CHECK(result["custom_id"] == "s" + n);
+      }
+    }
+    CHECK(seen.size() == 50);
+    const HttpResponse late = co_await fleet.Call(0, post);
+    CHECK(late.status == 200);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
