--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -1,6 +1,7 @@
 #include "Net/http_server.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -170,13 +171,15 @@
   }
   m_busy = true;
   m_stream.expires_after(m_server->m_options.read_timeout);
-  parser.body_limit(boost::none);
+  // The limit is known once the head has come.
+  parser.body_limit(std::numeric_limits<uint64_t>::max());
   co_await http::async_read_header(m_stream, m_buffer, parser, token);
   if (!error) {
     error = TakeHead(parser);
   }
-  if (!error &&
-      HeaderNameEquals(parser.get()[http::field::expect], "100-continue")) {
+  const bool waits =
+      FindHeader(m_request.headers, "Expect").value_or("") == "100-continue";
+  if (!error && waits) {
     const std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(m_stream, asio::buffer(go_on), token);
   }
