Entry: join the batch driver

Cause: batch jobs have a driver now. Change: items run as batch-class requests through the request core; operators see jobs on the admin port.

--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -6,20 +6,26 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "Base/json.h"
 #include "Base/log.h"
 #include "Base/message_codec.h"
+#include "Batch/batch_driver.h"
+#include "Batch/batch_http_handler.h"
+#include "Batch/batch_peer_messages.h"
 #include "Configuration/configuration_driver.h"
 #include "Configuration/configuration_messages.h"
 #include "Configuration/snapshot.h"
 #include "Entry/admin_handler.h"
+#include "Entry/batch_dispatcher.h"
 #include "Entry/caller_handler.h"
 #include "Entry/claim_store.h"
 #include "Entry/crash_sync.h"
 #include "Entry/entry_metrics.h"
 #include "Entry/entry_peers.h"
+#include "Entry/operator_jobs.h"
 #include "Entry/request_driver.h"
 #include "Link/peer_link.h"
 #include "Membership/membership_driver.h"
@@ -61,12 +67,6 @@
 
 }  // namespace
 
-boost::asio::awaitable<HttpResponse> NoBatchYet(const HttpRequest&) {
-  co_return ToHttpResponse({.kind = ProblemKind::kNotReady,
-                            .detail = "This build has no batch jobs.",
-                            .not_run = true});
-}
-
 class EntryDaemon::Impl {
  public:
   Impl(boost::asio::io_context& context, EntrySettings settings);
@@ -104,6 +104,10 @@
   CrashSync m_crashes;
   EntryPeers m_peers;
   ConfigurationDriver m_configuration;
+  BatchDispatcher m_dispatcher;
+  BatchDriver m_batch;
+  BatchHttpHandler m_batch_http;
+  OperatorJobs m_operator_jobs;
   MembershipDriver m_membership;
   EntryMetrics m_metrics;
   AdminHandler m_admin;
@@ -114,6 +118,7 @@
   std::shared_ptr<const Snapshot> m_snapshot;
   std::set<VmId> m_backends;
   bool m_draining = false;
+  bool m_batch_drained = false;
 };
 
 EntryDaemon::Impl::Impl(boost::asio::io_context& context,
@@ -131,7 +136,7 @@
                  std::to_string(m_incarnation.value()) + "."),
       m_callers(m_requests,
                 [this](const HttpRequest& request, OrganisationId caller) {
-                  return NoBatchYet(request);
+                  return m_batch_http.Handle(request, std::move(caller));
                 }),
       m_crashes(
           context,
@@ -155,6 +160,17 @@
           [this](std::shared_ptr<const Snapshot> snapshot) {
             OnSnapshot(std::move(snapshot));
           }),
+      m_dispatcher(m_requests, [this] { m_batch.OnCapacity(); }),
+      m_batch(
+          context,
+          m_store,
+          {.self = m_settings.vm, .incarnation = m_incarnation},
+          [this](const VmId& vm, const std::string& cbor) {
+            return m_link.Send(vm.value(), kBatchChannel, cbor);
+          },
+          m_dispatcher),
+      m_batch_http(m_batch),
+      m_operator_jobs(m_batch),
       m_membership(
           context,
           m_store,
@@ -215,6 +231,7 @@
               [this](const std::vector<VmId>& entries) {
                 m_peers.SetListed(entries);
                 m_configuration.OnMembers(entries);
+                m_batch.OnMembers(entries);
               },
           .on_backends =
               [this](const std::vector<BackendMember>& backends) {
@@ -239,6 +256,9 @@
                [this](const VmId& vm, const std::string& cbor) {
                  m_configuration.OnPeerFrame(vm, cbor);
                });
+  OnEntryFrame(kBatchChannel, [this](const VmId& vm, const std::string& cbor) {
+    m_batch.OnPeerFrame(vm, cbor);
+  });
   OnEntryFrame(kCrashChannel, [this](const VmId&, const std::string& cbor) {
     m_crashes.OnPeerFrame(cbor);
   });
@@ -262,6 +282,7 @@
 
 void EntryDaemon::Impl::OnPeerDown(const VmId& vm) {
   m_configuration.OnPeerDown(vm);
+  m_batch.OnPeerDown(vm);
 }
 
 void EntryDaemon::Impl::OnBackends(const std::vector<BackendMember>& backends) {
@@ -281,6 +302,10 @@
 void EntryDaemon::Impl::OnSnapshot(std::shared_ptr<const Snapshot> snapshot) {
   LOG(INFO) << "entry: Version " << snapshot->version() << " is in force.";
   m_snapshot = snapshot;
+  for (const OrganisationDeclaration* each : snapshot->Organisations()) {
+    m_batch.SetWeight(each->id, each->weight);
+  }
+  m_dispatcher.SetSnapshot(snapshot);
   m_callers.SetSnapshot(std::move(snapshot));
 }
 
@@ -297,6 +322,7 @@
     return started;
   }
   m_configuration.Start();
+  m_batch.Start();
   m_crashes.Start();
   m_membership.Start();
   Watch();
@@ -322,6 +348,9 @@
   LOG(INFO) << "entry: Shutting down; running requests are finished first.";
   m_draining = true;
   m_membership.SayGoodbye();
+  boost::asio::co_spawn(
+      m_context, [this] { return m_batch.Drain(); },
+      [this](std::exception_ptr) { m_batch_drained = true; });
   m_drain.expires_after(m_settings.drain_delay);
   m_drain.async_wait([this](const boost::system::error_code& error) {
     if (error) {
@@ -333,7 +362,8 @@
 }
 
 void EntryDaemon::Impl::AwaitDrained(MonotonicTime give_up) {
-  const bool drained = m_caller_server.active_requests() == 0;
+  const bool drained =
+      m_caller_server.active_requests() == 0 && m_batch_drained;
   if (!drained && MonotonicClock::now() < give_up) {
     m_drain.expires_after(kDrainPollInterval);
     m_drain.async_wait([this, give_up](const boost::system::error_code& error) {
@@ -350,6 +380,7 @@
   m_watch.cancel();
   m_membership.Stop();
   m_configuration.Stop();
+  m_batch.Stop();
   m_requests.Stop();
   m_link.Stop();
   m_context.stop();
@@ -391,16 +422,17 @@
 }
 
 AdminHooks EntryDaemon::Impl::MakeAdminHooks() {
-  return {
-      .why_not_ready = [this] { return WhyNotReady(); },
-      .status = [this] { return Status(); },
-      .metrics = [this] { return m_metrics.Render(); },
-      .jobs =
-          [this](const HttpRequest& request) { return NoBatchYet(request); },
-      .release =
-          [this](Fingerprint fingerprint) {
-            return m_crashes.Release(std::move(fingerprint));
-          }};
+  return {.why_not_ready = [this] { return WhyNotReady(); },
+          .status = [this] { return Status(); },
+          .metrics = [this] { return m_metrics.Render(); },
+          .jobs =
+              [this](const HttpRequest& request) {
+                return m_operator_jobs.Handle(request);
+              },
+          .release =
+              [this](Fingerprint fingerprint) {
+                return m_crashes.Release(std::move(fingerprint));
+              }};
 }
 
 EntryDaemon::EntryDaemon(boost::asio::io_context& context,
