--- a/Utilities/Bench/bench_report.cc
+++ b/Utilities/Bench/bench_report.cc
@@ -6,8 +6,10 @@
 
 namespace {
 
+/// The longest row of the table.
+constexpr size_t kRowBytes = 128;
+
 std::string QuantileRow(const char* name, const SampleSet& samples) {
-  constexpr size_t kRowBytes = 128;
   char row[kRowBytes];
   std::snprintf(row, sizeof(row), "%-14s %9zu %10.2f %10.2f %10.2f\n", name,
                 samples.count(), samples.QuantileMs(0.5),
