Side: end-to-end tests with the engine stand-in

Change: a fixture (peer link, side daemon, engine, platform on loopback) and eight cases; the stand-in closes its port when it crashes. Measured: ctest -R backend.side passes (preemption with resume, cancel, credit, suspects, drain, orders over a restart, an answer cut at each of its bytes). Conclusion: ready to merge.

--- /dev/null
+++ b/Tests/Backend/side_daemon_test.cc
@@ -0,0 +1,245 @@
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "Base/json.h"
+#include "Tests/Backend/side_fixture.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using tcp = boost::asio::ip::tcp;
+
+EngineServerOptions FastEngine(size_t slots) {
+  EngineServerOptions options;
+  options.model.slots = slots;
+  options.model.step_time = 5ms;
+  return options;
+}
+
+std::string ContentOf(const std::string& body) {
+  return json::parse(body)["choices"][0]["message"]["content"];
+}
+
+json EngineStats(SideFixture& fixture) {
+  return json::parse(fixture.CallEngine({.target = "/stats"}).body);
+}
+
+TEST_CASE("An online stream is passed on whole") {
+  SideFixture fixture(FastEngine(2));
+  fixture.StartSide();
+  const ExchangeId id = fixture.Dispatch(Chat("oak", 20));
+  ReceivedAnswer& answer = fixture.answer(id);
+  REQUIRE(fixture.RunUntil([&] { return answer.Ended(); }));
+  REQUIRE(answer.ends.size() == 1);
+  CHECK(answer.status == 200);
+  CHECK_THAT(answer.body, Catch::Contains("\"content\":\"oak \"") &&
+                              Catch::Contains("\"content\":\" t20\"") &&
+                              Catch::EndsWith("data: [DONE]\n\n"));
+}
+
+TEST_CASE("Batch yields to online work and resumes to a whole answer") {
+  SideFixture fixture(FastEngine(1));
+  fixture.StartSide(1);
+  DispatchRequest item = Chat("ash", 60, WorkClass::kBatch);
+  ReceivedAnswer& first = fixture.answer(fixture.Dispatch(item));
+  fixture.RunFor(100ms);
+  ReceivedAnswer& online = fixture.answer(fixture.Dispatch(Chat("oak", 5)));
+  REQUIRE(fixture.RunUntil([&] { return first.Ended() && online.Ended(); }));
+  REQUIRE(first.failures.size() == 1);
+  CHECK(first.failures[0].reason == FailureReason::kPreempted);
+  CHECK(first.body.empty());
+  CHECK(online.ends.size() == 1);
+  REQUIRE_FALSE(first.failures[0].resume_token.empty());
+  CHECK(json::parse(first.failures[0].resume_token)["tokens"] > 0);
+
+  item.resume_token = first.failures[0].resume_token;
+  ReceivedAnswer& second = fixture.answer(fixture.Dispatch(item));
+  REQUIRE(fixture.RunUntil([&] { return second.Ended(); }));
+  REQUIRE(second.ends.size() == 1);
+  CHECK(ContentOf(second.body) == ChatText("ash", 60));
+  CHECK(json::parse(second.body)["usage"]["completion_tokens"] == 60);
+  CHECK(EngineStats(fixture)["max_queued"] == 0);
+}
+
+TEST_CASE("A cancelled stream frees the engine") {
+  SideFixture fixture(FastEngine(1));
+  fixture.StartSide(1);
+  const ExchangeId id = fixture.Dispatch(Chat("oak", 100000));
+  ReceivedAnswer& answer = fixture.answer(id);
+  REQUIRE(fixture.RunUntil([&] { return answer.body.size() > 500; }));
+  fixture.Send(CancelRequest{.exchange = id});
+  REQUIRE(fixture.RunUntil([&] { return answer.Ended(); }));
+  CHECK(answer.failures.at(0).reason == FailureReason::kCancelled);
+  CHECK_FALSE(answer.failures.at(0).not_run);
+  REQUIRE(
+      fixture.RunUntil([&] { return EngineStats(fixture)["running"] == 0; }));
+}
+
+TEST_CASE("A caller that does not read stops the reading from the engine") {
+  EngineServerOptions engine = FastEngine(1);
+  engine.model.step_time = 10us;
+  SideFixture fixture(engine);
+  fixture.StartSide(1);
+  const ExchangeId id = fixture.Dispatch(Chat("oak", 20000));
+  ReceivedAnswer& answer = fixture.answer(id);
+  REQUIRE(fixture.RunUntil(
+      [&] { return answer.body.size() == kInitialCreditBytes; }));
+  fixture.RunFor(100ms);
+  CHECK(answer.body.size() == kInitialCreditBytes);
+  fixture.Send(CreditGrant{.exchange = id, .bytes = 100 << 20});
+  REQUIRE(fixture.RunUntil([&] { return answer.Ended(); }));
+  CHECK(answer.ends.size() == 1);
+  CHECK_THAT(answer.body, Catch::EndsWith("data: [DONE]\n\n"));
+}
+
+TEST_CASE("All in flight at a crash are suspects, and later work runs") {
+  SideFixture fixture(FastEngine(4));
+  fixture.StartSide(4);
+  fixture.SetFaults(
+      R"({"crash_marker":"BOOM","crash_mode":"connections","down_ms":600})");
+  std::vector<ExchangeId> innocent;
+  innocent.push_back(fixture.Dispatch(Chat("oak", 100000)));
+  innocent.push_back(fixture.Dispatch(Chat("ash", 100000, WorkClass::kBatch)));
+  fixture.RunFor(100ms);
+  const ExchangeId guilty = fixture.Dispatch(Chat("BOOM", 5));
+  for (const ExchangeId id : {innocent[0], innocent[1], guilty}) {
+    ReceivedAnswer& answer = fixture.answer(id);
+    REQUIRE(fixture.RunUntil([&] { return answer.Ended(); }));
+    CHECK(answer.failures.at(0).reason == FailureReason::kEngineFailed);
+    CHECK(answer.failures.at(0).suspect);
+    CHECK_FALSE(answer.failures.at(0).not_run);
+  }
+  // While the engine is down nobody is blamed, and "not run" is true.
+  ReceivedAnswer& down = fixture.answer(fixture.Dispatch(Chat("fir", 5)));
+  REQUIRE(fixture.RunUntil([&] { return down.Ended(); }));
+  CHECK(down.failures.at(0).reason == FailureReason::kEngineRefused);
+  CHECK(down.failures.at(0).not_run);
+  CHECK_FALSE(down.failures.at(0).suspect);
+  REQUIRE(fixture.RunUntil([&] { return fixture.status().accepting; }));
+  ReceivedAnswer& after = fixture.answer(fixture.Dispatch(Chat("elm", 5)));
+  REQUIRE(fixture.RunUntil([&] { return after.Ended(); }));
+  CHECK(after.ends.size() == 1);
+}
+
+TEST_CASE("A draining side process finishes streams and takes no new work") {
+  SideFixture fixture(FastEngine(2));
+  fixture.StartSide();
+  ReceivedAnswer& running = fixture.answer(fixture.Dispatch(Chat("oak", 60)));
+  fixture.RunFor(50ms);
+  fixture.side().Drain();
+  REQUIRE(fixture.RunUntil([&] { return fixture.status().leaving; }));
+  CHECK_FALSE(running.Ended());
+  ReceivedAnswer& late = fixture.answer(fixture.Dispatch(Chat("ash", 5)));
+  REQUIRE(fixture.RunUntil([&] { return late.Ended(); }));
+  CHECK(late.failures.at(0).reason == FailureReason::kDraining);
+  CHECK(late.failures.at(0).not_run);
+  REQUIRE(fixture.RunUntil([&] { return running.Ended(); }));
+  CHECK(running.ends.size() == 1);
+  CHECK_THAT(running.body, Catch::Contains("t60"));
+}
+
+TEST_CASE("An old order is refused after a restart, engine or not") {
+  EngineServerOptions engine = FastEngine(1);
+  engine.ignore_fencing = true;
+  SideFixture fixture(engine);
+  const auto order = [&](int fencing) {
+    const json body = {{"order", "load"}, {"fencing", fencing}};
+    return fixture
+        .CallAdmin({.method = "POST", .target = "/orders", .body = body.dump()})
+        .status;
+  };
+  fixture.StartSide();
+  CHECK(order(5) == 200);
+  CHECK(order(4) == 409);
+  fixture.StopSide();
+  fixture.StartSide();
+  CHECK(order(4) == 409);
+  CHECK(order(5) == 200);
+  CHECK(order(6) == 200);
+  CHECK(EngineStats(fixture)["orders"].size() == 3);
+}
+
+// Answers each POST with the first bytes of one answer and closes; other
+// requests get it whole.
+class CuttingServer {
+ public:
+  static constexpr char kAnswer[] =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+
+  explicit CuttingServer(boost::asio::io_context& context)
+      : m_acceptor(context, tcp::endpoint(tcp::v4(), 0)) {
+    Accept();
+  }
+  uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  void CutAfter(size_t bytes) { m_bytes = bytes; }
+  int posts() const { return m_posts; }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](auto error, tcp::socket socket) {
+      if (!error) {
+        Serve(std::make_shared<tcp::socket>(std::move(socket)));
+        Accept();
+      }
+    });
+  }
+  void Serve(std::shared_ptr<tcp::socket> socket) {
+    const auto buffer = std::make_shared<boost::asio::streambuf>();
+    boost::asio::async_read_until(
+        *socket, *buffer, "\r\n\r\n", [=, this](auto, size_t) {
+          const std::string data(boost::asio::buffers_begin(buffer->data()),
+                                 boost::asio::buffers_end(buffer->data()));
+          const bool post = data.starts_with("POST");
+          m_posts += post ? 1 : 0;
+          const size_t bytes = post ? m_bytes.load() : sizeof(kAnswer) - 1;
+          boost::system::error_code ignored;
+          boost::asio::write(*socket, boost::asio::buffer(kAnswer, bytes),
+                             ignored);
+          socket->close(ignored);
+        });
+  }
+
+  tcp::acceptor m_acceptor;
+  std::atomic<size_t> m_bytes = 0;
+  std::atomic<int> m_posts = 0;
+};
+
+TEST_CASE("An answer cut at any byte is never short, and never not run") {
+  boost::asio::io_context server_context;
+  CuttingServer server(server_context);
+  SideFixture fixture(EngineServerOptions(), server.port());
+  std::thread thread([&] { server_context.run(); });
+  fixture.StartSide();
+  constexpr size_t kWhole = sizeof(CuttingServer::kAnswer) - 1;
+  for (size_t bytes = 0; bytes <= kWhole; ++bytes) {
+    server.CutAfter(bytes);
+    const ExchangeId id = fixture.Dispatch(
+        {.method = "POST", .target = "/reserve", .deadline_ms = 20000});
+    ReceivedAnswer& answer = fixture.answer(id);
+    REQUIRE(fixture.RunUntil([&] { return answer.Ended(); }));
+    INFO("Cut after " << bytes << " bytes");
+    CHECK(answer.ends.size() == (bytes == kWhole ? 1 : 0));
+    CHECK(answer.failures.size() == (bytes == kWhole ? 0 : 1));
+    for (const ExchangeFailed& failed : answer.failures) {
+      CHECK_FALSE(failed.not_run);
+    }
+  }
+  // Each request reached the service exactly once.
+  CHECK(server.posts() == kWhole + 1);
+  server_context.stop();
+  thread.join();
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Utilities/StandIns/Engine/engine_server.cc
+++ b/Utilities/StandIns/Engine/engine_server.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -78,14 +79,16 @@
         m_options(std::move(options)),
         m_model(m_options.model),
         m_step_timer(context),
-        m_server(context,
-                 HttpServerOptions{.listen = m_options.listen},
-                 [this](HttpExchange& exchange) { return Serve(exchange); }) {}
+        m_restart_timer(context) {}
 
-  HttpServer& server() { return m_server; }
+  /// Opens the port, the same one again after a crash.
+  Result<void> Listen();
+  uint16_t port() const { return m_port; }
   void Stop() {
     m_stopped = true;
     m_step_timer.cancel();
+    m_restart_timer.cancel();
+    m_server.reset();
   }
 
  private:
@@ -102,11 +105,10 @@
   HttpResponse SetFaults(const std::string& body);
   HttpResponse TakeOrder(const std::string& body);
 
-  bool IsDown() const {
-    return m_faults.down || MonotonicClock::now() < m_down_until;
-  }
   void Remember(const HttpRequest& request);
   void Crash();
+  // Closes the port until `down_ms` have passed, as a crashed process would.
+  void StayDown();
   void ScheduleStep();
   void EndStep();
   void RecordLoad();
@@ -116,11 +118,11 @@
   EngineModel m_model;
   EngineFaults m_faults;
   asio::steady_timer m_step_timer;
+  asio::steady_timer m_restart_timer;
   std::map<EngineStreamId, RunningCall*> m_calls;
   std::set<HttpExchange*> m_exchanges;
   std::deque<ReceivedRequest> m_received;
   std::deque<LoadReport> m_load;
-  MonotonicTime m_down_until;
   nlohmann::json m_orders = nlohmann::json::array();
   uint64_t m_fencing = 0;
   uint64_t m_requests = 0;
@@ -129,7 +131,8 @@
   uint64_t m_tokens = 0;
   size_t m_max_queued = 0;
   bool m_stopped = false;
-  HttpServer m_server;
+  uint16_t m_port = 0;
+  std::unique_ptr<HttpServer> m_server;
 };
 
 asio::awaitable<void> EngineServer::Impl::Sleep(Duration time) {
@@ -151,7 +154,7 @@
     response = Received();
   } else if (path == "/stats") {
     response = Stats();
-  } else if (IsDown()) {
+  } else if (m_faults.down) {
     exchange.Abort();
     co_return;
   } else if (path == "/v1/chat/completions") {
@@ -274,8 +277,11 @@
   if (m_faults.crash_mode == "exit") {
     std::_Exit(kCrashExitCode);
   }
-  m_down_until =
-      MonotonicClock::now() + std::chrono::milliseconds(m_faults.down_ms);
+  asio::post(m_context, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->StayDown();
+    }
+  });
   for (HttpExchange* exchange : m_exchanges) {
     exchange->Abort();
   }
@@ -285,6 +291,33 @@
   }
 }
 
+void EngineServer::Impl::StayDown() {
+  m_server.reset();
+  m_restart_timer.expires_after(std::chrono::milliseconds(m_faults.down_ms));
+  m_restart_timer.async_wait([weak = weak_from_this()](
+                                 boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr) {
+      return;
+    }
+    const Result<void> listening = self->Listen();
+    LOG_IF(ERROR, !listening.has_value()) << "engine: " << listening.error();
+  });
+}
+
+Result<void> EngineServer::Impl::Listen() {
+  HttpServerOptions options{.listen = m_options.listen};
+  if (m_port != 0) {
+    options.listen.port = m_port;
+  }
+  m_server = std::make_unique<HttpServer>(
+      m_context, std::move(options),
+      [this](HttpExchange& exchange) { return Serve(exchange); });
+  const Result<void> started = m_server->Start();
+  m_port = m_server->port();
+  return started;
+}
+
 void EngineServer::Impl::ScheduleStep() {
   const std::optional<MonotonicTime> end = m_model.NextStepEnd();
   if (!end.has_value() || m_stopped) {
@@ -391,11 +424,11 @@
 }
 
 Result<void> EngineServer::Start() {
-  return m_impl->server().Start();
+  return m_impl->Listen();
 }
 
 uint16_t EngineServer::port() const {
-  return m_impl->server().port();
+  return m_impl->port();
 }
 
 }  // namespace cowslip
