Backend: tests of the gate and of orders

Change: cases for each decision; the gate against a naive queue, orders against a store that loses requests and answers (rapidcheck).

--- /dev/null
+++ b/Tests/Backend/gate_core_test.cc
@@ -0,0 +1,155 @@
+#include "Backend/gate_core.h"
+
+#include <catch2/catch.hpp>
+
+#include "Base/json.h"
+#include "Tests/Backend/gate_harness.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+GateOptions Options(uint32_t slots, GatePolicy policy) {
+  return {.policy = policy, .slots = slots, .max_waiting_online = 4};
+}
+
+const ExchangeKey kOne = GateHarness::KeyOf("e1", 1);
+const ExchangeKey kTwo = GateHarness::KeyOf("e1", 2);
+const ExchangeKey kThree = GateHarness::KeyOf("e1", 3);
+
+TEST_CASE("The batch stream that loses least yields") {
+  GateHarness gate(Options(2, HeadroomWithPreemption{.headroom = 0}));
+  gate.Feed(GateHarness::Batch(1));
+  gate.Feed(GateHarness::Batch(2));
+  gate.Head(kOne);
+  gate.Head(kTwo);
+  gate.Feed(EngineChunk{kOne, GateHarness::Events(1, 30, false)});
+  gate.Feed(EngineChunk{kTwo, GateHarness::Events(1, 3, false)});
+  CHECK(gate.Feed(GateHarness::Online(3)).empty());
+  REQUIRE(gate.record(kTwo).failures.size() == 1);
+  CHECK(gate.record(kTwo).failures[0].reason == FailureReason::kPreempted);
+  CHECK(gate.record(kTwo).failures[0].resume_token ==
+        R"({"text":"t1 t2 t3 ","tokens":3})");
+  CHECK(gate.record(kOne).failures.empty());
+  // The slot is free only once the engine has let go of the stream.
+  CHECK(gate.Feed(EngineClosed{kTwo}) == std::vector{kThree});
+}
+
+TEST_CASE("A resumed item asks for the rest and answers the whole") {
+  GateHarness gate(Options(1, HeadroomWithPreemption{.headroom = 0}));
+  gate.Feed(GateHarness::Batch(1, R"({"tokens":2,"text":"t1 t2 "})"));
+  gate.Head(kOne);
+  // However the bytes are cut.
+  for (const char byte : GateHarness::Events(3, 4, true)) {
+    gate.Feed(EngineChunk{kOne, std::string(1, byte)});
+  }
+  gate.Feed(EngineEnd{kOne});
+  const auto body = ParseJson(gate.record(kOne).body);
+  REQUIRE(body.has_value());
+  CHECK(body.value()["choices"][0]["message"]["content"] == "t1 t2 t3 t4 ");
+  CHECK(body.value()["usage"]["completion_tokens"] == 4);
+  CHECK(gate.record(kOne).ends == 1);
+}
+
+TEST_CASE("Batch keeps out of the headroom; online may use every slot") {
+  GateHarness gate(Options(3, Headroom{.headroom = 1}));
+  for (uint64_t i = 1; i <= 3; ++i) {
+    gate.Feed(GateHarness::Batch(i));
+  }
+  CHECK(gate.calls().size() == 2);
+  CHECK(gate.Feed(GateHarness::Online(4)).size() == 1);
+  CHECK(gate.Feed(GateHarness::Online(5)).empty());
+  CHECK(gate.closing().empty());
+}
+
+TEST_CASE("What would wait past its deadline is refused at once") {
+  GateOptions options = Options(1, HeadroomWithPreemption());
+  options.first_service_estimate = 2s;
+  GateHarness gate(options);
+  gate.Feed(GateHarness::Online(1));
+  gate.Feed(GateHarness::Online(2, 1000));
+  REQUIRE(gate.record(kTwo).failures.size() == 1);
+  CHECK(gate.record(kTwo).failures[0].reason == FailureReason::kOverloaded);
+  CHECK(gate.record(kTwo).failures[0].not_run);
+  CHECK(gate.record(kTwo).failures[0].retry_after_ms == 2000);
+  // One with more time waits, and is given up at its deadline, not run.
+  gate.Feed(GateHarness::Online(3, 5000));
+  CHECK(gate.record(kThree).terminals() == 0);
+  gate.Advance(5s);
+  gate.Feed(GateTick());
+  REQUIRE(gate.record(kThree).failures.size() == 1);
+  CHECK(gate.record(kThree).failures[0].reason == FailureReason::kTimeout);
+  CHECK(gate.record(kThree).failures[0].not_run);
+}
+
+TEST_CASE("A full queue refuses, it does not hold") {
+  GateHarness gate(Options(1, HeadroomWithPreemption()));
+  for (uint64_t i = 1; i <= 6; ++i) {
+    gate.Feed(GateHarness::Online(i));
+  }
+  const ExchangeKey last = GateHarness::KeyOf("e1", 6);
+  REQUIRE(gate.record(last).failures.size() == 1);
+  CHECK(gate.record(last).failures[0].reason == FailureReason::kOverloaded);
+}
+
+TEST_CASE("A suspect runs with nothing beside it") {
+  GateHarness gate(Options(4, HeadroomWithPreemption{.headroom = 0}));
+  gate.Feed(GateHarness::Online(1));
+  gate.Feed(GateHarness::Batch(2));
+  Dispatched suspect = GateHarness::Online(3);
+  suspect.request.alone = true;
+  CHECK(gate.Feed(suspect).empty());
+  CHECK(gate.record(kTwo).failures.at(0).reason == FailureReason::kPreempted);
+  gate.Feed(EngineClosed{kTwo});
+  gate.Head(kOne);
+  gate.Feed(EngineChunk{kOne, "data: [DONE]\n\n"});
+  CHECK(gate.Feed(EngineEnd{kOne}) == std::vector{kThree});
+  CHECK(gate.Feed(GateHarness::Online(4)).empty());
+  CHECK(gate.calls().size() == 1);
+}
+
+TEST_CASE("A stream without its closing event is an error") {
+  GateHarness gate(Options(2, HeadroomWithPreemption{.headroom = 0}));
+  gate.Feed(GateHarness::Online(1));
+  gate.Feed(GateHarness::Batch(2));
+  for (const ExchangeKey& key : {kOne, kTwo}) {
+    gate.Head(key);
+    gate.Feed(EngineChunk{key, GateHarness::Events(1, 2, false)});
+    gate.Feed(EngineEnd{key});
+    REQUIRE(gate.record(key).failures.size() == 1);
+    CHECK(gate.record(key).failures[0].reason == FailureReason::kEngineFailed);
+    CHECK_FALSE(gate.record(key).failures[0].not_run);
+    CHECK(gate.record(key).ends == 0);
+  }
+}
+
+TEST_CASE("An entry that has restarted gets nothing of its earlier life") {
+  GateHarness gate(Options(2, HeadroomWithPreemption()));
+  gate.Feed(GateHarness::Online(1));
+  gate.Feed(EntryLinkUp{VmId("e1"), Incarnation(2)});
+  CHECK(gate.closing().size() == 1);
+  gate.Head(kOne);
+  gate.Feed(EngineClosed{kOne});
+  CHECK(gate.record(kOne).heads == 0);
+  CHECK(gate.record(kOne).terminals() == 0);
+}
+
+TEST_CASE("Draining gives back ready batch and finishes what runs") {
+  GateHarness gate(Options(1, HeadroomWithPreemption{.headroom = 0}));
+  gate.Feed(GateHarness::Batch(1));
+  gate.Feed(GateHarness::Batch(2));
+  gate.Feed(DrainRequested());
+  CHECK(gate.announced().back().leaving);
+  CHECK(gate.record(kTwo).failures.at(0).reason == FailureReason::kDraining);
+  CHECK(gate.record(kTwo).failures.at(0).not_run);
+  CHECK(gate.drained() == 0);
+  gate.Head(kOne);
+  gate.Feed(EngineChunk{kOne, GateHarness::Events(1, 4, true)});
+  gate.Feed(EngineEnd{kOne});
+  CHECK(gate.record(kOne).ends == 1);
+  CHECK(gate.drained() == 1);
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Backend/order_core_test.cc
@@ -0,0 +1,132 @@
+#include "Backend/order_core.h"
+
+#include <random>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace cowslip {
+namespace {
+
+// The object `orders/VM`, with faults drawn at random.
+struct FenceStore {
+  std::optional<OrderFence> fence;
+  ObjectVersion version;
+
+  bool Write(const WriteFence& write) {
+    const bool holds = write.over.has_value()
+                           ? fence.has_value() && *write.over == version
+                           : !fence.has_value();
+    if (holds) {
+      fence = write.fence;
+      ++version;
+    }
+    return holds;
+  }
+};
+
+// One life of a side process before an engine that ignores fencing numbers.
+class Side {
+ public:
+  Side(FenceStore& store, std::mt19937& random, std::string writer)
+      : m_store(store), m_random(random), m_core(std::move(writer)) {}
+
+  // Returns the answer; what the engine applied is appended to `applied`.
+  AnswerOrder Order(uint64_t fencing, std::vector<uint64_t>& applied) {
+    ++m_last;
+    OrderEvent event = OrderReceived{.order = OrderId(m_last),
+                                     .fencing = FencingNumber(fencing)};
+    while (true) {
+      const auto actions = m_core.Handle(event, MonotonicTime());
+      REQUIRE(actions.size() == 1);
+      if (const auto* answer = std::get_if<AnswerOrder>(&actions[0])) {
+        return *answer;
+      }
+      if (std::holds_alternative<SendOrder>(actions[0])) {
+        applied.push_back(fencing);
+        event = EngineOrderDone{.order = OrderId(m_last), .status = 200};
+      } else if (std::holds_alternative<ReadFence>(actions[0])) {
+        event = Read();
+      } else {
+        event = Write(std::get<WriteFence>(actions[0]));
+      }
+    }
+  }
+
+ private:
+  OrderEvent Read() {
+    if (m_random() % 8 == 0) {
+      return FenceCallFailed{ErrorKind::kUnavailable};
+    }
+    return FenceRead{.fence = m_store.fence, .version = m_store.version};
+  }
+  OrderEvent Write(const WriteFence& write) {
+    switch (m_random() % 6) {
+      case 0:  // The request was lost.
+        return FenceCallFailed{ErrorKind::kInDoubt};
+      case 1:  // The answer was lost.
+        m_store.Write(write);
+        return FenceCallFailed{ErrorKind::kTimeout};
+      case 2:
+        return FenceCallFailed{ErrorKind::kUnavailable};
+      default:
+        break;
+    }
+    if (!m_store.Write(write)) {
+      return FenceCallFailed{ErrorKind::kConflict};
+    }
+    return FenceWritten{m_store.version};
+  }
+
+  FenceStore& m_store;
+  std::mt19937& m_random;
+  OrderCore m_core;
+  uint64_t m_last = 0;
+};
+
+TEST_CASE("The engine never gets an order older than one it has got") {
+  CHECK(rc::check([](const std::vector<uint8_t>& steps, uint32_t seed) {
+    std::mt19937 random(seed);
+    FenceStore store;
+    auto side = std::make_unique<Side>(store, random, "b1/0");
+    std::vector<uint64_t> applied;
+    int lives = 0;
+    for (const uint8_t step : steps) {
+      if (step % 8 == 0) {
+        side = std::make_unique<Side>(store, random,
+                                      "b1/" + std::to_string(++lives));
+        continue;
+      }
+      const size_t before = applied.size();
+      const AnswerOrder answer = side->Order(step / 8, applied);
+      const bool ran = applied.size() > before;
+      RC_ASSERT(ran == (answer.outcome == OrderOutcome::kAnswered));
+    }
+    RC_ASSERT(std::is_sorted(applied.begin(), applied.end()));
+  }));
+}
+
+TEST_CASE("Without the store, orders of the known decider still pass") {
+  std::mt19937 random(1);
+  OrderCore core("b1/1");
+  const auto now = MonotonicTime();
+  core.Handle(OrderReceived{.order = OrderId(1), .fencing = FencingNumber(3)},
+              now);
+  core.Handle(FenceRead{}, now);
+  core.Handle(FenceWritten{ObjectVersion(1)}, now);
+  core.Handle(EngineOrderDone{.order = OrderId(1), .status = 200}, now);
+  const auto same = core.Handle(
+      OrderReceived{.order = OrderId(2), .fencing = FencingNumber(3)}, now);
+  CHECK(std::holds_alternative<SendOrder>(same.at(0)));
+  core.Handle(EngineOrderDone{.order = OrderId(2), .status = 0}, now);
+  const auto newer = core.Handle(
+      OrderReceived{.order = OrderId(3), .fencing = FencingNumber(4)}, now);
+  REQUIRE(std::holds_alternative<WriteFence>(newer.at(0)));
+  const auto refused =
+      core.Handle(FenceCallFailed{ErrorKind::kUnavailable}, now);
+  CHECK(std::get<AnswerOrder>(refused.at(0)).outcome ==
+        OrderOutcome::kStoreUnavailable);
+}
+
+}  // namespace
+}  // namespace cowslip
