Batch: random faults over several owners

Change: a test with pauses, restarts, reassignments, lost and late writes, outages, resends and cancels, compared with a naive runner; IsOwner is false while a release is on its way; checkpoints have their own file.

--- a/Source/Batch/batch_http_handler.cc
+++ b/Source/Batch/batch_http_handler.cc
@@ -205,7 +205,7 @@
   if (!options.has_value()) {
     co_return ToProblem(options.error());
   }
-  const SubmitOptions submit_options = options.value();
+  const SubmitOptions& submit_options = options.value();
   std::string body = request.body;
   const auto job = co_await m_driver.Submit(organisation, key, std::move(body),
                                             submit_options);
--- /dev/null
+++ b/Source/Batch/partition_checkpoint.cc
@@ -0,0 +1,207 @@
+// The checkpoints of an owned partition.
+
+#include <algorithm>
+#include <utility>
+
+#include "Batch/partition_core.h"
+
+namespace cowslip {
+
+bool PartitionCore::CheckpointIsDue() const {
+  const uint64_t since = m_state.next.value() - m_checkpoint_next.value();
+  if (since >= m_options.checkpoint_records) {
+    return true;
+  }
+  size_t unflushed = 0;
+  size_t ended = 0;
+  for (const auto& [id, job] : m_state.jobs) {
+    unflushed += UnflushedBytes(job);
+    ended += job.running() ? 0 : 1;
+  }
+  const bool idle = m_running.empty() && !m_state.has_running_jobs();
+  return unflushed >= m_options.unflushed_bytes || (ended > 0 && idle);
+}
+
+void PartitionCore::CheckpointWhenDue() {
+  if (m_checkpoint || !CheckpointIsDue()) {
+    return;
+  }
+  BuildCheckpoint();
+  ContinueCheckpoint();
+}
+
+void PartitionCore::FlushJob(PendingCheckpoint& pending, JobState& job) {
+  pending.flushed[job.header.job] = job.unflushed.size();
+  std::vector<ItemOutcome> segment;
+  size_t bytes = 0;
+  const auto close = [&] {
+    if (segment.empty()) {
+      return;
+    }
+    const SegmentRef ref{.epoch = m_epoch,
+                         .number = static_cast<uint32_t>(job.segments.size()),
+                         .count = static_cast<uint32_t>(segment.size())};
+    pending.writes.push_back(
+        {.key = OutputSegmentKey(m_options.partition, job.header.job, ref),
+         .bytes = EncodeOutcomes(segment)});
+    job.segments.push_back(ref);
+    segment.clear();
+    bytes = 0;
+  };
+  for (ItemOutcome& outcome : job.unflushed) {
+    const size_t outcome_bytes = ApproximateBytes(outcome);
+    if (bytes + outcome_bytes > kSegmentBytes) {
+      close();
+    }
+    bytes += outcome_bytes;
+    segment.push_back(std::move(outcome));
+  }
+  close();
+  job.unflushed.clear();
+}
+
+void PartitionCore::BuildCheckpoint() {
+  PendingCheckpoint pending;
+  PartitionState& state = pending.checkpoint.state;
+  state = m_state;
+  pending.checkpoint.token = m_options.self.value() + "/" +
+                             std::to_string(m_options.incarnation.value()) +
+                             "/" + std::to_string(++m_last_token);
+  std::vector<std::pair<size_t, JobId>> by_size;
+  size_t unflushed = 0;
+  for (auto& [id, job] : state.jobs) {
+    // A job with a stop on its way to the journal stays until it is there.
+    if (!job.running() && m_stopping.count(id) == 0) {
+      FlushJob(pending, job);
+      pending.writes.push_back({.key = EndedJobKey(m_options.partition, id),
+                                .bytes = EncodeJob(job)});
+      pending.ended.push_back(id);
+      continue;
+    }
+    by_size.emplace_back(UnflushedBytes(job), id);
+    unflushed += by_size.back().first;
+  }
+  for (const JobId& id : pending.ended) {
+    state.jobs.erase(id);
+  }
+  // The largest first, so that segments are few and large; small rests stay in
+  // the checkpoint.
+  std::sort(by_size.rbegin(), by_size.rend());
+  for (const auto& [bytes, id] : by_size) {
+    if (unflushed < m_options.unflushed_bytes / 2) {
+      break;
+    }
+    FlushJob(pending, *state.Find(id));
+    unflushed -= bytes;
+  }
+  pending.bytes = EncodeCheckpoint(pending.checkpoint);
+  pending.step = CheckpointStep::kWaitToRetry;
+  pending.retry_step = pending.writes.empty() ? CheckpointStep::kWrite
+                                              : CheckpointStep::kWriteObjects;
+  pending.retry_at = m_now;
+  m_checkpoint = std::move(pending);
+}
+
+void PartitionCore::RetryCheckpoint(CheckpointStep step) {
+  m_checkpoint->step = CheckpointStep::kWaitToRetry;
+  m_checkpoint->retry_step = step;
+  m_checkpoint->retry_at = m_now + m_options.store_retry;
+}
+
+void PartitionCore::ContinueCheckpoint() {
+  if (!m_checkpoint || m_checkpoint->step != CheckpointStep::kWaitToRetry ||
+      m_now < m_checkpoint->retry_at) {
+    return;
+  }
+  m_checkpoint->step = m_checkpoint->retry_step;
+  m_checkpoint->call = NextCall();
+  const StoreCallId call = m_checkpoint->call;
+  switch (m_checkpoint->step) {
+    case CheckpointStep::kWriteObjects:
+      m_counters.object_writes += m_checkpoint->writes.size();
+      Emit(WriteObjects{.call = call, .writes = m_checkpoint->writes});
+      return;
+    case CheckpointStep::kWrite:
+      ++m_counters.checkpoints;
+      Emit(WriteCheckpoint{.call = call,
+                           .bytes = m_checkpoint->bytes,
+                           .over = m_checkpoint_version});
+      return;
+    case CheckpointStep::kRead:
+      Emit(ReadCheckpoint{.call = call});
+      return;
+    case CheckpointStep::kWaitToRetry:
+      return;
+  }
+}
+
+void PartitionCore::OnCheckpointWritten(const WriteAnswer& answer) {
+  const bool objects = m_checkpoint->step == CheckpointStep::kWriteObjects;
+  const auto* written = std::get_if<Written>(&answer);
+  if (objects) {
+    if (written == nullptr) {
+      RetryCheckpoint(CheckpointStep::kWriteObjects);
+      return;
+    }
+    m_checkpoint->retry_step = CheckpointStep::kWrite;
+    m_checkpoint->step = CheckpointStep::kWaitToRetry;
+    ContinueCheckpoint();
+    return;
+  }
+  if (written != nullptr) {
+    OnCheckpointDone(written->version);
+    return;
+  }
+  const bool failed = std::holds_alternative<WriteFailed>(answer);
+  RetryCheckpoint(failed ? CheckpointStep::kWrite : CheckpointStep::kRead);
+}
+
+void PartitionCore::OnCheckpointRead(const ReadAnswered& event) {
+  if (!event.answered) {
+    RetryCheckpoint(CheckpointStep::kRead);
+    return;
+  }
+  m_checkpoint_version.reset();
+  if (event.bytes) {
+    const auto found = DecodeCheckpoint(*event.bytes);
+    if (!found.has_value()) {
+      RetryCheckpoint(CheckpointStep::kRead);
+      return;
+    }
+    if (found.value().token == m_checkpoint->checkpoint.token) {
+      OnCheckpointDone(event.version);
+      return;
+    }
+    // A checkpoint further on can only come from a successor.
+    if (found.value().state.next > m_checkpoint->checkpoint.state.next) {
+      StepDown("Another VM has written a newer checkpoint.");
+      return;
+    }
+    m_checkpoint_version = event.version;
+  }
+  RetryCheckpoint(CheckpointStep::kWrite);
+}
+
+void PartitionCore::OnCheckpointDone(ObjectVersion version) {
+  const PendingCheckpoint done = std::move(*m_checkpoint);
+  m_checkpoint.reset();
+  m_checkpoint_version = version;
+  m_checkpoint_next = done.checkpoint.state.next;
+  for (const auto& [id, count] : done.flushed) {
+    JobState* job = m_state.Find(id);
+    const JobState* written = done.checkpoint.state.Find(id);
+    if (job == nullptr || written == nullptr) {
+      continue;
+    }
+    job->segments = written->segments;
+    job->unflushed.erase(
+        job->unflushed.begin(),
+        job->unflushed.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  for (const JobId& id : done.ended) {
+    m_state.jobs.erase(id);
+  }
+  ContinueAppend();
+}
+
+}  // namespace cowslip
--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -41,7 +41,8 @@
 }
 
 bool PartitionCore::IsOwner(MonotonicTime now) const {
-  return m_phase == Phase::kOwning && now + kStopBeforeLeaseEnd < m_lease_until;
+  // A release may have reached the journal before its answer comes.
+  return serving() && now + kStopBeforeLeaseEnd < m_lease_until;
 }
 
 bool PartitionCore::drained() const {
--- a/Source/Batch/partition_runner.cc
+++ b/Source/Batch/partition_runner.cc
@@ -150,8 +150,7 @@
   const Precondition precondition = Over(over);
   const auto written =
       co_await m_store.Put(object_key, std::move(bytes), precondition);
-  WriteAnswered answer{.call = call, .answer = ToWriteAnswer(written)};
-  Feed(std::move(answer));
+  Feed(WriteAnswered{.call = call, .answer = ToWriteAnswer(written)});
 }
 
 awaitable<void> PartitionRunner::WriteAll(WriteObjects action) {
@@ -166,8 +165,7 @@
       break;
     }
   }
-  WriteAnswered answer{.call = action.call, .answer = last};
-  Feed(std::move(answer));
+  Feed(WriteAnswered{.call = action.call, .answer = last});
 }
 
 }  // namespace cowslip
--- /dev/null
+++ b/Tests/Batch/partition_random_test.cc
@@ -0,0 +1,346 @@
+#include <iostream>
+
+#include <catch2/catch.hpp>
+
+#include "Tests/Batch/fake_partition_world.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint32_t kMaxAttempts = 4;
+constexpr size_t kMaxResultBytes = 256 * 1024;
+
+/// What the backend servers make of an item, by its number.
+ItemResult RunItem(const JobHeader& job, uint32_t item, int earlier_runs) {
+  const std::string name = job.job.value() + "/" + std::to_string(item);
+  switch (item % 10) {
+    case 3:
+      return ItemFailed{.may_have_run = true, .detail = "crash"};
+    case 5:
+      return ItemCompleted{.status = 400, .body = "bad"};
+    case 6:
+      if (item == 6) {
+        return ItemCompleted{.status = 200,
+                             .body = std::string(kMaxResultBytes + 1, 'x')};
+      }
+      break;
+    case 7:
+      if (earlier_runs == 0) {
+        return ItemCompleted{.status = 500, .body = "once"};
+      }
+      break;
+    default:
+      break;
+  }
+  return ItemCompleted{.status = 200, .body = name};
+}
+
+/// The naive runner: one process, one item after another, no faults.
+ItemOutcome RunNaively(const JobHeader& job, uint32_t item) {
+  for (uint32_t attempt = 1;; ++attempt) {
+    const ItemResult result = RunItem(job, item, static_cast<int>(attempt) - 1);
+    const auto* completed = std::get_if<ItemCompleted>(&result);
+    if (completed == nullptr && !job.idempotent) {
+      return {.kind = OutcomeKind::kMayHaveRun};
+    }
+    const bool again = completed == nullptr || completed->status >= 500;
+    if (again && job.idempotent) {
+      if (attempt == kMaxAttempts) {
+        return {.kind = OutcomeKind::kAttemptsExhausted};
+      }
+      continue;
+    }
+    if (completed->body.size() > kMaxResultBytes) {
+      return {.kind = OutcomeKind::kResultTooLarge};
+    }
+    if (completed->status >= 400) {
+      return {.kind = OutcomeKind::kRejected, .body = completed->body};
+    }
+    return {.kind = OutcomeKind::kSucceeded, .body = completed->body};
+  }
+}
+
+/// \class ChaosRun
+/// \brief Random faults over a few jobs, checked after every step.
+class ChaosRun {
+ public:
+  explicit ChaosRun(uint64_t seed) : m_seed(seed), m_world(seed) {
+    for (int i = 0; i < 5; ++i) {
+      Job job;
+      job.header = {.job = JobId("job" + std::to_string(i)),
+                    .organisation = OrganisationId("org"),
+                    .body_digest = Digest("digest"),
+                    .items = 20 + static_cast<uint32_t>(m_world.Roll(80)),
+                    .segment_starts = {0},
+                    .idempotent = i % 2 == 0,
+                    .deadline_ms = 3600 * 1000};
+      m_jobs.push_back(job);
+    }
+    m_world.backend = [this](const DispatchItem& item) { return Run(item); };
+  }
+
+  void Go() {
+    for (int step = 0; step < 120 && m_broken.empty(); ++step) {
+      Fault();
+      Request();
+      Step(500ms);
+    }
+    Heal();
+    for (int step = 0; step < 400 && m_broken.empty() && !AllEnded(); ++step) {
+      ResendUnaccepted();
+      Step(500ms);
+    }
+    CheckEnd();
+    if (!m_broken.empty()) {
+      std::cout << "seed " << m_seed << " broke: " << m_broken << "\n";
+      for (const std::string& event : m_events) {
+        std::cout << "  " << event << "\n";
+      }
+    }
+    CHECK(m_broken.empty());
+  }
+
+ private:
+  struct Job {
+    JobHeader header;
+    std::vector<BatchRequestId> submits;
+    std::vector<BatchRequestId> cancels;
+    bool accepted = false;
+    std::optional<JobStatus> ended_as;
+    std::vector<std::string> outcomes;
+  };
+
+  ItemResult Run(const DispatchItem& item) {
+    if (!m_world.core(m_running_vm()).IsOwner(m_world.now())) {
+      Break("dispatch without the lease");
+    }
+    const auto key = std::make_pair(item.header.job, item.item);
+    if (m_world.Roll(8) == 0) {
+      return ItemNotRun{.retry_after = 100ms};
+    }
+    if (item.resume_token.empty()) {
+      ++m_runs[key];
+    }
+    if (m_world.Roll(12) == 0) {
+      return ItemPreempted{.resume_token = "half"};
+    }
+    if (!item.header.idempotent && m_runs[key] > 1) {
+      Break("a non-idempotent item ran twice");
+    }
+    return RunItem(item.header, item.item, m_runs[key] - 1);
+  }
+  // The world has one dispatching VM at a time.
+  size_t m_running_vm() {
+    for (size_t vm = 0; vm < 3; ++vm) {
+      if (m_world.core(vm).IsOwner(m_world.now())) {
+        return vm;
+      }
+    }
+    return 0;
+  }
+
+  void Note(std::string event) {
+    m_events.push_back(std::move(event));
+    if (m_events.size() > 40) {
+      m_events.pop_front();
+    }
+  }
+  void Break(const std::string& what) {
+    if (m_broken.empty()) {
+      m_broken = what;
+    }
+  }
+
+  void Fault() {
+    const auto vm = static_cast<size_t>(m_world.Roll(3));
+    const std::string name = std::to_string(vm);
+    switch (m_world.Roll(30)) {
+      case 0:
+      case 1:
+        Note("pause " + name);
+        m_world.Pause(vm);
+        return;
+      case 2:
+      case 3:
+      case 4:
+        Note("resume " + name);
+        m_world.Resume(vm);
+        return;
+      case 5:
+        Note("restart " + name);
+        m_world.Restart(vm);
+        return;
+      case 6:
+      case 7:
+        Note("assign " + name);
+        m_world.Assign(vm);
+        return;
+      case 8:
+        Note("store down");
+        m_world.faults.store_down = true;
+        return;
+      case 9:
+      case 10:
+      case 11:
+        m_world.faults.store_down = false;
+        return;
+      case 12:
+        Note("lose answers");
+        m_world.faults.lost_answers = 400;
+        return;
+      case 13:
+        m_world.faults.lost_answers = 0;
+        return;
+      default:
+        return;
+    }
+  }
+
+  void Request() {
+    Job& job = m_jobs[static_cast<size_t>(m_world.Roll(5))];
+    const auto vm = m_world.Roll(4) == 0 ? static_cast<size_t>(m_world.Roll(3))
+                                         : m_world.assigned();
+    const int what = m_world.Roll(12);
+    if (what < 3) {
+      Note("submit " + job.header.job.value() + " at " + std::to_string(vm));
+      job.submits.push_back(m_world.Submit(vm, job.header));
+    } else if (what == 3 && job.header.job != JobId("job0")) {
+      Note("cancel " + job.header.job.value());
+      job.cancels.push_back(m_world.Cancel(vm, job.header));
+    }
+  }
+
+  void Heal() {
+    Note("heal");
+    m_world.faults = {};
+    for (size_t vm = 0; vm < 3; ++vm) {
+      m_world.Resume(vm);
+    }
+    m_world.Assign(1);
+  }
+  void ResendUnaccepted() {
+    for (Job& job : m_jobs) {
+      if (!job.accepted && m_world.Roll(4) == 0) {
+        job.submits.push_back(m_world.Submit(1, job.header));
+      }
+    }
+  }
+
+  void Step(Duration time) {
+    m_world.Run(time);
+    int owners = 0;
+    for (size_t vm = 0; vm < 3; ++vm) {
+      owners += m_world.core(vm).IsOwner(m_world.now()) ? 1 : 0;
+    }
+    if (owners > 1) {
+      Break("two owners at once");
+    }
+    const PartitionState state = m_world.ReadState();
+    for (Job& job : m_jobs) {
+      CheckJob(job, state.Find(job.header.job));
+    }
+  }
+
+  static std::string ToText(const ItemOutcome& outcome) {
+    return std::to_string(outcome.item) + ":" +
+           std::to_string(static_cast<int>(outcome.kind)) + ":" + outcome.body;
+  }
+
+  void CheckJob(Job& job, const JobState* state) {
+    for (const BatchRequestId request : job.submits) {
+      job.accepted = job.accepted || m_world.replies[request].view.has_value();
+    }
+    for (const BatchRequestId request : job.cancels) {
+      const auto& view = m_world.replies[request].view;
+      if (view && view->status == JobStatus::kRunning) {
+        Break("a cancel was acknowledged and the job runs");
+      }
+      if (view && !job.ended_as) {
+        job.ended_as = view->status;
+      }
+    }
+    if (state == nullptr) {
+      if (job.accepted) {
+        Break("an accepted job is lost: " + job.header.job.value());
+      }
+      return;
+    }
+    if (job.ended_as && state->status != *job.ended_as) {
+      Break("an ended job changed: " + job.header.job.value());
+    }
+    if (!state->running()) {
+      job.ended_as = state->status;
+    }
+    std::vector<std::string> outcomes;
+    std::set<uint32_t> items;
+    for (const ItemOutcome& outcome : m_world.ReadOutcomes(*state)) {
+      outcomes.push_back(ToText(outcome));
+      if (!items.insert(outcome.item).second) {
+        Break("two outcomes of one item");
+      }
+    }
+    const bool kept =
+        outcomes.size() >= job.outcomes.size() &&
+        std::equal(job.outcomes.begin(), job.outcomes.end(), outcomes.begin());
+    if (!kept) {
+      Break("a committed outcome changed: " + job.header.job.value());
+    }
+    if (outcomes.size() != state->done.size()) {
+      Break("outcomes and counts disagree: " + job.header.job.value());
+    }
+    job.outcomes = std::move(outcomes);
+  }
+
+  bool AllEnded() const {
+    for (const Job& job : m_jobs) {
+      if (!job.accepted || !job.ended_as) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void CheckEnd() {
+    const PartitionState state = m_world.ReadState();
+    for (const Job& job : m_jobs) {
+      const JobState* ended = state.Find(job.header.job);
+      if (ended == nullptr || ended->running()) {
+        Break("a job did not end: " + job.header.job.value());
+        continue;
+      }
+      const bool whole = ended->status == JobStatus::kCompleted;
+      if (whole && ended->done.size() != job.header.items) {
+        Break("a completed job lacks outcomes");
+      }
+      for (const ItemOutcome& outcome : m_world.ReadOutcomes(*ended)) {
+        const ItemOutcome naive = RunNaively(job.header, outcome.item);
+        const bool in_doubt =
+            !job.header.idempotent && outcome.kind == OutcomeKind::kMayHaveRun;
+        const bool same =
+            outcome.kind == naive.kind && outcome.body == naive.body;
+        if (!same && !in_doubt) {
+          Break("an outcome differs from the naive runner's: " +
+                ToText(outcome));
+        }
+      }
+    }
+  }
+
+  const uint64_t m_seed;
+  FakePartitionWorld m_world;
+  std::vector<Job> m_jobs;
+  std::map<std::pair<JobId, uint32_t>, int> m_runs;
+  std::deque<std::string> m_events;
+  std::string m_broken;
+};
+
+TEST_CASE("Every accepted item has one committed outcome under any faults") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    ChaosRun(seed).Go();
+  }
+}
+
+}  // namespace
+}  // namespace cowslip
