--- a/Source/Batch/batch_parser.cc
+++ b/Source/Batch/batch_parser.cc
@@ -1,5 +1,6 @@
 #include "Batch/batch_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Batch/batch_keys.h"
@@ -32,13 +33,13 @@
   while (!m_rest.empty() && parsed < bytes) {
     const size_t end = m_rest.find('\n');
     const std::string_view line = m_rest.substr(0, end);
+    m_rest.remove_prefix(std::min(m_rest.size(), line.size() + 1));
+    parsed += line.size() + 1;
     ++m_line_number;
+    // This may drop the rest of a job that is too large.
     if (!IsBlank(line)) {
       ParseLine(line);
     }
-    parsed += line.size() + 1;
-    m_rest.remove_prefix(end == std::string_view::npos ? m_rest.size()
-                                                       : end + 1);
   }
   return !m_rest.empty();
 }
