Configuration: pick the watchers by Base's rendezvous hashing

Cause: Base has the hash now. Change: the core's own ranking is gone. Conclusion: one rendezvous hash.

--- a/Source/Configuration/configuration_core.cc
+++ b/Source/Configuration/configuration_core.cc
@@ -3,19 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "Configuration/shards.h"
+#include "Base/rendezvous.h"
 
 namespace cowslip {
 
 namespace {
 
-// Ranks a node for one duty; the same on every node.
-uint64_t RendezvousRank(const VmId& vm) {
-  uint64_t hash = StableHash(vm.value() + "/config-watch");
-  hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9u;
-  hash = (hash ^ (hash >> 27)) * 0x94d049bb133111ebu;
-  return hash ^ (hash >> 31);
-}
+constexpr char kWatchDuty[] = "config/head";
 
 }  // namespace
 
@@ -32,12 +26,11 @@
 }
 
 bool ConfigurationCore::IsWatcher() const {
-  const uint64_t own = RendezvousRank(m_options.self);
-  const auto ahead = std::count_if(
-      m_members.begin(), m_members.end(), [&](const VmId& member) {
-        return member != m_options.self && RendezvousRank(member) < own;
-      });
-  return static_cast<size_t>(ahead) < m_options.watchers;
+  const std::vector<VmId> watchers =
+      RendezvousPick(kWatchDuty, m_members, m_options.watchers);
+  const bool listed = std::find(watchers.begin(), watchers.end(),
+                                m_options.self) != watchers.end();
+  return listed || m_members.empty();
 }
 
 // The store.
