Operator: the cowslip program

Cause: operators drive the system through short files and commands. Change: validate, publish, status, organisations, keys, jobs and audit, over PublishCore and a reader of what is in force.

--- a/Source/Access/key_stripping.cc
+++ b/Source/Access/key_stripping.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "Access/key_text.h"
+#include "Net/percent_encoding.h"
 
 namespace cowslip {
 
@@ -19,31 +20,6 @@
 /// How often an escaped text is unescaped in search of a key.
 constexpr int kMaxEscapePasses = 4;
 
-int HexValue(char c) {
-  if (c >= '0' && c <= '9') {
-    return c - '0';
-  }
-  const char lower = static_cast<char>(c | 0x20);
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string PercentDecode(std::string_view text) {
-  std::string decoded;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const bool escaped = text[i] == '%' && i + 2 < text.size() &&
-                         HexValue(text[i + 1]) >= 0 &&
-                         HexValue(text[i + 2]) >= 0;
-    if (escaped) {
-      decoded +=
-          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
-      i += 2;
-    } else {
-      decoded += text[i] == '+' ? ' ' : text[i];
-    }
-  }
-  return decoded;
-}
-
 // Finds keys that were escaped more than once, too.
 std::string RepeatedlyDecode(std::string_view text) {
   std::string decoded(text);
--- a/Source/Configuration/configuration_change.cc
+++ b/Source/Configuration/configuration_change.cc
@@ -157,22 +157,44 @@
   return merged;
 }
 
+// In the order in which the newcomer of two clashing routes is named.
 std::vector<ServiceDeclaration> MergeServices(const PublishDeclarations& change,
                                               const Snapshot& current) {
-  std::vector<ServiceDeclaration> merged = change.declarations.services;
   std::set<ServiceId> replaced(change.removed_services.begin(),
                                change.removed_services.end());
-  for (const ServiceDeclaration& each : merged) {
+  for (const ServiceDeclaration& each : change.declarations.services) {
     replaced.insert(each.id);
   }
+  std::vector<ServiceDeclaration> merged;
   for (const ServiceDeclaration* each : current.Services()) {
     if (replaced.count(each->id) == 0) {
       merged.push_back(*each);
     }
   }
+  merged.insert(merged.end(), change.declarations.services.begin(),
+                change.declarations.services.end());
   return merged;
 }
 
+// What the change would make wrong. A fault that is in force already, under
+// the looser checks of an older release, must not keep others from publishing.
+std::vector<DeclarationProblem> NewProblems(const Declarations& merged,
+                                            const Snapshot& current) {
+  Declarations before;
+  for (const ServiceDeclaration* each : current.Services()) {
+    before.services.push_back(*each);
+  }
+  for (const OrganisationDeclaration* each : current.Organisations()) {
+    before.organisations.push_back(*each);
+  }
+  const std::vector<DeclarationProblem> known = CheckDeclarations(before);
+  std::vector<DeclarationProblem> problems = CheckDeclarations(merged);
+  std::erase_if(problems, [&](const DeclarationProblem& problem) {
+    return std::find(known.begin(), known.end(), problem) != known.end();
+  });
+  return problems;
+}
+
 void PutServices(ComposedChange& composed, const PublishDeclarations& change) {
   for (const ServiceId& service : change.removed_services) {
     composed.head.services.erase(service.value());
@@ -211,7 +233,7 @@
   const Declarations merged{.services = MergeServices(change, current),
                             .organisations = organisations.list};
   ChangeRefusal refusal{.problems = std::move(organisations.problems)};
-  for (DeclarationProblem& problem : CheckDeclarations(merged)) {
+  for (DeclarationProblem& problem : NewProblems(merged, current)) {
     refusal.problems.push_back(std::move(problem));
   }
   if (!refusal.problems.empty()) {
--- /dev/null
+++ b/Source/Configuration/configuration_reader.cc
@@ -0,0 +1,52 @@
+#include "Configuration/configuration_reader.h"
+
+#include <utility>
+
+#include "Configuration/snapshot_assembler.h"
+#include "Platform/object_store.h"
+
+namespace cowslip {
+
+using boost::asio::awaitable;
+
+awaitable<Result<ConfigurationHead>> ReadHead(ObjectStore& store) {
+  ObjectKey key(kHeadKey);
+  const Result<StoredObject> read = co_await store.Get(std::move(key));
+  if (read.has_value()) {
+    co_return DecodeHead(read.value().value);
+  }
+  if (read.error().kind() == ErrorKind::kNotFound) {
+    co_return ConfigurationHead();
+  }
+  co_return read.error();
+}
+
+awaitable<Result<ConfigurationInForce>> ReadConfiguration(ObjectStore& store) {
+  Result<ConfigurationHead> head = co_await ReadHead(store);
+  if (!head.has_value()) {
+    co_return head.error();
+  }
+  SnapshotAssembler assembler;
+  for (const Digest& digest : ContentsOf(head.value())) {
+    ObjectKey key(kContentPrefix + digest.value());
+    Result<StoredObject> read = co_await store.Get(std::move(key));
+    if (!read.has_value()) {
+      co_return read.error();
+    }
+    if (!assembler.Add(digest, std::move(read.value().value))) {
+      co_return Error(ErrorKind::kMalformedMessage,
+                      "Content " + digest.value() +
+                          " is damaged in the store. Publish it again.");
+    }
+  }
+  auto snapshot = assembler.Build(head.value());
+  if (!snapshot.has_value()) {
+    co_return snapshot.error();
+  }
+  ConfigurationInForce in_force;
+  in_force.head = std::move(head.value());
+  in_force.snapshot = std::move(snapshot.value());
+  co_return in_force;
+}
+
+}  // namespace cowslip
--- a/Source/Configuration/declaration_check.h
+++ b/Source/Configuration/declaration_check.h
@@ -27,6 +27,9 @@
   std::string message;
   /// The field within the subject, as the end of a JSON pointer.
   std::string field;
+
+  friend bool operator==(const DeclarationProblem&,
+                         const DeclarationProblem&) = default;
 };
 
 /// Checks limits, names and cross references, and reports everything at once.
