--- a/Utilities/Bench/bench_options.cc
+++ b/Utilities/Bench/bench_options.cc
@@ -29,6 +29,7 @@
   char* route = nullptr;
   char* bursts = nullptr;
   char* batch_route = nullptr;
+  char* arrivals = nullptr;
   int stream = 0;
   int max_tokens = 16;
   int prompt_bytes = 0;
@@ -111,6 +112,8 @@
        "Send an Idempotency-Key with each request", nullptr},
       {"resends", 0, POPT_ARG_INT | shown, &line.resends, 0,
        "Send again what was cut or refused as not run", "N"},
+      {"arrivals", 0, POPT_ARG_STRING, text(line.arrivals), 0,
+       "Note each arrival there: seconds, organisation, target", "FILE"},
       {"batch-items", 0, POPT_ARG_INT | shown, &line.batch_items, 0,
        "Items of each batch job; 0 for no jobs", "N"},
       {"batch-jobs", 0, POPT_ARG_INT | shown, &line.batch_jobs, 0,
@@ -201,6 +204,7 @@
   const std::string route = TakeString(line.route);
   options.route = route.empty() ? options.route : route;
   options.batch_route = TakeString(line.batch_route);
+  options.arrivals_file = TakeString(line.arrivals);
   if (!parsed.has_value()) {
     return parsed.error();
   }
--- a/Utilities/Bench/bench_options.h
+++ b/Utilities/Bench/bench_options.h
@@ -45,6 +45,8 @@
   bool idempotency_keys = false;
   /// How often a request is sent again that was refused as not run, or cut.
   uint64_t resends = 0;
+  /// If set, each arrival is noted there: seconds, organisation, target.
+  std::string arrivals_file;
 
   size_t batch_items = 0;
   size_t batch_jobs = 1;
--- a/Utilities/Bench/online_load.cc
+++ b/Utilities/Bench/online_load.cc
@@ -78,6 +78,9 @@
         context.get_executor(), target,
         HttpClientOptions{.max_idle_connections = kIdleConnections}));
   }
+  if (!options.arrivals_file.empty()) {
+    m_arrivals.open(options.arrivals_file);
+  }
 }
 
 awaitable<void> OnlineLoad::Run() {
@@ -99,6 +102,7 @@
                     .counted = arrival.at >= m_options.warm_up};
     request.marker = "bench-" + std::to_string(m_options.seed) + "-" +
                      std::to_string(number);
+    NoteArrival(request, arrival);
     co_await SleepUntil(m_context, request.scheduled);
     ++m_running;
     boost::asio::co_spawn(m_context, RunRequest(std::move(request)),
@@ -109,6 +113,16 @@
   }
 }
 
+void OnlineLoad::NoteArrival(const Request& request, const Arrival& arrival) {
+  if (!m_arrivals.is_open()) {
+    return;
+  }
+  const size_t target = request.number % m_options.targets.size();
+  m_arrivals << std::chrono::duration<double>(arrival.at).count() << ','
+             << request.caller->organisation << ',' << m_options.targets[target]
+             << '\n';
+}
+
 awaitable<void> OnlineLoad::RunRequest(Request request) {
   const std::string& organisation = request.caller->organisation;
   if (request.counted) {
--- a/Utilities/Bench/online_load.h
+++ b/Utilities/Bench/online_load.h
@@ -1,6 +1,7 @@
 #ifndef UTILITIES_BENCH_ONLINE_LOAD_H_
 #define UTILITIES_BENCH_ONLINE_LOAD_H_
 
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,11 +47,13 @@
       const Request& request,
       HttpResponseStream& response);
   HttpRequest MakeRequest(const Request& request) const;
+  void NoteArrival(const Request& request, const Arrival& arrival);
 
   boost::asio::io_context& m_context;
   const BenchOptions& m_options;
   BenchReport& m_report;
   std::vector<std::unique_ptr<HttpClient>> m_clients;
+  std::ofstream m_arrivals;
   uint64_t m_running = 0;
 };
 
