--- a/Utilities/quick-start.sh
+++ b/Utilities/quick-start.sh
@@ -70,11 +70,11 @@
 
 cowslip="build/bin/cowslip"
 step "Publishing examples/namu-grain-labs"
-"$cowslip" publish --platform "$FLEET_PLATFORM" examples/namu-grain-labs || fail "publish failed"
+"$cowslip" publish --who quick-start --platform "$FLEET_PLATFORM" examples/namu-grain-labs || fail "publish failed"
 
 organisation=hanok-interiors
 step "Adding a key for $organisation"
-key_text="$("$cowslip" keys add --platform "$FLEET_PLATFORM" "$organisation")" || fail "no key"
+key_text="$("$cowslip" keys add --who quick-start --platform "$FLEET_PLATFORM" "$organisation")" || fail "no key"
 key="$(printf '%s\n' "$key_text" | grep -oE '[A-Za-z0-9_-]{24,}' | tail -1)"
 echo "The key begins with ${key:0:8}; it is shown once."
 
@@ -123,7 +123,8 @@
 echo
 
 step "cowslip status"
-"$cowslip" status --platform "$FLEET_PLATFORM" || fail "no status"
+"$cowslip" status --platform "$FLEET_PLATFORM" \
+  --entry "127.0.0.1:$(fleet_entry_admin_port 1)" --entry "127.0.0.1:$(fleet_entry_admin_port 2)" || fail "no status"
 
 if [ "$keep" = 1 ]; then
   step "The fleet keeps running; press Ctrl-C to stop it"
