Limits: fleet-wide rate and burst as escrowed shares

Cause: no organisation may get more than its rate and burst over all VMs together. Change: LimitsCore (owner per shard by conditional update, promises by witnesses, lent shares under short leases, batched asks) and LimitsDriver.

--- /dev/null
+++ b/Source/Limits/limit_table.h
@@ -0,0 +1,33 @@
+#ifndef SOURCE_LIMITS_LIMIT_TABLE_H_
+#define SOURCE_LIMITS_LIMIT_TABLE_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "Limits/limits_events.h"
+
+namespace cowslip {
+
+/// \class LimitTable
+/// \brief The limits in force, by organisation.
+class LimitTable {
+ public:
+  void Replace(const std::vector<OrganisationLimit>& limits) {
+    m_limits.clear();
+    for (const OrganisationLimit& limit : limits) {
+      m_limits[limit.organisation] = limit;
+    }
+  }
+  /// Null when the organisation has no limit, which admits nothing.
+  const OrganisationLimit* Find(const OrganisationId& organisation) const {
+    const auto found = m_limits.find(organisation);
+    return found == m_limits.end() ? nullptr : &found->second;
+  }
+
+ private:
+  std::unordered_map<OrganisationId, OrganisationLimit> m_limits;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_LIMITS_LIMIT_TABLE_H_
--- /dev/null
+++ b/Source/Limits/limits_record.h
@@ -0,0 +1,64 @@
+#ifndef SOURCE_LIMITS_LIMITS_RECORD_H_
+#define SOURCE_LIMITS_LIMITS_RECORD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Base/ids.h"
+#include "Base/result.h"
+
+namespace cowslip {
+
+/// A group of organisations whose shares one entry owns.
+using LimitsShard = StrongNumber<struct LimitsShardTag, uint32_t>;
+/// Counts the owners of a shard; shares of an older generation are worthless.
+using LimitsGeneration = StrongNumber<struct LimitsGenerationTag, uint64_t>;
+
+/// \class ProcessRef
+/// \brief One process of a VM.
+struct ProcessRef {
+  VmId vm;
+  Incarnation incarnation;
+
+  friend bool operator==(const ProcessRef&, const ProcessRef&) = default;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProcessRef, vm, incarnation)
+
+/// \class LimitsRecord
+/// \brief The object `limits/SHARD`: who owns the shard's shares and which
+/// processes must agree before another may.
+struct LimitsRecord {
+  LimitsGeneration generation;
+  ProcessRef owner;
+  std::vector<ProcessRef> witnesses;
+  /// Random for each write, so that a writer recognises its own.
+  uint64_t write_token = 0;
+  /// The owner has stopped and holds all shares: anybody may go on from here.
+  bool released = false;
+  /// For a released shard: the tokens left of each organisation that was seen.
+  std::map<std::string, double> tokens;
+  /// For a released shard: how long the other organisations were idle.
+  int64_t idle_ms = 0;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LimitsRecord,
+                                   generation,
+                                   owner,
+                                   witnesses,
+                                   write_token,
+                                   released,
+                                   tokens,
+                                   idle_ms)
+
+/// The shard of an organisation. `shard_count` is the same on every VM.
+LimitsShard ShardOf(const OrganisationId& organisation, uint32_t shard_count);
+std::string EncodeRecord(const LimitsRecord& record);
+/// Errors: kInvalidArgument, kTooLarge, kMalformedMessage.
+Result<LimitsRecord> DecodeRecord(const std::string& text);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_LIMITS_LIMITS_RECORD_H_
--- /dev/null
+++ b/Source/Limits/owner_right.cc
@@ -0,0 +1,61 @@
+#include "Limits/owner_right.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "Limits/limits_constants.h"
+
+namespace cowslip {
+
+void OwnerRight::Confirm(std::vector<ProcessRef> witnesses,
+                         MonotonicTime started) {
+  m_witness_sets.clear();
+  m_witness_sets.push_back(std::move(witnesses));
+  m_record_written = started;
+}
+
+void OwnerRight::AddDoubt(const std::vector<ProcessRef>& witnesses) {
+  const auto found =
+      std::find(m_witness_sets.begin(), m_witness_sets.end(), witnesses);
+  if (found == m_witness_sets.end()) {
+    m_witness_sets.push_back(witnesses);
+  }
+}
+
+void OwnerRight::AddPromise(const ProcessRef& witness, MonotonicTime sent) {
+  auto& [incarnation, latest] = m_promises[witness.vm];
+  if (incarnation != witness.incarnation) {
+    incarnation = witness.incarnation;
+    latest = sent;
+  }
+  latest = std::max(latest, sent);
+}
+
+MonotonicTime OwnerRight::until() const {
+  MonotonicTime until = m_record_written + kRecordLease;
+  for (const auto& witnesses : m_witness_sets) {
+    until = std::min(until, MajorityUntil(witnesses));
+  }
+  return until;
+}
+
+MonotonicTime OwnerRight::MajorityUntil(
+    const std::vector<ProcessRef>& witnesses) const {
+  std::vector<MonotonicTime> promised;
+  for (const ProcessRef& witness : witnesses) {
+    const auto found = m_promises.find(witness.vm);
+    if (found != m_promises.end() &&
+        found->second.first == witness.incarnation) {
+      promised.push_back(found->second.second);
+    }
+  }
+  const size_t needed = MajorityOf(witnesses.size());
+  if (promised.size() < needed) {
+    return MonotonicTime::min();
+  }
+  std::sort(promised.begin(), promised.end(), std::greater<>());
+  return promised[needed - 1] + kPromiseTime;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Limits/limits_core_test.cc
@@ -0,0 +1,132 @@
+#include "Limits/limits_core.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+#include "Tests/Limits/fleet.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string Name(size_t index) {
+  return std::string(1, static_cast<char>('a' + index));
+}
+
+// A request goes to any live VM.
+std::function<std::string()> AnyVm(Fleet& fleet) {
+  return [&fleet] {
+    const auto alive = fleet.Alive();
+    return alive.empty() ? std::string("none")
+                         : alive[fleet.Below(alive.size())];
+  };
+}
+
+void StartVms(Fleet& fleet, size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    fleet.AddVm(Name(i));
+  }
+  fleet.Run(20s);
+}
+
+TEST_CASE("A single entry serves an organisation at its rate") {
+  Fleet fleet(1, 4);
+  fleet.SetLimit("o", 10, 20);
+  StartVms(fleet, 1);
+  fleet.Traffic("o", 50, AnyVm(fleet));
+  fleet.Run(100s);
+  CHECK(fleet.TotalOver() == 0);
+  CHECK(fleet.tallies["o"].admitted >= 1000);
+  CHECK(fleet.tallies["o"].admitted <= 1020);
+}
+
+TEST_CASE("In-rate requests over many entries are admitted") {
+  Fleet fleet(2, 4);
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "o" + std::to_string(i);
+    fleet.SetLimit(name, i < 6 ? 5 : 400, i < 6 ? 20 : 400);
+  }
+  StartVms(fleet, 8);
+  for (int i = 0; i < 8; ++i) {
+    const std::string name = "o" + std::to_string(i);
+    fleet.Traffic(name, i < 6 ? 4 : 320, AnyVm(fleet));
+  }
+  fleet.Run(60s);
+  CHECK(fleet.TotalOver() == 0);
+  for (const auto& [name, tally] : fleet.tallies) {
+    INFO(name << " admitted " << tally.admitted << " refused "
+              << tally.refused);
+    CHECK(tally.refused * 100 <= tally.admitted);
+  }
+  std::printf("messages %lu, bytes %lu, store writes %lu in 80 s\n",
+              fleet.messages, fleet.bytes, fleet.store_writes);
+}
+
+TEST_CASE("No window exceeds the limit under any mix of faults") {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    Fleet fleet(seed, 3);
+    const size_t vms = 2 + fleet.Below(7);
+    fleet.SetLimit("small", 3, 6);
+    fleet.SetLimit("large", 200, 100);
+    fleet.SetLimit("greedy", 80, 80);
+    StartVms(fleet, vms);
+    fleet.Traffic("small", 6, AnyVm(fleet));
+    fleet.Traffic("large", 200, AnyVm(fleet));
+    fleet.Traffic("greedy", 400, AnyVm(fleet));
+    size_t added = vms;
+    for (int step = 0; step < 25; ++step) {
+      fleet.faults.lose = fleet.Below(3) == 0 ? 0.2 : 0;
+      fleet.faults.duplicate = fleet.Below(3) == 0 ? 0.3 : 0;
+      fleet.faults.delay = fleet.Below(3) == 0 ? 0.2 : 0;
+      fleet.faults.store_down = fleet.Below(4) == 0;
+      fleet.faults.lose_store_answer = fleet.Below(3) == 0 ? 0.5 : 0;
+      const auto alive = fleet.Alive();
+      const std::string vm = alive[fleet.Below(alive.size())];
+      switch (fleet.Below(7)) {
+        case 0:
+          if (alive.size() > 1) {
+            fleet.Kill(vm);
+          }
+          break;
+        case 1:
+          fleet.Pause(vm);
+          fleet.Run(Duration(fleet.Below(Duration(15s).count())));
+          fleet.Resume(vm);
+          break;
+        case 2:
+          if (added < 20) {
+            fleet.AddVm(Name(added++));
+          }
+          break;
+        case 3:
+          if (alive.size() > 2) {
+            fleet.Drain(vm);
+            fleet.Run(5s);
+            fleet.Kill(vm);
+          }
+          break;
+        case 4:
+          fleet.SetLimit("large", 50 + fleet.Below(200), 100);
+          break;
+        case 5:
+          fleet.Kill(vm);
+          fleet.AddVm(vm);
+          break;
+        default:
+          break;
+      }
+      fleet.Run(Duration(fleet.Below(Duration(12s).count())));
+    }
+    INFO("seed " << seed);
+    for (const auto& [name, tally] : fleet.tallies) {
+      INFO(name << ": admitted " << tally.admitted << ", over "
+                << tally.over_limit);
+      CHECK(tally.over_limit == 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cowslip
