--- a/Source/Backend/gate_options.h
+++ b/Source/Backend/gate_options.h
@@ -25,7 +25,7 @@
 /// \brief Like Headroom; an online request without a free slot takes that of
 /// the batch stream that loses least.
 struct HeadroomWithPreemption {
-  uint32_t headroom = 1;
+  uint32_t headroom = 0;
 };
 
 using GatePolicy = std::variant<NoGate, Headroom, HeadroomWithPreemption>;
--- a/Source/Backend/side_settings.cc
+++ b/Source/Backend/side_settings.cc
@@ -46,7 +46,8 @@
   }
 })";
 
-constexpr uint32_t kDefaultHeadroom = 1;
+// With preemption a free slot in reserve buys next to nothing.
+constexpr uint32_t kDefaultHeadroom = 0;
 
 GatePolicy ReadPolicy(const json& settings) {
   const std::string gate = settings.value("gate", "preempt");
