--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -41,7 +41,8 @@
 }
 
 bool PartitionCore::IsOwner(MonotonicTime now) const {
-  return m_phase == Phase::kOwning && now + kStopBeforeLeaseEnd < m_lease_until;
+  // A release may have reached the journal before its answer comes.
+  return serving() && now + kStopBeforeLeaseEnd < m_lease_until;
 }
 
 bool PartitionCore::drained() const {
@@ -286,6 +287,7 @@
   m_queues.clear();
   m_stopping.clear();
   m_entries.clear();
+  m_intending = 0;
   m_entry_bytes = 0;
   m_commit_at.reset();
   m_append.reset();
