--- a/Utilities/measure_table.py
+++ b/Utilities/measure_table.py
@@ -118,8 +118,8 @@
 
 
 def faults(folder):
-    print("%-14s %6s %6s %8s %5s %6s | %6s %6s %6s %6s %6s %9s" % (
-        "fault", "sent", "ok", "refused", "cut", "wrong", "items", "done",
+    print("%-14s %6s %6s %8s %5s %8s %6s | %6s %6s %6s %6s %6s %9s" % (
+        "fault", "sent", "ok", "refused", "cut", "unreach", "wrong", "items", "done",
         "lost", "double", "wrong", "status"))
     for path in sorted(glob.glob(f"{folder}/*.json"), key=os.path.getmtime):
         name = os.path.basename(path)[:-5]
@@ -127,10 +127,11 @@
             continue
         report = load(path)
         outcomes, batch = report["outcomes"], report["batch"] or {}
-        cut = sum(outcomes.get(k, 0) for k in ("cut", "timeout", "unreachable"))
-        print("%-14s %6d %6d %8d %5d %6d | %6d %6d %6s %6s %6s %9s" % (
+        cut = sum(outcomes.get(k, 0) for k in ("cut", "timeout"))
+        print("%-14s %6d %6d %8d %5d %8d %6d | %6d %6d %6s %6s %6s %9s" % (
             name, report["sent"], outcomes.get("ok", 0),
-            outcomes.get("refused", 0), cut, outcomes.get("wrong", 0),
+            outcomes.get("refused", 0), cut,
+            outcomes.get("unreachable", 0), outcomes.get("wrong", 0),
             batch.get("items", 0), batch.get("completed", 0),
             batch.get("lost", "-"), batch.get("doubled", "-"),
             batch.get("wrong", "-"), "/".join(batch.get("statuses", {}))))
