Bench: batch jobs of two runs with one seed are two jobs

Cause: a second run with the same seed found the first run's cancelled job under its idempotency key, so that two variants ran without batch work. Change: the keys carry the time of the run.

--- a/Utilities/Bench/batch_load.cc
+++ b/Utilities/Bench/batch_load.cc
@@ -38,7 +38,10 @@
 BatchLoad::BatchLoad(boost::asio::io_context& context,
                      const BenchOptions& options,
                      BenchReport& report)
-    : m_context(context), m_options(options), m_report(report) {
+    : m_context(context),
+      m_options(options),
+      m_report(report),
+      m_run(std::to_string(WallNow().time_since_epoch().count())) {
   for (const Endpoint& target : options.targets) {
     m_clients.push_back(
         std::make_unique<HttpClient>(context.get_executor(), target));
@@ -84,7 +87,7 @@
 
 awaitable<void> BatchLoad::Submit(Job& job) {
   HttpRequest request{.method = "POST", .target = "/v1/batches"};
-  const std::string key = MarkerOf(job, 0) + "-job";
+  const std::string key = MarkerOf(job, 0) + "-job-" + m_run;
   request.headers.push_back({"Idempotency-Key", key});
   if (!m_options.batch_route.empty()) {
     request.headers.push_back({"X-Batch-Route", m_options.batch_route});
--- a/Utilities/Bench/batch_load.h
+++ b/Utilities/Bench/batch_load.h
@@ -69,6 +69,8 @@
   BenchReport& m_report;
   std::vector<std::unique_ptr<HttpClient>> m_clients;
   std::vector<Job> m_jobs;
+  /// Tells the jobs of two runs with one seed apart.
+  const std::string m_run;
   MonotonicTime m_start;
   MonotonicTime m_give_up = MonotonicTime::max();
   bool m_online_ended = false;
--- a/Utilities/Bench/online_load.cc
+++ b/Utilities/Bench/online_load.cc
@@ -72,7 +72,10 @@
 OnlineLoad::OnlineLoad(boost::asio::io_context& context,
                        const BenchOptions& options,
                        BenchReport& report)
-    : m_context(context), m_options(options), m_report(report) {
+    : m_context(context),
+      m_options(options),
+      m_report(report),
+      m_run(std::to_string(WallNow().time_since_epoch().count())) {
   for (const Endpoint& target : options.targets) {
     m_clients.push_back(std::make_unique<HttpClient>(
         context.get_executor(), target,
@@ -161,7 +164,7 @@
     http.headers.push_back({"Authorization", "Bearer " + request.caller->key});
   }
   if (m_options.idempotency_keys) {
-    http.headers.push_back({"Idempotency-Key", request.marker});
+    http.headers.push_back({"Idempotency-Key", request.marker + "-" + m_run});
   }
   http.body = DumpJson(body);
   return http;
--- a/Utilities/Bench/online_load.h
+++ b/Utilities/Bench/online_load.h
@@ -54,6 +54,8 @@
   BenchReport& m_report;
   std::vector<std::unique_ptr<HttpClient>> m_clients;
   std::ofstream m_arrivals;
+  /// Tells the requests of two runs with one seed apart.
+  const std::string m_run;
   uint64_t m_running = 0;
 };
 
