Entry: join the fleet-wide limits

Cause: every keyed request was admitted. Change: LimitsDriver decides each admission; limits come with the configuration. Names that stood twice in the namespace (DrainRequested, DecodeRecord) are told apart: two structs of one name in one program break the one-definition rule.

--- a/Source/Backend/gate_core.cc
+++ b/Source/Backend/gate_core.cc
@@ -196,7 +196,7 @@
   }
 }
 
-void GateCore::On(const DrainRequested&) {
+void GateCore::On(const GateDrainRequested&) {
   if (m_draining) {
     return;
   }
--- a/Source/Backend/gate_core.h
+++ b/Source/Backend/gate_core.h
@@ -65,7 +65,7 @@
   void On(const EngineClosed& event);
   void On(const EntryLinkUp& event);
   void On(const EntryLinkDown& event);
-  void On(const DrainRequested& event);
+  void On(const GateDrainRequested& event);
   void On(const EngineUp& event);
   void On(const EngineDown& event);
   void On(const GateTick& event);
--- a/Source/Backend/gate_driver.h
+++ b/Source/Backend/gate_driver.h
@@ -19,7 +19,7 @@
 struct GateDriverHooks {
   std::function<void(const VmId&, const ExchangeReplyMessage&)> reply;
   std::function<void(const BackendStatus&)> announce;
-  /// Everything taken has ended after DrainRequested.
+  /// Everything taken has ended after GateDrainRequested.
   std::function<void()> drained;
 };
 
--- a/Source/Backend/gate_events.h
+++ b/Source/Backend/gate_events.h
@@ -80,7 +80,7 @@
 };
 
 /// The process is to leave.
-struct DrainRequested {};
+struct GateDrainRequested {};
 
 /// The backend server answers.
 struct EngineUp {};
@@ -101,7 +101,7 @@
                                EngineClosed,
                                EntryLinkUp,
                                EntryLinkDown,
-                               DrainRequested,
+                               GateDrainRequested,
                                EngineUp,
                                EngineDown,
                                GateTick>;
--- a/Source/Backend/order_driver.cc
+++ b/Source/Backend/order_driver.cc
@@ -200,8 +200,8 @@
     precondition = IfVersion{*action.over};
   }
   std::string value = DumpJson(nlohmann::json(action.fence));
-  const Result<ObjectVersion> put = co_await m_options.store->Put(
-      m_key, std::move(value), precondition);
+  const Result<ObjectVersion> put =
+      co_await m_options.store->Put(m_key, std::move(value), precondition);
   if (put.has_value()) {
     Feed(FenceWritten{put.value()});
   } else {
--- a/Source/Backend/side_daemon.cc
+++ b/Source/Backend/side_daemon.cc
@@ -288,7 +288,7 @@
     LOG(WARNING) << "side: The drain timeout has passed. Requests are cut.";
     self.Stop();
   });
-  m_gate.Feed(DrainRequested());
+  m_gate.Feed(GateDrainRequested());
 }
 
 void SideDaemon::Impl::OnDrained() {
--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -27,6 +27,8 @@
 #include "Entry/entry_peers.h"
 #include "Entry/operator_jobs.h"
 #include "Entry/request_driver.h"
+#include "Limits/limits_driver.h"
+#include "Limits/limits_messages.h"
 #include "Link/peer_link.h"
 #include "Membership/membership_driver.h"
 #include "Net/http_exchange.h"
@@ -83,6 +85,8 @@
   void OnEntryFrame(
       const char* channel,
       std::function<void(const VmId&, const std::string&)> handler);
+  void SetOrganisations(const Snapshot& snapshot);
+  void AskLimits(const AskLimit& ask, std::function<void(RequestEvent)> answer);
   void OnSnapshot(std::shared_ptr<const Snapshot> snapshot);
   void OnPeerUp(const VmId& vm);
   void OnPeerDown(const VmId& vm);
@@ -104,6 +108,7 @@
   CrashSync m_crashes;
   EntryPeers m_peers;
   ConfigurationDriver m_configuration;
+  LimitsDriver m_limits;
   BatchDispatcher m_dispatcher;
   BatchDriver m_batch;
   BatchHttpHandler m_batch_http;
@@ -117,6 +122,8 @@
   boost::asio::steady_timer m_drain;
   std::shared_ptr<const Snapshot> m_snapshot;
   std::set<VmId> m_backends;
+  // As each linked VM stated it.
+  std::map<VmId, Incarnation> m_incarnations;
   bool m_draining = false;
   bool m_batch_drained = false;
 };
@@ -160,6 +167,12 @@
           [this](std::shared_ptr<const Snapshot> snapshot) {
             OnSnapshot(std::move(snapshot));
           }),
+      m_limits(context,
+               m_store,
+               {.self = m_settings.vm, .incarnation = m_incarnation},
+               [this](const VmId& vm, const std::string& cbor) {
+                 m_link.Send(vm.value(), kLimitsChannel, cbor);
+               }),
       m_dispatcher(m_requests, [this] { m_batch.OnCapacity(); }),
       m_batch(
           context,
@@ -212,7 +225,7 @@
       .ask_limit =
           [this](const AskLimit& ask,
                  std::function<void(RequestEvent)> answer) {
-            answer(LimitAdmitted{ask.request});
+            AskLimits(ask, std::move(answer));
           },
       .broadcast_crash =
           [this](const CrashReport& report) { m_crashes.Broadcast(report); }};
@@ -231,6 +244,7 @@
               [this](const std::vector<VmId>& entries) {
                 m_peers.SetListed(entries);
                 m_configuration.OnMembers(entries);
+                m_limits.OnMembers(entries);
                 m_batch.OnMembers(entries);
               },
           .on_backends =
@@ -240,7 +254,8 @@
 }
 
 void EntryDaemon::Impl::ConnectLink() {
-  m_link.OnUp([this](const std::string& vm, uint64_t) {
+  m_link.OnUp([this](const std::string& vm, uint64_t incarnation) {
+    m_incarnations[VmId(vm)] = Incarnation(incarnation);
     m_requests.Feed(BackendLinkUp{VmId(vm)});
     m_peers.LinkUp(VmId(vm));
   });
@@ -256,6 +271,9 @@
                [this](const VmId& vm, const std::string& cbor) {
                  m_configuration.OnPeerFrame(vm, cbor);
                });
+  OnEntryFrame(kLimitsChannel, [this](const VmId& vm, const std::string& cbor) {
+    m_limits.OnPeerFrame(vm, cbor);
+  });
   OnEntryFrame(kBatchChannel, [this](const VmId& vm, const std::string& cbor) {
     m_batch.OnPeerFrame(vm, cbor);
   });
@@ -278,10 +296,12 @@
 
 void EntryDaemon::Impl::OnPeerUp(const VmId& vm) {
   m_configuration.OnPeerUp(vm);
+  m_limits.OnPeerUp(vm, m_incarnations[vm]);
 }
 
 void EntryDaemon::Impl::OnPeerDown(const VmId& vm) {
   m_configuration.OnPeerDown(vm);
+  m_limits.OnPeerDown(vm);
   m_batch.OnPeerDown(vm);
 }
 
@@ -302,13 +322,35 @@
 void EntryDaemon::Impl::OnSnapshot(std::shared_ptr<const Snapshot> snapshot) {
   LOG(INFO) << "entry: Version " << snapshot->version() << " is in force.";
   m_snapshot = snapshot;
-  for (const OrganisationDeclaration* each : snapshot->Organisations()) {
-    m_batch.SetWeight(each->id, each->weight);
-  }
+  SetOrganisations(*snapshot);
   m_dispatcher.SetSnapshot(snapshot);
   m_callers.SetSnapshot(std::move(snapshot));
 }
 
+void EntryDaemon::Impl::SetOrganisations(const Snapshot& snapshot) {
+  std::vector<OrganisationLimit> limits;
+  for (const OrganisationDeclaration* each : snapshot.Organisations()) {
+    limits.push_back(
+        {.organisation = each->id, .rate = each->rate, .burst = each->burst});
+    m_batch.SetWeight(each->id, each->weight);
+  }
+  m_limits.SetLimits(limits);
+}
+
+void EntryDaemon::Impl::AskLimits(const AskLimit& ask,
+                                  std::function<void(RequestEvent)> answer) {
+  constexpr double kOneRequest = 1;
+  m_limits.Admit(ask.organisation, kOneRequest,
+                 [request = ask.request,
+                  answer = std::move(answer)](const LimitDecision& decision) {
+                   if (const auto* refused = std::get_if<Refused>(&decision)) {
+                     answer(LimitRefused{request, refused->retry_after});
+                   } else {
+                     answer(LimitAdmitted{request});
+                   }
+                 });
+}
+
 Result<void> EntryDaemon::Impl::Start() {
   const std::string link_problem = m_link.Start();
   if (!link_problem.empty()) {
@@ -322,6 +364,7 @@
     return started;
   }
   m_configuration.Start();
+  m_limits.Start();
   m_batch.Start();
   m_crashes.Start();
   m_membership.Start();
@@ -373,13 +416,14 @@
     });
     return;
   }
-  StopAll();
+  m_limits.Drain([this] { StopAll(); });
 }
 
 void EntryDaemon::Impl::StopAll() {
   m_watch.cancel();
   m_membership.Stop();
   m_configuration.Stop();
+  m_limits.Stop();
   m_batch.Stop();
   m_requests.Stop();
   m_link.Stop();
--- a/Source/Limits/limits_core.cc
+++ b/Source/Limits/limits_core.cc
@@ -166,7 +166,7 @@
   UpdatePicks();
 }
 
-void LimitsCore::Apply(const DrainRequested&) {
+void LimitsCore::Apply(const LimitsDrainRequested&) {
   m_draining = true;
   m_upkeep_due = true;
 }
--- a/Source/Limits/limits_core.h
+++ b/Source/Limits/limits_core.h
@@ -46,7 +46,7 @@
 
   /// True when a tick should follow within kLimitsTickInterval.
   bool WantsTickSoon() const { return m_asks.HasUnsent() || m_upkeep_due; }
-  /// After DrainRequested: nothing is held here any more.
+  /// After LimitsDrainRequested: nothing is held here any more.
   bool IsDrained() const;
   size_t owned_shards() const { return m_owned.size(); }
   size_t waiting() const { return m_asks.size(); }
@@ -84,7 +84,7 @@
   void Apply(const RecordWritten& event);
   void Apply(const RecordConflict& event);
   void Apply(const RecordFailed& event);
-  void Apply(const DrainRequested&);
+  void Apply(const LimitsDrainRequested&);
 
   // Messages from peers (limits_core_messages.cc).
   void Receive(const VmId& from, const Announcement& message);
--- a/Source/Limits/limits_driver.cc
+++ b/Source/Limits/limits_driver.cc
@@ -70,7 +70,7 @@
 
   void Drain(std::function<void()> done) {
     m_drain_done = std::move(done);
-    Handle(DrainRequested{});
+    Handle(LimitsDrainRequested{});
   }
 
   LimitsCounters counters() const {
@@ -197,7 +197,7 @@
   }
 
   void HandleObject(LimitsShard shard, const StoredObject& object) {
-    Result<LimitsRecord> record = DecodeRecord(object.value);
+    Result<LimitsRecord> record = DecodeLimitsRecord(object.value);
     if (record.has_value()) {
       Handle(RecordRead{shard, std::move(record.value()), object.version});
       return;
@@ -211,7 +211,7 @@
 
   boost::asio::awaitable<void> Write(WriteRecord write) {
     const ObjectKey key = KeyOf(write.shard);
-    const std::string value = EncodeRecord(write.record);
+    const std::string value = EncodeLimitsRecord(write.record);
     Precondition precondition = IfAbsent{};
     if (write.over) {
       precondition = IfVersion{*write.over};
--- a/Source/Limits/limits_events.h
+++ b/Source/Limits/limits_events.h
@@ -71,7 +71,7 @@
 struct RecordFailed {
   LimitsShard shard;
 };
-struct DrainRequested {};
+struct LimitsDrainRequested {};
 
 using LimitsEvent = std::variant<AdmitRequested,
                                  LimitsTick,
@@ -85,7 +85,7 @@
                                  RecordWritten,
                                  RecordConflict,
                                  RecordFailed,
-                                 DrainRequested>;
+                                 LimitsDrainRequested>;
 
 // Actions of the limits core.
 
--- a/Source/Limits/limits_record.cc
+++ b/Source/Limits/limits_record.cc
@@ -11,11 +11,11 @@
   return LimitsShard(static_cast<uint32_t>(hash % shard_count));
 }
 
-std::string EncodeRecord(const LimitsRecord& record) {
+std::string EncodeLimitsRecord(const LimitsRecord& record) {
   return DumpJson(record);
 }
 
-Result<LimitsRecord> DecodeRecord(const std::string& text) {
+Result<LimitsRecord> DecodeLimitsRecord(const std::string& text) {
   const Result<nlohmann::json> json = ParseJson(text);
   if (!json.has_value()) {
     return json.error();
--- a/Source/Limits/limits_record.h
+++ b/Source/Limits/limits_record.h
@@ -55,9 +55,9 @@
 
 /// The shard of an organisation. `shard_count` is the same on every VM.
 LimitsShard ShardOf(const OrganisationId& organisation, uint32_t shard_count);
-std::string EncodeRecord(const LimitsRecord& record);
+std::string EncodeLimitsRecord(const LimitsRecord& record);
 /// Errors: kInvalidArgument, kTooLarge, kMalformedMessage.
-Result<LimitsRecord> DecodeRecord(const std::string& text);
+Result<LimitsRecord> DecodeLimitsRecord(const std::string& text);
 
 }  // namespace cowslip
 
--- a/Tests/Backend/gate_core_test.cc
+++ b/Tests/Backend/gate_core_test.cc
@@ -139,7 +139,7 @@
   GateHarness gate(Options(1, HeadroomWithPreemption{.headroom = 0}));
   gate.Feed(GateHarness::Batch(1));
   gate.Feed(GateHarness::Batch(2));
-  gate.Feed(DrainRequested());
+  gate.Feed(GateDrainRequested());
   CHECK(gate.announced().back().leaving);
   CHECK(gate.record(kTwo).failures.at(0).reason == FailureReason::kDraining);
   CHECK(gate.record(kTwo).failures.at(0).not_run);
--- a/Tests/Limits/fleet.cc
+++ b/Tests/Limits/fleet.cc
@@ -129,7 +129,7 @@
 }
 
 void Fleet::Drain(const std::string& vm) {
-  Handle(vm, DrainRequested{});
+  Handle(vm, LimitsDrainRequested{});
   for (const auto& [other, state] : m_vms) {
     if (other != vm) {
       m_seen_up[other].erase(vm);
@@ -318,8 +318,8 @@
     return RecordConflict{write.shard};
   }
   const ObjectVersion version(++m_last_version);
-  const std::string text = EncodeRecord(write.record);
-  m_store[write.shard] = {DecodeRecord(text).value(), version};
+  const std::string text = EncodeLimitsRecord(write.record);
+  m_store[write.shard] = {DecodeLimitsRecord(text).value(), version};
   return RecordWritten{write.shard, write.record.write_token, version};
 }
 
