--- a/Source/Batch/batch_keys.cc
+++ b/Source/Batch/batch_keys.cc
@@ -45,12 +45,9 @@
   return Root(partition) + "checkpoint";
 }
 
-std::string OutputSegmentKey(PartitionId partition,
-                             const JobId& job,
-                             const SegmentRef& segment) {
-  return Root(partition) + "output/" + job.value() + "/" +
-         std::to_string(segment.epoch.value()) + "-" +
-         Padded(segment.number, 5);
+std::string OutputSegmentKey(PartitionId partition, const SegmentRef& segment) {
+  return Root(partition) + "output/" + std::to_string(segment.epoch.value()) +
+         "-" + Padded(segment.number, 5);
 }
 
 std::string EndedJobPrefix(PartitionId partition) {
--- a/Source/Batch/batch_keys.h
+++ b/Source/Batch/batch_keys.h
@@ -30,10 +30,8 @@
 std::string JournalSlotKey(PartitionId partition, JournalSequence sequence);
 /// `batch/07/checkpoint`.
 std::string CheckpointKey(PartitionId partition);
-/// `batch/07/output/JOB/5-00012`.
-std::string OutputSegmentKey(PartitionId partition,
-                             const JobId& job,
-                             const SegmentRef& segment);
+/// `batch/07/output/5-00012`: epoch and number.
+std::string OutputSegmentKey(PartitionId partition, const SegmentRef& segment);
 /// `batch/07/ended/JOB`: the state of a job that has ended.
 std::string EndedJobKey(PartitionId partition, const JobId& job);
 /// The prefix of all ended jobs of a partition.
--- a/Source/Batch/batch_messages.h
+++ b/Source/Batch/batch_messages.h
@@ -186,18 +186,27 @@
 };
 
 /// \class SegmentRef
-/// \brief One object with results of a job, in the order of their commits.
+/// \brief One output segment with outcomes of a job, in the order of their
+/// commits. The segment may hold outcomes of other jobs too.
 struct SegmentRef {
   /// The epoch of the owner that wrote it, so that two never share a name.
   FencingNumber epoch;
   uint32_t number = 0;
-  /// Outcomes inside.
+  /// Outcomes of this job inside.
   uint32_t count = 0;
 
   friend bool operator==(const SegmentRef&, const SegmentRef&) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SegmentRef, epoch, number, count)
 
+/// \class JobOutcomes
+/// \brief One job's part of an output segment.
+struct JobOutcomes {
+  JobId job;
+  std::vector<ItemOutcome> outcomes;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JobOutcomes, job, outcomes)
+
 /// \class JobView
 /// \brief What a caller or operator sees of a job.
 struct JobView {
--- a/Source/Batch/batch_reader.cc
+++ b/Source/Batch/batch_reader.cc
@@ -131,12 +131,12 @@
   bool found = false;
   for (const SegmentRef& segment : job.segments) {
     if (after < first + segment.count) {
-      const ObjectKey key(OutputSegmentKey(partition, job.header.job, segment));
+      const ObjectKey key(OutputSegmentKey(partition, segment));
       const auto stored = co_await m_store.Get(key);
       if (!stored.has_value()) {
         co_return stored.error();
       }
-      auto outcomes = DecodeOutcomes(stored.value().value);
+      auto outcomes = DecodeSegment(stored.value().value, job.header.job);
       if (!outcomes.has_value()) {
         co_return outcomes.error();
       }
--- a/Source/Batch/partition_checkpoint.cc
+++ b/Source/Batch/partition_checkpoint.cc
@@ -15,7 +15,7 @@
   size_t unflushed = 0;
   size_t ended = 0;
   for (const auto& [id, job] : m_state.jobs) {
-    unflushed += UnflushedBytes(job);
+    unflushed += job.unflushed_bytes;
     ended += job.running() ? 0 : 1;
   }
   const bool idle = m_running.empty() && !m_state.has_running_jobs();
@@ -30,34 +30,40 @@
   ContinueCheckpoint();
 }
 
+void PartitionCore::CloseSegment(PendingCheckpoint& pending) {
+  if (pending.segment.empty()) {
+    return;
+  }
+  const SegmentRef name{.epoch = m_epoch, .number = m_last_segment};
+  pending.writes.push_back({.key = OutputSegmentKey(m_options.partition, name),
+                            .bytes = EncodeSegment(pending.segment)});
+  pending.segment.clear();
+  pending.segment_bytes = 0;
+}
+
 void PartitionCore::FlushJob(PendingCheckpoint& pending, JobState& job) {
   pending.flushed[job.header.job] = job.unflushed.size();
-  std::vector<ItemOutcome> segment;
-  size_t bytes = 0;
-  const auto close = [&] {
-    if (segment.empty()) {
-      return;
-    }
-    const SegmentRef ref{.epoch = m_epoch,
-                         .number = static_cast<uint32_t>(job.segments.size()),
-                         .count = static_cast<uint32_t>(segment.size())};
-    pending.writes.push_back(
-        {.key = OutputSegmentKey(m_options.partition, job.header.job, ref),
-         .bytes = EncodeOutcomes(segment)});
-    job.segments.push_back(ref);
-    segment.clear();
-    bytes = 0;
-  };
+  JobOutcomes* part = nullptr;
   for (ItemOutcome& outcome : job.unflushed) {
-    const size_t outcome_bytes = ApproximateBytes(outcome);
-    if (bytes + outcome_bytes > kSegmentBytes) {
-      close();
+    const size_t bytes = ApproximateBytes(outcome);
+    if (pending.segment_bytes + bytes > kSegmentBytes) {
+      CloseSegment(pending);
+      part = nullptr;
+    }
+    if (pending.segment.empty()) {
+      ++m_last_segment;
     }
-    bytes += outcome_bytes;
-    segment.push_back(std::move(outcome));
+    if (part == nullptr) {
+      part = &pending.segment.emplace_back();
+      part->job = job.header.job;
+      job.segments.push_back({.epoch = m_epoch, .number = m_last_segment});
+    }
+    pending.segment_bytes += bytes;
+    ++job.segments.back().count;
+    part->outcomes.push_back(std::move(outcome));
   }
-  close();
   job.unflushed.clear();
+  job.unflushed_bytes = 0;
 }
 
 void PartitionCore::BuildCheckpoint() {
@@ -73,17 +79,12 @@
     // A job with a stop on its way to the journal stays until it is there.
     if (!job.running() && m_stopping.count(id) == 0) {
       FlushJob(pending, job);
-      pending.writes.push_back({.key = EndedJobKey(m_options.partition, id),
-                                .bytes = EncodeJob(job)});
       pending.ended.push_back(id);
       continue;
     }
-    by_size.emplace_back(UnflushedBytes(job), id);
+    by_size.emplace_back(job.unflushed_bytes, id);
     unflushed += by_size.back().first;
   }
-  for (const JobId& id : pending.ended) {
-    state.jobs.erase(id);
-  }
   // The largest first, so that segments are few and large; small rests stay in
   // the checkpoint.
   std::sort(by_size.rbegin(), by_size.rend());
@@ -94,6 +95,12 @@
     FlushJob(pending, *state.Find(id));
     unflushed -= bytes;
   }
+  CloseSegment(pending);
+  for (const JobId& id : pending.ended) {
+    pending.writes.push_back({.key = EndedJobKey(m_options.partition, id),
+                              .bytes = EncodeJob(state.jobs.at(id))});
+    state.jobs.erase(id);
+  }
   pending.bytes = EncodeCheckpoint(pending.checkpoint);
   pending.step = CheckpointStep::kWaitToRetry;
   pending.retry_step = pending.writes.empty() ? CheckpointStep::kWrite
@@ -194,9 +201,7 @@
       continue;
     }
     job->segments = written->segments;
-    job->unflushed.erase(
-        job->unflushed.begin(),
-        job->unflushed.begin() + static_cast<std::ptrdiff_t>(count));
+    job->DropUnflushed(count);
   }
   for (const JobId& id : done.ended) {
     m_state.jobs.erase(id);
--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -31,7 +31,6 @@
   std::visit([this](const auto& alternative) { On(alternative); }, event);
   if (m_phase == Phase::kOwning) {
     AppendWhenDue();
-    CheckpointWhenDue();
   }
   return std::exchange(m_actions, {});
 }
@@ -76,6 +75,7 @@
       ExpireJobs();
       ContinueAppend();
       ContinueCheckpoint();
+      CheckpointWhenDue();
       ReleaseWhenIdle();
       return;
   }
@@ -351,7 +351,7 @@
     bytes += kJobBytes + sizeof(uint32_t) * job.header.segment_starts.size() +
              kSegmentRefBytes * job.segments.size() + job.done.window_bytes() +
              kItemBytes * (job.intents.size() + job.failed_attempts.size()) +
-             UnflushedBytes(job);
+             job.unflushed_bytes;
   }
   for (const auto& [id, queue] : m_queues) {
     bytes += kItemBytes * queue.items().size();
--- a/Source/Batch/partition_core.h
+++ b/Source/Batch/partition_core.h
@@ -134,6 +134,9 @@
   struct PendingCheckpoint {
     Checkpoint checkpoint;
     std::vector<ObjectWrite> writes;
+    // The output segment that is being filled.
+    std::vector<JobOutcomes> segment;
+    size_t segment_bytes = 0;
     std::string bytes;
     // How many unflushed outcomes of each job went to segments.
     std::map<JobId, size_t> flushed;
@@ -207,6 +210,7 @@
   bool CheckpointIsDue() const;
   void BuildCheckpoint();
   void FlushJob(PendingCheckpoint& pending, JobState& job);
+  void CloseSegment(PendingCheckpoint& pending);
   void ContinueCheckpoint();
   void OnCheckpointRead(const ReadAnswered& event);
   void OnCheckpointWritten(const WriteAnswer& answer);
@@ -287,6 +291,7 @@
   std::optional<PendingCheckpoint> m_checkpoint;
   std::optional<ObjectVersion> m_checkpoint_version;
   JournalSequence m_checkpoint_next;
+  uint32_t m_last_segment = 0;
 
   // Requests.
   std::vector<HeldRequest> m_held;
--- a/Source/Batch/partition_state.cc
+++ b/Source/Batch/partition_state.cc
@@ -31,7 +31,7 @@
   job.intents.erase(item);
   job.failed_attempts.erase(item);
   Count(job, ended.outcome);
-  job.unflushed.push_back(ended.outcome);
+  job.AddUnflushed(ended.outcome);
   if (job.remaining() == 0) {
     job.status = JobStatus::kCompleted;
     job.ended_ms = ended.at_ms;
@@ -46,7 +46,7 @@
   for (const uint32_t item : std::exchange(job.intents, {})) {
     job.done.Insert(item);
     ++job.failed;
-    job.unflushed.push_back(
+    job.AddUnflushed(
         {.item = item,
          .kind = OutcomeKind::kMayHaveRun,
          .detail = "The job was stopped while the item was running."});
@@ -98,12 +98,17 @@
          outcome.custom_id.value().size();
 }
 
-size_t UnflushedBytes(const JobState& job) {
-  size_t bytes = 0;
-  for (const ItemOutcome& outcome : job.unflushed) {
-    bytes += ApproximateBytes(outcome);
+void JobState::AddUnflushed(ItemOutcome outcome) {
+  unflushed_bytes += ApproximateBytes(outcome);
+  unflushed.push_back(std::move(outcome));
+}
+
+void JobState::DropUnflushed(size_t count) {
+  const auto end = unflushed.begin() + static_cast<std::ptrdiff_t>(count);
+  for (auto outcome = unflushed.begin(); outcome != end; ++outcome) {
+    unflushed_bytes -= ApproximateBytes(*outcome);
   }
-  return bytes;
+  unflushed.erase(unflushed.begin(), end);
 }
 
 JobState* PartitionState::Find(const JobId& job) {
@@ -185,7 +190,9 @@
   json.at("failed").get_to(state.failed);
   json.at("ended_ms").get_to(state.ended_ms);
   json.at("segments").get_to(state.segments);
-  json.at("unflushed").get_to(state.unflushed);
+  for (const nlohmann::json& outcome : json.at("unflushed")) {
+    state.AddUnflushed(outcome.get<ItemOutcome>());
+  }
 }
 
 void to_json(nlohmann::json& json, const Checkpoint& checkpoint) {
@@ -270,12 +277,23 @@
   return Decode<JobState>(bytes);
 }
 
-std::string EncodeOutcomes(const std::vector<ItemOutcome>& outcomes) {
-  return ToCbor(outcomes);
+std::string EncodeSegment(const std::vector<JobOutcomes>& segment) {
+  return ToCbor(segment);
 }
 
-Result<std::vector<ItemOutcome>> DecodeOutcomes(const std::string& bytes) {
-  return Decode<std::vector<ItemOutcome>>(bytes);
+Result<std::vector<ItemOutcome>> DecodeSegment(const std::string& bytes,
+                                               const JobId& job) {
+  auto parts = Decode<std::vector<JobOutcomes>>(bytes);
+  if (!parts.has_value()) {
+    return parts.error();
+  }
+  std::vector<ItemOutcome> outcomes;
+  for (JobOutcomes& part : parts.value()) {
+    if (part.job == job) {
+      outcomes = std::move(part.outcomes);
+    }
+  }
+  return outcomes;
 }
 
 }  // namespace cowslip
--- a/Source/Batch/partition_state.h
+++ b/Source/Batch/partition_state.h
@@ -30,10 +30,15 @@
   std::vector<SegmentRef> segments;
   /// Committed outcomes that are in no segment yet.
   std::vector<ItemOutcome> unflushed;
+  /// The sum of their ApproximateBytes().
+  size_t unflushed_bytes = 0;
 
   bool running() const { return status == JobStatus::kRunning; }
   uint32_t remaining() const { return header.items - done.size(); }
   JobView View() const;
+  void AddUnflushed(ItemOutcome outcome);
+  /// Forgets the first outcomes, which are in segments now.
+  void DropUnflushed(size_t count);
 };
 
 void to_json(nlohmann::json& json, const JobState& state);
@@ -41,7 +46,6 @@
 
 /// Bytes that an outcome takes in a segment, roughly.
 size_t ApproximateBytes(const ItemOutcome& outcome);
-size_t UnflushedBytes(const JobState& job);
 
 /// \class PartitionState
 /// \brief The sum of a partition's journal up to `next`.
@@ -83,9 +87,10 @@
 /// Errors: kMalformedMessage.
 Result<JobState> DecodeJob(const std::string& bytes);
 
-std::string EncodeOutcomes(const std::vector<ItemOutcome>& outcomes);
-/// Errors: kMalformedMessage.
-Result<std::vector<ItemOutcome>> DecodeOutcomes(const std::string& bytes);
+std::string EncodeSegment(const std::vector<JobOutcomes>& segment);
+/// The outcomes of one job in a segment. Errors: kMalformedMessage.
+Result<std::vector<ItemOutcome>> DecodeSegment(const std::string& bytes,
+                                               const JobId& job);
 
 }  // namespace cowslip
 
--- a/Tests/Batch/fake_partition_world.h
+++ b/Tests/Batch/fake_partition_world.h
@@ -132,8 +132,8 @@
   std::vector<ItemOutcome> ReadOutcomes(const JobState& job) const {
     std::vector<ItemOutcome> outcomes;
     for (const SegmentRef& segment : job.segments) {
-      const auto part = DecodeOutcomes(
-          *Find(OutputSegmentKey(PartitionId(7), job.header.job, segment)));
+      const auto part = DecodeSegment(
+          *Find(OutputSegmentKey(PartitionId(7), segment)), job.header.job);
       outcomes.insert(outcomes.end(), part.value().begin(), part.value().end());
     }
     outcomes.insert(outcomes.end(), job.unflushed.begin(), job.unflushed.end());
