Batch: driver tests of a lost entry, cancel, outage and drain

Cause: the faults have to be seen with the driver and a store, too. Change: five cases over two entries on one event loop.

--- a/Tests/Batch/batch_driver_test.cc
+++ b/Tests/Batch/batch_driver_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -25,7 +26,7 @@
 /// \brief Answers each item with its own body.
 class FakeDispatcher : public ItemDispatcher {
  public:
-  size_t Capacity() override { return 8; }
+  size_t Capacity() override { return 8 - std::min<size_t>(8, held.size()); }
   void Dispatch(ItemDispatch item,
                 std::function<void(ItemResult)> done) override {
     ++runs[item.body];
@@ -228,5 +229,118 @@
   });
 }
 
+TEST_CASE("A job survives the loss of its entry after the acknowledgement") {
+  Fleet fleet(2);
+  fleet.Run([&]() -> awaitable<void> {
+    std::vector<std::string> ids;
+    for (int lot = 0; lot < 6; ++lot) {
+      const HttpRequest post = Post(Lines(20), "lot-" + std::to_string(lot));
+      const HttpResponse accepted = co_await fleet.Call(0, post);
+      CHECK(accepted.status == 201);
+      ids.push_back(nlohmann::json::parse(accepted.body)["id"]);
+    }
+    fleet.Kill(0);
+    for (const std::string& id : ids) {
+      const nlohmann::json job = co_await fleet.WaitForEnd(1, id);
+      CHECK(job["succeeded"] == 20);
+    }
+    const HttpRequest post = Post(Lines(20), "lot-0");
+    const HttpResponse resent = co_await fleet.Call(1, post);
+    CHECK(resent.status == 200);
+  });
+}
+
+TEST_CASE("A cancel stops running items and is final") {
+  Fleet fleet(2);
+  for (auto& dispatcher : fleet.dispatchers) {
+    dispatcher->hold = true;
+  }
+  fleet.Run([&]() -> awaitable<void> {
+    const HttpRequest post = Post(Lines(100));
+    const HttpResponse accepted = co_await fleet.Call(0, post);
+    const std::string id = nlohmann::json::parse(accepted.body)["id"];
+    co_await fleet.Sleep(100ms);
+    const HttpRequest cancel{.method = "POST",
+                             .target = "/v1/batches/" + id + "/cancel"};
+    const HttpResponse cancelled = co_await fleet.Call(1, cancel);
+    CHECK(cancelled.status == 200);
+    for (auto& dispatcher : fleet.dispatchers) {
+      for (const auto& done : dispatcher->held) {
+        done(ItemCompleted{.status = 200, .body = "late"});
+      }
+    }
+    co_await fleet.Sleep(100ms);
+    const nlohmann::json job = co_await fleet.WaitForEnd(0, id);
+    CHECK(job["status"] == "cancelled");
+    CHECK(job["not_done"] == 100);
+    const int cancels =
+        fleet.dispatchers[0]->cancels + fleet.dispatchers[1]->cancels;
+    CHECK(cancels == 8);
+  });
+}
+
+TEST_CASE("A store that is down refuses jobs, and they succeed afterwards") {
+  Fleet fleet(1);
+  fleet.Run([&]() -> awaitable<void> {
+    const HttpRequest post = Post(Lines(10));
+    fleet.stores[0]->faults().down = true;
+    const HttpResponse refused = co_await fleet.Call(0, post);
+    CHECK(refused.status == 503);
+    CHECK(FindHeader(refused.headers, "Retry-After"));
+    fleet.stores[0]->faults().down = false;
+    fleet.stores[0]->faults().lose_next_answer = true;
+    const HttpResponse accepted = co_await fleet.Call(0, post);
+    CHECK(accepted.status == 201);
+    const std::string id = nlohmann::json::parse(accepted.body)["id"];
+    fleet.stores[0]->faults().lose_next_answer = true;
+    const nlohmann::json job = co_await fleet.WaitForEnd(0, id);
+    CHECK(job["succeeded"] == 10);
+  });
+}
+
+TEST_CASE("Faulty calls get a problem that names the remedy") {
+  Fleet fleet(1);
+  fleet.Run([&]() -> awaitable<void> {
+    HttpRequest no_key = Post(Lines(1));
+    no_key.headers.erase(no_key.headers.begin());
+    HttpRequest no_route = Post(Lines(1));
+    no_route.headers.pop_back();
+    HttpRequest other_route = Post(Lines(1));
+    other_route.headers.back().value = "nowhere";
+    const HttpRequest faulty = Post("{\"custom_id\":\"a\"}\n");
+    const HttpRequest unknown{.target = "/v1/batches/nothing"};
+    const HttpRequest page{.target = "/v1/batches/x/results?limit=0"};
+    const std::vector<std::pair<HttpRequest, int>> calls = {
+        {no_key, 400}, {no_route, 400}, {other_route, 404},
+        {faulty, 400}, {unknown, 404},  {page, 400}};
+    for (const auto& [request, status] : calls) {
+      const HttpResponse response = co_await fleet.Call(0, request);
+      CHECK(response.status == status);
+      const auto problem = nlohmann::json::parse(response.body);
+      CHECK(problem["status"] == status);
+      CHECK(problem["not_run"] == true);
+      CHECK_FALSE(problem["detail"].get<std::string>().empty());
+    }
+  });
+}
+
+TEST_CASE("A drained entry finishes its items and hands over") {
+  Fleet fleet(2);
+  fleet.Run([&]() -> awaitable<void> {
+    const HttpRequest post = Post(Lines(200));
+    const HttpResponse accepted = co_await fleet.Call(0, post);
+    const std::string id = nlohmann::json::parse(accepted.body)["id"];
+    co_await fleet.drivers[0]->Drain();
+    CHECK(fleet.drivers[0]->counters().owned_partitions == 0);
+    CHECK(fleet.drivers[0]->counters().running_items == 0);
+    fleet.Kill(0);
+    const nlohmann::json job = co_await fleet.WaitForEnd(1, id);
+    CHECK(job["succeeded"] == 200);
+    for (const auto& [body, runs] : fleet.dispatchers[0]->runs) {
+      CHECK(fleet.dispatchers[1]->runs.count(body) == 0);
+    }
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
