--- a/Source/Batch/batch_driver.cc
+++ b/Source/Batch/batch_driver.cc
@@ -191,7 +191,7 @@
   };
   for (uint32_t number = 0; number < impl->options().partitions; ++number) {
     const PartitionId partition(number);
-    const auto state = co_await impl->reader().ReadPartition(partition);
+    const auto state = co_await impl->ReadState(partition);
     if (!state.has_value()) {
       co_return state.error();
     }
--- a/Source/Batch/batch_driver_impl.cc
+++ b/Source/Batch/batch_driver_impl.cc
@@ -154,6 +154,17 @@
   }
 }
 
+awaitable<Result<PartitionState>> BatchDriver::Impl::ReadState(
+    PartitionId partition) {
+  if (partition.value() < m_runners.size()) {
+    const PartitionCore& core = m_runners[partition.value()]->core();
+    if (core.IsOwner(MonotonicClock::now())) {
+      co_return core.state();
+    }
+  }
+  co_return co_await m_reader.ReadPartition(partition);
+}
+
 awaitable<Result<JobView>> BatchDriver::Impl::AskOwner(JobId job, Ask ask) {
   const std::shared_ptr<Impl> self = shared_from_this();
   const PartitionId partition = PartitionOf(job, m_options.partitions);
--- a/Source/Batch/batch_driver_impl.h
+++ b/Source/Batch/batch_driver_impl.h
@@ -48,6 +48,10 @@
   void BeginDrain();
   bool drained() const;
 
+  /// A partition's state: from memory when this VM owns it, else from the
+  /// store.
+  boost::asio::awaitable<Result<PartitionState>> ReadState(
+      PartitionId partition);
   /// Asks the assigned owner of the job's partition and waits for its reply.
   boost::asio::awaitable<Result<JobView>> AskOwner(JobId job, Ask ask);
 
--- a/Source/Batch/partition_core.cc
+++ b/Source/Batch/partition_core.cc
@@ -69,6 +69,10 @@
       FollowOrClaim();
       return;
     case Phase::kClaiming:
+      if (handing_over() && m_append->step == AppendStep::kWaitToRetry) {
+        OnAppendLost();
+        return;
+      }
       ContinueAppend();
       return;
     case Phase::kOwning:
--- a/Tests/Batch/batch_driver_test.cc
+++ b/Tests/Batch/batch_driver_test.cc
@@ -226,6 +226,11 @@
     CHECK(seen.size() == 50);
     const HttpResponse late = co_await fleet.Call(0, post);
     CHECK(late.status == 200);
+    const auto listed =
+        co_await fleet.drivers[1]->List(OrganisationId("mill"), 10);
+    CHECK(listed.value().size() == 1);
+    const auto none = co_await fleet.drivers[1]->List(OrganisationId("x"), 10);
+    CHECK(none.value().empty());
   });
 }
 
