Net: Open() can be given up before the response's header

Cause: a cancelled or preempted call could not be closed while it waited for a header, so the engine kept running it. Change: HttpAbort, an optional argument of HttpClient::Open. Conclusion: existing callers are unchanged.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -93,6 +93,30 @@
 
 namespace {
 
+// Ties an abort to a connection for as long as it stands.
+class AbortBinding {
+ public:
+  AbortBinding(std::shared_ptr<HttpAbort> abort, ClientConnection& connection)
+      : m_abort(std::move(abort)) {
+    if (m_abort != nullptr) {
+      m_abort->SetClose([&connection] {
+        boost::system::error_code ignored;
+        connection.stream.socket().close(ignored);
+      });
+    }
+  }
+  ~AbortBinding() {
+    if (m_abort != nullptr) {
+      m_abort->SetClose(nullptr);
+    }
+  }
+  AbortBinding(const AbortBinding&) = delete;
+  AbortBinding& operator=(const AbortBinding&) = delete;
+
+ private:
+  const std::shared_ptr<HttpAbort> m_abort;
+};
+
 class ResponseStream final : public HttpResponseStream {
  public:
   ResponseStream(
@@ -189,13 +213,19 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> HttpClient::Open(
     HttpRequest request,
-    Duration timeout) {
+    Duration timeout,
+    std::shared_ptr<HttpAbort> abort) {
   const auto impl = m_impl;
   Result<ConnectionPtr> acquired = co_await impl->Acquire();
   if (!acquired.has_value()) {
     co_return acquired.error();
   }
+  if (abort != nullptr && abort->aborted()) {
+    co_return Error(ErrorKind::kUnavailable,
+                    "The call was given up before anything was sent.");
+  }
   ConnectionPtr connection = std::move(acquired.value());
+  const AbortBinding binding(abort, *connection);
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   const auto message = ToBeast(std::move(request), impl->endpoint());
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +26,27 @@
   Duration connect_timeout = std::chrono::seconds(2);
 };
 
+/// \class HttpAbort
+/// \brief Lets the caller of Open() give up while it waits for the response's
+/// header.
+class HttpAbort {
+ public:
+  /// Closes the connection at once, if there is one; the call fails.
+  void Abort() {
+    m_aborted = true;
+    if (m_close) {
+      m_close();
+    }
+  }
+  bool aborted() const { return m_aborted; }
+  /// For the client: how to close the connection; null when it has none.
+  void SetClose(std::function<void()> close) { m_close = std::move(close); }
+
+ private:
+  std::function<void()> m_close;
+  bool m_aborted = false;
+};
+
 /// \class HttpResponseStream
 /// \brief A response whose body is read piece by piece. Destroying it before
 /// its end closes the connection, which cancels the request at the server.
@@ -63,10 +85,12 @@
   /// Sends a request and reads the whole response.
   boost::asio::awaitable<Result<HttpResponse>> Send(HttpRequest request,
                                                     Duration timeout);
-  /// Sends a request and returns once the response's header has come.
+  /// Sends a request and returns once the response's header has come. An abort
+  /// before anything was sent is kUnavailable, a later one kInDoubt.
   boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> Open(
       HttpRequest request,
-      Duration timeout);
+      Duration timeout,
+      std::shared_ptr<HttpAbort> abort = nullptr);
 
  private:
   std::shared_ptr<Impl> m_impl;
