Backend: gather only answers of one text, keep their other fields

Cause: an answer with several texts or tool calls would have been cut down, and a text that looks like the closing event could have ended a stream. Change: CanResume, AssembledAnswer keeps id, model, usage and finish_reason; StreamedAnswer looks for the closing event at the start of a line; calls are given up before their header too. Measured: ctest -R backend passes, engine_answer with any split of the bytes.

--- a/Source/Backend/engine_answer.cc
+++ b/Source/Backend/engine_answer.cc
@@ -28,7 +28,11 @@
 }
 
 Result<std::string> StreamedAnswer::Finish() {
-  if (m_tail.find(kClosingData) == std::string::npos) {
+  // An answer's text cannot hold this: JSON escapes line breaks.
+  const std::string closing(kClosingData);
+  const bool whole = m_tail.find("\ndata: " + closing) != std::string::npos ||
+                     m_tail.find("\ndata:" + closing) != std::string::npos;
+  if (!whole) {
     return Truncated();
   }
   return std::string();
@@ -57,22 +61,15 @@
   if (!event.has_value()) {
     return event.error();
   }
-  const nlohmann::json& json = event.value();
-  const nlohmann::json::json_pointer delta_pointer("/choices/0/delta");
-  const bool has_delta = json.is_object() && json.contains(delta_pointer) &&
-                         json.at(delta_pointer).is_object();
-  if (!has_delta) {
-    return Ok();
-  }
-  const nlohmann::json& delta = json.at(delta_pointer);
-  const auto content = delta.find("content");
-  if (content == delta.end() || !content->is_string()) {
-    return Ok();
+  if (!event.value().is_object()) {
+    return Error(ErrorKind::kMalformedMessage,
+                 "The backend server sent an event that is no object. Check "
+                 "the backend server.");
   }
-  m_progress.text += content->get_ref<const std::string&>();
-  // The event that opens an answer names the role and is no token.
-  if (!delta.contains("role")) {
-    ++m_progress.tokens;
+  m_answer.update(event.value());
+  const nlohmann::json::json_pointer choice_pointer("/choices/0");
+  if (event.value().contains(choice_pointer)) {
+    TakeChoice(event.value().at(choice_pointer));
   }
   if (m_progress.text.size() > m_max_bytes) {
     return Error(ErrorKind::kTooLarge,
@@ -81,16 +78,42 @@
   return Ok();
 }
 
+void AssembledAnswer::TakeChoice(const nlohmann::json& choice) {
+  const auto reason = choice.find("finish_reason");
+  if (reason != choice.end() && reason->is_string()) {
+    m_finish_reason = *reason;
+  }
+  const auto delta = choice.find("delta");
+  if (delta == choice.end() || !delta->is_object()) {
+    return;
+  }
+  const auto content = delta->find("content");
+  if (content == delta->end() || !content->is_string()) {
+    return;
+  }
+  m_progress.text += content->get_ref<const std::string&>();
+  // The event that opens an answer names the role and is no token.
+  if (!delta->contains("role")) {
+    ++m_progress.tokens;
+  }
+}
+
 Result<std::string> AssembledAnswer::Finish() {
   if (!m_done) {
     return Truncated();
   }
   const nlohmann::json message = {{"role", "assistant"},
                                   {"content", m_progress.text}};
-  const nlohmann::json choice = {{"index", 0}, {"message", message}};
-  return DumpJson({{"object", "chat.completion"},
-                   {"choices", nlohmann::json::array({choice})},
-                   {"usage", {{"completion_tokens", m_progress.tokens}}}});
+  const nlohmann::json choice = {
+      {"index", 0}, {"message", message}, {"finish_reason", m_finish_reason}};
+  m_answer["object"] = "chat.completion";
+  m_answer["choices"] = nlohmann::json::array({choice});
+  if (!m_answer["usage"].is_object()) {
+    m_answer["usage"] = nlohmann::json::object();
+  }
+  // The engine counts only what it produced after the latest resume.
+  m_answer["usage"]["completion_tokens"] = m_progress.tokens;
+  return DumpJson(m_answer);
 }
 
 }  // namespace cowslip
--- a/Source/Backend/engine_answer.h
+++ b/Source/Backend/engine_answer.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <variant>
 
+#include <nlohmann/json.hpp>
+
 #include "Backend/resume_token.h"
 #include "Backend/sse_reader.h"
 #include "Base/result.h"
@@ -32,7 +34,7 @@
 
  private:
   // The end of what has passed, long enough to hold the closing event.
-  std::string m_tail;
+  std::string m_tail = "\n";
 };
 
 /// \class AssembledAnswer
@@ -54,7 +56,12 @@
  private:
   Result<void> TakeEvent(const std::string& data);
 
+  void TakeChoice(const nlohmann::json& choice);
+
   SseReader m_reader;
+  // What the events say beside their choices: id, model, usage.
+  nlohmann::json m_answer = nlohmann::json::object();
+  nlohmann::json m_finish_reason;
   ResumeToken m_progress;
   size_t m_max_bytes;
   bool m_done = false;
--- a/Source/Backend/engine_request.cc
+++ b/Source/Backend/engine_request.cc
@@ -13,6 +13,12 @@
 
 constexpr std::string_view kChatPath = "/chat/completions";
 
+constexpr JsonLimits kBodyLimits = {.max_bytes = 4 << 20};
+
+// Fields of a chat completion that make its answer more than one text.
+constexpr std::array<const char*, 6> kManyTexts = {
+    "n", "tools", "functions", "logprobs", "audio", "stream_options"};
+
 // Each is either about one connection or may hold a credential.
 constexpr std::array<std::string_view, 14> kDropped = {"connection",
                                                        "keep-alive",
@@ -38,10 +44,16 @@
 
 }  // namespace
 
-bool IsChatCompletion(const DispatchRequest& request) {
+bool CanResume(const DispatchRequest& request) {
   const std::string path = request.target.substr(0, request.target.find('?'));
-  return request.method == "POST" && path.size() >= kChatPath.size() &&
-         path.ends_with(kChatPath);
+  if (request.method != "POST" || !path.ends_with(kChatPath)) {
+    return false;
+  }
+  const Result<nlohmann::json> body = ParseJson(request.body, kBodyLimits);
+  return body.has_value() && body.value().is_object() &&
+         std::none_of(
+             kManyTexts.begin(), kManyTexts.end(),
+             [&](const char* field) { return body.value().contains(field); });
 }
 
 std::vector<ForwardedHeader> EndToEndHeaders(
@@ -70,7 +82,7 @@
 
 Result<EngineRequest> AskAsStream(const DispatchRequest& request,
                                   const ResumeToken& resume) {
-  Result<nlohmann::json> body = ParseJson(request.body, {.max_bytes = 4 << 20});
+  Result<nlohmann::json> body = ParseJson(request.body, kBodyLimits);
   if (!body.has_value()) {
     return body.error();
   }
--- a/Source/Backend/engine_request.h
+++ b/Source/Backend/engine_request.h
@@ -22,8 +22,9 @@
   std::string body;
 };
 
-/// True for a chat completion, the call whose streams can be resumed.
-bool IsChatCompletion(const DispatchRequest& request);
+/// True for a chat completion whose answer is one text, so that its stream can
+/// be gathered and resumed.
+bool CanResume(const DispatchRequest& request);
 
 /// Forwards a request as it is, less headers that may hold a key.
 EngineRequest ForwardAsIs(const DispatchRequest& request);
--- a/Source/Backend/gate_core.cc
+++ b/Source/Backend/gate_core.cc
@@ -123,8 +123,8 @@
 Result<GateExchange> GateCore::MakeExchange(Dispatched event) const {
   const DispatchRequest& request = event.request;
   const bool batch = request.work == WorkClass::kBatch;
-  const bool resumable = m_options.kind == BackendKind::kEngine && batch &&
-                         IsChatCompletion(request);
+  const bool resumable =
+      m_options.kind == BackendKind::kEngine && batch && CanResume(request);
   const Duration left = request.deadline_ms > 0
                             ? std::chrono::milliseconds(request.deadline_ms)
                             : m_options.default_deadline;
--- a/Source/Backend/gate_driver.cc
+++ b/Source/Backend/gate_driver.cc
@@ -36,6 +36,7 @@
   // Rings when `paused` or `aborted` changes.
   asio::steady_timer wake;
   HttpResponseStream* stream = nullptr;
+  const std::shared_ptr<HttpAbort> abort = std::make_shared<HttpAbort>();
   bool paused = false;
   bool aborted = false;
 };
@@ -212,8 +213,10 @@
   const MonotonicTime deadline = MonotonicClock::now() + timeout;
   HttpRequest request = ToHttp(std::move(action.request));
   Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await m_client.Open(std::move(request), timeout);
+      co_await m_client.Open(std::move(request), timeout, call->abort);
   if (call->aborted) {
+    // Closed before the slot counts as free.
+    opened = Error(ErrorKind::kCancelled, "The call was given up.");
     EndCall(key, EngineClosed{key});
     co_return;
   }
@@ -284,6 +287,7 @@
   }
   call->aborted = true;
   call->wake.cancel();
+  call->abort->Abort();
   if (call->stream != nullptr) {
     call->stream->Abort();
   }
--- /dev/null
+++ b/Tests/Backend/engine_answer_test.cc
@@ -0,0 +1,118 @@
+#include "Backend/engine_answer.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "Backend/engine_request.h"
+#include "Base/json.h"
+
+namespace cowslip {
+namespace {
+
+constexpr char kStream[] =
+    ": a comment\r\n"
+    "data: {\"id\":\"c1\",\"model\":\"m\",\"choices\":[{\"delta\":"
+    "{\"role\":\"assistant\",\"content\":\"oak \"}}]}\r\n\r\n"
+    "data: {\"choices\":[{\"delta\":{\"content\":\"t1\"}}]}\n\n"
+    "data: {\"choices\":[{\"delta\":{\"content\":\" t2\"},"
+    "\"finish_reason\":\"stop\"}]}\n\n"
+    "data: [DONE]\n\n";
+
+TEST_CASE("A stream is gathered whole, however its bytes are split") {
+  CHECK(rc::check([](const std::vector<uint8_t>& sizes) {
+    AssembledAnswer answer({}, 1 << 20);
+    std::string rest = kStream;
+    for (const uint8_t size : sizes) {
+      RC_ASSERT(answer.Feed(rest.substr(0, size)).has_value());
+      rest.erase(0, size);
+    }
+    RC_ASSERT(answer.Feed(rest).has_value());
+    const auto whole = answer.Finish();
+    RC_ASSERT(whole.has_value());
+    const auto json = ParseJson(whole.value());
+    const auto& choice = json.value()["choices"][0];
+    RC_ASSERT(choice["message"]["content"] == "oak t1 t2");
+    RC_ASSERT(choice["finish_reason"] == "stop");
+    RC_ASSERT(json.value()["id"] == "c1");
+    RC_ASSERT(json.value()["usage"]["completion_tokens"] == 2);
+  }));
+}
+
+TEST_CASE("A stream that stops anywhere before its end is an error") {
+  const std::string whole = kStream;
+  for (size_t size = 0; size + 1 < whole.size(); ++size) {
+    AssembledAnswer answer({}, 1 << 20);
+    REQUIRE(answer.Feed(whole.substr(0, size)).has_value());
+    CHECK_FALSE(answer.Finish().has_value());
+  }
+}
+
+TEST_CASE("A text that looks like the closing event does not end a stream") {
+  StreamedAnswer answer;
+  REQUIRE(answer.Feed("data: {\"content\":\"data: [DONE]\"}\n").has_value());
+  CHECK_FALSE(answer.Finish().has_value());
+  REQUIRE(answer.Feed("\ndata: [DO").has_value());
+  CHECK_FALSE(answer.Finish().has_value());
+  REQUIRE(answer.Feed("NE]\n\n").has_value());
+  CHECK(answer.Finish().has_value());
+}
+
+TEST_CASE("Answers survive any bytes") {
+  CHECK(rc::check([](const std::vector<std::string>& pieces) {
+    AssembledAnswer answer({}, 1 << 10);
+    for (const std::string& piece : pieces) {
+      const auto fed = answer.Feed("data: " + piece + "\n\n");
+      if (!fed.has_value()) {
+        return;
+      }
+    }
+    RC_ASSERT(!answer.Finish().has_value());
+  }));
+}
+
+TEST_CASE("An answer over the limit is an error") {
+  AssembledAnswer answer({.tokens = 1, .text = std::string(100, 'x')}, 100);
+  const auto fed =
+      answer.Feed("data: {\"choices\":[{\"delta\":{\"content\":\"y\"}}]}\n\n");
+  REQUIRE_FALSE(fed.has_value());
+  CHECK(fed.error().kind() == ErrorKind::kTooLarge);
+}
+
+TEST_CASE("Resume tokens survive any text and refuse any nonsense") {
+  CHECK(rc::check([](uint32_t tokens, const std::string& nonsense) {
+    const ResumeToken token{.tokens = tokens + 1ull, .text = "\"\\\n\xc3\xa9"};
+    const auto decoded = DecodeResumeToken(EncodeResumeToken(token));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().text == token.text);
+    RC_ASSERT(decoded.value().tokens == token.tokens);
+    (void)DecodeResumeToken(nonsense);
+  }));
+}
+
+TEST_CASE("Only an answer of one text is gathered") {
+  DispatchRequest request{.method = "POST",
+                          .target = "/v1/chat/completions?x=1",
+                          .body = R"({"messages":[]})"};
+  CHECK(CanResume(request));
+  request.body = R"({"messages":[],"tools":[]})";
+  CHECK_FALSE(CanResume(request));
+  request.body = "[";
+  CHECK_FALSE(CanResume(request));
+}
+
+TEST_CASE("No header that may hold a key is passed on") {
+  const DispatchRequest request{
+      .organisation = OrganisationId("namu"),
+      .headers = {{.name = "AUTHORIZATION", .value = "Bearer k"},
+                  {.name = "cOOkie", .value = "k"},
+                  {.name = "X-Api-Key", .value = "k"},
+                  {.name = "Cowslip-Organisation", .value = "forged"},
+                  {.name = "Accept", .value = "*/*"}}};
+  const EngineRequest forwarded = ForwardAsIs(request);
+  REQUIRE(forwarded.headers.size() == 2);
+  CHECK(forwarded.headers[0].name == "Accept");
+  CHECK(forwarded.headers[1].value == "namu");
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Tests/Backend/side_daemon_test.cc
+++ b/Tests/Backend/side_daemon_test.cc
@@ -85,6 +85,21 @@
       fixture.RunUntil([&] { return EngineStats(fixture)["running"] == 0; }));
 }
 
+TEST_CASE("A call is given up before the engine has sent any byte") {
+  SideFixture fixture(FastEngine(1));
+  fixture.StartSide(1);
+  DispatchRequest whole = Chat("oak", 100000);
+  whole.body.replace(whole.body.find("true"), 4, "false");
+  const ExchangeId id = fixture.Dispatch(whole);
+  const auto runs = [&] { return EngineStats(fixture)["running"] == 1; };
+  REQUIRE(fixture.RunUntil(runs));
+  fixture.Send(CancelRequest{.exchange = id});
+  REQUIRE(fixture.RunUntil([&] { return !runs(); }));
+  ReceivedAnswer& next = fixture.answer(fixture.Dispatch(Chat("ash", 5)));
+  REQUIRE(fixture.RunUntil([&] { return next.Ended(); }));
+  CHECK(next.ends.size() == 1);
+}
+
 TEST_CASE("A caller that does not read stops the reading from the engine") {
   EngineServerOptions engine = FastEngine(1);
   engine.model.step_time = 10us;
