--- a/Source/Audit/audit_trail.cc
+++ b/Source/Audit/audit_trail.cc
@@ -2,20 +2,14 @@
 
 #include <utility>
 
-#include "Configuration/configuration_reader.h"
 #include "Platform/object_store.h"
 
 namespace cowslip {
 
-boost::asio::awaitable<Result<std::vector<AuditRecord>>> ReadAuditTrail(
-    ObjectStore& store,
-    size_t limit) {
-  const Result<ConfigurationHead> head = co_await ReadHead(store);
-  if (!head.has_value()) {
-    co_return head.error();
-  }
+boost::asio::awaitable<Result<std::vector<AuditRecord>>>
+ReadAuditTrail(ObjectStore& store, Digest newest, size_t limit) {
   std::vector<AuditRecord> trail;
-  Digest next = head.value().audit;
+  Digest next = std::move(newest);
   while (!next.empty() && trail.size() < limit) {
     ObjectKey key(kAuditPrefix + next.value());
     const Result<StoredObject> read = co_await store.Get(std::move(key));
--- a/Source/Audit/audit_trail.h
+++ b/Source/Audit/audit_trail.h
@@ -13,11 +13,10 @@
 
 class ObjectStore;
 
-/// Walks the trail from the newest record back, at most `limit` records.
+/// Walks the trail from the record `newest` back, at most `limit` records.
 /// Errors: those of the store; kMalformedMessage when a record was changed.
-boost::asio::awaitable<Result<std::vector<AuditRecord>>> ReadAuditTrail(
-    ObjectStore& store,
-    size_t limit);
+boost::asio::awaitable<Result<std::vector<AuditRecord>>>
+ReadAuditTrail(ObjectStore& store, Digest newest, size_t limit);
 
 }  // namespace cowslip
 
--- a/Source/Configuration/configuration_change.cc
+++ b/Source/Configuration/configuration_change.cc
@@ -218,10 +218,11 @@
   }
 }
 
+// Keeps the record short, but names every subject.
 void Append(std::vector<AuditChange>& all, std::vector<AuditChange> more) {
-  for (AuditChange& change : more) {
-    if (all.size() < kMaxChanges) {
-      all.push_back(std::move(change));
+  for (size_t i = 0; i < more.size(); ++i) {
+    if (i == 0 || all.size() < kMaxChanges) {
+      all.push_back(std::move(more[i]));
     }
   }
 }
--- a/Source/Configuration/declaration_loader.cc
+++ b/Source/Configuration/declaration_loader.cc
@@ -25,10 +25,13 @@
   }
   std::vector<std::string> files;
   fs::recursive_directory_iterator walk(path, error);
-  for (const fs::directory_entry& entry : walk) {
-    if (entry.is_regular_file() && entry.path().extension() == ".json") {
-      files.push_back(entry.path().string());
+  while (!error && walk != fs::recursive_directory_iterator()) {
+    std::error_code ignored;
+    const bool file = walk->is_regular_file(ignored);
+    if (file && walk->path().extension() == ".json") {
+      files.push_back(walk->path().string());
     }
+    walk.increment(error);
   }
   std::sort(files.begin(), files.end());
   return files;
--- a/Source/Configuration/publish_core.cc
+++ b/Source/Configuration/publish_core.cc
@@ -20,7 +20,9 @@
 }  // namespace
 
 PublishCore::PublishCore(PublishCoreOptions options)
-    : m_options(std::move(options)), m_random(m_options.seed) {}
+    : m_options(std::move(options)),
+      m_random(m_options.seed),
+      m_base(m_options.base) {}
 
 PublishActions PublishCore::Handle(const PublishEvent& event, MonotonicTime) {
   if (!m_finished) {
--- a/Source/Configuration/publish_core.h
+++ b/Source/Configuration/publish_core.h
@@ -28,6 +28,9 @@
   WallTime when;
   /// Unique for this publication.
   WriterToken token;
+  /// What the change is meant to replace, by subject, as ReplacedParts gives
+  /// it; what the core reads first when left out.
+  std::optional<std::map<std::string, nlohmann::json>> base;
   int max_attempts = 12;
   Duration retry_min = std::chrono::milliseconds(50);
   Duration retry_max = std::chrono::seconds(2);
--- a/Source/Operator/audit_command.cc
+++ b/Source/Operator/audit_command.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "Audit/audit_trail.h"
+#include "Configuration/configuration_reader.h"
 #include "Operator/commands.h"
 #include "Operator/wall_time_text.h"
 
@@ -25,8 +26,13 @@
 }  // namespace
 
 CommandTask RunAudit(CommandContext context) {
-  const auto trail =
-      co_await ReadAuditTrail(*context.store, context.options.limit);
+  const auto head = co_await ReadHead(*context.store);
+  if (!head.has_value()) {
+    co_return FailureOf(head.error());
+  }
+  Digest newest = head.value().audit;
+  const auto trail = co_await ReadAuditTrail(*context.store, std::move(newest),
+                                             context.options.limit);
   if (!trail.has_value()) {
     co_return FailureOf(trail.error());
   }
--- a/Source/Operator/operator_options.cc
+++ b/Source/Operator/operator_options.cc
@@ -44,10 +44,11 @@
 )"},
     {"publish",
      R"(Usage: cowslip publish [PATH...] --platform HOST:PORT [--who NAME]
-         [--remove-service ID] [--remove-set ID] [--json]
+         [--remove-service ID] [--remove-set ID] [--since VERSION] [--json]
 
 Checks the declarations and puts them into force as one new version. What the
-files do not name stays as it is. Safe to repeat.
+files do not name stays as it is. Safe to repeat. With --since, refuses to
+replace what somebody has changed after that version.
 )"},
     {"status",
      R"(Usage: cowslip status [--platform HOST:PORT] [--entry HOST:PORT]... [--json]
@@ -168,6 +169,7 @@
   int version = 0;
   int json = 0;
   int limit = 50;
+  long long since = -1;
   const auto string_option = [](const char* name, char** to) {
     return poptOption{name, '\0', POPT_ARG_STRING, to, 0, nullptr, nullptr};
   };
@@ -183,6 +185,7 @@
       list_option("remove-service", &strings.services),
       list_option("remove-set", &strings.sets),
       {"limit", '\0', POPT_ARG_INT, &limit, 0, nullptr, nullptr},
+      {"since", '\0', POPT_ARG_LONGLONG, &since, 0, nullptr, nullptr},
       {"json", '\0', POPT_ARG_NONE, &json, 0, nullptr, nullptr},
       {"version", '\0', POPT_ARG_NONE, &version, 0, nullptr, nullptr},
       {"help", 'h', POPT_ARG_NONE, &help, 0, nullptr, nullptr},
@@ -235,6 +238,9 @@
   options.removed_services = List(strings.services);
   options.removed_sets = List(strings.sets);
   options.limit = static_cast<size_t>(limit);
+  if (since >= 0) {
+    options.since = ConfigVersion(static_cast<uint64_t>(since));
+  }
   options.json = json != 0;
   return {.options = std::move(options)};
 }
--- a/Source/Operator/operator_options.h
+++ b/Source/Operator/operator_options.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Base/endpoint.h"
+#include "Base/ids.h"
 
 namespace cowslip {
 
@@ -36,6 +37,8 @@
   std::vector<std::string> removed_services;
   std::vector<std::string> removed_sets;
   size_t limit = 50;
+  /// Refuse to replace what was changed after this version.
+  std::optional<ConfigVersion> since;
   bool json = false;
 };
 
--- a/Source/Operator/publication.h
+++ b/Source/Operator/publication.h
@@ -8,7 +8,8 @@
 
 namespace cowslip {
 
-/// Publishes one change in the name of `--who`, with a fresh token.
+/// Publishes one change in the name of `--who`, with a fresh token. With
+/// `--since`, fails with kConflict when what it replaces was changed later.
 boost::asio::awaitable<PublishOutcome> PublishChange(
     const CommandContext& context,
     ConfigurationChange change);
--- a/Tests/Operator/operator_test.cc
+++ b/Tests/Operator/operator_test.cc
@@ -96,6 +96,22 @@
           .exit_code == kOperatorOk);
 }
 
+TEST_CASE_METHOD(Fixture, "Files made from an older version are refused") {
+  REQUIRE(Run({"publish", kNamu.c_str()}).exit_code == kOperatorOk);
+  REQUIRE(Run({"publish", "--remove-service", "flitch-register"}).exit_code ==
+          kOperatorOk);
+  const CommandResult stale = Run({"publish", kNamu.c_str(), "--since", "1"});
+  CHECK(stale.exit_code == kOperatorConflict);
+  REQUIRE(stale.errors.size() == 1);
+  CHECK_THAT(stale.errors.at(0),
+             Catch::Contains("service flitch-register: changed by ana in "
+                             "version 2 at "));
+  CHECK(Run({"publish", kNamu.c_str(), "--since", "9"}).exit_code ==
+        kOperatorFailure);
+  CHECK(Run({"publish", kNamu.c_str(), "--since", "2"}).exit_code ==
+        kOperatorOk);
+}
+
 TEST_CASE_METHOD(Fixture, "A key is shown once, kept as a digest, withdrawn") {
   REQUIRE(Run({"publish", kNamu.c_str()}).exit_code == kOperatorOk);
   CHECK(Run({"keys", "add", "nobody"}).exit_code == kOperatorFailure);
