Configuration: do not parse a head again that is in force

Cause: polls mostly find the same head. Change: equal text is left alone. Measured: build/bin/test_configuration_core: 13 cases passed. Conclusion: a poll costs a comparison.

--- a/Source/Configuration/configuration_core_contents.cc
+++ b/Source/Configuration/configuration_core_contents.cc
@@ -16,6 +16,9 @@
 
 void ConfigurationCore::Consider(const std::string& text,
                                  std::optional<VmId> source) {
+  if (text == m_head_text || (m_candidate && text == m_candidate->text)) {
+    return;
+  }
   Result<ConfigurationHead> head = DecodeHead(text);
   if (!head.has_value()) {
     m_actions.push_back(
