--- a/Utilities/Bench/bench_main.cc
+++ b/Utilities/Bench/bench_main.cc
@@ -38,9 +38,7 @@
   BatchLoad batch(context, options, report);
   bool online_done = false;
   const auto run_online = [&]() -> awaitable<void> {
-    if (options.rate > 0) {
-      co_await online.Run();
-    }
+    co_await online.Run();
     online_done = true;
     batch.OnlineEnded();
   };
--- a/Utilities/Bench/online_load.cc
+++ b/Utilities/Bench/online_load.cc
@@ -94,8 +94,12 @@
   for (const BenchCaller& caller : m_options.callers) {
     schedule_options.weights.push_back(caller.weight);
   }
-  ArrivalSchedule schedule(schedule_options);
   const MonotonicTime start = MonotonicClock::now();
+  if (m_options.rate <= 0) {
+    co_await SleepUntil(m_context, start + m_options.length);
+    co_return;
+  }
+  ArrivalSchedule schedule(schedule_options);
   uint64_t number = 0;
   for (Arrival arrival = schedule.Next(); arrival.at < m_options.length;
        arrival = schedule.Next()) {
@@ -111,6 +115,7 @@
     boost::asio::co_spawn(m_context, RunRequest(std::move(request)),
                           boost::asio::detached);
   }
+  co_await SleepUntil(m_context, start + m_options.length);
   while (m_running > 0) {
     co_await SleepUntil(m_context, MonotonicClock::now() + kPollInterval);
   }
--- a/Utilities/Bench/online_load.h
+++ b/Utilities/Bench/online_load.h
@@ -25,7 +25,7 @@
              const BenchOptions& options,
              BenchReport& report);
 
-  /// Returns when the last request has ended.
+  /// Returns at the end of the run, once the last request has ended.
   boost::asio::awaitable<void> Run();
 
  private:
--- a/Utilities/measure/batch-throughput.sh
+++ b/Utilities/measure/batch-throughput.sh
@@ -30,7 +30,7 @@
   measured "$round-direct" $(engine_targets) --rate 60 --max-tokens 60 \
     --timeout 5 --seconds "$run_length"
   sleep 1
-  measured "$round-idle" $(entry_targets) "${batch[@]}" --rate 0.01 --seconds "$run_length"
+  measured "$round-idle" $(entry_targets) "${batch[@]}" --rate 0 --seconds "$run_length"
   sleep 1
   measured "$round-online" $(entry_targets) "${batch[@]}" --rate 15 --bursts 4:1:3 \
     --stream --max-tokens 24 --seconds "$run_length"
