--- a/Utilities/measure.sh
+++ b/Utilities/measure.sh
@@ -6,6 +6,7 @@
 #   SCENARIO: online-tail batch-throughput limits faults cost propagation
 #   ROUNDS=N  repetitions, alternating   LENGTH=S  seconds of each run
 #   BASE_PORT=N  first port
+#   HEADROOM=N  slots kept for online requests (batch-throughput)
 set -uo pipefail
 cd "$(dirname "$0")/.."
 . Utilities/fleet.sh
@@ -15,7 +16,7 @@
 length="${LENGTH:-12}"
 case "$scenario" in
   online-tail | batch-throughput | limits | faults | cost | propagation) ;;
-  *) sed -n '2,9p' "$0"; exit 2 ;;
+  *) sed -n '2,10p' "$0"; exit 2 ;;
 esac
 
 reports="build/measure/$scenario"
--- a/Utilities/measure/batch-throughput.sh
+++ b/Utilities/measure/batch-throughput.sh
@@ -1,6 +1,6 @@
 # Tokens a second of batch work against what the engines give when fed directly.
 write_declarations a:5000:5000 b:5000:5000
-start_fleet 2 3 8 1 preempt
+start_fleet 2 3 8 "${HEADROOM:-1}" preempt
 publish_and_add_keys a b
 wait_ready
 
