--- a/Source/Limits/limit_table.h
+++ b/Source/Limits/limit_table.h
@@ -18,6 +18,18 @@
       m_limits[limit.organisation] = limit;
     }
   }
+  /// The limits that `next` lacks or has otherwise.
+  std::vector<OrganisationLimit> DifferingFrom(const LimitTable& next) const {
+    std::vector<OrganisationLimit> differing;
+    for (const auto& [organisation, limit] : m_limits) {
+      const OrganisationLimit* other = next.Find(organisation);
+      if (other == nullptr || other->rate != limit.rate ||
+          other->burst != limit.burst) {
+        differing.push_back(limit);
+      }
+    }
+    return differing;
+  }
   /// Null when the organisation has no limit, which admits nothing.
   const OrganisationLimit* Find(const OrganisationId& organisation) const {
     const auto found = m_limits.find(organisation);
--- a/Source/Limits/limits_core.cc
+++ b/Source/Limits/limits_core.cc
@@ -154,7 +154,21 @@
 }
 
 void LimitsCore::Apply(const LimitsChanged& event) {
-  m_limits.Replace(event.limits);
+  LimitTable next;
+  next.Replace(event.limits);
+  // What has grown until now has grown by the old limits.
+  for (const OrganisationLimit& old : m_limits.DifferingFrom(next)) {
+    const LimitsShard shard = ShardOf(old.organisation, m_options.shard_count);
+    const auto owned = m_owned.find(shard);
+    if (owned != m_owned.end()) {
+      owned->second.ledger().Settle(old, m_now);
+    }
+    const auto holder = m_holders.find(shard);
+    if (holder != m_holders.end()) {
+      holder->second.Settle(old, m_now);
+    }
+  }
+  m_limits = std::move(next);
 }
 
 void LimitsCore::Apply(const LimitsMembersChanged& event) {
--- a/Source/Limits/shard_holder.cc
+++ b/Source/Limits/shard_holder.cc
@@ -21,6 +21,13 @@
          share->second.TryTake(cost, Duration::zero(), limit, now);
 }
 
+void ShardHolder::Settle(const OrganisationLimit& limit, MonotonicTime now) {
+  const auto share = m_shares.find(limit.organisation);
+  if (share != m_shares.end()) {
+    share->second.Refill(limit, now);
+  }
+}
+
 bool ShardHolder::HoldsAnything() const {
   return !m_shares.empty() || m_returned.number != 0;
 }
--- a/Source/Limits/shard_holder.h
+++ b/Source/Limits/shard_holder.h
@@ -22,6 +22,8 @@
   const OwnedShard& shard() const { return m_shard; }
   /// Admits from the own shares while their lease lasts by this clock.
   bool TryTake(const OrganisationLimit& limit, double cost, MonotonicTime now);
+  /// Grows the share up to now, before this limit is replaced.
+  void Settle(const OrganisationLimit& limit, MonotonicTime now);
   bool HoldsAnything() const;
 
   /// `sequence` is never used twice by this process.
--- a/Source/Limits/share.cc
+++ b/Source/Limits/share.cc
@@ -32,7 +32,9 @@
                     const OrganisationLimit& limit,
                     MonotonicTime now) {
   Refill(limit, now);
-  if (m_tokens < cost) {
+  // A negative cost or none at all would make tokens out of nothing.
+  const bool is_valid = cost >= 0;
+  if (!is_valid || m_tokens < cost) {
     return false;
   }
   // Otherwise a full share would be full again when the delayed admission
--- a/Source/Limits/share_ledger.h
+++ b/Source/Limits/share_ledger.h
@@ -47,6 +47,11 @@
                                   Asker asker,
                                   MonotonicTime now);
 
+  /// Grows the owner's own part up to now, before this limit is replaced.
+  void Settle(const OrganisationLimit& limit, MonotonicTime now) {
+    OwnShare(limit).Refill(limit, now);
+  }
+
   /// Answers a holder's report, or nothing while an older session of that
   /// holder may still admit.
   std::optional<ShareLease> Handle(const VmId& holder,
