--- a/Tests/Batch/partition_test.cc
+++ b/Tests/Batch/partition_test.cc
@@ -274,5 +274,18 @@
   CheckWhole(world, job);
 }
 
+TEST_CASE("A job of 330,000 items that all wait holds little memory") {
+  World world(12);
+  world.capacity = 5000;
+  world.backend = [](const DispatchItem&) {
+    return ItemNotRun{.retry_after = 10s};
+  };
+  const JobHeader job = MakeJob("a", 330'000);
+  REQUIRE(WaitForReply(world, world.Submit(0, job)));
+  world.Run(20s);
+  CHECK(world.core(0).counters().dispatches > 1000);
+  CHECK(world.core(0).StateBytes() < 128 * 1024);
+}
+
 }  // namespace
 }  // namespace cowslip
