--- a/Source/Batch/batch_driver.cc
+++ b/Source/Batch/batch_driver.cc
@@ -71,7 +71,7 @@
 
 awaitable<Result<JobView>> BatchDriver::Submit(OrganisationId organisation,
                                                std::string idempotency_key,
-                                               std::string jsonl,
+                                               const std::string& jsonl,
                                                SubmitOptions options) {
   const std::shared_ptr<Impl> impl = m_impl;
   if (impl->uploads >= impl->options().max_uploads) {
@@ -84,7 +84,6 @@
   if (!checked.has_value()) {
     co_return checked.error();
   }
-  std::string().swap(jsonl);
   JobHeader header = std::move(checked.value());
   const Duration deadline =
       options.deadline.value_or(impl->options().default_deadline);
--- a/Source/Batch/batch_driver.h
+++ b/Source/Batch/batch_driver.h
@@ -44,6 +44,8 @@
   Duration request_timeout = std::chrono::seconds(25);
   /// How long one attempt of an item may take.
   Duration item_timeout = std::chrono::minutes(10);
+  /// How much longer the driver waits for the dispatcher to say so.
+  Duration item_grace = std::chrono::seconds(30);
   /// A job's deadline when the caller gives none.
   Duration default_deadline = std::chrono::hours(24);
   /// Input segments kept in memory, up to a megabyte each.
@@ -100,10 +102,10 @@
   /// answers once it is in the store. Errors: kInvalidArgument, kTooLarge
   /// (nothing is kept), kConflict (another body under this key), kNotFound and
   /// kPermissionDenied (route), kRateLimited, kUnavailable, kInDoubt (send it
-  /// again under the same key).
+  /// again under the same key). `jsonl` must outlive the call.
   boost::asio::awaitable<Result<JobView>> Submit(OrganisationId organisation,
                                                  std::string idempotency_key,
-                                                 std::string jsonl,
+                                                 const std::string& jsonl,
                                                  SubmitOptions options);
   /// Errors: kNotFound, kUnavailable.
   boost::asio::awaitable<Result<JobView>> Get(OrganisationId organisation,
--- a/Source/Batch/batch_driver_impl.cc
+++ b/Source/Batch/batch_driver_impl.cc
@@ -25,8 +25,6 @@
 // Dispatches in one turn of the event loop.
 constexpr int kDispatchesPerTurn = 32;
 constexpr Duration kReadRetry = std::chrono::seconds(1);
-// Beyond its deadline an item is given up here, whatever the dispatcher does.
-constexpr Duration kItemGrace = std::chrono::seconds(30);
 
 Error NoOwner() {
   return {ErrorKind::kUnavailable,
@@ -444,7 +442,7 @@
   const MonotonicTime now = MonotonicClock::now();
   std::vector<DispatchKey> overdue;
   for (const auto& [key, active] : m_active) {
-    if (active.dispatched && now >= active.deadline + kItemGrace) {
+    if (active.dispatched && now >= active.deadline + m_options.item_grace) {
       overdue.push_back(key);
     }
   }
--- a/Source/Batch/batch_http_handler.cc
+++ b/Source/Batch/batch_http_handler.cc
@@ -206,9 +206,8 @@
     co_return ToProblem(options.error());
   }
   const SubmitOptions& submit_options = options.value();
-  std::string body = request.body;
-  const auto job = co_await m_driver.Submit(organisation, key, std::move(body),
-                                            submit_options);
+  const auto job =
+      co_await m_driver.Submit(organisation, key, request.body, submit_options);
   if (!job.has_value()) {
     co_return ToProblem(job.error());
   }
--- a/Tests/Batch/batch_driver_test.cc
+++ b/Tests/Batch/batch_driver_test.cc
@@ -30,6 +30,9 @@
   void Dispatch(ItemDispatch item,
                 std::function<void(ItemResult)> done) override {
     ++runs[item.body];
+    if (item.body == hang) {
+      return;
+    }
     if (hold) {
       held.push_back(std::move(done));
       return;
@@ -46,6 +49,8 @@
   }
 
   bool hold = false;
+  /// The body of an item that never ends.
+  std::string hang;
   std::vector<std::function<void(ItemResult)>> held;
   std::map<std::string, int> runs;
   int cancels = 0;
@@ -55,7 +60,7 @@
 /// \brief Entries on one event loop that share a platform.
 class Fleet {
  public:
-  explicit Fleet(size_t size) {
+  explicit Fleet(size_t size, Duration timeout = 10s) : item_timeout(timeout) {
     for (size_t i = 0; i < size; ++i) {
       m_vms.emplace_back("vm" + std::to_string(i));
       stores.push_back(std::make_unique<FakeObjectStore>(m_platform));
@@ -79,12 +84,15 @@
                                .incarnation = Incarnation(++m_incarnation),
                                .partitions = 2,
                                .tick = 5ms,
-                               .request_timeout = 3s};
+                               .request_timeout = 3s,
+                               .item_timeout = item_timeout,
+                               .item_grace = 10ms};
     options.partition.lease = 900ms;
     options.partition.lease_margin = 50ms;
     options.partition.poll_interval = 20ms;
     options.partition.commit_interval = 10ms;
     options.partition.store_retry = 10ms;
+    options.partition.attempt_backoff = 5ms;
     drivers[i] = std::make_unique<BatchDriver>(
         context, *stores[i], options,
         [this, i](const VmId& peer, const std::string& frame) {
@@ -151,6 +159,7 @@
     co_return job;
   }
 
+  const Duration item_timeout;
   boost::asio::io_context context;
   std::vector<std::unique_ptr<FakeObjectStore>> stores;
   std::vector<std::unique_ptr<FakeDispatcher>> dispatchers;
@@ -329,6 +338,22 @@
   });
 }
 
+TEST_CASE("An item that never ends is cancelled and ends alone") {
+  Fleet fleet(1, 20ms);
+  fleet.dispatchers[0]->hang = "{\"n\":3}";
+  fleet.Run([&]() -> awaitable<void> {
+    const HttpRequest post = Post(Lines(10));
+    const HttpResponse accepted = co_await fleet.Call(0, post);
+    const std::string id = nlohmann::json::parse(accepted.body)["id"];
+    const nlohmann::json job = co_await fleet.WaitForEnd(0, id);
+    CHECK(job["status"] == "completed");
+    CHECK(job["succeeded"] == 9);
+    CHECK(job["failed"] == 1);
+    CHECK(fleet.dispatchers[0]->runs["{\"n\":3}"] == 4);
+    CHECK(fleet.dispatchers[0]->cancels == 4);
+  });
+}
+
 TEST_CASE("A drained entry finishes its items and hands over") {
   Fleet fleet(2);
   fleet.Run([&]() -> awaitable<void> {
