--- a/Tests/Batch/fake_partition_world.h
+++ b/Tests/Batch/fake_partition_world.h
@@ -21,11 +21,15 @@
 /// backend servers, and a clock that only the test moves.
 class FakePartitionWorld {
  public:
+  static constexpr Duration kLateWrite = std::chrono::seconds(40);
+
   struct Faults {
     /// Out of 1000 writes: the answer is lost; the write took effect, will do
     /// so later, or never does.
     int lost_answers = 0;
     bool store_down = false;
+    /// The writes of that VM reach the store only after kLateWrite.
+    std::optional<size_t> late_writer;
   };
   /// What a backend server does with an item; called once for each run.
   using Backend = std::function<ItemResult(const DispatchItem& item)>;
@@ -231,6 +235,10 @@
       answer(WriteFailed{});
       return;
     }
+    if (faults.late_writer == vm) {
+      m_later.emplace(m_now + kLateWrite, [put, answer] { answer(put()); });
+      return;
+    }
     if (Roll(1000) >= faults.lost_answers) {
       m_later.emplace(m_now + delay, [put, answer] { answer(put()); });
       return;
--- a/Tests/Batch/partition_test.cc
+++ b/Tests/Batch/partition_test.cc
@@ -97,6 +97,25 @@
   CheckWhole(world, job);
 }
 
+TEST_CASE("A lost owner's append that reaches the store late has no effect") {
+  World world(13);
+  const JobHeader job = MakeJob("a", 400);
+  REQUIRE(WaitForReply(world, world.Submit(0, job)));
+  world.Run(1s);
+  world.faults.late_writer = 0;
+  world.Run(2s);
+  world.Pause(0);
+  world.Assign(1);
+  world.Run(16s);
+  REQUIRE(world.core(1).IsOwner(world.now()));
+  const JobHeader other = MakeJob("b", 10);
+  REQUIRE(WaitForReply(world, world.Submit(1, other)));
+  world.Run(60s);
+  CHECK(world.ReadState().epoch == FencingNumber(2));
+  CheckWhole(world, job);
+  CheckWhole(world, other);
+}
+
 TEST_CASE("Journal writes whose answers are lost are found again") {
   World world(4);
   world.faults.lost_answers = 500;
