Backend: the gate under mixed faults; a killed side process

Cause: faults may come together, and a killed process must not run work twice. Change: a property test over every event of the gate; longer random runs; a case for a side process that is killed and comes back.

--- /dev/null
+++ b/Tests/Backend/gate_faults_test.cc
@@ -0,0 +1,171 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "Tests/Backend/gate_harness.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint32_t kSlots = 3;
+
+// Drives the gate with every event there is, faults included, and checks what
+// has to hold after each.
+class FaultyWorld {
+ public:
+  FaultyWorld()
+      : m_gate({.slots = kSlots,
+                .max_waiting_online = 5,
+                .max_ready_batch = 3,
+                .first_service_estimate = 100ms}) {}
+
+  void Step(int choice, size_t pick) {
+    const ExchangeKey* call = Pick(m_gate.calls(), pick);
+    const ExchangeKey key = call != nullptr ? *call : ExchangeKey();
+    const bool has_call = call != nullptr;
+    if (choice < 5) {
+      Dispatch(choice, pick);
+    } else if (choice < 8 && has_call) {
+      Produce(key, pick);
+    } else if (choice == 8 && has_call) {
+      Feed(EngineEnd{key});
+    } else if (choice == 9 && has_call) {
+      Feed(EngineFailed{.key = key,
+                        .failure = static_cast<EngineFailure>(pick % 3)});
+    } else if (choice == 10) {
+      Feed(CancelAsked{AnyKey(pick)});
+    } else if (choice == 11) {
+      Feed(CreditGranted{AnyKey(pick), pick});
+    } else if (choice == 12) {
+      m_gate.Advance(std::chrono::milliseconds(pick));
+      Feed(GateTick());
+    } else if (choice == 13) {
+      Feed(EngineUp());
+    } else if (choice == 14 && pick % 4 == 0) {
+      Feed(EngineDown());
+    } else if (choice == 15 && pick % 16 == 0) {
+      LoseLink(pick / 16 % 2);
+    } else if (choice == 16 && pick % 32 == 0) {
+      m_draining = true;
+      Feed(DrainRequested());
+    } else {
+      Close(pick);
+    }
+  }
+
+  void Finish() {
+    while (!m_gate.calls().empty() || !m_gate.closing().empty()) {
+      Close(0);
+      if (!m_gate.calls().empty()) {
+        Feed(EngineFailed{.key = *m_gate.calls().begin()});
+      }
+    }
+    // Whatever still waits runs into its deadline.
+    m_gate.Advance(1h);
+    Feed(GateTick());
+    for (const auto& [key, record] : m_gate.records()) {
+      const bool lost = m_lost.contains(key.entry);
+      RC_ASSERT(record.terminals() <= 1);
+      RC_ASSERT(lost || record.terminals() == record.dispatches);
+    }
+    RC_ASSERT(m_gate.core().open_exchanges() == 0u);
+    RC_ASSERT(m_gate.drained() == (m_draining ? 1 : 0));
+  }
+
+ private:
+  static const ExchangeKey* Pick(const std::set<ExchangeKey>& keys,
+                                 size_t pick) {
+    return keys.empty() ? nullptr
+                        : &*std::next(keys.begin(), pick % keys.size());
+  }
+  static std::string EntryName(size_t entry) {
+    return entry == 0 ? "e1" : "e2";
+  }
+  ExchangeKey AnyKey(size_t pick) const {
+    return GateHarness::KeyOf(EntryName(pick % 2), 1 + pick / 2 % (m_last + 1));
+  }
+
+  void Dispatch(int choice, size_t pick) {
+    const VmId entry(EntryName(pick % 2));
+    if (m_lost.contains(entry)) {
+      return;
+    }
+    ++m_last;
+    Dispatched event = choice < 3 ? GateHarness::Online(m_last)
+                                  : GateHarness::Batch(m_last);
+    event.entry = entry;
+    event.request.deadline_ms = static_cast<int64_t>(pick) - 20;
+    event.request.alone = pick % 7 == 0;
+    event.request.idempotent = pick % 3 != 0;
+    Feed(std::move(event));
+  }
+
+  void Produce(const ExchangeKey& key, size_t pick) {
+    if (m_headed.insert(key).second) {
+      m_gate.Head(key);
+      Check();
+    } else if (!m_gate.paused().contains(key)) {
+      const bool big = pick % 4 == 0;
+      Feed(EngineChunk{
+          key, big ? ":" + std::string(kInitialCreditBytes, 'x') + "\n"
+                   : GateHarness::Events(1, 2, pick % 2 == 0)});
+    }
+  }
+
+  void LoseLink(size_t entry) {
+    const VmId vm(EntryName(entry));
+    m_lost.insert(vm);
+    Feed(EntryLinkDown{vm});
+    for (const ExchangeKey& key : m_gate.calls()) {
+      RC_ASSERT(key.entry != vm);
+    }
+  }
+
+  void Close(size_t pick) {
+    if (const ExchangeKey* closing = Pick(m_gate.closing(), pick)) {
+      Feed(EngineClosed{ExchangeKey(*closing)});
+    }
+  }
+
+  void Feed(GateEvent event) {
+    m_gate.Feed(std::move(event));
+    Check();
+  }
+
+  void Check() {
+    const size_t used = m_gate.calls().size() + m_gate.closing().size();
+    RC_ASSERT(used <= kSlots);
+    for (const auto& [key, record] : m_gate.records()) {
+      RC_ASSERT(record.terminals() <= 1);
+      RC_ASSERT(record.ends == 0 || record.heads == 1);
+      for (const ExchangeFailed& failed : record.failures) {
+        // "Not run" is said exactly when it is true.
+        RC_ASSERT(failed.not_run == (!record.started || record.not_sent));
+        RC_ASSERT(!(failed.suspect && failed.not_run));
+      }
+    }
+  }
+
+  GateHarness m_gate;
+  std::set<ExchangeKey> m_headed;
+  std::set<VmId> m_lost;
+  uint64_t m_last = 0;
+  bool m_draining = false;
+};
+
+TEST_CASE("Each exchange gets one true ending, whatever fails when") {
+  CHECK(rc::check([] {
+    // Long runs, so that queues fill and faults come together.
+    const auto steps = *rc::gen::resize(
+        400, rc::gen::arbitrary<std::vector<uint16_t>>());
+    FaultyWorld world;
+    for (const uint16_t step : steps) {
+      world.Step(step % 17, step / 17);
+    }
+    world.Finish();
+  }));
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Tests/Backend/side_daemon_test.cc
+++ b/Tests/Backend/side_daemon_test.cc
@@ -163,6 +163,25 @@
   CHECK_THAT(running.body, Catch::Contains("t60"));
 }
 
+TEST_CASE("A killed side process runs nothing again when it is back") {
+  SideFixture fixture(FastEngine(1));
+  fixture.StartSide(1);
+  const ExchangeId running = fixture.Dispatch(Chat("oak", 100000));
+  const ExchangeId waiting = fixture.Dispatch(Chat("ash", 5));
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.answer(running).body.size() > 500; }));
+  fixture.StopSide();
+  REQUIRE(fixture.RunUntil([&] { return EngineStats(fixture)["running"] == 0; }));
+  fixture.StartSide(1);
+  fixture.RunFor(200ms);
+  CHECK(EngineStats(fixture)["requests"] == 1);
+  CHECK_FALSE(fixture.answer(running).Ended());
+  CHECK_FALSE(fixture.answer(waiting).Ended());
+  ReceivedAnswer& next = fixture.answer(fixture.Dispatch(Chat("elm", 5)));
+  REQUIRE(fixture.RunUntil([&] { return next.Ended(); }));
+  CHECK(next.ends.size() == 1);
+}
+
 TEST_CASE("An old order is refused after a restart, engine or not") {
   EngineServerOptions engine = FastEngine(1);
   engine.ignore_fencing = true;
