Configuration: a service that cannot be read holds up no withdrawal

Cause: one content that an older process cannot read kept the whole version, and with it a withdrawn key, out of force. Change: such a service stays as it was; while keys or organisations of a newer version cannot be read, keys are not trusted. Conclusion: a withdrawn key stops also beside a newer format.

--- a/Source/Configuration/configuration_core.cc
+++ b/Source/Configuration/configuration_core.cc
@@ -247,6 +247,9 @@
 }
 
 bool ConfigurationCore::KeysTrusted(MonotonicTime now) const {
+  if (m_unreadable > held()) {
+    return false;
+  }
   const auto recent = [&](const std::optional<MonotonicTime>& contact) {
     return contact && now - *contact <= m_options.max_cut_off;
   };
--- a/Source/Configuration/configuration_core.h
+++ b/Source/Configuration/configuration_core.h
@@ -64,7 +64,8 @@
 
   /// Whether this node may still serve routes that ask for a key: it has heard
   /// from the store, or is linked to at least half of the entries it knows,
-  /// within `max_cut_off`.
+  /// within `max_cut_off`. Never while a newer version cannot be read, which
+  /// may withdraw keys.
   bool KeysTrusted(MonotonicTime now) const;
 
   ConfigVersion held() const { return m_head.version; }
--- a/Source/Configuration/configuration_core_contents.cc
+++ b/Source/Configuration/configuration_core_contents.cc
@@ -127,20 +127,23 @@
 void ConfigurationCore::ApplyCandidate() {
   Candidate candidate = std::move(*m_candidate);
   m_candidate.reset();
-  auto snapshot = m_assembler.Build(candidate.head);
-  if (!snapshot.has_value()) {
+  const auto assembled = m_assembler.Build(candidate.head);
+  if (!assembled.has_value()) {
     m_unreadable = candidate.head.version;
     m_assembler.Retain(m_head);
     m_actions.push_back(ReportProblem{
         "Version " + std::to_string(candidate.head.version.value()) +
-        " cannot be read and is left out. " + snapshot.error().message});
+        " cannot be read and is left out. " + assembled.error().message});
     ConsiderNext();
     return;
   }
   m_head = std::move(candidate.head);
   m_head_text = std::move(candidate.text);
   m_assembler.Retain(m_head);
-  m_actions.push_back(ApplySnapshot{.snapshot = snapshot.value()});
+  for (const std::string& problem : assembled.value().problems) {
+    m_actions.push_back(ReportProblem{problem});
+  }
+  m_actions.push_back(ApplySnapshot{.snapshot = assembled.value().snapshot});
   SavedConfiguration saved{.head_text = m_head_text};
   for (const Digest& digest : ContentsOf(m_head)) {
     saved.contents[digest] = *m_assembler.Find(digest);
--- a/Source/Configuration/configuration_reader.cc
+++ b/Source/Configuration/configuration_reader.cc
@@ -39,13 +39,17 @@
                           " is damaged in the store. Publish it again.");
     }
   }
-  auto snapshot = assembler.Build(head.value());
-  if (!snapshot.has_value()) {
-    co_return snapshot.error();
+  auto assembled = assembler.Build(head.value());
+  if (!assembled.has_value()) {
+    co_return assembled.error();
+  }
+  if (!assembled.value().problems.empty()) {
+    co_return Error(ErrorKind::kMalformedMessage,
+                    assembled.value().problems.front());
   }
   ConfigurationInForce in_force;
   in_force.head = std::move(head.value());
-  in_force.snapshot = std::move(snapshot.value());
+  in_force.snapshot = std::move(assembled.value().snapshot);
   co_return in_force;
 }
 
--- a/Source/Configuration/publish_core.cc
+++ b/Source/Configuration/publish_core.cc
@@ -138,11 +138,16 @@
          {Problem("config/head", current.error().message)});
     return;
   }
-  if (IsContended(*current.value())) {
+  if (!current.value().problems.empty()) {
+    Fail(ErrorKind::kMalformedMessage,
+         {Problem("config/head", current.value().problems.front())});
+    return;
+  }
+  const Snapshot& in_force = *current.value().snapshot;
+  if (IsContended(in_force)) {
     return;
   }
-  ComposeResult result =
-      ComposeChange(m_options.change, m_head, *current.value());
+  ComposeResult result = ComposeChange(m_options.change, m_head, in_force);
   if (auto* refusal = std::get_if<ChangeRefusal>(&result)) {
     Fail(refusal->kind, std::move(refusal->problems));
     return;
--- a/Source/Configuration/snapshot_assembler.cc
+++ b/Source/Configuration/snapshot_assembler.cc
@@ -100,15 +100,27 @@
   return found == m_contents.end() ? nullptr : &found->second;
 }
 
-Result<std::shared_ptr<const Snapshot>> SnapshotAssembler::Build(
+Result<AssembledSnapshot> SnapshotAssembler::Build(
     const ConfigurationHead& head) {
   SnapshotParts parts{.version = head.version};
+  AssembledSnapshot assembled;
+  auto readable = m_readable;
+  std::erase_if(readable, [&](const auto& each) {
+    return head.services.count(each.first) == 0;
+  });
   for (const auto& [name, digest] : head.services) {
     auto service = DecodeOnce(m_services, m_contents, digest, DecodeService);
-    if (!service.has_value()) {
+    if (service.has_value()) {
+      readable[name] = std::move(service.value());
+    } else if (service.error().kind() == ErrorKind::kNotFound) {
       return service.error();
+    } else {
+      assembled.problems.push_back("Service " + name + " cannot be read. " +
+                                   service.error().message);
     }
-    parts.services.push_back(std::move(service.value()));
+  }
+  for (const auto& [name, service] : readable) {
+    parts.services.push_back(service);
   }
   const Result<void> organisations =
       ReadShards(head.organisations, m_organisations, m_contents,
@@ -121,7 +133,9 @@
   if (!keys.has_value()) {
     return keys.error();
   }
-  return std::make_shared<const Snapshot>(std::move(parts));
+  m_readable = std::move(readable);
+  assembled.snapshot = std::make_shared<const Snapshot>(std::move(parts));
+  return assembled;
 }
 
 void SnapshotAssembler::Retain(const ConfigurationHead& head) {
--- a/Source/Configuration/snapshot_assembler.h
+++ b/Source/Configuration/snapshot_assembler.h
@@ -14,6 +14,14 @@
 
 namespace cowslip {
 
+/// \class AssembledSnapshot
+/// \brief A snapshot, and what of it this process could not read.
+struct AssembledSnapshot {
+  std::shared_ptr<const Snapshot> snapshot;
+  /// One line per service that cannot be read.
+  std::vector<std::string> problems;
+};
+
 /// \class SnapshotAssembler
 /// \brief Holds content objects by digest and makes snapshots of them. A part
 /// that did not change since the last snapshot is not decoded again.
@@ -27,9 +35,10 @@
   /// The bytes of a held content, or null.
   const std::string* Find(const Digest& digest) const;
 
-  /// Errors: kNotFound when a content is missing, kMalformedMessage when one
-  /// cannot be decoded.
-  Result<std::shared_ptr<const Snapshot>> Build(const ConfigurationHead& head);
+  /// A service that cannot be read stays as it was in the last snapshot, so
+  /// that it does not hold up a withdrawn key. Errors: kNotFound when a content
+  /// is missing, kMalformedMessage when organisations or keys cannot be read.
+  Result<AssembledSnapshot> Build(const ConfigurationHead& head);
 
   /// Drops every content that `head` does not name.
   void Retain(const ConfigurationHead& head);
@@ -42,6 +51,8 @@
   Decoded<ServiceDeclaration> m_services;
   Decoded<OrganisationShard> m_organisations;
   Decoded<KeyShard> m_keys;
+  // The last readable declaration of each service.
+  std::map<std::string, std::shared_ptr<const ServiceDeclaration>> m_readable;
 };
 
 /// The contents that a head names.
