Configuration: /v1/batches is kept for batch jobs

Cause: the entry serves batch jobs there before it looks at routes, so that a route below that path could never be reached. Change: such a path is refused with its file and pointer.

--- a/Source/Configuration/declaration_check.cc
+++ b/Source/Configuration/declaration_check.cc
@@ -21,6 +21,8 @@
 constexpr uint32_t kMaxAttempts = 20;
 constexpr size_t kMaxItemBytes = 768 * 1024;
 constexpr double kMaxRate = 1e6;
+// The entries serve batch jobs here before they look at routes.
+constexpr std::string_view kBatchPath = "/v1/batches";
 constexpr std::string_view kMethods[] = {"GET", "HEAD",  "POST",
                                          "PUT", "PATCH", "DELETE"};
 
@@ -120,6 +122,10 @@
              "begin with / and use no query, no empty or dot segment and no "
              "escaped separator");
     }
+    if ((route.path + "/").starts_with(std::string(kBatchPath) + "/")) {
+      Report(subject, "/path",
+             "/v1/batches is kept for batch jobs; choose another path");
+    }
     if (route.timeout <= Duration::zero() || route.timeout > kMaxTimeout) {
       Report(subject, "/timeout_ms", "set 1 to 3600000 milliseconds");
     }
--- a/Tests/Configuration/declarations_test.cc
+++ b/Tests/Configuration/declarations_test.cc
@@ -66,6 +66,8 @@
            {"name":"c","path":"/a","methods":["POST","GET"],
             "allow":"everyone","idempotent":true},
            {"name":"d","path":"/a","methods":["POST"],
+            "allow":"open","idempotent":true},
+           {"name":"e","path":"/v1/batches/all","methods":["GET"],
             "allow":"open","idempotent":true}]})",
                 R"({"kind":"organisations","set":"x","organisations":[
            {"id":"o","rate":0,"burst":2},{"id":"O!","rate":1,"burst":0.5},
@@ -83,6 +85,7 @@
         "f0.json: /routes/1/batchable: a route that is open",
         "f1.json: /routes/0/allow: use \"open\"",
         "f1.json: /routes/1/path: POST on this path is taken by route s.a",
+        "f1.json: /routes/2/path: /v1/batches is kept for batch jobs",
         "f2.json: /organisations/2/rate: set requests per second above 0",
         "f2.json: /organisations/2/id: is declared twice",
         "f2.json: /organisations/1/id: use 1 to 63 lower-case",
