Access: a test of asking by organisation

Cause: batch items run without a key at hand. Change: a case for AllowsOrganisation. Conclusion: batch items are held to a route's list too.

--- a/Tests/Access/access_test.cc
+++ b/Tests/Access/access_test.cc
@@ -59,6 +59,16 @@
       Ask("/v1/all", "lost-key")));
 }
 
+TEST_CASE_METHOD(Fixture, "Work without a key at hand asks by organisation") {
+  const auto snapshot = Make(std::nullopt);
+  const RouteDeclaration& mill = *snapshot->FindRoute(RouteId("veneer.mill"));
+  CHECK(AllowsOrganisation(*snapshot, mill, kMill));
+  CHECK_FALSE(AllowsOrganisation(*snapshot, mill, kStudio));
+  const RouteDeclaration& all = *snapshot->FindRoute(RouteId("veneer.all"));
+  CHECK(AllowsOrganisation(*snapshot, all, kStudio));
+  CHECK_FALSE(AllowsOrganisation(*snapshot, all, OrganisationId("gone")));
+}
+
 TEST_CASE_METHOD(Fixture, "A withdrawn key is refused, running streams too") {
   const auto before = Make(std::nullopt);
   const auto after = Make(WallTime());
