--- a/Tests/Batch/partition_test.cc
+++ b/Tests/Batch/partition_test.cc
@@ -97,6 +97,25 @@
   CheckWhole(world, job);
 }
 
+TEST_CASE("A lost owner's append that reaches the store late has no effect") {
+  World world(13);
+  const JobHeader job = MakeJob("a", 400);
+  REQUIRE(WaitForReply(world, world.Submit(0, job)));
+  world.Run(1s);
+  world.faults.late_writer = 0;
+  world.Run(2s);
+  world.Pause(0);
+  world.Assign(1);
+  world.Run(16s);
+  REQUIRE(world.core(1).IsOwner(world.now()));
+  const JobHeader other = MakeJob("b", 10);
+  REQUIRE(WaitForReply(world, world.Submit(1, other)));
+  world.Run(60s);
+  CHECK(world.ReadState().epoch == FencingNumber(2));
+  CheckWhole(world, job);
+  CheckWhole(world, other);
+}
+
 TEST_CASE("Journal writes whose answers are lost are found again") {
   World world(4);
   world.faults.lost_answers = 500;
@@ -274,5 +293,18 @@
   CheckWhole(world, job);
 }
 
+TEST_CASE("A job of 330,000 items that all wait holds little memory") {
+  World world(12);
+  world.capacity = 5000;
+  world.backend = [](const DispatchItem&) {
+    return ItemNotRun{.retry_after = 10s};
+  };
+  const JobHeader job = MakeJob("a", 330'000);
+  REQUIRE(WaitForReply(world, world.Submit(0, job)));
+  world.Run(20s);
+  CHECK(world.core(0).counters().dispatches > 1000);
+  CHECK(world.core(0).StateBytes() < 128 * 1024);
+}
+
 }  // namespace
 }  // namespace cowslip
