Backend: plain calls that may not be repeated are never taken back

Cause: line 9 at the gate of a plain service had no case of its own. Change: a case for it. Measured: ctest -R backend.gate passes.

--- a/Tests/Backend/gate_core_test.cc
+++ b/Tests/Backend/gate_core_test.cc
@@ -83,6 +83,29 @@
   CHECK(gate.record(kThree).failures[0].not_run);
 }
 
+TEST_CASE("A plain call that may not be repeated is never taken back") {
+  GateOptions options = Options(2, HeadroomWithPreemption());
+  options.kind = BackendKind::kPlain;
+  GateHarness gate(options);
+  Dispatched once = GateHarness::Batch(1);
+  once.request.idempotent = false;
+  gate.Feed(once);
+  gate.Feed(GateHarness::Batch(2));
+  gate.Feed(GateHarness::Online(3));
+  CHECK(gate.record(kOne).terminals() == 0);
+  REQUIRE(gate.record(kTwo).failures.size() == 1);
+  CHECK(gate.record(kTwo).failures[0].reason == FailureReason::kPreempted);
+  CHECK(gate.record(kTwo).failures[0].resume_token.empty());
+  // Nor is one whose answer has begun.
+  gate.Feed(EngineClosed{kTwo});
+  gate.Feed(EngineEnd{kThree});
+  gate.Feed(GateHarness::Batch(4));
+  const ExchangeKey begun = GateHarness::KeyOf("e1", 4);
+  gate.Feed(EngineHead{.key = begun, .status = 200});
+  gate.Feed(GateHarness::Online(5));
+  CHECK(gate.record(begun).terminals() == 0);
+}
+
 TEST_CASE("A full queue refuses, it does not hold") {
   GateHarness gate(Options(1, HeadroomWithPreemption()));
   for (uint64_t i = 1; i <= 6; ++i) {
