Entry: a replaced link fails what was in flight on it; limits and batch in the metrics

Cause: a newer peer link replaces the old one without a down, and frames on the old one may be lost: the request would wait for its deadline. Change: OnUp is a down and an up for the request core; answers of batch items are bounded to 256 KiB while they are gathered; counters of limits and batch are shown.

--- a/Source/Entry/batch_dispatcher.cc
+++ b/Source/Entry/batch_dispatcher.cc
@@ -10,6 +10,15 @@
 
 namespace {
 
+// More than this fits in no partition's record.
+constexpr size_t kMaxAnswerBytes = 256 * 1024;
+
+ItemFailed AnswerTooLarge() {
+  return {.detail = "The answer has more than " +
+                    std::to_string(kMaxAnswerBytes) +
+                    " bytes. Ask for a shorter one."};
+}
+
 std::string PathOf(const std::string& target) {
   return target.substr(0, target.find('?'));
 }
@@ -31,6 +40,7 @@
   ItemKey key;
   RequestId request;
   ItemCompleted answer;
+  bool too_large = false;
   std::function<void(ItemResult)> done;
 };
 
@@ -131,17 +141,22 @@
             running->answer.status = head.status;
           },
           [&](const RespondChunk& chunk) {
-            running->answer.body += chunk.data;
+            Gather(running, chunk.data);
             m_requests.Feed(CallerTook{running->request, chunk.data.size()});
           },
           [&](const RespondEnd&) {
-            Finish(running, std::move(running->answer));
+            Finish(running, running->too_large
+                                ? ItemResult(AnswerTooLarge())
+                                : ItemResult(std::move(running->answer)));
           },
           [&](const RespondProblem& failed) {
             Finish(running, ResultOf(failed.problem));
           },
           [&](const AbortResponse&) {
-            Finish(running, ItemFailed{.detail = "The answer was cut off."});
+            Finish(running,
+                   running->too_large
+                       ? AnswerTooLarge()
+                       : ItemFailed{.detail = "The answer was cut off."});
           },
           [&](const RespondPreempted& preempted) {
             Finish(running, ItemPreempted{preempted.resume_token});
@@ -149,6 +164,19 @@
       event);
 }
 
+void BatchDispatcher::Gather(const std::shared_ptr<Running>& running,
+                             const std::string& data) {
+  if (running->too_large) {
+    return;
+  }
+  running->answer.body += data;
+  if (running->answer.body.size() > kMaxAnswerBytes) {
+    running->too_large = true;
+    running->answer.body.clear();
+    m_requests.Feed(RequestCut{running->request});
+  }
+}
+
 void BatchDispatcher::Finish(const std::shared_ptr<Running>& running,
                              ItemResult result) {
   const auto found = m_running.find(running->key);
--- a/Source/Entry/batch_dispatcher.h
+++ b/Source/Entry/batch_dispatcher.h
@@ -38,6 +38,7 @@
                                     const std::string& target) const;
   void OnResponse(const std::shared_ptr<Running>& running,
                   const ResponseEvent& event);
+  void Gather(const std::shared_ptr<Running>& running, const std::string& data);
   void Finish(const std::shared_ptr<Running>& running, ItemResult result);
 
   RequestDriver& m_requests;
--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -258,6 +258,9 @@
 void EntryDaemon::Impl::ConnectLink() {
   m_link.OnUp([this](const std::string& vm, uint64_t incarnation) {
     m_incarnations[VmId(vm)] = Incarnation(incarnation);
+    // A newer link may replace one that was up: frames on the old one may be
+    // lost, so that what was in flight there has failed.
+    m_requests.Feed(BackendLinkDown{VmId(vm)});
     m_requests.Feed(BackendLinkUp{VmId(vm)});
     m_peers.LinkUp(VmId(vm));
   });
@@ -470,7 +473,12 @@
 AdminHooks EntryDaemon::Impl::MakeAdminHooks() {
   return {.why_not_ready = [this] { return WhyNotReady(); },
           .status = [this] { return Status(); },
-          .metrics = [this] { return m_metrics.Render(); },
+          .metrics =
+              [this] {
+                m_metrics.Take(m_limits.counters());
+                m_metrics.Take(m_batch.counters());
+                return m_metrics.Render();
+              },
           .jobs =
               [this](const HttpRequest& request) {
                 return m_operator_jobs.Handle(request);
--- a/Source/Entry/entry_metrics.cc
+++ b/Source/Entry/entry_metrics.cc
@@ -1,5 +1,7 @@
 #include "Entry/entry_metrics.h"
 
+#include "Batch/batch_driver.h"
+#include "Limits/limits_driver.h"
 #include "Link/peer_link.h"
 #include "Metrics/gauge.h"
 #include "Platform/http_object_store.h"
@@ -58,6 +60,36 @@
   }
 }
 
+void EntryMetrics::Take(const LimitsCounters& counters) {
+  const auto set = [this](const char* name, const char* help, uint64_t value) {
+    Set(name, help, static_cast<double>(value));
+  };
+  set("cowslip_limits_admitted_total", "Requests let in by their limits",
+      counters.admitted);
+  set("cowslip_limits_refused_total{reason=\"over_limit\"}",
+      "Requests refused by the limits", counters.refused_over_limit);
+  set("cowslip_limits_refused_total{reason=\"no_owner\"}",
+      "Requests refused by the limits", counters.refused_no_owner);
+  set("cowslip_limits_refused_total{reason=\"unknown_organisation\"}",
+      "Requests refused by the limits", counters.refused_unknown_organisation);
+  set("cowslip_limits_sent_bytes_total", "Bytes sent about limits",
+      counters.bytes_sent);
+  set("cowslip_limits_owned_shards", "Shards of organisations owned here",
+      counters.owned_shards);
+}
+
+void EntryMetrics::Take(const BatchCounters& counters) {
+  const auto set = [this](const char* name, const char* help, uint64_t value) {
+    Set(name, help, static_cast<double>(value));
+  };
+  set("cowslip_batch_owned_partitions", "Partitions owned here",
+      counters.owned_partitions);
+  set("cowslip_batch_running_items", "Batch items in progress",
+      counters.running_items);
+  set("cowslip_batch_jobs_submitted_total", "Jobs accepted here",
+      counters.jobs_submitted);
+}
+
 std::string EntryMetrics::Render() {
   TakeRequests();
   TakeProcess();
--- a/Source/Entry/entry_metrics.h
+++ b/Source/Entry/entry_metrics.h
@@ -7,7 +7,9 @@
 
 namespace cowslip {
 
+struct BatchCounters;
 class HttpObjectStore;
+struct LimitsCounters;
 class PeerLink;
 class RequestCore;
 
@@ -19,8 +21,9 @@
                const PeerLink& link,
                const HttpObjectStore& store);
 
-  /// Metrics of other slices are added here.
-  MetricsRegistry& registry() { return m_registry; }
+  /// Takes the counters of other slices; call these before Render().
+  void Take(const LimitsCounters& counters);
+  void Take(const BatchCounters& counters);
   /// Takes the present values and renders them.
   std::string Render();
 
--- a/Tests/Backend/gate_faults_test.cc
+++ b/Tests/Backend/gate_faults_test.cc
@@ -47,7 +47,7 @@
     } else if (choice == 15 && pick % 16 == 0) {
       LoseLink(pick / 16 % 2);
     } else if (choice == 16 && pick % 32 == 0) {
-      Feed(DrainRequested());
+      Feed(GateDrainRequested());
     } else {
       Close(pick);
     }
@@ -72,7 +72,7 @@
     }
     RC_ASSERT(m_gate.core().open_exchanges() == 0u);
     // No slot has leaked, so that a drain ends.
-    Feed(DrainRequested());
+    Feed(GateDrainRequested());
     RC_ASSERT(m_gate.drained() == 1);
   }
 
