Entry: hold batch jobs to the classes that services declare

Cause: declared batch classes were published and checked, and then bounded nothing. Change: X-Batch-Class names a declared class; its items, line length and default deadline hold when a job is accepted.

--- a/Source/Batch/batch_http_handler.cc
+++ b/Source/Batch/batch_http_handler.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::string_view kRoot = "/v1/batches";
+constexpr char kStandardClass[] = "standard";
+constexpr char kBulkClass[] = "bulk";
 constexpr size_t kMaxIdempotencyKeyBytes = 256;
 constexpr int64_t kMaxDeadlineSeconds = 30 * 24 * 3600;
 constexpr size_t kDefaultPage = 1000;
@@ -128,6 +130,10 @@
   return {ErrorKind::kInvalidArgument, std::move(message)};
 }
 
+std::string ClassOf(const HttpRequest& request) {
+  return FindHeader(request.headers, "X-Batch-Class").value_or(kStandardClass);
+}
+
 Result<SubmitOptions> ReadOptions(const HttpRequest& request) {
   SubmitOptions options;
   options.route =
@@ -141,12 +147,7 @@
     }
     options.deadline = std::chrono::seconds(*seconds);
   }
-  const std::string job_class =
-      FindHeader(request.headers, "X-Batch-Class").value_or("standard");
-  if (job_class != "standard" && job_class != "bulk") {
-    return Invalid("X-Batch-Class must be standard or bulk.");
-  }
-  options.bulk = job_class == "bulk";
+  options.bulk = ClassOf(request) == kBulkClass;
   return options;
 }
 
@@ -161,7 +162,8 @@
 
 }  // namespace
 
-BatchHttpHandler::BatchHttpHandler(BatchDriver& driver) : m_driver(driver) {}
+BatchHttpHandler::BatchHttpHandler(BatchDriver& driver, ClassCheck check)
+    : m_driver(driver), m_check(std::move(check)) {}
 
 awaitable<HttpResponse> BatchHttpHandler::Handle(const HttpRequest& request,
                                                  OrganisationId organisation) {
@@ -201,11 +203,16 @@
         Invalid("Send an Idempotency-Key of 1 to 256 bytes, a new one for "
                 "each job, and the same one when you send a job again."));
   }
-  const auto options = ReadOptions(request);
+  auto options = ReadOptions(request);
   if (!options.has_value()) {
     co_return ToProblem(options.error());
   }
-  const SubmitOptions& submit_options = options.value();
+  SubmitOptions& submit_options = options.value();
+  const Result<void> checked =
+      m_check(request, ClassOf(request), submit_options);
+  if (!checked.has_value()) {
+    co_return ToProblem(checked.error());
+  }
   const auto job =
       co_await m_driver.Submit(organisation, key, request.body, submit_options);
   if (!job.has_value()) {
--- a/Source/Batch/batch_http_handler.h
+++ b/Source/Batch/batch_http_handler.h
@@ -3,6 +3,9 @@
 
 #include <string>
 
+#include <functional>
+#include <string>
+
 #include <boost/asio/awaitable.hpp>
 
 #include "Base/ids.h"
@@ -12,14 +15,16 @@
 namespace cowslip {
 
 class BatchDriver;
+struct SubmitOptions;
 
 /// \class BatchHttpHandler
 /// \brief Maps `/v1/batches` to a BatchDriver, for a caller whose key has been
 /// checked.
 ///
 /// - `POST /v1/batches`: JSONL body; headers `Idempotency-Key` (required),
-///   `X-Batch-Deadline` (seconds from now), `X-Batch-Class` (`standard` or
-///   `bulk`), `X-Batch-Route`. 201 for a new job, 200 for a resent one.
+///   `X-Batch-Deadline` (seconds from now), `X-Batch-Class` (`standard`,
+///   `bulk`, or one that the route's service declares), `X-Batch-Route`. 201
+///   for a new job, 200 for a resent one.
 /// - `GET /v1/batches/ID`
 /// - `GET /v1/batches/ID/results?after=N&limit=M`
 /// - `POST /v1/batches/ID/cancel`
@@ -27,8 +32,14 @@
 /// Errors are RFC 9457 problems.
 class BatchHttpHandler {
  public:
+  /// Holds a job against the class that its service declares, and fills in
+  /// what the caller left out. Errors: kInvalidArgument, kTooLarge.
+  using ClassCheck = std::function<Result<void>(const HttpRequest& request,
+                                                const std::string& job_class,
+                                                SubmitOptions& options)>;
+
   /// `driver` must outlive the handler.
-  explicit BatchHttpHandler(BatchDriver& driver);
+  BatchHttpHandler(BatchDriver& driver, ClassCheck check);
 
   boost::asio::awaitable<HttpResponse> Handle(const HttpRequest& request,
                                               OrganisationId organisation);
@@ -45,6 +56,7 @@
                                               JobId job);
 
   BatchDriver& m_driver;
+  const ClassCheck m_check;
 };
 
 }  // namespace cowslip
--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "Configuration/configuration_messages.h"
 #include "Configuration/snapshot.h"
 #include "Entry/admin_handler.h"
+#include "Entry/batch_class.h"
 #include "Entry/batch_dispatcher.h"
 #include "Entry/caller_handler.h"
 #include "Entry/claim_store.h"
@@ -39,6 +40,8 @@
 
 namespace {
 
+// What one request costs of its organisation's rate.
+constexpr double kOneRequest = 1;
 constexpr auto kWatchInterval = std::chrono::milliseconds(250);
 constexpr auto kDrainPollInterval = std::chrono::milliseconds(50);
 
@@ -184,7 +187,13 @@
             return m_link.Send(vm.value(), kBatchChannel, cbor);
           },
           m_dispatcher),
-      m_batch_http(m_batch),
+      m_batch_http(m_batch,
+                   [this](const HttpRequest& request,
+                          const std::string& job_class,
+                          SubmitOptions& options) {
+                     return CheckBatchClass(*m_snapshot, request, job_class,
+                                            options);
+                   }),
       m_operator_jobs(m_batch),
       m_membership(
           context,
@@ -344,7 +353,6 @@
 
 void EntryDaemon::Impl::AskLimits(const AskLimit& ask,
                                   std::function<void(RequestEvent)> answer) {
-  constexpr double kOneRequest = 1;
   m_limits.Admit(ask.organisation, kOneRequest,
                  [request = ask.request,
                   answer = std::move(answer)](const LimitDecision& decision) {
--- a/Tests/Batch/batch_driver_test.cc
+++ b/Tests/Batch/batch_driver_test.cc
@@ -136,7 +136,8 @@
   }
 
   awaitable<HttpResponse> Call(size_t i, HttpRequest request) {
-    BatchHttpHandler handler(*drivers[i]);
+    BatchHttpHandler handler(
+        *drivers[i], [](const auto&...) -> Result<void> { return Ok(); });
     const OrganisationId organisation("mill");
     HttpResponse response = co_await handler.Handle(request, organisation);
     co_return response;
