--- a/Source/Routing/crash_registry.cc
+++ b/Source/Routing/crash_registry.cc
@@ -6,6 +6,12 @@
 
 namespace cowslip {
 
+namespace {
+
+constexpr char kHex[] = "0123456789abcdef";
+
+}  // namespace
+
 Fingerprint FingerprintOf(const OrganisationId& organisation,
                           const RouteId& route,
                           std::string_view body) {
@@ -14,7 +20,6 @@
   const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
   XXH128_canonical_t canonical;
   XXH128_canonicalFromHash(&canonical, hash);
-  static constexpr char kHex[] = "0123456789abcdef";
   std::string hex;
   for (const unsigned char byte : canonical.digest) {
     hex += kHex[byte >> 4];
