Settings, Backend: shared schema definitions; statuses slow down with the number of entries

Cause: two settings schemas held the same definitions; measure.sh capacity shows 295 B/s and 0.023 % of a core at an entry for each backend server, from a status every 500 ms, which passes 9 KB/s at about 30 backend servers. Change: MakeSettingsSchema adds the definitions; a side process waits 500 ms or 200 ms for each linked entry between statuses, whichever is longer; changes still go out at once. capacity.sh publishes organisations in sets of 3000: one set of 13,000 is refused, because its audit record passes a megabyte.

--- a/Source/Backend/side_daemon.cc
+++ b/Source/Backend/side_daemon.cc
@@ -1,5 +1,6 @@
 #include "Backend/side_daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <random>
@@ -27,7 +28,10 @@
 
 namespace {
 
-constexpr auto kStatusInterval = std::chrono::milliseconds(500);
+constexpr Duration kMinStatusInterval = std::chrono::milliseconds(500);
+// With many entries each hears less often; changes are sent at once, and load
+// rides on replies.
+constexpr Duration kStatusIntervalPerEntry = std::chrono::milliseconds(200);
 constexpr auto kFlushInterval = std::chrono::milliseconds(10);
 // How long the last replies may take to leave.
 constexpr Duration kFlushTimeout = std::chrono::seconds(5);
@@ -239,7 +243,10 @@
 }
 
 void SideDaemon::Impl::ScheduleStatus() {
-  After(m_status_timer, kStatusInterval, [](Impl& self) {
+  const Duration interval =
+      std::max(kMinStatusInterval,
+               kStatusIntervalPerEntry * static_cast<int>(m_entries.size()));
+  After(m_status_timer, interval, [](Impl& self) {
     self.Announce(self.m_gate.core().Status());
     self.ScheduleStatus();
   });
--- a/Source/Backend/side_settings.cc
+++ b/Source/Backend/side_settings.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "Settings/shared_definitions.h"
+
 namespace cowslip {
 
 namespace {
@@ -31,18 +33,6 @@
     "goodbye_linger_ms": {"type": "integer", "minimum": 0, "maximum": 60000},
     "max_waiting_online": {"type": "integer", "minimum": 0, "maximum": 100000},
     "max_ready_batch": {"type": "integer", "minimum": 0, "maximum": 100000}
-  },
-  "definitions": {
-    "name": {"type": "string", "minLength": 1, "maxLength": 128},
-    "endpoint": {
-      "type": "object",
-      "additionalProperties": false,
-      "required": ["address", "port"],
-      "properties": {
-        "address": {"type": "string", "minLength": 2},
-        "port": {"type": "integer", "minimum": 0, "maximum": 65535}
-      }
-    }
   }
 })";
 
@@ -89,7 +79,7 @@
 }  // namespace
 
 const json& SideSettingsSchema() {
-  static const json schema = json::parse(kSchema);
+  static const json schema = MakeSettingsSchema(kSchema);
   return schema;
 }
 
--- a/Source/Entry/entry_settings.cc
+++ b/Source/Entry/entry_settings.cc
@@ -1,5 +1,7 @@
 #include "Entry/entry_settings.h"
 
+#include "Settings/shared_definitions.h"
+
 namespace cowslip {
 
 namespace {
@@ -25,18 +27,6 @@
     "key_trust_ms": {"type": "integer", "minimum": 1000, "maximum": 600000},
     "max_body_bytes": {"type": "integer", "minimum": 1024,
                        "maximum": 1073741824}
-  },
-  "definitions": {
-    "name": {"type": "string", "minLength": 1, "maxLength": 128},
-    "endpoint": {
-      "type": "object",
-      "additionalProperties": false,
-      "required": ["address", "port"],
-      "properties": {
-        "address": {"type": "string", "minLength": 2},
-        "port": {"type": "integer", "minimum": 0, "maximum": 65535}
-      }
-    }
   }
 })";
 
@@ -50,7 +40,7 @@
 }  // namespace
 
 const json& EntrySettingsSchema() {
-  static const json schema = json::parse(kSchema);
+  static const json schema = MakeSettingsSchema(kSchema);
   return schema;
 }
 
--- a/Utilities/measure/capacity.sh
+++ b/Utilities/measure/capacity.sh
@@ -39,11 +39,26 @@
     "$(cpu_percent "$side_cpu" "$(fleet_cpu_ticks side1)")" | tee -a "$summary"
 }
 
+# write_organisations N  in sets of 3000: one set and its audit record must each
+# fit into one object.
+write_organisations() {
+  local i first last list
+  write_declarations
+  rm -f "$declarations"/organisations*.json
+  for ((first = 1; first <= $1; first += 3000)); do
+    last=$((first + 2999 < $1 ? first + 2999 : $1))
+    list=""
+    for ((i = first; i <= last; i++)); do
+      list+="${list:+, }{\"id\": \"org-$i\", \"rate\": 2, \"burst\": 4}"
+    done
+    echo "{\"kind\": \"organisations\", \"set\": \"bench-$first\", \"organisations\": [$list]}" \
+      >"$declarations/organisations-$first.json"
+  done
+}
+
 # run_size VARIED SIZE ENTRIES BACKENDS ORGANISATIONS
 run_size() {
-  local organisations=() i
-  for ((i = 1; i <= $5; i++)); do organisations+=("org-$i:2:4"); done
-  write_declarations "${organisations[@]}"
+  write_organisations "$5"
   start_fleet "$3" "$4" 8 1 preempt
   publish_and_add_keys org-1
   wait_ready
