--- a/Utilities/measure/capacity.sh
+++ b/Utilities/measure/capacity.sh
@@ -39,27 +39,32 @@
     "$(cpu_percent "$side_cpu" "$(fleet_cpu_ticks side1)")" | tee -a "$summary"
 }
 
-# write_organisations N  in sets of 3000: one set and its audit record must each
-# fit into one object.
+# write_organisations N  in sets of 3000, each in a folder of its own: what is
+# published at once, and its audit record, must each fit into one object.
 write_organisations() {
   local i first last list
   write_declarations
-  rm -f "$declarations"/organisations*.json
+  rm -rf "$declarations"/organisations.json "$reports/sets"
   for ((first = 1; first <= $1; first += 3000)); do
     last=$((first + 2999 < $1 ? first + 2999 : $1))
     list=""
     for ((i = first; i <= last; i++)); do
       list+="${list:+, }{\"id\": \"org-$i\", \"rate\": 2, \"burst\": 4}"
     done
+    mkdir -p "$reports/sets/$first"
     echo "{\"kind\": \"organisations\", \"set\": \"bench-$first\", \"organisations\": [$list]}" \
-      >"$declarations/organisations-$first.json"
+      >"$reports/sets/$first/organisations.json"
   done
 }
 
 # run_size VARIED SIZE ENTRIES BACKENDS ORGANISATIONS
 run_size() {
+  local set
   write_organisations "$5"
   start_fleet "$3" "$4" 8 1 preempt
+  for set in "$reports"/sets/*; do
+    "$cowslip" publish --who measure --platform "$FLEET_PLATFORM" "$set" >/dev/null || exit 1
+  done
   publish_and_add_keys org-1
   wait_ready
   sample "$1" "$2"
