Configuration: the remedy for a publish that is too large names the way that helps

Cause: sets that were already split were told to split the set; the audit record of the whole publish was what passed a megabyte.

--- a/Source/Configuration/publish_core.cc
+++ b/Source/Configuration/publish_core.cc
@@ -212,8 +212,8 @@
     if (bytes.size() > kMaxContentBytes) {
       Fail(ErrorKind::kTooLarge,
            {Problem(key,
-                    "is larger than the platform's limit of 1 MiB; split "
-                    "the service or the set")});
+                    "is larger than the platform's limit of 1 MiB; publish "
+                    "fewer files at once, or split the service or the set")});
       return;
     }
     Act(WriteObject{.key = key, .bytes = bytes});
