--- a/Source/Access/key_text.cc
+++ b/Source/Access/key_text.cc
@@ -6,7 +6,7 @@
 #include <openssl/crypto.h>
 #include <openssl/rand.h>
 
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Audit/audit_record.cc
+++ b/Source/Audit/audit_record.cc
@@ -4,7 +4,7 @@
 
 #include "Base/json.h"
 #include "Base/message_codec.h"
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Backend/engine_answer.h
+++ b/Source/Backend/engine_answer.h
@@ -8,8 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include "Backend/resume_token.h"
-#include "Backend/sse_reader.h"
 #include "Base/result.h"
+#include "Net/sse_reader.h"
 
 namespace cowslip {
 
--- a/Source/Base/error.cc
+++ b/Source/Base/error.cc
@@ -32,6 +32,8 @@
         return "outcome in doubt";
       case ErrorKind::kMalformedMessage:
         return "malformed message";
+      case ErrorKind::kHistoryLost:
+        return "history lost";
       case ErrorKind::kCancelled:
         return "cancelled";
       case ErrorKind::kInternal:
--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -21,6 +21,8 @@
   /// The operation may or may not have had an effect.
   kInDoubt,
   kMalformedMessage,
+  /// The changes asked for are no longer kept.
+  kHistoryLost,
   kCancelled,
   kInternal,
 };
--- a/Source/Configuration/sha256.cc
+++ b/Source/Base/sha256.cc
@@ -1,4 +1,4 @@
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 
 #include <array>
 #include <string>
--- a/Source/Configuration/sha256.h
+++ b/Source/Base/sha256.h
@@ -1,5 +1,5 @@
-#ifndef SOURCE_CONFIGURATION_SHA256_H_
-#define SOURCE_CONFIGURATION_SHA256_H_
+#ifndef SOURCE_BASE_SHA256_H_
+#define SOURCE_BASE_SHA256_H_
 
 #include <string_view>
 
@@ -12,4 +12,4 @@
 
 }  // namespace cowslip
 
-#endif  // SOURCE_CONFIGURATION_SHA256_H_
+#endif  // SOURCE_BASE_SHA256_H_
--- a/Source/Batch/job_ingest.cc
+++ b/Source/Batch/job_ingest.cc
@@ -5,11 +5,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Base/sha256.h"
 #include "Batch/batch_driver.h"
 #include "Batch/batch_keys.h"
 #include "Batch/batch_parser.h"
 #include "Batch/item_dispatcher.h"
-#include "Configuration/sha256.h"
 #include "Platform/object_store.h"
 
 namespace cowslip {
--- a/Source/Configuration/configuration_change.cc
+++ b/Source/Configuration/configuration_change.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "Base/overloaded.h"
+#include "Base/sha256.h"
 #include "Configuration/declaration_json.h"
-#include "Configuration/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Configuration/publish_core.cc
+++ b/Source/Configuration/publish_core.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Configuration/saved_configuration.cc
+++ b/Source/Configuration/saved_configuration.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 
 #include "Base/json.h"
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Configuration/snapshot_assembler.cc
+++ b/Source/Configuration/snapshot_assembler.cc
@@ -3,8 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "Base/sha256.h"
 #include "Configuration/declaration_json.h"
-#include "Configuration/sha256.h"
 
 namespace cowslip {
 
--- a/Source/Entry/claim_store.cc
+++ b/Source/Entry/claim_store.cc
@@ -1,6 +1,6 @@
 #include "Entry/claim_store.h"
 
-#include "Configuration/sha256.h"
+#include "Base/sha256.h"
 #include "Platform/object_store.h"
 
 namespace cowslip {
--- a/Source/Exchange/exchange_messages.h
+++ b/Source/Exchange/exchange_messages.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Base/ids.h"
+#include "Base/work_class.h"
 
 namespace cowslip {
 
@@ -17,12 +18,6 @@
 /// The peer link channel for messages from a side process to an entry.
 inline constexpr char kExchangeReplyChannel[] = "exchange.reply";
 
-/// The class of work, which decides what the gate may preempt.
-enum class WorkClass { kOnline, kBatch };
-NLOHMANN_JSON_SERIALIZE_ENUM(WorkClass,
-                             {{WorkClass::kOnline, "online"},
-                              {WorkClass::kBatch, "batch"}})
-
 /// \class ForwardedHeader
 /// \brief A caller's header that may be passed on; never one with a key.
 struct ForwardedHeader {
--- /dev/null
+++ b/Source/Fleet/fleet_configuration.cc
@@ -0,0 +1,81 @@
+#include "Fleet/fleet_configuration.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "Base/sha256.h"
+
+namespace cowslip {
+
+std::string NormaliseHost(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+FleetConfiguration::FleetConfiguration(FleetConfigurationParts parts)
+    : m_parts(std::move(parts)) {
+  for (const FleetRoute& route : m_parts.routes) {
+    m_by_host[NormaliseHost(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : m_by_host) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const FleetRoute* a, const FleetRoute* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
+  for (const FleetService& service : m_parts.services) {
+    m_services[service.id] = &service;
+  }
+  for (const FleetOrganisation& organisation : m_parts.organisations) {
+    m_organisations[organisation.id] = &organisation;
+    for (const std::string& key : organisation.keys) {
+      m_key_holders[Sha256(key)] = &organisation;
+    }
+  }
+}
+
+const FleetRoute* FleetConfiguration::FindRoute(std::string_view host,
+                                                std::string_view path) const {
+  const auto routes = m_by_host.find(NormaliseHost(host));
+  if (routes == m_by_host.end()) {
+    return nullptr;
+  }
+  for (const FleetRoute* route : routes->second) {
+    if (path.starts_with(route->path_prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const FleetRoute* FleetConfiguration::FindRoute(const RouteId& id) const {
+  for (const FleetRoute& route : m_parts.routes) {
+    if (route.id == id) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const FleetService* FleetConfiguration::FindService(const ServiceId& id) const {
+  const auto found = m_services.find(id);
+  return found == m_services.end() ? nullptr : found->second;
+}
+
+const FleetOrganisation* FleetConfiguration::FindOrganisation(
+    const OrganisationId& id) const {
+  const auto found = m_organisations.find(id);
+  return found == m_organisations.end() ? nullptr : found->second;
+}
+
+const FleetOrganisation* FleetConfiguration::FindKeyHolder(
+    std::string_view key) const {
+  const auto found = m_key_holders.find(Sha256(key));
+  return found == m_key_holders.end() ? nullptr : found->second;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/dispatcher.h
@@ -0,0 +1,149 @@
+#ifndef SOURCE_GATEWAY_DISPATCHER_H_
+#define SOURCE_GATEWAY_DISPATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Base/work_class.h"
+#include "Placement/placing_core.h"
+#include "Placement/refusing_core.h"
+#include "Placement/waiting_core.h"
+
+namespace cowslip {
+
+class Dispatcher;
+class HttpClient;
+
+/// \class AttemptLease
+/// \brief One slot of a backend server, held from the placing until the attempt
+/// has ended.
+class AttemptLease {
+ public:
+  AttemptLease(Dispatcher& dispatcher, BackendId backend, WorkClass work);
+  ~AttemptLease();
+  AttemptLease(const AttemptLease&) = delete;
+  AttemptLease& operator=(const AttemptLease&) = delete;
+
+  const BackendId& backend() const { return m_backend; }
+  const std::shared_ptr<HttpClient>& client() const { return m_client; }
+  /// How the attempt ended; kCancelled until it is set.
+  void SetOutcome(AttemptOutcome outcome) { m_outcome = outcome; }
+
+ private:
+  Dispatcher& m_dispatcher;
+  const BackendId m_backend;
+  const WorkClass m_work;
+  std::shared_ptr<HttpClient> m_client;
+  AttemptOutcome m_outcome = AttemptOutcome::kCancelled;
+};
+
+/// \class OnlinePlacement
+/// \brief What an online request asks for.
+struct OnlinePlacement {
+  ServiceId service;
+  std::string shared_prompt;
+  std::set<BackendId> exclude;
+  int rank = 0;
+  Duration target{0};
+  /// How long the caller still waits.
+  Duration left{0};
+};
+
+/// The request is to be refused.
+struct PlacementRefused {
+  const char* reason = "";
+  Duration retry_after{0};
+  /// The load that decided it.
+  ServiceLoad load;
+};
+using PlacementResult =
+    std::variant<std::unique_ptr<AttemptLease>, PlacementRefused>;
+
+/// \class DispatcherOptions
+/// \brief Settings of the cores and of the connections.
+struct DispatcherOptions {
+  PlacingOptions placing;
+  RefusingOptions refusing;
+  /// How often waiting requests are looked at when nothing else happens.
+  Duration wait_tick = std::chrono::milliseconds(10);
+  /// A backend server's VM answers a connection attempt within a few
+  /// milliseconds, unless it is dark.
+  Duration connect_timeout = std::chrono::milliseconds(400);
+  /// The shortest that the kernel measures.
+  Duration dead_peer_timeout = std::chrono::seconds(1);
+  /// Kept connections to one backend server: its slots and a few more.
+  size_t max_idle_connections = 16;
+};
+
+/// \class Dispatcher
+/// \brief Drives the placing, waiting and refusing cores, and owns the
+/// connections to the backend servers.
+class Dispatcher {
+ public:
+  /// `load_changed` is called when this process's requests in flight change.
+  Dispatcher(boost::asio::io_context& context,
+             DispatcherOptions options,
+             std::function<void()> load_changed);
+  ~Dispatcher();
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
+  /// A slot for an online request; may wait for a fraction of its target. When
+  /// `gone` is set meanwhile, the request is refused.
+  boost::asio::awaitable<PlacementResult> PlaceOnline(
+      OnlinePlacement placement,
+      std::shared_ptr<const bool> gone);
+  /// A slot for a batch item, or null.
+  std::unique_ptr<AttemptLease> PlaceBatch(const PlacementQuery& query);
+
+  /// Tells the placing core something and looks at the waiting requests.
+  void Tell(const PlacingEvent& event);
+  void SetMembers(uint32_t members) { m_members = members; }
+
+  const PlacingCore& placing() const { return m_placing; }
+  RefusingCore& refusing() { return m_refusing; }
+  ServiceLoad Load(const ServiceId& service) const;
+  size_t waiting() const { return m_waiting.size(); }
+  std::shared_ptr<HttpClient> ClientFor(const BackendId& backend);
+
+ private:
+  struct PendingWait;
+
+  boost::asio::awaitable<PlacementResult> Wait(
+      OnlinePlacement placement,
+      PlacementQuery query,
+      MayWait bounds,
+      std::shared_ptr<const bool> gone);
+  void LookAtWaiters();
+  /// Returns true when a request was placed.
+  bool CarryOut(const std::vector<WaitingAction>& actions);
+  void ScheduleTick();
+
+  boost::asio::io_context& m_context;
+  const DispatcherOptions m_options;
+  const std::function<void()> m_load_changed;
+  PlacingCore m_placing;
+  RefusingCore m_refusing;
+  WaitingCore m_waiting;
+  boost::asio::steady_timer m_tick;
+  bool m_tick_is_set = false;
+  bool m_looking = false;
+  uint32_t m_members = 1;
+  uint64_t m_last_ticket = 0;
+  std::map<TicketId, std::shared_ptr<PendingWait>> m_pending;
+  std::map<BackendId, std::shared_ptr<HttpClient>> m_clients;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_DISPATCHER_H_
--- /dev/null
+++ b/Source/Gateway/front_door.cc
@@ -0,0 +1,206 @@
+#include "Gateway/front_door.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/event_log.h"
+#include "Gateway/dispatcher.h"
+#include "Gateway/gateway_metrics.h"
+#include "Gateway/job_handler.h"
+#include "Gateway/problem_response.h"
+#include "Gateway/relay_session.h"
+#include "Net/http_exchange.h"
+#include "Quota/quota_core.h"
+#include "platform/job_messages.h"
+#include "platform/request_headers.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+// When a VM that knows no configuration, or no current one, is worth another
+// try: configurations arrive within a second or two of a start.
+constexpr Duration kUncertainRetry = std::chrono::milliseconds(700);
+
+Problem Uncertain(const char* detail) {
+  return Problem{.kind = ProblemKind::kNotReady,
+                 .detail = detail,
+                 .not_run = true,
+                 .retry_after = kUncertainRetry};
+}
+
+}  // namespace
+
+FrontDoor::FrontDoor(GatewayContext& gateway, JobHandler& jobs, uint64_t seed)
+    : m_gateway(gateway), m_jobs(jobs), m_random(seed) {}
+
+awaitable<void> FrontDoor::Answer(HttpExchange& exchange,
+                                  const CallerRequest& caller,
+                                  Problem problem) {
+  m_gateway.metrics.RequestEnded(NameOf(problem.kind));
+  const uint64_t version = m_gateway.configuration == nullptr
+                               ? 0
+                               : m_gateway.configuration->version().value();
+  m_gateway.log.Write("request_refused",
+                      {{"id", caller.attempt.value()},
+                       {"kind", NameOf(problem.kind)},
+                       {"host", caller.host},
+                       {"path", exchange.request().Path()},
+                       {"configuration", version},
+                       {"current", m_gateway.configuration_is_current},
+                       {"detail", problem.detail}});
+  HttpResponse response = ProblemResponse(problem);
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<void> FrontDoor::Handle(HttpExchange& exchange) {
+  Result<CallerRequest> decoded =
+      platform::DecodeCallerRequest(exchange.request());
+  if (!decoded.has_value()) {
+    Problem problem{.kind = ProblemKind::kBadRequest,
+                    .detail = decoded.error().message,
+                    .not_run = true};
+    const CallerRequest unknown;
+    co_await Answer(exchange, unknown, std::move(problem));
+    co_return;
+  }
+  CallerRequest caller = std::move(decoded.value());
+  const auto configuration = m_gateway.configuration;
+  if (configuration == nullptr) {
+    Problem problem = Uncertain("This VM has no configuration yet.");
+    co_await Answer(exchange, caller, std::move(problem));
+    co_return;
+  }
+  const std::string path = exchange.request().Path();
+  const FleetRoute* route = configuration->FindRoute(caller.host, path);
+  if (route == nullptr) {
+    const std::optional<JobCall> call =
+        platform::DecodeJobCall(exchange.request());
+    if (call.has_value()) {
+      co_await HandleJobCall(exchange, std::move(caller), *call);
+      co_return;
+    }
+    Problem problem =
+        m_gateway.configuration_is_current
+            ? Problem{.kind = ProblemKind::kNoSuchRoute,
+                      .detail = "No route of this host begins with the path.",
+                      .not_run = true}
+            : Uncertain("The route may be newer than this VM's configuration.");
+    co_await Answer(exchange, caller, std::move(problem));
+    co_return;
+  }
+  OrganisationId organisation;
+  std::optional<Problem> problem;
+  if (!route->open_to_all) {
+    problem = CheckKey(caller, organisation);
+  }
+  if (problem.has_value()) {
+    co_await Answer(exchange, caller, std::move(*problem));
+    co_return;
+  }
+  if (route->kind == RequestKind::kBatch) {
+    co_await m_jobs.Submit(exchange, std::move(caller), *route, organisation);
+    co_return;
+  }
+  co_await HandleOnline(exchange, std::move(caller), *route, organisation);
+}
+
+awaitable<void> FrontDoor::HandleJobCall(HttpExchange& exchange,
+                                         CallerRequest caller,
+                                         JobCall call) {
+  OrganisationId organisation;
+  std::optional<Problem> problem = CheckKey(caller, organisation);
+  if (problem.has_value()) {
+    co_await Answer(exchange, caller, std::move(*problem));
+    co_return;
+  }
+  co_await m_jobs.Handle(exchange, std::move(caller), std::move(call),
+                         std::move(organisation));
+}
+
+std::optional<Problem> FrontDoor::CheckKey(const CallerRequest& caller,
+                                           OrganisationId& organisation) const {
+  const FleetConfiguration& configuration = *m_gateway.configuration;
+  if (!configuration.keys_required()) {
+    return std::nullopt;
+  }
+  if (caller.key.empty()) {
+    return Problem{.kind = ProblemKind::kMissingKey,
+                   .detail = "Send the key of an organisation.",
+                   .not_run = true};
+  }
+  const FleetOrganisation* holder = configuration.FindKeyHolder(caller.key);
+  if (holder == nullptr) {
+    return m_gateway.configuration_is_current
+               ? Problem{.kind = ProblemKind::kUnknownKey,
+                         .detail = "No organisation holds this key.",
+                         .not_run = true}
+               : Uncertain(
+                     "The key may be newer than this VM's configuration.");
+  }
+  organisation = holder->id;
+  return std::nullopt;
+}
+
+std::optional<Problem> FrontDoor::CheckQuota(
+    const OrganisationId& organisation) {
+  const QuotaAction action =
+      m_gateway.quota.Handle(QuotaAsked{organisation}, MonotonicClock::now());
+  if (const auto* exceeded = std::get_if<QuotaExceeded>(&action)) {
+    return Problem{.kind = ProblemKind::kRateLimited,
+                   .detail =
+                       "The organisation's rate and burst are used up. "
+                       "Come back after the time in Retry-After.",
+                   .not_run = true,
+                   .retry_after = exceeded->retry_after};
+  }
+  m_gateway.usage_changed();
+  return std::nullopt;
+}
+
+ServiceId FrontDoor::PickService(const FleetRoute& route) {
+  uint64_t total = 0;
+  for (const TrafficShare& share : route.split) {
+    total += share.weight;
+  }
+  if (total == 0) {
+    return route.split.empty() ? ServiceId() : route.split.front().service;
+  }
+  uint64_t drawn =
+      std::uniform_int_distribution<uint64_t>(0, total - 1)(m_random);
+  for (const TrafficShare& share : route.split) {
+    if (drawn < share.weight) {
+      return share.service;
+    }
+    drawn -= share.weight;
+  }
+  return route.split.back().service;
+}
+
+awaitable<void> FrontDoor::HandleOnline(HttpExchange& exchange,
+                                        CallerRequest caller,
+                                        const FleetRoute& route,
+                                        OrganisationId organisation) {
+  const MonotonicTime arrived = MonotonicClock::now();
+  std::optional<Problem> problem = CheckQuota(organisation);
+  if (problem.has_value()) {
+    co_await Answer(exchange, caller, std::move(*problem));
+    co_return;
+  }
+  const FleetOrganisation* holder =
+      m_gateway.configuration->FindOrganisation(organisation);
+  const bool own_rank = holder != nullptr && holder->rank >= 0;
+  RelayRequest request{.caller = std::move(caller),
+                       .route = &route,
+                       .configuration = m_gateway.configuration,
+                       .organisation = std::move(organisation),
+                       .rank = own_rank ? holder->rank : route.rank,
+                       .service = PickService(route),
+                       .arrived = arrived};
+  RelaySession session(m_gateway, exchange, std::move(request));
+  co_await session.Run();
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/front_door.h
@@ -0,0 +1,55 @@
+#ifndef SOURCE_GATEWAY_FRONT_DOOR_H_
+#define SOURCE_GATEWAY_FRONT_DOOR_H_
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Fleet/caller_request.h"
+#include "Fleet/fleet_configuration.h"
+#include "Gateway/gateway_context.h"
+#include "Jobs/job_calls.h"
+#include "Requests/problem.h"
+
+namespace cowslip {
+
+class HttpExchange;
+class JobHandler;
+
+/// \class FrontDoor
+/// \brief Takes every request of callers: finds its route and organisation,
+/// asks the quota, and hands it on.
+class FrontDoor {
+ public:
+  /// `jobs` answers what concerns batch jobs.
+  FrontDoor(GatewayContext& gateway, JobHandler& jobs, uint64_t seed);
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+
+ private:
+  boost::asio::awaitable<void> HandleOnline(HttpExchange& exchange,
+                                            CallerRequest caller,
+                                            const FleetRoute& route,
+                                            OrganisationId organisation);
+  boost::asio::awaitable<void> Answer(HttpExchange& exchange,
+                                      const CallerRequest& caller,
+                                      Problem problem);
+  boost::asio::awaitable<void> HandleJobCall(HttpExchange& exchange,
+                                             CallerRequest caller,
+                                             JobCall call);
+  // Finds the organisation that holds the caller's key.
+  std::optional<Problem> CheckKey(const CallerRequest& caller,
+                                  OrganisationId& organisation) const;
+  std::optional<Problem> CheckQuota(const OrganisationId& organisation);
+  ServiceId PickService(const FleetRoute& route);
+
+  GatewayContext& m_gateway;
+  JobHandler& m_jobs;
+  std::mt19937_64 m_random;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_FRONT_DOOR_H_
--- /dev/null
+++ b/Source/Gateway/gateway_daemon.cc
@@ -0,0 +1,566 @@
+#include "Gateway/gateway_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Base/overloaded.h"
+#include "Gateway/peer_documents.h"
+#include "Gateway/problem_response.h"
+#include "Jobs/job_documents.h"
+#include "Net/http_exchange.h"
+#include "platform/backend_entry.h"
+#include "platform/configuration_entry.h"
+#include "platform/wire_names.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+// Leases, silence and waiting entries are looked at this often.
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+// The balancer asks once a second and takes a VM out after two misses, so new
+// connections come for up to this long after the first one.
+constexpr Duration kBalancerNotices = std::chrono::milliseconds(2500);
+
+// The end of the grace time is left to write the log and to exit.
+constexpr Duration kExitMargin = std::chrono::milliseconds(400);
+
+// Pauses between attempts to register while the store does not answer.
+constexpr Duration kRegisterPause = std::chrono::milliseconds(300);
+
+PlacingOptions PlacingFor(const GatewaySettings& settings) {
+  return PlacingOptions{.self = settings.vm, .zone = settings.zone};
+}
+
+}  // namespace
+
+GatewayDaemon::GatewayDaemon(boost::asio::io_context& context,
+                             GatewayDaemonOptions options)
+    : m_context(context),
+      m_options(std::move(options)),
+      m_settings(m_options.settings),
+      m_log(EventLogOptions{.descriptor = m_options.log_descriptor}),
+      m_store(context.get_executor(), m_settings.store),
+      m_quota(QuotaOptions{}),
+      m_peers(PeerTableOptions{.self = m_settings.vm}),
+      m_directory(BackendDirectoryOptions{}),
+      m_dispatcher(context,
+                   DispatcherOptions{
+                       .placing = PlacingFor(m_settings),
+                       .refusing = {.seed = m_options.incarnation.value()}},
+                   [this] { LoadChanged(); }),
+      m_gateway{.io = context,
+                .dispatcher = m_dispatcher,
+                .quota = m_quota,
+                .log = m_log,
+                .metrics = m_metrics,
+                .usage_changed = [this] { m_gossip->StateChanged(); }},
+      m_board(JobBoardOptions{.self = m_settings.vm,
+                              .incarnation = m_options.incarnation},
+              m_peers),
+      m_runner(m_gateway, m_store, m_board, JobRunnerOptions{}),
+      m_jobs(m_gateway, m_store, m_board, m_runner),
+      m_front_door(m_gateway, m_jobs, m_options.incarnation.value()),
+      m_tick(context),
+      m_register_timer(context) {
+  const Endpoint listen{.address = m_settings.address,
+                        .port = m_settings.first_internal_port};
+  m_gossip = std::make_unique<PeerGossip>(
+      context, PeerGossipOptions{.listen = listen},
+      [this] { return ComposePeerMessage(); },
+      [this] { return m_peers.Addresses(); },
+      [this](const PeerMessage& message) { ReceivePeer(message); });
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+Result<void> GatewayDaemon::Start() {
+  m_log.Write("started", {{"vm", m_settings.vm.value()},
+                          {"zone", m_settings.zone.value()},
+                          {"incarnation", m_options.incarnation.value()},
+                          {"version", COWSLIP_VERSION}});
+  const Result<void> gossip = m_gossip->Start();
+  if (!gossip.has_value()) {
+    return gossip.error();
+  }
+  const Result<void> servers = StartServers();
+  if (!servers.has_value()) {
+    return servers.error();
+  }
+  StartWatchers();
+  boost::asio::co_spawn(
+      m_context, [this] { return Register(); }, boost::asio::detached);
+  Tick();
+  return Ok();
+}
+
+Result<void> GatewayDaemon::StartServers() {
+  HttpServerOptions callers;
+  callers.listen = m_settings.listen_callers.value_or(Endpoint());
+  const CallerLimits limits;
+  callers.max_header_bytes = limits.max_header_bytes;
+  callers.max_body_bytes = limits.max_body_bytes;
+  m_callers = std::make_unique<HttpServer>(
+      m_context, std::move(callers),
+      [this](HttpExchange& exchange) { return m_front_door.Handle(exchange); });
+  HttpServerOptions ready;
+  ready.listen = m_settings.listen_ready.value_or(Endpoint());
+  m_ready = std::make_unique<HttpServer>(
+      m_context, std::move(ready),
+      [this](HttpExchange& exchange) { return AnswerReady(exchange); });
+  HttpServerOptions metrics;
+  metrics.listen = Endpoint{.address = m_settings.address,
+                            .port = m_settings.last_internal_port};
+  m_metrics_server = std::make_unique<HttpServer>(
+      m_context, std::move(metrics),
+      [this](HttpExchange& exchange) { return AnswerMetrics(exchange); });
+  for (HttpServer* server :
+       {m_callers.get(), m_ready.get(), m_metrics_server.get()}) {
+    const Result<void> started = server->Start();
+    if (!started.has_value()) {
+      return started.error();
+    }
+  }
+  return Ok();
+}
+
+std::shared_ptr<DocumentWatcher> GatewayDaemon::Watch(
+    const char* kind,
+    DocumentWatcherEvents events) {
+  const std::string name = kind;
+  events.lost = [this, name,
+                 lost = std::move(events.lost)](const Error& error) {
+    m_log.Write("store_lost", {{"kind", name}, {"why", error.message}});
+    if (lost) {
+      lost(error);
+    }
+  };
+  events.regained = [this, name, regained = std::move(events.regained)] {
+    m_log.Write("store_regained", {{"kind", name}});
+    if (regained) {
+      regained();
+    }
+  };
+  auto watcher = std::make_shared<DocumentWatcher>(
+      m_context.get_executor(), m_store,
+      DocumentWatcherOptions{.kind = DocumentKind(name),
+                             .seed = m_options.incarnation.value()},
+      std::move(events));
+  watcher->Start();
+  return watcher;
+}
+
+void GatewayDaemon::StartWatchers() {
+  m_configuration_watcher = Watch(
+      platform::kConfigurationKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             for (const Document& document : documents) {
+               TakeConfiguration(document);
+             }
+           },
+       .changed =
+           [this](const DocumentChange& change) {
+             if (!change.removed) {
+               TakeConfiguration(change.document);
+             }
+           },
+       .lost =
+           [this](const Error&) { m_gateway.configuration_is_current = false; },
+       .regained = [this] { m_gateway.configuration_is_current = true; }});
+  m_backend_watcher = Watch(
+      platform::kBackendKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakeBackends(documents);
+           },
+       .changed = [this](const DocumentChange& change) { TakeBackend(change); },
+       .lost = [this](const Error&) { TellDirectory(DirectoryStoreLost{}); },
+       .regained = [this] { TellDirectory(DirectoryStoreRegained{}); }});
+  m_peer_watcher = Watch(
+      kPeerKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakePeers(documents);
+           },
+       .changed =
+           [this](const DocumentChange& change) { TakePeerChange(change); }});
+  m_job_watcher =
+      Watch(kJobKind,
+            {.listed =
+                 [this](const std::vector<Document>& documents) {
+                   TakeJobs(documents);
+                 },
+             .changed =
+                 [this](const DocumentChange& change) {
+                   if (change.removed) {
+                     m_runner.Forgotten(JobKey(change.document.name.value()));
+                   } else {
+                     m_runner.Seen(change.document);
+                   }
+                 }});
+}
+
+void GatewayDaemon::TakeJobs(const std::vector<Document>& documents) {
+  for (const Document& document : documents) {
+    m_runner.Seen(document);
+  }
+  m_jobs_known = true;
+  ConsiderActivation();
+}
+
+void GatewayDaemon::ConsiderActivation() {
+  if (m_registered && m_peers_known && m_jobs_known) {
+    m_runner.Tell(BoardActivated{});
+  }
+}
+
+void GatewayDaemon::LoadChanged() {
+  m_gossip->StateChanged();
+  m_runner.Wake();
+}
+
+void GatewayDaemon::TakeConfiguration(const Document& document) {
+  if (document.name.value() != platform::kConfigurationName) {
+    return;
+  }
+  Result<FleetConfigurationParts> parts =
+      platform::DecodeConfiguration(document.content);
+  if (!parts.has_value()) {
+    m_log.Write("configuration_rejected", {{"why", parts.error().message}});
+    return;
+  }
+  const ConfigVersion version = parts.value().version;
+  const auto& old = m_gateway.configuration;
+  if (old != nullptr && version <= old->version()) {
+    return;
+  }
+  m_gateway.configuration =
+      std::make_shared<const FleetConfiguration>(std::move(parts.value()));
+  m_newest_heard = std::max(m_newest_heard, version);
+  const FleetConfiguration& now = *m_gateway.configuration;
+  QuotasChanged quotas;
+  for (const FleetOrganisation& organisation : now.organisations()) {
+    quotas.quotas.push_back(
+        {organisation.id, organisation.rate, organisation.burst});
+  }
+  m_quota.Handle(quotas, MonotonicClock::now());
+  const CallerLimits& limits = now.limits();
+  m_callers->SetLimits(
+      HttpServerLimits{.max_header_bytes = limits.max_header_bytes,
+                       .max_body_bytes = limits.max_body_bytes,
+                       .read_timeout = limits.header_timeout * 4,
+                       .idle_timeout = limits.idle_timeout});
+  m_log.Write("configuration_in_force",
+              {{"version", version.value()},
+               {"organisations", now.organisations().size()}});
+  m_gossip->StateChanged();
+}
+
+void GatewayDaemon::TakeBackends(const std::vector<Document>& documents) {
+  BackendsListed listed;
+  for (const Document& document : documents) {
+    const auto backend = platform::DecodeBackend(document);
+    if (backend.has_value()) {
+      listed.backends.push_back(*backend);
+    } else {
+      m_log.Write("backend_entry_unreadable",
+                  {{"entry", document.name.value()}});
+    }
+  }
+  m_backends_known = true;
+  TellDirectory(listed);
+}
+
+void GatewayDaemon::TakeBackend(const DocumentChange& change) {
+  const auto backend = platform::DecodeBackend(change.document);
+  if (!change.removed && backend.has_value()) {
+    TellDirectory(BackendEntryWritten{*backend});
+    return;
+  }
+  if (!change.removed) {
+    m_log.Write("backend_entry_unreadable",
+                {{"entry", change.document.name.value()}});
+  }
+  TellDirectory(BackendEntryRemoved{BackendId(change.document.name.value())});
+}
+
+void GatewayDaemon::TellDirectory(const DirectoryEvent& event) {
+  const std::vector<DirectoryAction> actions =
+      m_directory.Handle(event, MonotonicClock::now());
+  for (const DirectoryAction& action : actions) {
+    std::visit(Overloaded{[&](const BackendUsable& usable) {
+                            m_log.Write(
+                                "backend_usable",
+                                {{"backend", usable.backend.id.value()},
+                                 {"address", usable.backend.address.ToString()},
+                                 {"draining", usable.backend.draining}});
+                            m_dispatcher.Tell(BackendAdded{usable.backend});
+                          },
+                          [&](const BackendUnusable& unusable) {
+                            m_log.Write("backend_unusable",
+                                        {{"backend", unusable.id.value()}});
+                            m_dispatcher.Tell(BackendDropped{unusable.id});
+                          }},
+               action);
+  }
+}
+
+void GatewayDaemon::TakePeers(const std::vector<Document>& documents) {
+  m_peer_records.clear();
+  for (const Document& document : documents) {
+    const auto record = DecodePeer(document);
+    if (record.has_value()) {
+      m_peer_records[record->vm] = *record;
+    }
+  }
+  m_peers_known = true;
+  ShowPeers();
+  ConsiderActivation();
+}
+
+void GatewayDaemon::TakePeerChange(const DocumentChange& change) {
+  const auto record = DecodePeer(change.document);
+  if (change.removed || !record.has_value()) {
+    m_peer_records.erase(VmId(change.document.name.value()));
+  } else {
+    m_peer_records[record->vm] = *record;
+  }
+  ShowPeers();
+}
+
+void GatewayDaemon::ShowPeers() {
+  PeersListed listed;
+  for (const auto& [vm, record] : m_peer_records) {
+    listed.peers.push_back(record);
+  }
+  TellPeers(listed);
+}
+
+void GatewayDaemon::TellPeers(const PeerEvent& event) {
+  const std::vector<PeerAction> actions =
+      m_peers.Handle(event, MonotonicClock::now());
+  for (const PeerAction& action : actions) {
+    std::visit([this](const auto& alternative) { Carry(alternative); }, action);
+  }
+}
+
+void GatewayDaemon::Carry(const PeersCounted& counted) {
+  m_quota.Handle(
+      FleetCounted{.members = counted.members, .silent = counted.silent},
+      MonotonicClock::now());
+  m_dispatcher.SetMembers(counted.members - counted.silent);
+  m_log.Write("peers_counted",
+              {{"members", counted.members}, {"silent", counted.silent}});
+}
+
+void GatewayDaemon::Carry(const PeerAppeared& appeared) {
+  m_log.Write("peer_appeared", {{"peer", appeared.vm.value()},
+                                {"incarnation", appeared.incarnation.value()}});
+  m_dispatcher.Tell(PeerUseForgotten{appeared.vm});
+  m_gossip->StateChanged();
+}
+
+void GatewayDaemon::Carry(const PeerFellSilent& silent) {
+  m_log.Write("peer_silent", {{"peer", silent.vm.value()}});
+  m_dispatcher.Tell(PeerUseForgotten{silent.vm});
+}
+
+void GatewayDaemon::Carry(const PeerGone& gone) {
+  m_log.Write("peer_gone", {{"peer", gone.vm.value()}});
+  boost::asio::co_spawn(
+      m_context, [this, vm = gone.vm] { return RemovePeer(vm); },
+      boost::asio::detached);
+}
+
+awaitable<void> GatewayDaemon::RemovePeer(VmId vm) {
+  const DocumentKind kind(kPeerKind);
+  const DocumentName name(vm.value());
+  const Result<void> removed = co_await m_store.Remove(kind, name);
+  if (!removed.has_value()) {
+    m_log.Write("peer_removal_failed",
+                {{"peer", vm.value()}, {"why", removed.error().message}});
+  }
+}
+
+void GatewayDaemon::ReceivePeer(const PeerMessage& message) {
+  TellPeers(PeerHeard{message});
+  const MonotonicTime now = MonotonicClock::now();
+  m_quota.Handle(UsageReported{message.vm, message.incarnation, message.usage},
+                 now);
+  m_dispatcher.Tell(PeerUseReported{message.vm, message.in_flight});
+  m_runner.Wake();
+  if (message.configuration > m_newest_heard) {
+    // A peer has a newer version; the watch should have told of it too.
+    m_newest_heard = message.configuration;
+    m_configuration_watcher->Refresh();
+  }
+}
+
+PeerMessage GatewayDaemon::ComposePeerMessage() const {
+  PeerMessage message{.vm = m_settings.vm,
+                      .incarnation = m_options.incarnation,
+                      .draining = m_shutting_down,
+                      .usage = m_quota.Usage(),
+                      .in_flight = m_dispatcher.placing().InFlight()};
+  if (m_gateway.configuration != nullptr) {
+    message.configuration = m_gateway.configuration->version();
+  }
+  return message;
+}
+
+awaitable<void> GatewayDaemon::Register() {
+  while (!m_registered && !m_stopped) {
+    const Result<void> done = co_await RegisterOnce();
+    if (done.has_value()) {
+      m_registered = true;
+      m_log.Write("registered", {{"vm", m_settings.vm.value()}});
+      ConsiderActivation();
+      co_return;
+    }
+    m_log.Write("registration_failed", {{"why", done.error().message}});
+    m_register_timer.expires_after(kRegisterPause);
+    boost::system::error_code ignored;
+    co_await m_register_timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+}
+
+awaitable<Result<void>> GatewayDaemon::RegisterOnce() {
+  const DocumentKind kind(kPeerKind);
+  const DocumentName name(m_settings.vm.value());
+  const PeerRecord record{
+      .vm = m_settings.vm,
+      .address = Endpoint{.address = m_settings.address,
+                          .port = m_settings.first_internal_port},
+      .incarnation = m_options.incarnation};
+  nlohmann::json content = EncodePeer(record);
+  const Result<Document> created = co_await m_store.Create(kind, name, content);
+  if (created.has_value()) {
+    co_return Ok();
+  }
+  if (created.error().kind() != ErrorKind::kConflict) {
+    co_return created.error();
+  }
+  // An earlier incarnation's entry, or this one's after a lost answer.
+  const Result<Document> known = co_await m_store.Get(kind, name);
+  if (!known.has_value()) {
+    co_return known.error();
+  }
+  if (known.value().content == content) {
+    co_return Ok();
+  }
+  const ObjectVersion version = known.value().version;
+  const Result<Document> replaced =
+      co_await m_store.Replace(kind, name, content, version);
+  if (!replaced.has_value()) {
+    co_return replaced.error();
+  }
+  co_return Ok();
+}
+
+bool GatewayDaemon::IsReady() const {
+  return !m_shutting_down && m_registered && m_backends_known &&
+         m_gateway.configuration != nullptr;
+}
+
+awaitable<void> GatewayDaemon::AnswerReady(HttpExchange& exchange) {
+  HttpResponse response{.status = IsReady() ? 200 : 503};
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<void> GatewayDaemon::AnswerMetrics(HttpExchange& exchange) {
+  UpdateGauges();
+  HttpResponse response{.body = m_metrics.Render()};
+  response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+void GatewayDaemon::UpdateGauges() {
+  m_metrics.SetGauge("cowslip_store_calls",
+                     "Calls to the platform's store since the start.",
+                     static_cast<double>(m_store.calls()));
+  m_metrics.SetGauge("cowslip_log_lines_dropped",
+                     "Log lines that were not written.",
+                     static_cast<double>(m_log.dropped()));
+  m_metrics.SetGauge("cowslip_connections", "Open connections of callers.",
+                     static_cast<double>(m_callers->connections()));
+  m_metrics.SetGauge("cowslip_requests_waiting",
+                     "Requests that wait for a slot.",
+                     static_cast<double>(m_dispatcher.waiting()));
+  m_metrics.SetGauge("cowslip_configuration_current",
+                     "1 while newer configurations would be heard of.",
+                     m_gateway.configuration_is_current ? 1 : 0);
+}
+
+void GatewayDaemon::Tick() {
+  m_tick.expires_after(kTickInterval);
+  m_tick.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    TellDirectory(DirectoryTick{});
+    TellPeers(PeerTick{});
+    m_runner.Tick();
+    m_log.Flush();
+    if (m_shutting_down) {
+      ContinueShutdown();
+    }
+    if (!m_stopped) {
+      Tick();
+    }
+  });
+}
+
+void GatewayDaemon::Shutdown() {
+  if (m_shutting_down) {
+    return;
+  }
+  m_shutting_down = true;
+  m_shutdown_began = MonotonicClock::now();
+  m_log.Write("shutdown_began",
+              {{"active_requests", m_callers->active_requests()}});
+  m_callers->StopKeepingConnections();
+  m_runner.Tell(BoardStopping{});
+  m_gossip->StateChanged();
+}
+
+void GatewayDaemon::ContinueShutdown() {
+  const Duration since = MonotonicClock::now() - m_shutdown_began;
+  if (since < kBalancerNotices) {
+    return;
+  }
+  m_callers->Drain();
+  const bool out_of_time = since >= m_settings.stop_grace - kExitMargin;
+  const bool busy = m_callers->active_requests() > 0 || !m_board.IsIdle();
+  if (busy && !out_of_time) {
+    return;
+  }
+  m_stopped = true;
+  m_log.Write("stopped", {{"active_requests", m_callers->active_requests()}});
+  m_log.Flush();
+  for (const auto& watcher : {m_configuration_watcher, m_backend_watcher,
+                              m_peer_watcher, m_job_watcher}) {
+    watcher->Stop();
+  }
+  m_gossip->Stop();
+  if (m_options.on_stopped) {
+    m_options.on_stopped();
+  }
+}
+
+void GatewayDaemon::Reload(const GatewaySettings& settings) {
+  m_log.Write("settings_reloaded", {{"changed", !(settings == m_settings)}});
+  m_settings.stop_grace = settings.stop_grace;
+  m_settings.job_retention = settings.job_retention;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/gateway_daemon.h
@@ -0,0 +1,132 @@
+#ifndef SOURCE_GATEWAY_GATEWAY_DAEMON_H_
+#define SOURCE_GATEWAY_GATEWAY_DAEMON_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Base/event_log.h"
+#include "Fleet/gateway_settings.h"
+#include "Gateway/dispatcher.h"
+#include "Gateway/front_door.h"
+#include "Gateway/gateway_context.h"
+#include "Gateway/gateway_metrics.h"
+#include "Gateway/job_handler.h"
+#include "Gateway/job_runner.h"
+#include "Jobs/job_board.h"
+#include "Net/http_server.h"
+#include "Peers/peer_gossip.h"
+#include "Peers/peer_table.h"
+#include "Placement/backend_directory.h"
+#include "Platform/document_watcher.h"
+#include "Quota/quota_core.h"
+#include "platform/store_client.h"
+
+namespace cowslip {
+
+/// \class GatewayDaemonOptions
+/// \brief What the daemon is told beside the platform's settings.
+struct GatewayDaemonOptions {
+  GatewaySettings settings;
+  Incarnation incarnation;
+  /// Where lines of the event log go.
+  int log_descriptor = 1;
+  /// Called once everything has ended after Shutdown().
+  std::function<void()> on_stopped;
+};
+
+/// \class GatewayDaemon
+/// \brief An entry VM's process on the platform: serves callers, and runs the
+/// batch jobs that it owns.
+class GatewayDaemon {
+ public:
+  GatewayDaemon(boost::asio::io_context& context, GatewayDaemonOptions options);
+  ~GatewayDaemon();
+  GatewayDaemon(const GatewayDaemon&) = delete;
+  GatewayDaemon& operator=(const GatewayDaemon&) = delete;
+
+  /// Opens the ports. Errors: kUnavailable.
+  Result<void> Start();
+  /// Takes no new work, ends what runs, then calls `on_stopped`.
+  void Shutdown();
+  /// The settings file has changed.
+  void Reload(const GatewaySettings& settings);
+
+  uint16_t caller_port() const { return m_callers->port(); }
+  uint16_t ready_port() const { return m_ready->port(); }
+  bool IsReady() const;
+
+ private:
+  Result<void> StartServers();
+  void StartWatchers();
+  std::shared_ptr<DocumentWatcher> Watch(const char* kind,
+                                         DocumentWatcherEvents events);
+  void TakeConfiguration(const Document& document);
+  void TakeBackends(const std::vector<Document>& documents);
+  void TakeBackend(const DocumentChange& change);
+  void TakePeers(const std::vector<Document>& documents);
+  void TakePeerChange(const DocumentChange& change);
+  void TakeJobs(const std::vector<Document>& documents);
+  void ShowPeers();
+  void ConsiderActivation();
+  void LoadChanged();
+  void TellDirectory(const DirectoryEvent& event);
+  void TellPeers(const PeerEvent& event);
+  void Carry(const PeersCounted& counted);
+  void Carry(const PeerAppeared& appeared);
+  void Carry(const PeerFellSilent& silent);
+  void Carry(const PeerGone& gone);
+  void ReceivePeer(const PeerMessage& message);
+  PeerMessage ComposePeerMessage() const;
+  boost::asio::awaitable<void> Register();
+  boost::asio::awaitable<Result<void>> RegisterOnce();
+  boost::asio::awaitable<void> RemovePeer(VmId vm);
+  boost::asio::awaitable<void> AnswerReady(HttpExchange& exchange);
+  boost::asio::awaitable<void> AnswerMetrics(HttpExchange& exchange);
+  void UpdateGauges();
+  void Tick();
+  void ContinueShutdown();
+
+  boost::asio::io_context& m_context;
+  const GatewayDaemonOptions m_options;
+  GatewaySettings m_settings;
+  EventLog m_log;
+  GatewayMetrics m_metrics;
+  platform::StoreClient m_store;
+  QuotaCore m_quota;
+  PeerTable m_peers;
+  std::map<VmId, PeerRecord> m_peer_records;
+  BackendDirectory m_directory;
+  std::unique_ptr<PeerGossip> m_gossip;
+  Dispatcher m_dispatcher;
+  GatewayContext m_gateway;
+  JobBoard m_board;
+  JobRunner m_runner;
+  JobHandler m_jobs;
+  FrontDoor m_front_door;
+  std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<HttpServer> m_ready;
+  std::unique_ptr<HttpServer> m_metrics_server;
+  std::shared_ptr<DocumentWatcher> m_configuration_watcher;
+  std::shared_ptr<DocumentWatcher> m_backend_watcher;
+  std::shared_ptr<DocumentWatcher> m_peer_watcher;
+  std::shared_ptr<DocumentWatcher> m_job_watcher;
+  boost::asio::steady_timer m_tick;
+  boost::asio::steady_timer m_register_timer;
+  ConfigVersion m_newest_heard;
+  MonotonicTime m_shutdown_began;
+  bool m_backends_known = false;
+  bool m_peers_known = false;
+  bool m_jobs_known = false;
+  bool m_registered = false;
+  bool m_shutting_down = false;
+  bool m_stopped = false;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/Source/Gateway/gateway_metrics.cc
@@ -0,0 +1,61 @@
+#include "Gateway/gateway_metrics.h"
+
+#include "Metrics/counter.h"
+#include "Metrics/gauge.h"
+#include "Metrics/summary.h"
+
+namespace cowslip {
+
+namespace {
+
+double Millis(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : m_first_event(m_registry.summary(
+          "cowslip_first_event_milliseconds",
+          "From a request's arrival to its first byte for the caller.")),
+      m_total(m_registry.summary(
+          "cowslip_request_milliseconds",
+          "From a request's arrival to the end of its answer.")) {}
+
+void GatewayMetrics::Count(const char* family,
+                           const char* help,
+                           const std::string& outcome) {
+  m_registry
+      .counter(std::string(family) + "{outcome=\"" + outcome + "\"}", help)
+      .Increment();
+}
+
+void GatewayMetrics::RequestEnded(const std::string& outcome) {
+  Count("cowslip_requests_total", "Requests of callers by outcome.", outcome);
+}
+
+void GatewayMetrics::AttemptEnded(const std::string& outcome) {
+  Count("cowslip_attempts_total",
+        "Attempts at backend servers for online requests by outcome.", outcome);
+}
+
+void GatewayMetrics::ItemEnded(const std::string& outcome) {
+  Count("cowslip_items_total",
+        "Attempts at backend servers for batch items by outcome.", outcome);
+}
+
+void GatewayMetrics::FirstEvent(Duration after) {
+  m_first_event.Observe(Millis(after));
+}
+
+void GatewayMetrics::Total(Duration took) {
+  m_total.Observe(Millis(took));
+}
+
+void GatewayMetrics::SetGauge(const std::string& name,
+                              const std::string& help,
+                              double value) {
+  m_registry.gauge(name, help).Set(value);
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/item_run.h
@@ -0,0 +1,61 @@
+#ifndef SOURCE_GATEWAY_ITEM_RUN_H_
+#define SOURCE_GATEWAY_ITEM_RUN_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Fleet/caller_request.h"
+#include "Jobs/job_board.h"
+#include "Jobs/job_types.h"
+#include "Net/http_client.h"
+#include "Net/sse_reader.h"
+
+namespace cowslip {
+
+class AttemptLease;
+
+/// \class ItemRunRequest
+/// \brief What one run of an item needs.
+struct ItemRunRequest {
+  JobItem item;
+  std::string host;
+  BackendCall call;
+  ItemProgress progress;
+};
+
+/// \class ItemRun
+/// \brief One run of a batch item at one backend server. It gathers the output
+/// event by event, so that another run can go on after the last whole event.
+class ItemRun {
+ public:
+  explicit ItemRun(ItemRunRequest request);
+
+  /// Runs the item to its end, and sets the lease's outcome.
+  boost::asio::awaitable<ItemRunEnd> Run(AttemptLease& lease);
+  /// Ends the run at once; Run() returns kInterrupted.
+  void Stop();
+
+  const ItemProgress& progress() const { return m_request.progress; }
+  /// Why it did not complete, for the log.
+  const std::string& why() const { return m_why; }
+
+ private:
+  boost::asio::awaitable<ItemRunEnd> ReadAnswer(AttemptLease& lease);
+  boost::asio::awaitable<ItemRunEnd> ReadEvents(AttemptLease& lease);
+  bool TakeEvents(const std::vector<SseEvent>& events);
+  ItemRunEnd InDoubt(AttemptLease& lease, std::string why);
+
+  ItemRunRequest m_request;
+  std::shared_ptr<HttpAbort> m_abort;
+  std::unique_ptr<HttpResponseStream> m_answer;
+  SseReader m_events;
+  std::string m_why;
+  bool m_stopped = false;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_ITEM_RUN_H_
--- /dev/null
+++ b/Source/Gateway/job_handler.cc
@@ -0,0 +1,475 @@
+#include "Gateway/job_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Base/event_log.h"
+#include "Base/sha256.h"
+#include "Gateway/gateway_metrics.h"
+#include "Gateway/job_runner.h"
+#include "Gateway/problem_response.h"
+#include "Jobs/job_documents.h"
+#include "Net/http_exchange.h"
+#include "platform/job_messages.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+// How long a submission is tried at the store. Another VM may reach the store
+// when this one does not, so the client is told to try there in good time.
+constexpr Duration kSubmitTime = std::chrono::milliseconds(1300);
+constexpr Duration kSubmitPause = std::chrono::milliseconds(150);
+// When a client that was turned away should come back.
+constexpr Duration kSubmitRetry = std::chrono::milliseconds(300);
+// How often an ended job's record is written before the client is told to try
+// again: other processes may write it at the same time.
+constexpr int kEndTries = 4;
+// Between two looks for a result that a reader waits for. Callers ask twice a
+// second, and every look is a charged call.
+constexpr Duration kReadPause = std::chrono::milliseconds(500);
+// Results of other processes' jobs that are kept in memory.
+constexpr size_t kMaxReaderBytes = 16 << 20;
+
+int64_t WallMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+HttpResponse NoSuchJob() {
+  return ProblemResponse(
+      Problem{.kind = ProblemKind::kNoSuchRoute,
+              .detail = "The organisation has no such batch job.",
+              .not_run = true});
+}
+
+HttpResponse MalformedCall() {
+  return ProblemResponse(
+      Problem{.kind = ProblemKind::kBadRequest,
+              .detail = "Name a job, and send a valid position or item.",
+              .not_run = true});
+}
+
+HttpResponse NotAccepted(bool in_doubt, const Error& error) {
+  if (in_doubt) {
+    return ProblemResponse(
+        Problem{.kind = ProblemKind::kDeadlinePassed,
+                .detail = "The job may have been accepted. Submit it again "
+                          "under the same id."});
+  }
+  return ProblemResponse(
+      Problem{.kind = ProblemKind::kNotReady,
+              .detail = "The job was not accepted: " + error.message,
+              .not_run = true,
+              .retry_after = kSubmitRetry});
+}
+
+}  // namespace
+
+// Its log is used by one coroutine at a time; the others wait on `free`.
+struct JobHandler::Reader {
+  Reader(boost::asio::io_context& context, DocumentStore& store, JobKey job)
+      : log(store, std::move(job)), free(context) {}
+  ResultLog log;
+  boost::asio::steady_timer free;
+  bool busy = false;
+  MonotonicTime used;
+};
+
+JobHandler::JobHandler(GatewayContext& gateway,
+                       DocumentStore& store,
+                       JobBoard& board,
+                       JobRunner& runner)
+    : m_gateway(gateway), m_store(store), m_board(board), m_runner(runner) {}
+
+awaitable<void> JobHandler::Pause(Duration pause) {
+  boost::asio::steady_timer timer(m_gateway.io, pause);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+HttpResponse JobHandler::Failure(const Error& error) const {
+  return ProblemResponse(Problem{
+      .kind = ProblemKind::kNotReady,
+      .detail = "The job cannot be read at the moment: " + error.message,
+      .not_run = true,
+      .retry_after = kSubmitRetry});
+}
+
+awaitable<void> JobHandler::Submit(HttpExchange& exchange,
+                                   CallerRequest caller,
+                                   const FleetRoute& route,
+                                   OrganisationId organisation) {
+  const HttpRequest& request = exchange.request();
+  HttpResponse response;
+  Result<std::vector<JobItem>> items = platform::DecodeSubmission(request.body);
+  if (request.method != "POST" || caller.attempt.empty()) {
+    response =
+        ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
+                                .detail = "Submit a job by POST, with its id.",
+                                .not_run = true});
+  } else if (!items.has_value()) {
+    response = ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
+                                       .detail = items.error().message,
+                                       .not_run = true});
+  } else {
+    const JobId id(caller.attempt.value());
+    const WallTime now = WallNow();
+    const auto after = [now](Duration duration) {
+      return now + std::chrono::milliseconds(WallMillis(duration));
+    };
+    JobRecord record{.key = JobKeyFor(id, organisation),
+                     .definition = {.id = id,
+                                    .organisation = organisation,
+                                    .route = route.id,
+                                    .host = caller.host,
+                                    .digest = Sha256(request.body),
+                                    .submitted = now,
+                                    .due = after(route.completion_target),
+                                    .give_up = after(route.retention),
+                                    .max_attempts = route.max_attempts}};
+    for (const JobItem& item : items.value()) {
+      record.definition.items.push_back(item.id);
+    }
+    const MonotonicTime give_up = MonotonicClock::now() + kSubmitTime;
+    response =
+        co_await Accept(std::move(record), std::move(items.value()), give_up);
+  }
+  m_gateway.metrics.RequestEnded("job_submitted_" +
+                                 std::to_string(response.status));
+  m_gateway.log.Write("job_submitted",
+                      {{"id", caller.attempt.value()},
+                       {"organisation", organisation.value()},
+                       {"status", response.status},
+                       {"detail", response.body.substr(0, 200)}});
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<HttpResponse> JobHandler::Accept(JobRecord record,
+                                           std::vector<JobItem> items,
+                                           MonotonicTime give_up) {
+  JobStatus owner;
+  m_board.NameOwner(owner);
+  record.definition.accepted_by = owner.owner;
+  record.definition.accepted_incarnation = owner.incarnation;
+  const std::vector<nlohmann::json> inputs = EncodeInputs(items);
+  record.definition.input_segments = static_cast<uint32_t>(inputs.size());
+  // Once a write of the record has had no answer, the job may be accepted.
+  bool in_doubt = false;
+  while (true) {
+    const JobRecord* known = m_board.Find(record.key);
+    Result<JobRecord> stored = Error();
+    if (known != nullptr) {
+      stored = *known;
+    } else {
+      const Result<void> kept = co_await StoreInputs(record, inputs);
+      if (kept.has_value()) {
+        stored = co_await StoreJob(record);
+      } else {
+        stored = kept.error();
+      }
+    }
+    if (stored.has_value()) {
+      if (stored.value().definition.digest != record.definition.digest) {
+        co_return ProblemResponse(Problem{
+            .kind = ProblemKind::kAlreadyClaimed,
+            .detail = "Another job has this id. Submit with a new one."});
+      }
+      if (known == nullptr && m_board.Owns(stored.value())) {
+        m_runner.Accepted(std::move(stored.value()), std::move(items));
+      }
+      co_return HttpResponse{.status = 202};
+    }
+    const Error& error = stored.error();
+    in_doubt = in_doubt || error.kind() == ErrorKind::kInDoubt;
+    if (error.kind() == ErrorKind::kTooLarge ||
+        error.kind() == ErrorKind::kInvalidArgument) {
+      co_return ProblemResponse(Problem{.kind = ProblemKind::kBodyTooLarge,
+                                        .detail = error.message,
+                                        .not_run = true});
+    }
+    if (MonotonicClock::now() + kSubmitPause >= give_up) {
+      co_return NotAccepted(in_doubt, error);
+    }
+    co_await Pause(kSubmitPause);
+  }
+}
+
+awaitable<Result<void>> JobHandler::StoreInputs(
+    const JobRecord& record,
+    const std::vector<nlohmann::json>& inputs) {
+  const DocumentKind kind(kInputKind);
+  uint32_t segment = 0;
+  for (nlohmann::json content : inputs) {
+    const DocumentName name =
+        InputName(record.key, record.definition.digest, segment);
+    const Result<Document> created =
+        co_await m_store.Create(kind, name, std::move(content));
+    // The name holds the digest: what is there already is the same.
+    if (!created.has_value() &&
+        created.error().kind() != ErrorKind::kConflict) {
+      // Without the job's record, items alone mean nothing.
+      co_return Error(created.error().kind() == ErrorKind::kInDoubt
+                          ? ErrorKind::kUnavailable
+                          : created.error().kind(),
+                      created.error().message);
+    }
+    ++segment;
+  }
+  co_return Ok();
+}
+
+awaitable<Result<JobRecord>> JobHandler::StoreJob(const JobRecord& record) {
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(record.key);
+  nlohmann::json content = EncodeDefinition(record.definition);
+  Result<Document> stored =
+      co_await m_store.Create(kind, name, std::move(content));
+  if (!stored.has_value() && stored.error().kind() == ErrorKind::kConflict) {
+    stored = co_await m_store.Get(kind, name);
+  }
+  if (!stored.has_value()) {
+    co_return stored.error();
+  }
+  std::optional<JobRecord> decoded = DecodeJob(stored.value());
+  if (!decoded.has_value()) {
+    co_return Error(ErrorKind::kUnavailable,
+                    "Another version's job has this id. Submit with a new "
+                    "one.");
+  }
+  co_return std::move(*decoded);
+}
+
+awaitable<Result<JobRecord>> JobHandler::FindJob(JobKey job) {
+  const JobRecord* known = m_board.Find(job);
+  if (known != nullptr) {
+    co_return *known;
+  }
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  const Result<Document> document = co_await m_store.Get(kind, name);
+  if (!document.has_value()) {
+    co_return document.error();
+  }
+  std::optional<JobRecord> decoded = DecodeJob(document.value());
+  if (!decoded.has_value()) {
+    co_return Error(ErrorKind::kUnavailable,
+                    "The job's record is of another version.");
+  }
+  m_runner.Seen(document.value());
+  co_return std::move(*decoded);
+}
+
+awaitable<void> JobHandler::Handle(HttpExchange& exchange,
+                                   CallerRequest caller,
+                                   JobCall call,
+                                   OrganisationId organisation) {
+  const size_t kind = call.index();
+  HttpResponse response;
+  if (auto* read = std::get_if<ReadResultsCall>(&call)) {
+    response = co_await Answer(std::move(*read), caller, organisation);
+  } else if (auto* item = std::get_if<ReadItemCall>(&call)) {
+    response = co_await Answer(std::move(*item), caller, organisation);
+  } else if (auto* end = std::get_if<EndJobCall>(&call)) {
+    response = co_await Answer(std::move(*end), caller, organisation);
+  } else {
+    response = MalformedCall();
+  }
+  constexpr const char* kNames[] = {"results", "item", "end", "malformed"};
+  const std::string path = exchange.request().Path();
+  m_gateway.metrics.RequestEnded(std::string("job_") + kNames[kind] + "_" +
+                                 std::to_string(response.status));
+  m_gateway.log.Write("job_call", {{"call", kNames[kind]},
+                                   {"path", path},
+                                   {"organisation", organisation.value()},
+                                   {"status", response.status}});
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<HttpResponse> JobHandler::Answer(ReadResultsCall call,
+                                           CallerRequest caller,
+                                           OrganisationId organisation) {
+  const JobKey key = JobKeyFor(call.job, organisation);
+  const Result<JobRecord> record = co_await FindJob(key);
+  if (!record.has_value()) {
+    co_return record.error().kind() == ErrorKind::kNotFound
+        ? NoSuchJob()
+        : Failure(record.error());
+  }
+  const size_t total = record.value().definition.items.size();
+  const Result<const std::vector<ItemResult>*> results =
+      co_await ReadResults(record.value(), call.from, caller.result_wait);
+  if (!results.has_value()) {
+    co_return Failure(results.error());
+  }
+  co_return JsonResponse(
+      200, platform::EncodeResultPage(total, call.from, *results.value()));
+}
+
+std::shared_ptr<JobHandler::Reader> JobHandler::ReaderFor(const JobKey& job) {
+  std::shared_ptr<Reader>& reader = m_readers[job];
+  if (reader == nullptr) {
+    reader = std::make_shared<Reader>(m_gateway.io, m_store, job);
+  }
+  reader->used = MonotonicClock::now();
+  return reader;
+}
+
+void JobHandler::EvictReaders() {
+  size_t bytes = 0;
+  auto oldest = m_readers.end();
+  for (auto at = m_readers.begin(); at != m_readers.end(); ++at) {
+    bytes += at->second->log.bytes();
+    const bool older =
+        oldest == m_readers.end() || at->second->used < oldest->second->used;
+    if (!at->second->busy && older) {
+      oldest = at;
+    }
+  }
+  if (bytes > kMaxReaderBytes && oldest != m_readers.end()) {
+    m_readers.erase(oldest);
+  }
+}
+
+awaitable<Result<const std::vector<ItemResult>*>>
+JobHandler::ReadResults(JobRecord record, size_t from, Duration wait) {
+  const MonotonicTime until = MonotonicClock::now() + wait;
+  while (true) {
+    const bool complete_here = from >= record.definition.items.size();
+    const ResultLog* open = m_runner.OpenResults(record.key);
+    const std::vector<ItemResult>* results = nullptr;
+    if (open != nullptr) {
+      results = &open->results();
+    } else {
+      const std::shared_ptr<Reader> reader = ReaderFor(record.key);
+      const Result<void> read = co_await RefreshReader(reader, from);
+      if (!read.has_value()) {
+        co_return read.error();
+      }
+      results = &reader->log.results();
+    }
+    const bool has_time = MonotonicClock::now() + kReadPause < until;
+    const JobRecord* known = m_board.Find(record.key);
+    const bool ended = known != nullptr && known->status.ended;
+    if (results->size() > from || complete_here || ended || !has_time) {
+      co_return results;
+    }
+    co_await Pause(kReadPause);
+  }
+}
+
+awaitable<Result<void>> JobHandler::RefreshReader(
+    std::shared_ptr<Reader> reader,
+    size_t from) {
+  while (reader->busy) {
+    reader->free.expires_after(std::chrono::seconds(1));
+    boost::system::error_code ignored;
+    co_await reader->free.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+  if (reader->log.results().size() > from) {
+    co_return Ok();
+  }
+  reader->busy = true;
+  Result<void> read = co_await reader->log.Refresh();
+  reader->busy = false;
+  reader->free.cancel();
+  EvictReaders();
+  co_return read;
+}
+
+awaitable<HttpResponse> JobHandler::Answer(ReadItemCall call,
+                                           CallerRequest,
+                                           OrganisationId organisation) {
+  const JobKey key = JobKeyFor(call.job, organisation);
+  const Result<JobRecord> found = co_await FindJob(key);
+  if (!found.has_value()) {
+    co_return found.error().kind() == ErrorKind::kNotFound
+        ? NoSuchJob()
+        : Failure(found.error());
+  }
+  const JobRecord& record = found.value();
+  const auto& ids = record.definition.items;
+  const bool is_known =
+      std::find(ids.begin(), ids.end(), call.item) != ids.end();
+  if (!is_known || record.status.ended) {
+    co_return NoSuchJob();
+  }
+  const JobItem* item = m_runner.FindItem(record.key, call.item);
+  if (item != nullptr) {
+    co_return HttpResponse{.body = item->body};
+  }
+  const DocumentKind kind(kInputKind);
+  for (uint32_t i = 0; i < record.definition.input_segments; ++i) {
+    const DocumentName name =
+        InputName(record.key, record.definition.digest, i);
+    const Result<Document> document = co_await m_store.Get(kind, name);
+    if (!document.has_value()) {
+      co_return Failure(document.error());
+    }
+    const Result<std::vector<JobItem>> items =
+        DecodeInputs(document.value().content);
+    if (!items.has_value()) {
+      co_return Failure(items.error());
+    }
+    for (const JobItem& stored : items.value()) {
+      if (stored.id == call.item) {
+        co_return HttpResponse{.body = stored.body};
+      }
+    }
+  }
+  co_return Failure(Error(ErrorKind::kNotFound, "the item is missing"));
+}
+
+awaitable<HttpResponse> JobHandler::Answer(EndJobCall call,
+                                           CallerRequest,
+                                           OrganisationId organisation) {
+  const JobKey key = JobKeyFor(call.job, organisation);
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(key);
+  Result<JobRecord> record = co_await FindJob(key);
+  for (int i = 0; i < kEndTries; ++i) {
+    if (!record.has_value()) {
+      co_return record.error().kind() == ErrorKind::kNotFound
+          ? NoSuchJob()
+          : Failure(record.error());
+    }
+    if (record.value().status.ended) {
+      co_return HttpResponse{.status = 200};
+    }
+    JobStatus status = record.value().status;
+    status.ended = true;
+    status.progress.clear();
+    nlohmann::json encoded = EncodeStatus(status);
+    const ObjectVersion version = record.value().version;
+    const Result<Document> written =
+        co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
+    if (written.has_value()) {
+      m_runner.Seen(written.value());
+      co_return HttpResponse{.status = 200};
+    }
+    if (written.error().kind() == ErrorKind::kUnavailable) {
+      co_return Failure(written.error());
+    }
+    // Another process has written it, or this write has no answer.
+    const Result<Document> now = co_await m_store.Get(kind, name);
+    if (!now.has_value()) {
+      co_return now.error().kind() == ErrorKind::kNotFound
+          ? NoSuchJob()
+          : Failure(now.error());
+    }
+    m_runner.Seen(now.value());
+    record = co_await FindJob(key);
+  }
+  co_return Failure(
+      Error(ErrorKind::kUnavailable, "the job's record changes too often"));
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/job_handler.h
@@ -0,0 +1,91 @@
+#ifndef SOURCE_GATEWAY_JOB_HANDLER_H_
+#define SOURCE_GATEWAY_JOB_HANDLER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Fleet/caller_request.h"
+#include "Fleet/fleet_configuration.h"
+#include "Gateway/gateway_context.h"
+#include "Jobs/job_board.h"
+#include "Jobs/job_calls.h"
+#include "Jobs/result_log.h"
+#include "Platform/document_store.h"
+#include "Requests/problem.h"
+
+namespace cowslip {
+
+class HttpExchange;
+class JobRunner;
+struct HttpResponse;
+
+/// \class JobHandler
+/// \brief Answers callers about batch jobs. Any process can answer for any job,
+/// because all that an answer promises is in the store.
+class JobHandler {
+ public:
+  JobHandler(GatewayContext& gateway,
+             DocumentStore& store,
+             JobBoard& board,
+             JobRunner& runner);
+
+  /// Takes a new job, or one that is sent again.
+  boost::asio::awaitable<void> Submit(HttpExchange& exchange,
+                                      CallerRequest caller,
+                                      const FleetRoute& route,
+                                      OrganisationId organisation);
+  /// Answers a call about a job that was taken.
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange,
+                                      CallerRequest caller,
+                                      JobCall call,
+                                      OrganisationId organisation);
+
+ private:
+  /// The results of a job that another process runs.
+  struct Reader;
+
+  boost::asio::awaitable<HttpResponse> Accept(JobRecord record,
+                                              std::vector<JobItem> items,
+                                              MonotonicTime give_up);
+  boost::asio::awaitable<Result<void>> StoreInputs(
+      const JobRecord& record,
+      const std::vector<nlohmann::json>& inputs);
+  boost::asio::awaitable<Result<JobRecord>> StoreJob(const JobRecord& record);
+  boost::asio::awaitable<Result<JobRecord>> FindJob(JobKey job);
+
+  boost::asio::awaitable<HttpResponse> Answer(ReadResultsCall call,
+                                              CallerRequest caller,
+                                              OrganisationId organisation);
+  boost::asio::awaitable<HttpResponse> Answer(ReadItemCall call,
+                                              CallerRequest caller,
+                                              OrganisationId organisation);
+  boost::asio::awaitable<HttpResponse> Answer(EndJobCall call,
+                                              CallerRequest caller,
+                                              OrganisationId organisation);
+  /// Reads until there is a result at `from`, or `wait` has passed.
+  boost::asio::awaitable<Result<const std::vector<ItemResult>*>>
+  ReadResults(JobRecord record, size_t from, Duration wait);
+  boost::asio::awaitable<Result<void>> RefreshReader(
+      std::shared_ptr<Reader> reader,
+      size_t from);
+  std::shared_ptr<Reader> ReaderFor(const JobKey& job);
+  void EvictReaders();
+  boost::asio::awaitable<void> Pause(Duration pause);
+  HttpResponse Failure(const Error& error) const;
+
+  GatewayContext& m_gateway;
+  DocumentStore& m_store;
+  JobBoard& m_board;
+  JobRunner& m_runner;
+  std::map<JobKey, std::shared_ptr<Reader>> m_readers;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_JOB_HANDLER_H_
--- /dev/null
+++ b/Source/Gateway/job_runner.h
@@ -0,0 +1,117 @@
+#ifndef SOURCE_GATEWAY_JOB_RUNNER_H_
+#define SOURCE_GATEWAY_JOB_RUNNER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Gateway/gateway_context.h"
+#include "Gateway/item_run.h"
+#include "Jobs/job_board.h"
+#include "Jobs/job_types.h"
+#include "Jobs/result_log.h"
+#include "Platform/document_store.h"
+
+namespace cowslip {
+
+class AttemptLease;
+
+/// \class JobRunnerOptions
+/// \brief How items are started beside online requests.
+struct JobRunnerOptions {
+  /// Items that one pass starts, and the pause between passes: the other
+  /// processes hear of a start within a pause.
+  size_t starts_per_pass = 3;
+  Duration pass_pause = std::chrono::milliseconds(40);
+  /// The pause between two items that give back their slots at one backend
+  /// server, until the load after the first one is known.
+  Duration yield_pause = std::chrono::milliseconds(60);
+  /// The pause before a call to the store is repeated.
+  Duration store_pause = std::chrono::milliseconds(400);
+  /// How long a job's route may be missing before its items are given up: a
+  /// configuration may be replaced by the next one at once.
+  Duration route_patience = std::chrono::seconds(3);
+};
+
+/// \class JobRunner
+/// \brief Drives the job board: reads and writes the documents of jobs, and
+/// runs their items at backend servers.
+class JobRunner {
+ public:
+  JobRunner(GatewayContext& gateway,
+            DocumentStore& store,
+            JobBoard& board,
+            JobRunnerOptions options);
+
+  /// A job that this process has just accepted, with its items.
+  void Accepted(JobRecord record, std::vector<JobItem> items);
+  /// A job's document was read.
+  void Seen(const Document& document);
+  void Forgotten(const JobKey& job);
+  /// Tells the board something and carries out what it decides.
+  void Tell(const BoardEvent& event);
+  /// The load may have changed: items may start or have to give way.
+  void Wake();
+  void Tick();
+
+  /// The results of a job that is open here; null for any other one.
+  const ResultLog* OpenResults(const JobKey& job) const;
+  /// An item of a job that is open here; null when it is not known.
+  const JobItem* FindItem(const JobKey& job, const ItemId& item) const;
+
+ private:
+  struct OpenedJob {
+    std::map<ItemId, JobItem> items;
+    std::shared_ptr<ResultLog> results;
+    std::optional<MonotonicTime> route_missing_since;
+  };
+  using RunKey = std::pair<JobKey, ItemId>;
+
+  void Carry(const ClaimJob& action);
+  void Carry(const OpenJob& action);
+  void Carry(const StopItem& action);
+  void Carry(const WriteResults& action);
+  void Carry(const FinishJob& action);
+  void Carry(const HandBackJob& action);
+  void Carry(const CloseJob& action);
+  void Carry(const DeleteJob& action);
+
+  boost::asio::awaitable<void> Claim(JobKey job);
+  boost::asio::awaitable<void> Open(JobKey job);
+  boost::asio::awaitable<Result<void>> ReadJob(JobKey job);
+  boost::asio::awaitable<void> Write(JobKey job,
+                                     std::vector<ItemResult> results);
+  boost::asio::awaitable<void> SetStatus(JobKey job, JobStatus status);
+  boost::asio::awaitable<void> Delete(JobKey job);
+  boost::asio::awaitable<void> RunItem(RunnableItem runnable,
+                                       std::shared_ptr<AttemptLease> lease,
+                                       JobItem item);
+  boost::asio::awaitable<void> Pause(Duration pause);
+
+  void Pass();
+  void StartItems(JobTime now);
+  void YieldItems(MonotonicTime now);
+  /// The service that runs a job's items; nullopt while its route is missing.
+  std::optional<ServiceId> ServiceOf(OpenedJob& job, const JobRecord& record);
+
+  GatewayContext& m_gateway;
+  DocumentStore& m_store;
+  JobBoard& m_board;
+  const JobRunnerOptions m_options;
+  std::map<JobKey, OpenedJob> m_open;
+  std::map<RunKey, std::shared_ptr<ItemRun>> m_runs;
+  std::map<BackendId, MonotonicTime> m_yielded;
+  boost::asio::steady_timer m_pass_timer;
+  bool m_pass_is_set = false;
+  MonotonicTime m_last_pass;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_JOB_RUNNER_H_
--- /dev/null
+++ b/Source/Gateway/problem_response.h
@@ -0,0 +1,17 @@
+#ifndef SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
+#define SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
+
+#include "Net/http_message.h"
+#include "Requests/problem.h"
+
+namespace cowslip {
+
+/// The whole answer to a request that is refused or has failed.
+HttpResponse ProblemResponse(const Problem& problem);
+
+/// A whole answer with a JSON body.
+HttpResponse JsonResponse(int status, std::string body);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
--- /dev/null
+++ b/Source/Gateway/relay_session.cc
@@ -0,0 +1,487 @@
+#include "Gateway/relay_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Base/event_log.h"
+#include "Gateway/dispatcher.h"
+#include "Gateway/gateway_metrics.h"
+#include "Gateway/problem_response.h"
+#include "Net/http_exchange.h"
+#include "platform/request_headers.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+// Backend servers that turn a request away, one after another, before it is
+// refused: each costs a round trip of the caller's target.
+constexpr uint32_t kMaxNotRun = 3;
+
+// A stream that may be resumed moves on after this silence. Pauses between
+// events stay below half a second; callers give up after two seconds.
+constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
+
+// The largest answer other than a success that is passed on.
+constexpr size_t kMaxFailureBytes = 1 << 20;
+
+MonotonicTime DeadlineOf(const RelayRequest& request) {
+  Duration time = request.route->timeout;
+  if (request.caller.deadline.has_value()) {
+    time = std::min(time, *request.caller.deadline);
+  }
+  return request.arrived + time;
+}
+
+int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+RelaySession::RelaySession(GatewayContext& gateway,
+                           HttpExchange& exchange,
+                           RelayRequest request)
+    : m_gateway(gateway),
+      m_exchange(exchange),
+      m_request(std::move(request)),
+      m_deadline(DeadlineOf(m_request)),
+      m_deadline_timer(gateway.io),
+      m_last_event(m_request.caller.last_event) {}
+
+Duration RelaySession::Left() const {
+  return m_deadline - MonotonicClock::now();
+}
+
+Duration RelaySession::StallTimeout() const {
+  const bool may_move = m_request.route->kind == RequestKind::kStreaming &&
+                        m_request.route->resumable && m_can_continue;
+  return may_move ? std::min(Left(), kStallTimeout) : Left();
+}
+
+void RelaySession::Stop() {
+  *m_stopped = true;
+  if (m_abort != nullptr) {
+    m_abort->Abort();
+  }
+  if (m_answer != nullptr) {
+    m_answer->Abort();
+  }
+}
+
+void RelaySession::WatchCaller() {
+  m_exchange.OnClientGone([this] {
+    m_caller_left = true;
+    Stop();
+  });
+  m_deadline_timer.expires_after(std::max(Left(), Duration::zero()));
+  m_deadline_timer.async_wait(
+      [this, stopped = m_stopped](const boost::system::error_code& error) {
+        if (!error && !*stopped) {
+          Stop();
+        }
+      });
+}
+
+bool RelaySession::MayTryAgain() const {
+  // What the caller already has can only be continued, never begun anew.
+  if (m_head_sent && !m_can_continue) {
+    return false;
+  }
+  return m_request.route->idempotent() &&
+         m_in_doubt < std::max<uint32_t>(m_request.route->max_attempts, 1);
+}
+
+awaitable<void> RelaySession::Run() {
+  WatchCaller();
+  while (!*m_stopped) {
+    OnlinePlacement placement{.service = m_request.service,
+                              .shared_prompt = m_request.caller.shared_prompt,
+                              .exclude = m_tried,
+                              .rank = m_request.rank,
+                              .target = m_request.route->target_latency,
+                              .left = Left()};
+    PlacementResult placed = co_await m_gateway.dispatcher.PlaceOnline(
+        std::move(placement), m_stopped);
+    if (*m_stopped) {
+      break;
+    }
+    if (const auto* refused = std::get_if<PlacementRefused>(&placed)) {
+      m_last_failure = refused->reason;
+      m_gateway.log.Write("placement_refused",
+                          {{"id", m_request.caller.attempt.value()},
+                           {"reason", refused->reason},
+                           {"backends", refused->load.backends},
+                           {"slots", refused->load.slots},
+                           {"online", refused->load.online},
+                           {"batch", refused->load.batch},
+                           {"waiting", m_gateway.dispatcher.waiting()}});
+      if (m_in_doubt > 0) {
+        break;
+      }
+      Problem problem{.kind = refused->load.backends == 0
+                                  ? ProblemKind::kNoBackend
+                                  : ProblemKind::kOverloaded,
+                      .detail = "Come back after the time in Retry-After: " +
+                                m_last_failure + ".",
+                      .not_run = true,
+                      .retry_after = refused->retry_after};
+      co_await Refuse(std::move(problem));
+      co_return;
+    }
+    const auto lease =
+        std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
+    const AttemptEnd end = co_await Attempt(*lease);
+    m_answer.reset();
+    m_abort.reset();
+    if (end == AttemptEnd::kAnswered) {
+      m_deadline_timer.cancel();
+      *m_stopped = true;
+      co_return;
+    }
+    const bool again =
+        end == AttemptEnd::kNotRun ? m_not_run <= kMaxNotRun : MayTryAgain();
+    if (!again) {
+      break;
+    }
+  }
+  co_await GiveUp();
+}
+
+// The request has no whole answer and gets none from a backend server.
+awaitable<void> RelaySession::GiveUp() {
+  m_deadline_timer.cancel();
+  const bool timed_out = *m_stopped && !m_caller_left;
+  *m_stopped = true;
+  if (m_caller_left) {
+    LogEnd("caller_left", 0);
+    m_exchange.Abort();
+    co_return;
+  }
+  if (m_head_sent) {
+    LogEnd(timed_out ? "timed_out_in_stream" : "broken_in_stream", 0);
+    m_exchange.Abort();
+    co_return;
+  }
+  if (m_in_doubt == 0) {
+    const Duration retry_after = m_gateway.dispatcher.refusing().ReturnTime(
+        std::max(Left(), Duration::zero()));
+    Problem problem{.kind = ProblemKind::kOverloaded,
+                    .detail = "The request has not run: " + m_last_failure +
+                              ". Send it again.",
+                    .not_run = true,
+                    .retry_after = retry_after};
+    co_await Refuse(std::move(problem));
+    co_return;
+  }
+  Problem problem{
+      .kind = timed_out ? ProblemKind::kDeadlinePassed
+                        : ProblemKind::kBackendFailed,
+      .detail =
+          "The request may have run. Send it again only if it may run "
+          "twice."};
+  co_await Refuse(std::move(problem));
+}
+
+awaitable<void> RelaySession::Refuse(Problem problem) {
+  m_deadline_timer.cancel();
+  *m_stopped = true;
+  if (m_head_sent) {
+    LogEnd("broken_in_stream", 0);
+    m_exchange.Abort();
+    co_return;
+  }
+  LogEnd(NameOf(problem.kind), StatusOf(problem.kind));
+  HttpResponse response = ProblemResponse(problem);
+  (void)co_await m_exchange.Respond(std::move(response));
+}
+
+HttpRequest RelaySession::BackendRequest(const BackendId& backend) const {
+  const HttpRequest& caller = m_exchange.request();
+  const BackendCall call{.organisation = m_request.organisation,
+                         .backend = backend,
+                         .deadline = Left(),
+                         .last_event = m_last_event};
+  return HttpRequest{
+      .method = caller.method,
+      .target = caller.target,
+      .headers = platform::EncodeBackendHeaders(caller.headers, call),
+      .body = caller.body};
+}
+
+RelaySession::AttemptEnd RelaySession::InDoubt(AttemptLease& lease,
+                                               const std::string& why) {
+  if (*m_stopped) {
+    return AttemptEnd::kStopped;
+  }
+  lease.SetOutcome(AttemptOutcome::kFailed);
+  m_last_failure = why;
+  m_gateway.metrics.AttemptEnded("in_doubt");
+  m_gateway.log.Write("attempt_in_doubt",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"backend", lease.backend().value()},
+                       {"why", why},
+                       {"last_event", m_last_event},
+                       {"attempts_in_doubt", m_in_doubt}});
+  return AttemptEnd::kInDoubt;
+}
+
+RelaySession::AttemptEnd RelaySession::NotRun(AttemptLease& lease,
+                                              AttemptOutcome outcome,
+                                              const std::string& why) {
+  --m_in_doubt;
+  ++m_not_run;
+  if (*m_stopped) {
+    return AttemptEnd::kStopped;
+  }
+  lease.SetOutcome(outcome);
+  m_last_failure = why;
+  m_gateway.metrics.AttemptEnded("not_run");
+  m_gateway.log.Write("attempt_not_run",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"backend", lease.backend().value()},
+                       {"why", why}});
+  return AttemptEnd::kNotRun;
+}
+
+awaitable<RelaySession::AttemptEnd> RelaySession::Attempt(AttemptLease& lease) {
+  m_tried.insert(lease.backend());
+  m_last_backend = lease.backend();
+  m_events = SseReader();
+  m_attempt_events = 0;
+  m_attempt_began = MonotonicClock::now();
+  m_abort = std::make_shared<HttpAbort>();
+  // Until the contrary is known, what was sent may have run.
+  ++m_in_doubt;
+  HttpRequest request = BackendRequest(lease.backend());
+  const Duration timeout = StallTimeout();
+  const auto client = lease.client();
+  Result<std::unique_ptr<HttpResponseStream>> opened =
+      co_await client->Open(std::move(request), timeout, m_abort);
+  if (!opened.has_value()) {
+    const Error& error = opened.error();
+    if (error.kind() == ErrorKind::kUnavailable) {
+      co_return NotRun(lease, AttemptOutcome::kFailed, error.message);
+    }
+    co_return InDoubt(lease, error.message);
+  }
+  m_answer = std::move(opened.value());
+  co_return co_await ReadAnswer(lease);
+}
+
+awaitable<RelaySession::AttemptEnd> RelaySession::ReadAnswer(
+    AttemptLease& lease) {
+  const int status = m_answer->status();
+  const BackendResponse facts =
+      platform::DecodeBackendResponse(status, m_answer->headers());
+  const bool names_another =
+      facts.attempt.has_value() && *facts.attempt != m_request.caller.attempt;
+  // On a kept connection, an answer that names no request may be a late one.
+  const bool unnamed_and_late =
+      !facts.attempt.has_value() && m_answer->on_kept_connection();
+  if (names_another || unnamed_and_late) {
+    co_return InDoubt(lease, "the answer belongs to another request");
+  }
+  if (facts.not_executed) {
+    co_return NotRun(lease, AttemptOutcome::kFull,
+                     "the backend server turned the request away with status " +
+                         std::to_string(status));
+  }
+  if (!facts.has_signature || facts.is_encoded) {
+    co_return InDoubt(lease, "the answer is not the backend server's");
+  }
+  if (status >= 200 && status < 300) {
+    co_return co_await RelayBody(lease);
+  }
+  co_return co_await RelayFailure(lease);
+}
+
+awaitable<RelaySession::AttemptEnd> RelaySession::RelayFailure(
+    AttemptLease& lease) {
+  const int status = m_answer->status();
+  // Another backend server may do better, where the request may run again.
+  if (m_head_sent || (status >= 500 && MayTryAgain())) {
+    co_return InDoubt(
+        lease, "the backend server answered status " + std::to_string(status));
+  }
+  HttpResponse response{
+      .status = status,
+      .headers = platform::EncodeCallerHeaders(m_answer->headers())};
+  while (true) {
+    const Duration timeout = Left();
+    Result<std::optional<std::string>> piece =
+        co_await m_answer->ReadSome(timeout);
+    if (!piece.has_value()) {
+      co_return InDoubt(lease, piece.error().message);
+    }
+    if (!piece.value().has_value()) {
+      break;
+    }
+    response.body += *piece.value();
+    if (response.body.size() > kMaxFailureBytes) {
+      co_return InDoubt(lease, "the backend server's failure is too long");
+    }
+  }
+  lease.SetOutcome(AttemptOutcome::kCompleted);
+  LogEnd("backend_failure", status);
+  (void)co_await m_exchange.Respond(std::move(response));
+  co_return AttemptEnd::kAnswered;
+}
+
+awaitable<RelaySession::AttemptEnd> RelaySession::RelayBody(
+    AttemptLease& lease) {
+  while (true) {
+    const Duration timeout = StallTimeout();
+    Result<std::optional<std::string>> piece =
+        co_await m_answer->ReadSome(timeout);
+    if (!piece.has_value()) {
+      co_return InDoubt(lease, piece.error().message);
+    }
+    if (!piece.value().has_value()) {
+      break;
+    }
+    const std::string bytes = std::move(*piece.value());
+    const bool relayed = co_await RelayPiece(lease, bytes);
+    if (!relayed) {
+      co_return InDoubt(lease,
+                        "the events are out of order, or the caller "
+                        "does not take them");
+    }
+  }
+  std::string rest = m_events.unfinished();
+  if (!rest.empty()) {
+    const bool written = co_await Write(std::move(rest));
+    if (!written) {
+      co_return InDoubt(lease, "the caller does not take the answer");
+    }
+  }
+  if (!m_head_sent) {
+    // A success without a body.
+    m_head_sent = true;
+    HttpHeaders headers = platform::EncodeCallerHeaders(m_answer->headers());
+    const int success = m_answer->status();
+    (void)co_await m_exchange.StartStream(success, std::move(headers));
+  }
+  const Result<void> finished = co_await m_exchange.FinishStream();
+  if (!finished.has_value()) {
+    m_caller_left = true;
+    Stop();
+    co_return AttemptEnd::kStopped;
+  }
+  NoteCompleted(lease);
+  co_return AttemptEnd::kAnswered;
+}
+
+// Events must follow each other without a gap, and a resumed stream must begin
+// right after the last one that the caller has.
+bool RelaySession::AcceptsEvents(const std::vector<SseEvent>& events) {
+  uint64_t last = m_last_event;
+  for (const SseEvent& event : events) {
+    if (!event.id.has_value()) {
+      m_can_continue = false;
+      continue;
+    }
+    if (last > 0 && *event.id != last + 1) {
+      return false;
+    }
+    last = *event.id;
+  }
+  m_last_event = last;
+  return true;
+}
+
+awaitable<bool> RelaySession::RelayPiece(AttemptLease& lease,
+                                         const std::string& piece) {
+  NoteFirstByte(lease);
+  if (m_request.route->kind != RequestKind::kStreaming) {
+    m_can_continue = false;
+    co_return co_await Write(piece);
+  }
+  const Result<std::vector<SseEvent>> events = m_events.FeedEvents(piece);
+  if (!events.has_value() || !AcceptsEvents(events.value())) {
+    co_return false;
+  }
+  std::string whole;
+  for (const SseEvent& event : events.value()) {
+    whole += event.raw;
+  }
+  m_attempt_events += static_cast<uint32_t>(events.value().size());
+  if (whole.empty()) {
+    co_return true;
+  }
+  co_return co_await Write(std::move(whole));
+}
+
+awaitable<bool> RelaySession::Write(std::string bytes) {
+  if (*m_stopped) {
+    co_return false;
+  }
+  const bool is_first = !m_head_sent;
+  m_head_sent = true;
+  Result<void> written = Ok();
+  if (is_first) {
+    m_gateway.metrics.FirstEvent(MonotonicClock::now() - m_request.arrived);
+    HttpHeaders headers = platform::EncodeCallerHeaders(m_answer->headers());
+    const int status = m_answer->status();
+    written = co_await m_exchange.StartStreamWith(status, std::move(headers),
+                                                  std::move(bytes));
+  } else {
+    written = co_await m_exchange.WriteChunk(std::move(bytes));
+  }
+  if (!written.has_value()) {
+    m_caller_left = true;
+    Stop();
+  }
+  co_return written.has_value();
+}
+
+void RelaySession::NoteFirstByte(AttemptLease& lease) {
+  if (m_attempt_events > 0 || m_first_byte >= m_attempt_began) {
+    return;
+  }
+  m_first_byte = MonotonicClock::now();
+  m_gateway.dispatcher.Tell(
+      FirstEventSeen{lease.backend(), m_first_byte - m_attempt_began});
+}
+
+void RelaySession::NoteCompleted(AttemptLease& lease) {
+  lease.SetOutcome(AttemptOutcome::kCompleted);
+  m_gateway.metrics.AttemptEnded("completed");
+  const MonotonicTime now = MonotonicClock::now();
+  m_gateway.dispatcher.Tell(
+      SlotTimeSeen{lease.backend(), now - m_attempt_began});
+  if (m_attempt_events > 1) {
+    m_gateway.dispatcher.Tell(PaceSeen{
+        lease.backend(), (now - m_first_byte) / (m_attempt_events - 1)});
+  }
+  LogEnd("served", m_answer->status());
+}
+
+void RelaySession::LogEnd(const char* outcome, int status) {
+  m_gateway.metrics.RequestEnded(outcome);
+  const Duration took = MonotonicClock::now() - m_request.arrived;
+  m_gateway.metrics.Total(took);
+  const bool has_first = m_first_byte > m_request.arrived;
+  m_gateway.log.Write(
+      "request_ended",
+      {{"id", m_request.caller.attempt.value()},
+       {"outcome", outcome},
+       {"status", status},
+       {"route", m_request.route->id.value()},
+       {"organisation", m_request.organisation.value()},
+       {"configuration", m_request.configuration->version().value()},
+       {"backend", m_last_backend.value()},
+       {"in_doubt", m_in_doubt},
+       {"not_run", m_not_run},
+       {"why", m_last_failure},
+       {"first_ms", has_first ? Millis(m_first_byte - m_request.arrived) : -1},
+       {"total_ms", Millis(took)},
+       {"last_event", m_last_event}});
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/relay_session.h
@@ -0,0 +1,124 @@
+#ifndef SOURCE_GATEWAY_RELAY_SESSION_H_
+#define SOURCE_GATEWAY_RELAY_SESSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Fleet/backend_record.h"
+#include "Fleet/caller_request.h"
+#include "Fleet/fleet_configuration.h"
+#include "Gateway/gateway_context.h"
+#include "Net/http_client.h"
+#include "Net/sse_reader.h"
+#include "Placement/placing_core.h"
+#include "Requests/problem.h"
+
+namespace cowslip {
+
+class AttemptLease;
+class HttpExchange;
+
+/// \class RelayRequest
+/// \brief A caller's request that has been admitted, with what decides its way.
+struct RelayRequest {
+  CallerRequest caller;
+  /// Lives as long as `configuration`.
+  const FleetRoute* route = nullptr;
+  std::shared_ptr<const FleetConfiguration> configuration;
+  /// Empty on a route that is open to all.
+  OrganisationId organisation;
+  int rank = 0;
+  ServiceId service;
+  MonotonicTime arrived;
+};
+
+/// \class RelaySession
+/// \brief Passes one request on to backend servers until it has its one answer.
+///
+/// The head of a response goes out with its first event. Until then a request
+/// that surely has not run may be sent to another backend server; one that may
+/// run more than once may also be sent again after a failure, and a stream that
+/// may be resumed goes on after the last whole event that the caller has.
+class RelaySession {
+ public:
+  RelaySession(GatewayContext& gateway,
+               HttpExchange& exchange,
+               RelayRequest request);
+
+  boost::asio::awaitable<void> Run();
+
+ private:
+  /// How an attempt at one backend server ended.
+  enum class AttemptEnd {
+    /// The caller has its whole answer.
+    kAnswered,
+    /// The request did not run there.
+    kNotRun,
+    /// It may have run, and no whole answer has come.
+    kInDoubt,
+    /// The caller has left or its time is up.
+    kStopped,
+  };
+
+  boost::asio::awaitable<AttemptEnd> Attempt(AttemptLease& lease);
+  boost::asio::awaitable<AttemptEnd> ReadAnswer(AttemptLease& lease);
+  boost::asio::awaitable<AttemptEnd> RelayFailure(AttemptLease& lease);
+  boost::asio::awaitable<AttemptEnd> RelayBody(AttemptLease& lease);
+  boost::asio::awaitable<bool> RelayPiece(AttemptLease& lease,
+                                          const std::string& piece);
+  boost::asio::awaitable<bool> Write(std::string bytes);
+  boost::asio::awaitable<void> Refuse(Problem problem);
+  boost::asio::awaitable<void> GiveUp();
+
+  HttpRequest BackendRequest(const BackendId& backend) const;
+  bool AcceptsEvents(const std::vector<SseEvent>& events);
+  bool MayTryAgain() const;
+  Duration Left() const;
+  Duration StallTimeout() const;
+  AttemptEnd InDoubt(AttemptLease& lease, const std::string& why);
+  AttemptEnd NotRun(AttemptLease& lease,
+                    AttemptOutcome outcome,
+                    const std::string& why);
+  void WatchCaller();
+  void Stop();
+  void NoteFirstByte(AttemptLease& lease);
+  void NoteCompleted(AttemptLease& lease);
+  void LogEnd(const char* outcome, int status);
+
+  GatewayContext& m_gateway;
+  HttpExchange& m_exchange;
+  const RelayRequest m_request;
+  const MonotonicTime m_deadline;
+  boost::asio::steady_timer m_deadline_timer;
+
+  // The attempt under way.
+  std::shared_ptr<HttpAbort> m_abort;
+  std::unique_ptr<HttpResponseStream> m_answer;
+  SseReader m_events;
+  MonotonicTime m_attempt_began;
+  MonotonicTime m_first_byte;
+  uint32_t m_attempt_events = 0;
+
+  std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
+  bool m_caller_left = false;
+  bool m_head_sent = false;
+  // Whether what the caller has ends with a whole, numbered event.
+  bool m_can_continue = true;
+  uint64_t m_last_event;
+  // Attempts that may have run, and those that surely did not.
+  uint32_t m_in_doubt = 0;
+  uint32_t m_not_run = 0;
+  std::set<BackendId> m_tried;
+  BackendId m_last_backend;
+  std::string m_last_failure;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_RELAY_SESSION_H_
--- /dev/null
+++ b/Source/Gateway/storage_daemon.cc
@@ -0,0 +1,127 @@
+#include "Gateway/storage_daemon.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform/retirement_entry.h"
+#include "platform/wire_names.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr Duration kFlushInterval = std::chrono::seconds(1);
+// Between attempts to report while the store does not answer.
+constexpr Duration kReportPause = std::chrono::milliseconds(300);
+
+}  // namespace
+
+StorageDaemon::StorageDaemon(boost::asio::io_context& context,
+                             StorageDaemonOptions options)
+    : m_context(context),
+      m_options(std::move(options)),
+      m_log(EventLogOptions{.descriptor = m_options.log_descriptor}),
+      m_store(context.get_executor(), m_options.settings.store),
+      m_flush(context),
+      m_retry(context) {}
+
+Result<void> StorageDaemon::Start() {
+  m_log.Write("started", {{"vm", m_options.settings.vm.value()},
+                          {"role", "storage"},
+                          {"version", COWSLIP_VERSION}});
+  m_watcher = std::make_shared<DocumentWatcher>(
+      m_context.get_executor(), m_store,
+      DocumentWatcherOptions{.kind = DocumentKind(platform::kRetirementKind),
+                             .wait = std::chrono::seconds(30),
+                             .seed = m_options.incarnation.value()},
+      DocumentWatcherEvents{
+          .listed =
+              [this](const std::vector<Document>& documents) {
+                for (const Document& document : documents) {
+                  TakeRetirement(document);
+                }
+              },
+          .changed =
+              [this](const DocumentChange& change) {
+                if (!change.removed) {
+                  TakeRetirement(change.document);
+                }
+              },
+          .lost =
+              [this](const Error& error) {
+                m_log.Write("store_lost", {{"why", error.message}});
+              },
+          .regained = [this] { m_log.Write("store_regained", {}); }});
+  m_watcher->Start();
+  FlushLater();
+  return Ok();
+}
+
+void StorageDaemon::TakeRetirement(const Document& document) {
+  const bool is_ours = document.name.value() == m_options.settings.vm.value();
+  if (!is_ours || m_reporting || platform::IsRetired(document)) {
+    return;
+  }
+  m_reporting = true;
+  m_log.Write("retirement_asked", {{"vm", document.name.value()}});
+  boost::asio::co_spawn(
+      m_context, [this, document] { return ReportEmpty(document); },
+      boost::asio::detached);
+}
+
+awaitable<void> StorageDaemon::ReportEmpty(Document document) {
+  const DocumentKind kind(platform::kRetirementKind);
+  while (!platform::IsRetired(document)) {
+    const DocumentName name = document.name;
+    nlohmann::json status = platform::EncodeRetired();
+    const ObjectVersion version = document.version;
+    const Result<Document> reported =
+        co_await m_store.ReplaceStatus(kind, name, std::move(status), version);
+    if (reported.has_value()) {
+      break;
+    }
+    m_log.Write("retirement_report_failed",
+                {{"why", reported.error().message}});
+    m_retry.expires_after(kReportPause);
+    boost::system::error_code ignored;
+    co_await m_retry.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    Result<Document> known = co_await m_store.Get(kind, name);
+    if (known.has_value()) {
+      document = std::move(known.value());
+    } else if (known.error().kind() == ErrorKind::kNotFound) {
+      break;
+    }
+  }
+  m_reporting = false;
+  m_log.Write("retirement_reported", {{"vm", document.name.value()}});
+}
+
+void StorageDaemon::FlushLater() {
+  m_flush.expires_after(kFlushInterval);
+  m_flush.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      m_log.Flush();
+      FlushLater();
+    }
+  });
+}
+
+void StorageDaemon::Shutdown() {
+  m_log.Write("stopped", {});
+  m_log.Flush();
+  m_watcher->Stop();
+  m_options.on_stopped();
+}
+
+void StorageDaemon::Reload(const GatewaySettings&) {
+  m_log.Write("settings_reloaded", {});
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Gateway/storage_daemon.h
@@ -0,0 +1,56 @@
+#ifndef SOURCE_GATEWAY_STORAGE_DAEMON_H_
+#define SOURCE_GATEWAY_STORAGE_DAEMON_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Base/event_log.h"
+#include "Fleet/gateway_settings.h"
+#include "Platform/document_watcher.h"
+#include "platform/store_client.h"
+
+namespace cowslip {
+
+/// \class StorageDaemonOptions
+/// \brief What the daemon is told beside the platform's settings.
+struct StorageDaemonOptions {
+  GatewaySettings settings;
+  Incarnation incarnation;
+  int log_descriptor = 1;
+  std::function<void()> on_stopped;
+};
+
+/// \class StorageDaemon
+/// \brief The process on a VM with a disk. Everything that must last is in the
+/// platform's store, so it keeps nothing: it only answers requests to empty the
+/// VM, which it always is.
+class StorageDaemon {
+ public:
+  StorageDaemon(boost::asio::io_context& context, StorageDaemonOptions options);
+
+  Result<void> Start();
+  void Shutdown();
+  void Reload(const GatewaySettings& settings);
+
+ private:
+  void TakeRetirement(const Document& document);
+  boost::asio::awaitable<void> ReportEmpty(Document document);
+  void FlushLater();
+
+  boost::asio::io_context& m_context;
+  const StorageDaemonOptions m_options;
+  EventLog m_log;
+  platform::StoreClient m_store;
+  std::shared_ptr<DocumentWatcher> m_watcher;
+  boost::asio::steady_timer m_flush;
+  boost::asio::steady_timer m_retry;
+  bool m_reporting = false;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_GATEWAY_STORAGE_DAEMON_H_
--- /dev/null
+++ b/Source/Jobs/job_board.cc
@@ -0,0 +1,490 @@
+#include "Jobs/job_board.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Base/rendezvous.h"
+
+namespace cowslip {
+
+JobBoard::JobBoard(JobBoardOptions options, const PeerTable& peers)
+    : m_options(std::move(options)), m_peers(peers) {}
+
+std::vector<BoardAction> JobBoard::Handle(const BoardEvent& event,
+                                          JobTime now) {
+  m_actions.clear();
+  std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
+  return std::exchange(m_actions, {});
+}
+
+JobBoard::Job* JobBoard::FindJob(const JobKey& key) {
+  const auto found = m_jobs.find(key);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const JobRecord* JobBoard::Find(const JobKey& job) const {
+  const auto found = m_jobs.find(job);
+  return found == m_jobs.end() ? nullptr : &found->second.record;
+}
+
+bool JobBoard::IsOpenHere(const JobKey& job) const {
+  const auto found = m_jobs.find(job);
+  return found != m_jobs.end() && found->second.hold == Hold::kOpen;
+}
+
+bool JobBoard::Owns(const JobRecord& record) const {
+  return record.status.owner == m_options.self &&
+         record.status.incarnation == m_options.incarnation;
+}
+
+void JobBoard::NameOwner(JobStatus& status) const {
+  status.owner = m_options.self;
+  status.incarnation = m_options.incarnation;
+}
+
+bool JobBoard::IsOver(const Job& job) const {
+  return job.record.status.ended || job.record.status.finished;
+}
+
+bool JobBoard::AllListed(const Job& job) const {
+  return std::all_of(job.items.begin(), job.items.end(), [](const auto& item) {
+    return item.second.phase == ItemPhase::kListed;
+  });
+}
+
+bool JobBoard::IsIdle() const {
+  return std::none_of(m_jobs.begin(), m_jobs.end(), [](const auto& job) {
+    return job.second.hold == Hold::kOpen || job.second.hold == Hold::kOpening;
+  });
+}
+
+void JobBoard::Apply(const JobSeen& event, JobTime now) {
+  Job& job = m_jobs[event.record.key];
+  if (event.record.version < job.record.version) {
+    return;
+  }
+  job.record = event.record;
+  if (IsOver(job)) {
+    Close(job);
+    return;
+  }
+  if (IsOwner(job)) {
+    job.orphaned_since.reset();
+    // A job that this process has handed back comes back only by a claim.
+    if (job.hold == Hold::kNone && !job.handed_back) {
+      Open(job);
+    }
+    return;
+  }
+  if (job.hold == Hold::kOpen || job.hold == Hold::kOpening) {
+    // Another process has claimed it.
+    Close(job);
+  }
+  ConsiderTakeover(job, now);
+}
+
+void JobBoard::Apply(const JobForgotten& event, JobTime) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr) {
+    Close(*job);
+    m_jobs.erase(event.job);
+  }
+}
+
+void JobBoard::Apply(const BoardActivated&, JobTime now) {
+  if (!m_active_since.has_value()) {
+    m_active_since = now.monotonic;
+  }
+}
+
+void JobBoard::Apply(const BoardStopping&, JobTime) {
+  m_stopping = true;
+  for (auto& [key, job] : m_jobs) {
+    StopItems(job);
+    ConsiderHandBack(job);
+  }
+}
+
+void JobBoard::Apply(const ClaimEnded& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr || job->hold != Hold::kClaiming) {
+    return;
+  }
+  job->hold = Hold::kNone;
+  job->claim_again_at = now.monotonic + m_options.claim_pause;
+  if (event.won && IsOwner(*job) && !IsOver(*job)) {
+    job->handed_back = false;
+    Open(*job);
+  }
+}
+
+void JobBoard::Open(Job& job) {
+  job.hold = Hold::kOpening;
+  job.finish_asked = false;
+  m_actions.push_back(OpenJob{job.record.key});
+}
+
+void JobBoard::Close(Job& job) {
+  if (job.hold == Hold::kNone) {
+    return;
+  }
+  StopItems(job);
+  const bool was_open = job.hold != Hold::kClaiming;
+  job.hold = Hold::kNone;
+  job.unwritten.clear();
+  if (was_open) {
+    m_actions.push_back(CloseJob{job.record.key});
+  }
+}
+
+void JobBoard::StopItems(Job& job) {
+  for (auto& [id, item] : job.items) {
+    if (item.phase == ItemPhase::kRunning && !item.stopping) {
+      item.stopping = true;
+      m_actions.push_back(StopItem{job.record.key, id});
+    }
+  }
+}
+
+void JobBoard::Apply(const JobOpened& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr || job->hold != Hold::kOpening) {
+    return;
+  }
+  job->hold = Hold::kOpen;
+  for (const ItemId& id : job->record.definition.items) {
+    Item& item = job->items[id];
+    const auto progress = job->record.status.progress.find(id);
+    if (progress != job->record.status.progress.end() &&
+        item.phase == ItemPhase::kPending &&
+        item.progress.last_event < progress->second.last_event) {
+      item.progress = progress->second;
+    }
+    if (event.listed.contains(id)) {
+      item.phase = ItemPhase::kListed;
+    } else if (item.phase == ItemPhase::kEnded ||
+               item.phase == ItemPhase::kListed) {
+      item.phase = ItemPhase::kPending;
+    }
+  }
+  GiveUpItems(*job, now);
+  ConsiderFinish(*job);
+  ConsiderHandBack(*job);
+}
+
+void JobBoard::Apply(const JobOpenFailed& event, JobTime) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr && job->hold == Hold::kOpening) {
+    m_actions.push_back(OpenJob{event.job});
+  }
+}
+
+void JobBoard::Apply(const ItemStarted& event, JobTime) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr) {
+    return;
+  }
+  Item& item = job->items[event.item];
+  item.phase = ItemPhase::kRunning;
+  item.backend = event.backend;
+  item.stopping = false;
+  ++m_running;
+}
+
+void JobBoard::Apply(const ItemRunEnded& event, JobTime now) {
+  --m_running;
+  Job* job = FindJob(event.job);
+  if (job == nullptr) {
+    return;
+  }
+  Item& item = job->items[event.item];
+  if (item.phase != ItemPhase::kRunning) {
+    return;
+  }
+  item.phase = ItemPhase::kPending;
+  item.progress = event.progress;
+  item.backend = BackendId();
+  if (job->hold != Hold::kOpen) {
+    return;
+  }
+  switch (event.end) {
+    case ItemRunEnd::kCompleted:
+      EndItem(*job, event.item, ItemState::kCompleted, now);
+      break;
+    case ItemRunEnd::kImpossible:
+      EndItem(*job, event.item, ItemState::kDeadLettered, now);
+      break;
+    case ItemRunEnd::kFailed:
+      ++item.progress.failed_runs;
+      // A run that failed is begun anew.
+      item.progress.last_event = 0;
+      item.progress.output.clear();
+      if (item.progress.failed_runs >= job->record.definition.max_attempts) {
+        EndItem(*job, event.item, ItemState::kDeadLettered, now);
+      } else {
+        item.not_before = now.monotonic + m_options.retry_pause;
+      }
+      break;
+    case ItemRunEnd::kInDoubt: {
+      const uint32_t doublings = std::min(item.interruptions, 6U);
+      ++item.interruptions;
+      item.not_before =
+          now.monotonic + std::min(m_options.longest_retry_pause,
+                                   m_options.retry_pause * (1 << doublings));
+      break;
+    }
+    case ItemRunEnd::kNotRun:
+      item.not_before = now.monotonic + m_options.turned_away_pause;
+      break;
+    case ItemRunEnd::kInterrupted:
+      break;
+  }
+  ConsiderHandBack(*job);
+}
+
+void JobBoard::EndItem(Job& job,
+                       const ItemId& id,
+                       ItemState state,
+                       JobTime now) {
+  Item& item = job.items[id];
+  item.phase = ItemPhase::kEnded;
+  if (job.unwritten.empty()) {
+    job.gather_since = now.monotonic;
+  }
+  const bool completed = state == ItemState::kCompleted;
+  job.unwritten.push_back(
+      {id, state, completed ? item.progress.output : std::string()});
+  ConsiderWriting(job, now);
+}
+
+void JobBoard::ConsiderWriting(Job& job, JobTime now) {
+  if (job.hold != Hold::kOpen || job.unwritten.empty() || job.writing) {
+    return;
+  }
+  const bool nothing_else_soon =
+      std::none_of(job.items.begin(), job.items.end(), [](const auto& item) {
+        return item.second.phase == ItemPhase::kRunning ||
+               item.second.phase == ItemPhase::kPending;
+      });
+  const bool gathered =
+      now.monotonic - job.gather_since >= m_options.gather_time;
+  if (nothing_else_soon || gathered || m_stopping) {
+    job.writing = true;
+    m_actions.push_back(WriteResults{job.record.key, job.unwritten});
+  }
+}
+
+void JobBoard::Apply(const ResultsWritten& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr) {
+    return;
+  }
+  job->writing = false;
+  for (const ItemId& id : event.listed) {
+    job->items[id].phase = ItemPhase::kListed;
+  }
+  std::erase_if(job->unwritten, [&](const ItemResult& result) {
+    return event.listed.contains(result.item);
+  });
+  if (job->hold != Hold::kOpen) {
+    return;
+  }
+  job->gather_since = now.monotonic;
+  ConsiderWriting(*job, now);
+  ConsiderFinish(*job);
+  ConsiderHandBack(*job);
+}
+
+void JobBoard::Apply(const ResultsNotWritten& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr) {
+    job->writing = false;
+    job->gather_since = now.monotonic;
+  }
+}
+
+void JobBoard::ConsiderFinish(Job& job) {
+  if (job.hold == Hold::kOpen && !job.finish_asked && AllListed(job)) {
+    job.finish_asked = true;
+    m_actions.push_back(FinishJob{job.record.key});
+  }
+}
+
+// Once nothing runs and every result is written.
+void JobBoard::ConsiderHandBack(Job& job) {
+  if (!m_stopping || job.hold != Hold::kOpen || job.writing ||
+      !job.unwritten.empty()) {
+    return;
+  }
+  HandBackJob action{.job = job.record.key};
+  for (const auto& [id, item] : job.items) {
+    if (item.phase == ItemPhase::kRunning) {
+      return;
+    }
+    const bool begun =
+        item.progress.last_event > 0 || item.progress.failed_runs > 0;
+    if (item.phase == ItemPhase::kPending && begun) {
+      action.progress[id] = item.progress;
+    }
+  }
+  job.hold = Hold::kNone;
+  job.handed_back = true;
+  if (!AllListed(job)) {
+    m_actions.push_back(std::move(action));
+  }
+}
+
+void JobBoard::GiveUpItems(Job& job, JobTime now) {
+  if (job.hold != Hold::kOpen || now.wall < job.record.definition.give_up) {
+    return;
+  }
+  std::vector<ItemId> given_up;
+  for (const auto& [id, item] : job.items) {
+    if (item.phase == ItemPhase::kPending) {
+      given_up.push_back(id);
+    }
+  }
+  for (const ItemId& id : given_up) {
+    EndItem(job, id, ItemState::kDeadLettered, now);
+  }
+}
+
+void JobBoard::Apply(const JobRouteGone& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr || job->hold != Hold::kOpen) {
+    return;
+  }
+  std::vector<ItemId> given_up;
+  for (const auto& [id, item] : job->items) {
+    if (item.phase == ItemPhase::kPending) {
+      given_up.push_back(id);
+    }
+  }
+  for (const ItemId& id : given_up) {
+    EndItem(*job, id, ItemState::kDeadLettered, now);
+  }
+}
+
+void JobBoard::Apply(const BoardTick&, JobTime now) {
+  for (auto& [key, job] : m_jobs) {
+    ConsiderTakeover(job, now);
+    GiveUpItems(job, now);
+    ConsiderWriting(job, now);
+    ConsiderHandBack(job);
+    ConsiderDeletion(job, now);
+  }
+}
+
+bool JobBoard::IsMyTurn(const Job& job, Duration orphaned_for) const {
+  const std::vector<VmId> live = m_peers.Live();
+  const auto turns =
+      static_cast<size_t>(orphaned_for / m_options.takeover_turn) + 1;
+  const std::vector<VmId> order =
+      RendezvousPick(job.record.key.value(), live, turns);
+  return std::find(order.begin(), order.end(), m_options.self) != order.end();
+}
+
+void JobBoard::ConsiderTakeover(Job& job, JobTime now) {
+  const JobStatus& status = job.record.status;
+  if (IsOver(job) || IsOwner(job) || job.hold != Hold::kNone ||
+      m_peers.IsLive(status.owner, status.incarnation)) {
+    job.orphaned_since.reset();
+    return;
+  }
+  if (!job.orphaned_since.has_value()) {
+    job.orphaned_since = now.monotonic;
+  }
+  const bool settled = m_active_since.has_value() &&
+                       now.monotonic - *m_active_since >= m_options.settle_time;
+  if (m_stopping || !settled || now.monotonic < job.claim_again_at ||
+      !IsMyTurn(job, now.monotonic - *job.orphaned_since)) {
+    return;
+  }
+  job.hold = Hold::kClaiming;
+  const char* reason =
+      status.owner.empty() ? "handed back" : "its owner is not live";
+  m_actions.push_back(ClaimJob{job.record.key, reason});
+}
+
+void JobBoard::ConsiderDeletion(Job& job, JobTime now) {
+  const JobDefinition& definition = job.record.definition;
+  const WallTime expires =
+      std::max(definition.give_up,
+               definition.submitted +
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       m_options.retention));
+  if (job.delete_asked || !IsOver(job) || now.wall < expires ||
+      !IsMyTurn(job, Duration::zero())) {
+    return;
+  }
+  job.delete_asked = true;
+  m_actions.push_back(DeleteJob{job.record.key});
+}
+
+std::vector<RunnableItem> JobBoard::Runnable(JobTime now) const {
+  if (m_stopping) {
+    return {};
+  }
+  std::map<OrganisationId, size_t> running;
+  for (const auto& [key, job] : m_jobs) {
+    for (const auto& [id, item] : job.items) {
+      running[job.record.definition.organisation] +=
+          item.phase == ItemPhase::kRunning ? 1 : 0;
+    }
+  }
+  // Late ones last, then the organisation with less, then the due time.
+  using Order = std::tuple<bool, size_t, WallTime, JobKey, ItemId>;
+  std::vector<std::pair<Order, RunnableItem>> ordered;
+  for (const auto& [key, job] : m_jobs) {
+    if (job.hold != Hold::kOpen || IsOver(job)) {
+      continue;
+    }
+    const JobDefinition& definition = job.record.definition;
+    const bool late = now.wall + m_options.usual_item_time > definition.due;
+    size_t share = running[definition.organisation];
+    for (const ItemId& id : definition.items) {
+      const auto found = job.items.find(id);
+      if (found == job.items.end() ||
+          found->second.phase != ItemPhase::kPending ||
+          found->second.not_before > now.monotonic) {
+        continue;
+      }
+      // A few at a time, so that the due time counts within an organisation.
+      constexpr size_t kTurn = 8;
+      ordered.push_back({{late, share / kTurn, definition.due, key, id},
+                         {key, id, found->second.progress}});
+      ++share;
+    }
+    running[definition.organisation] = share;
+  }
+  std::sort(ordered.begin(), ordered.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<RunnableItem> items;
+  for (auto& entry : ordered) {
+    items.push_back(std::move(entry.second));
+  }
+  return items;
+}
+
+std::vector<std::pair<JobKey, ItemId>> JobBoard::RunningAt(
+    const BackendId& backend) const {
+  std::vector<std::tuple<WallTime, JobKey, ItemId>> running;
+  for (const auto& [key, job] : m_jobs) {
+    for (const auto& [id, item] : job.items) {
+      if (item.phase == ItemPhase::kRunning && !item.stopping &&
+          item.backend == backend) {
+        running.emplace_back(job.record.definition.due, key, id);
+      }
+    }
+  }
+  // What is due last can best wait.
+  std::sort(running.rbegin(), running.rend());
+  std::vector<std::pair<JobKey, ItemId>> items;
+  for (const auto& [due, key, id] : running) {
+    items.emplace_back(key, id);
+  }
+  return items;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Jobs/result_log.cc
@@ -0,0 +1,117 @@
+#include "Jobs/result_log.h"
+
+#include <utility>
+
+namespace cowslip {
+
+using boost::asio::awaitable;
+
+ResultLog::ResultLog(DocumentStore& store, JobKey key)
+    : m_store(store), m_key(std::move(key)) {}
+
+void ResultLog::TakeSegment(const ResultSegment& segment,
+                            ObjectVersion version) {
+  m_version = version;
+  for (size_t i = m_results.size() - m_segment_begin;
+       i < segment.results.size(); ++i) {
+    const ItemResult& result = segment.results[i];
+    m_results.push_back(result);
+    m_items.insert(result.item);
+    m_bytes += result.output.size();
+    m_segment_bytes += result.output.size();
+  }
+  if (segment.sealed) {
+    OpenNextSegment();
+  }
+}
+
+void ResultLog::OpenNextSegment() {
+  ++m_segment;
+  m_version = ObjectVersion();
+  m_segment_begin = m_results.size();
+  m_segment_bytes = 0;
+}
+
+awaitable<Result<void>> ResultLog::Refresh() {
+  const DocumentKind kind(kResultKind);
+  while (true) {
+    const uint32_t segment = m_segment;
+    const DocumentName name = ResultName(m_key, segment);
+    const Result<Document> document = co_await m_store.Get(kind, name);
+    if (!document.has_value()) {
+      if (document.error().kind() != ErrorKind::kNotFound) {
+        co_return document.error();
+      }
+      break;
+    }
+    const Result<ResultSegment> decoded =
+        DecodeResults(document.value().content);
+    if (!decoded.has_value()) {
+      co_return decoded.error();
+    }
+    TakeSegment(decoded.value(), document.value().version);
+    if (m_segment == segment) {
+      break;
+    }
+  }
+  m_uncertain = false;
+  co_return Ok();
+}
+
+awaitable<Result<void>> ResultLog::Append(std::vector<ItemResult> results) {
+  while (true) {
+    if (m_uncertain) {
+      const Result<void> read = co_await Refresh();
+      if (!read.has_value()) {
+        co_return read.error();
+      }
+    }
+    std::erase_if(results, [this](const ItemResult& result) {
+      return m_items.contains(result.item);
+    });
+    if (results.empty()) {
+      co_return Ok();
+    }
+    // As many as the last segment takes; a full one is sealed.
+    ResultSegment segment;
+    segment.results.assign(m_results.begin() + m_segment_begin,
+                           m_results.end());
+    size_t bytes = m_segment_bytes;
+    for (const ItemResult& result : results) {
+      if (bytes >= kSegmentBytes) {
+        break;
+      }
+      bytes += result.output.size();
+      segment.results.push_back(result);
+    }
+    segment.sealed = bytes >= kSegmentBytes;
+    const Result<void> written = co_await WriteLastSegment(std::move(segment));
+    if (!written.has_value() &&
+        written.error().kind() != ErrorKind::kConflict) {
+      co_return written.error();
+    }
+  }
+}
+
+awaitable<Result<void>> ResultLog::WriteLastSegment(ResultSegment segment) {
+  const DocumentKind kind(kResultKind);
+  const DocumentName name = ResultName(m_key, m_segment);
+  const ObjectVersion version = m_version;
+  nlohmann::json content = EncodeResults(segment);
+  // Until the answer is known, another version may be in the store.
+  m_uncertain = true;
+  Result<Document> written = Error();
+  if (version == ObjectVersion()) {
+    written = co_await m_store.Create(kind, name, std::move(content));
+  } else {
+    written = co_await m_store.Replace(kind, name, std::move(content), version);
+  }
+  if (!written.has_value()) {
+    co_return written.error();
+  }
+  TakeSegment(segment, written.value().version);
+  m_uncertain = false;
+  co_return Ok();
+}
+
+}  // namespace cowslip
--- a/Source/Net/beast.h
+++ b/Source/Net/beast.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -1,6 +1,11 @@
 #include "Net/http_client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 #include <vector>
 
@@ -17,6 +22,9 @@
       : stream(executor) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  bool kept = false;
+  /// When kept: not to be used from then on.
+  MonotonicTime idle_until;
 };
 
 using ConnectionPtr = std::unique_ptr<ClientConnection>;
@@ -30,6 +38,49 @@
                          "idempotent.");
 }
 
+// A server that names its idle timeout may close the connection just then, so
+// the connection is retired this much sooner.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+
+// The seconds of `Keep-Alive: timeout=N`, if it names them.
+std::optional<Duration> KeepAliveTimeout(const HttpHeaders& headers) {
+  const std::string value = FindHeader(headers, "Keep-Alive").value_or("");
+  const std::string_view field = "timeout=";
+  const size_t at = value.find(field);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* begin = value.data() + at + field.size();
+  if (std::from_chars(begin, value.data() + value.size(), seconds).ec !=
+      std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+// Bytes that wait on an idle connection are a late answer or no answer at all.
+bool IsQuiet(tcp::socket& socket) {
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+void SetDeadPeerTimeout(tcp::socket& socket, Duration timeout) {
+  const int on = 1;
+  const int seconds = std::max<int>(
+      1, std::chrono::duration_cast<std::chrono::seconds>(timeout).count());
+  const int millis = seconds * 1000;
+  const int fd = socket.native_handle();
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &on, sizeof(on));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &on, sizeof(on));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &seconds, sizeof(seconds));
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
+}
+
 }  // namespace
 
 class HttpClient::Impl {
@@ -45,10 +96,21 @@
   const Endpoint& endpoint() const { return m_endpoint; }
 
   asio::awaitable<Result<ConnectionPtr>> Acquire();
-  void Release(ConnectionPtr connection) {
-    if (m_idle.size() < m_options.max_idle_connections) {
-      m_idle.push_back(std::move(connection));
+  // Bytes beyond the response belong to no request: such a connection is
+  // closed.
+  void Release(ConnectionPtr connection, const HttpHeaders& headers) {
+    if (m_idle.size() >= m_options.max_idle_connections ||
+        connection->buffer.size() > 0) {
+      return;
+    }
+    Duration idle = m_options.max_idle;
+    const std::optional<Duration> named = KeepAliveTimeout(headers);
+    if (named.has_value()) {
+      idle = std::min(idle, *named - kKeepAliveMargin);
     }
+    connection->kept = true;
+    connection->idle_until = MonotonicClock::now() + idle;
+    m_idle.push_back(std::move(connection));
   }
 
  private:
@@ -64,7 +126,8 @@
   while (!m_idle.empty()) {
     ConnectionPtr connection = std::move(m_idle.back());
     m_idle.pop_back();
-    if (!PeerHasClosed(connection->stream.socket())) {
+    if (MonotonicClock::now() < connection->idle_until &&
+        IsQuiet(connection->stream.socket())) {
       co_return connection;
     }
   }
@@ -88,6 +151,10 @@
                         ". Check that the server runs there.");
   }
   connection->stream.socket().set_option(tcp::no_delay(true), error);
+  if (m_options.dead_peer_timeout > Duration::zero()) {
+    SetDeadPeerTimeout(connection->stream.socket(),
+                       m_options.dead_peer_timeout);
+  }
   co_return connection;
 }
 
@@ -126,8 +193,11 @@
       : m_client(std::move(client)),
         m_connection(std::move(connection)),
         m_parser(std::move(parser)),
+        m_kept(m_connection->kept),
         m_headers(ToHeaders(m_parser->get())) {}
 
+  bool on_kept_connection() const override { return m_kept; }
+
   int status() const override { return m_parser->get().result_int(); }
   const HttpHeaders& headers() const override { return m_headers; }
 
@@ -173,7 +243,7 @@
     }
     m_connection->stream.expires_never();
     if (m_parser->keep_alive()) {
-      m_client->Release(std::move(m_connection));
+      m_client->Release(std::move(m_connection), m_headers);
     }
     m_connection.reset();
   }
@@ -181,6 +251,7 @@
   const std::shared_ptr<HttpClient::Impl> m_client;
   ConnectionPtr m_connection;
   const std::unique_ptr<http::response_parser<http::buffer_body>> m_parser;
+  const bool m_kept;
   const HttpHeaders m_headers;
   std::array<char, kReadBytes> m_space;
 };
@@ -191,7 +262,9 @@
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(http::field::host, endpoint.ToString());
+  if (!FindHeader(request.headers, "Host").has_value()) {
+    message.set(http::field::host, endpoint.ToString());
+  }
   for (const HttpHeader& header : request.headers) {
     message.insert(header.name, header.value);
   }
@@ -232,15 +305,24 @@
   connection->stream.expires_after(timeout);
   http::request_serializer<http::string_body> serializer(message);
   co_await http::async_write(connection->stream, serializer, token);
-  if (error) {
-    co_return CallError(error, "sending");
+  // A server may answer and close before it has read a long body: the answer
+  // is read even when the sending failed.
+  const boost::system::error_code sending = error;
+  if (sending == beast::error::timeout ||
+      sending == asio::error::operation_aborted) {
+    co_return CallError(sending, "sending");
   }
-  auto parser = std::make_unique<http::response_parser<http::buffer_body>>();
-  parser->body_limit(impl->options().max_response_bytes);
-  co_await http::async_read_header(connection->stream, connection->buffer,
-                                   *parser, token);
+  error = {};
+  std::unique_ptr<http::response_parser<http::buffer_body>> parser;
+  do {
+    // An interim response says nothing about the request.
+    parser = std::make_unique<http::response_parser<http::buffer_body>>();
+    parser->body_limit(impl->options().max_response_bytes);
+    co_await http::async_read_header(connection->stream, connection->buffer,
+                                     *parser, token);
+  } while (!error && parser->get().result_int() < 200);
   if (error) {
-    co_return CallError(error, "waiting for the response");
+    co_return CallError(sending ? sending : error, "waiting for the response");
   }
   std::unique_ptr<HttpResponseStream> stream = std::make_unique<ResponseStream>(
       impl, std::move(connection), std::move(parser));
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -24,6 +24,12 @@
   size_t max_idle_connections = 16;
   size_t max_response_bytes = 64 << 20;
   Duration connect_timeout = std::chrono::seconds(2);
+  /// How long a kept connection may lie idle before it is closed instead of
+  /// used, unless the server's Keep-Alive header names a shorter time.
+  Duration max_idle = std::chrono::seconds(30);
+  /// When set, the kernel probes a silent peer and gives up on sent data after
+  /// this long. Whole seconds; a silent cut shows in no other way.
+  Duration dead_peer_timeout = Duration::zero();
 };
 
 /// \class HttpAbort
@@ -55,6 +61,9 @@
   virtual ~HttpResponseStream() = default;
   virtual int status() const = 0;
   virtual const HttpHeaders& headers() const = 0;
+  /// Whether the connection had carried an earlier response: then a late answer
+  /// to that one might have been read here.
+  virtual bool on_kept_connection() const = 0;
   /// The next piece; nullopt at the proper end. A truncated body is
   /// kInDoubt, a passed timeout kTimeout.
   virtual boost::asio::awaitable<Result<std::optional<std::string>>> ReadSome(
--- a/Source/Net/http_exchange.h
+++ b/Source/Net/http_exchange.h
@@ -31,6 +31,10 @@
   virtual boost::asio::awaitable<Result<void>> StartStream(
       int status,
       HttpHeaders headers) = 0;
+  /// Starts a stream whose head goes out together with its first piece, in one
+  /// write.
+  virtual boost::asio::awaitable<Result<void>>
+  StartStreamWith(int status, HttpHeaders headers, std::string data) = 0;
   virtual boost::asio::awaitable<Result<void>> WriteChunk(std::string data) = 0;
   virtual boost::asio::awaitable<Result<void>> FinishStream() = 0;
 
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "Base/log.h"
@@ -62,7 +63,7 @@
   class Connection;
 
   asio::io_context& m_context;
-  const HttpServerOptions m_options;
+  HttpServerOptions m_options;
   const Handler m_handler;
   tcp::acceptor m_acceptor;
   std::set<Connection*> m_connections;
@@ -96,6 +97,9 @@
   asio::awaitable<Result<void>> Respond(HttpResponse response) override;
   asio::awaitable<Result<void>> StartStream(int status,
                                             HttpHeaders headers) override;
+  asio::awaitable<Result<void>> StartStreamWith(int status,
+                                                HttpHeaders headers,
+                                                std::string data) override;
   asio::awaitable<Result<void>> WriteChunk(std::string data) override;
   asio::awaitable<Result<void>> FinishStream() override;
   void OnClientGone(std::function<void()> callback) override {
@@ -120,6 +124,10 @@
   Result<void> Written(const boost::system::error_code& error);
   template <class Message>
   void SetFields(Message& message, const HttpHeaders& headers);
+  // The bytes of a chunked response's head.
+  std::string StreamHead(int status, const HttpHeaders& headers);
+  template <class Buffers>
+  asio::awaitable<Result<void>> WriteStream(const Buffers& buffers);
 
   const std::shared_ptr<Impl> m_server;
   beast::tcp_stream m_stream;
@@ -308,43 +316,62 @@
   co_return Written(error);
 }
 
-asio::awaitable<Result<void>> HttpServer::Impl::Connection::StartStream(
+std::string HttpServer::Impl::Connection::StreamHead(
     int status,
-    HttpHeaders headers) {
+    const HttpHeaders& headers) {
   http::response<http::empty_body> message(static_cast<http::status>(status),
                                            11);
   SetFields(message, headers);
   message.chunked(true);
+  std::ostringstream head;
+  head << message.base();
+  m_state = State::kStreaming;
+  return head.str();
+}
+
+template <class Buffers>
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::WriteStream(
+    const Buffers& buffers) {
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   m_stream.expires_after(m_server->m_options.write_timeout);
-  http::response_serializer<http::empty_body> serializer(message);
-  co_await http::async_write_header(m_stream, serializer, token);
-  m_state = State::kStreaming;
+  co_await asio::async_write(m_stream, buffers, token);
   co_return Written(error);
 }
 
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::StartStream(
+    int status,
+    HttpHeaders headers) {
+  const std::string head = StreamHead(status, headers);
+  const auto buffers = asio::buffer(head);
+  co_return co_await WriteStream(buffers);
+}
+
+asio::awaitable<Result<void>> HttpServer::Impl::Connection::StartStreamWith(
+    int status,
+    HttpHeaders headers,
+    std::string data) {
+  const std::string head = StreamHead(status, headers);
+  const auto chunk = http::make_chunk(asio::buffer(data));
+  const auto buffers =
+      beast::buffers_cat(asio::const_buffer(asio::buffer(head)), chunk);
+  co_return co_await WriteStream(buffers);
+}
+
 asio::awaitable<Result<void>> HttpServer::Impl::Connection::WriteChunk(
     std::string data) {
   if (data.empty()) {
     co_return Ok();
   }
-  boost::system::error_code error;
-  auto token = asio::redirect_error(asio::use_awaitable, error);
-  m_stream.expires_after(m_server->m_options.write_timeout);
   const auto chunk = http::make_chunk(asio::buffer(data));
-  co_await asio::async_write(m_stream, chunk, token);
-  co_return Written(error);
+  co_return co_await WriteStream(chunk);
 }
 
 asio::awaitable<Result<void>> HttpServer::Impl::Connection::FinishStream() {
-  boost::system::error_code error;
-  auto token = asio::redirect_error(asio::use_awaitable, error);
-  m_stream.expires_after(m_server->m_options.write_timeout);
   const auto last = http::make_chunk_last();
-  co_await asio::async_write(m_stream, last, token);
+  Result<void> written = co_await WriteStream(last);
   m_state = State::kFinished;
-  co_return Written(error);
+  co_return written;
 }
 
 Result<void> HttpServer::Impl::Start() {
@@ -426,6 +453,18 @@
   return m_impl->Start();
 }
 
+void HttpServer::StopKeepingConnections() {
+  m_impl->m_draining = true;
+}
+
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  HttpServerOptions& options = m_impl->m_options;
+  options.max_header_bytes = limits.max_header_bytes;
+  options.max_body_bytes = limits.max_body_bytes;
+  options.read_timeout = limits.read_timeout;
+  options.idle_timeout = limits.idle_timeout;
+}
+
 uint16_t HttpServer::port() const {
   boost::system::error_code ignored;
   return m_impl->m_acceptor.local_endpoint(ignored).port();
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -21,6 +21,15 @@
 struct HttpRequest;
 struct HttpResponse;
 
+/// \class HttpServerLimits
+/// \brief The bounds on requests that may change while the server runs.
+struct HttpServerLimits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 1 << 20;
+  Duration read_timeout = std::chrono::seconds(20);
+  Duration idle_timeout = std::chrono::seconds(60);
+};
+
 /// \class HttpServerOptions
 /// \brief Bounds that keep one client from harming others.
 struct HttpServerOptions {
@@ -65,6 +74,11 @@
   /// Stops accepting, closes idle connections and lets running requests
   /// finish; responses from now on carry `Connection: close`.
   void Drain();
+  /// Lets connections go: responses from now on carry `Connection: close`, but
+  /// new connections are still taken.
+  void StopKeepingConnections();
+  /// Changes the bounds on requests; for those that begin from now on.
+  void SetLimits(const HttpServerLimits& limits);
   /// Requests whose response has not ended.
   size_t active_requests() const;
   /// Open connections.
--- /dev/null
+++ b/Source/Net/sse_reader.cc
@@ -0,0 +1,92 @@
+#include "Net/sse_reader.h"
+
+#include <charconv>
+#include <utility>
+
+namespace cowslip {
+
+namespace {
+
+std::optional<uint64_t> ParseEventId(std::string_view text) {
+  uint64_t id = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, id);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+}  // namespace
+
+Result<std::vector<std::string>> SseReader::Feed(std::string_view bytes) {
+  Result<std::vector<SseEvent>> events = FeedEvents(bytes);
+  if (!events.has_value()) {
+    return events.error();
+  }
+  std::vector<std::string> data;
+  for (SseEvent& event : events.value()) {
+    if (event.data.has_value()) {
+      data.push_back(std::move(*event.data));
+    }
+  }
+  return data;
+}
+
+Result<std::vector<SseEvent>> SseReader::FeedEvents(std::string_view bytes) {
+  std::vector<SseEvent> events;
+  while (!bytes.empty()) {
+    const size_t end = bytes.find('\n');
+    const size_t taken = end == std::string_view::npos ? bytes.size() : end + 1;
+    m_event.raw += bytes.substr(0, taken);
+    bytes.remove_prefix(taken);
+    if (m_event.raw.size() > kMaxEventBytes) {
+      return Error(ErrorKind::kTooLarge,
+                   "The backend server sent an event over the limit. Ask it "
+                   "for shorter events.");
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    std::string_view line(m_event.raw);
+    line = line.substr(m_line_begin, line.size() - m_line_begin - 1);
+    const bool ended = TakeLine(line);
+    m_line_begin = m_event.raw.size();
+    if (ended) {
+      events.push_back(std::exchange(m_event, SseEvent()));
+      m_line_begin = 0;
+    }
+  }
+  return events;
+}
+
+bool SseReader::TakeLine(std::string_view line) {
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  if (line.empty()) {
+    return true;
+  }
+  const size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  std::string_view value;
+  if (colon != std::string_view::npos) {
+    value = line.substr(colon + 1);
+  }
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  if (name == "id") {
+    m_event.id = ParseEventId(value);
+  } else if (name == "data") {
+    if (m_event.data.has_value()) {
+      *m_event.data += '\n';
+      *m_event.data += value;
+    } else {
+      m_event.data = std::string(value);
+    }
+  }
+  return false;
+}
+
+}  // namespace cowslip
--- a/Source/Operator/publication.cc
+++ b/Source/Operator/publication.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "Audit/audit_trail.h"
+#include "Base/sha256.h"
 #include "Configuration/configuration_reader.h"
-#include "Configuration/sha256.h"
 #include "Operator/wall_time_text.h"
 
 namespace cowslip {
--- /dev/null
+++ b/Source/Peers/peer_gossip.cc
@@ -0,0 +1,125 @@
+#include "Peers/peer_gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/log.h"
+
+namespace cowslip {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+PeerGossip::PeerGossip(asio::io_context& context,
+                       PeerGossipOptions options,
+                       Compose compose,
+                       Addresses addresses,
+                       Receive receive)
+    : m_options(std::move(options)),
+      m_compose(std::move(compose)),
+      m_addresses(std::move(addresses)),
+      m_receive(std::move(receive)),
+      m_socket(context),
+      m_timer(context) {}
+
+Result<void> PeerGossip::Start() {
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(m_options.listen.address, error);
+  if (!error) {
+    const udp::endpoint endpoint(address, m_options.listen.port);
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+      m_socket.bind(endpoint, error);
+    }
+  }
+  if (error) {
+    return Error(ErrorKind::kUnavailable,
+                 "Cannot take datagrams on " + m_options.listen.ToString() +
+                     ": " + error.message() + ". Choose a free internal port.");
+  }
+  m_socket.non_blocking(true, error);
+  ReceiveNext();
+  Schedule(Duration::zero());
+  return Ok();
+}
+
+void PeerGossip::Stop() {
+  boost::system::error_code ignored;
+  m_timer.cancel();
+  m_socket.close(ignored);
+}
+
+uint16_t PeerGossip::port() const {
+  boost::system::error_code ignored;
+  return m_socket.local_endpoint(ignored).port();
+}
+
+Duration PeerGossip::Pause() const {
+  const Duration pause =
+      m_options.pause_per_peer * static_cast<int64_t>(m_peer_count);
+  return std::max(m_options.shortest_pause, pause);
+}
+
+void PeerGossip::StateChanged() {
+  if (m_send_is_soon) {
+    return;
+  }
+  m_send_is_soon = true;
+  const Duration since = MonotonicClock::now() - m_sent;
+  Schedule(std::max(Duration::zero(), Pause() - since));
+}
+
+void PeerGossip::Schedule(Duration pause) {
+  m_timer.expires_after(pause);
+  m_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Send();
+    }
+  });
+}
+
+void PeerGossip::Send() {
+  m_send_is_soon = false;
+  m_sent = MonotonicClock::now();
+  const std::vector<Endpoint> addresses = m_addresses();
+  m_peer_count = addresses.size();
+  if (!addresses.empty()) {
+    PeerMessage message = m_compose();
+    message.sequence = ++m_sequence;
+    const std::string bytes = EncodePeerMessage(message);
+    for (const Endpoint& address : addresses) {
+      boost::system::error_code error;
+      const auto ip = asio::ip::make_address(address.address, error);
+      if (!error) {
+        m_socket.send_to(asio::buffer(bytes), udp::endpoint(ip, address.port),
+                         0, error);
+      }
+      // A lost datagram is made good by the next one.
+      LOG_IF_EVERY_N(WARNING, error, 1000)
+          << "peers: Cannot send to " << address << ": " << error.message();
+    }
+  }
+  Schedule(m_options.heartbeat);
+}
+
+void PeerGossip::ReceiveNext() {
+  m_socket.async_receive_from(
+      asio::buffer(m_space), m_sender,
+      [this](const boost::system::error_code& error, size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          const Result<PeerMessage> message =
+              DecodePeerMessage(std::string_view(m_space.data(), size));
+          if (message.has_value()) {
+            m_receive(message.value());
+          } else {
+            LOG_EVERY_N(WARNING, 100) << "peers: " << message.error();
+          }
+        }
+        ReceiveNext();
+      });
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Peers/peer_message.cc
@@ -0,0 +1,70 @@
+#include "Peers/peer_message.h"
+
+#include <utility>
+
+#include "Base/json.h"
+
+namespace cowslip {
+
+namespace {
+
+using nlohmann::json;
+
+// Changes when the layout below does; other layouts are not understood.
+constexpr uint64_t kLayout = 1;
+// The largest payload of a UDP datagram over IPv4.
+constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
+
+PeerMessage ReadMessage(const json& fields) {
+  PeerMessage message;
+  message.vm = VmId(fields.at(1).get<std::string>());
+  message.incarnation = Incarnation(fields.at(2).get<uint64_t>());
+  message.sequence = fields.at(3).get<uint64_t>();
+  message.configuration = ConfigVersion(fields.at(4).get<uint64_t>());
+  message.draining = fields.at(5).get<bool>();
+  for (const json& usage : fields.at(6)) {
+    message.usage.push_back({OrganisationId(usage.at(0).get<std::string>()),
+                             usage.at(1).get<uint64_t>()});
+  }
+  for (const json& use : fields.at(7)) {
+    message.in_flight.push_back({BackendId(use.at(0).get<std::string>()),
+                                 use.at(1).get<uint32_t>(),
+                                 use.at(2).get<uint32_t>()});
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  json usage = json::array();
+  for (const OrganisationUsage& entry : message.usage) {
+    usage.push_back({entry.organisation.value(), entry.admitted});
+  }
+  json in_flight = json::array();
+  for (const BackendUse& use : message.in_flight) {
+    in_flight.push_back({use.backend.value(), use.online, use.batch});
+  }
+  return ToCbor(
+      json::array({kLayout, message.vm.value(), message.incarnation.value(),
+                   message.sequence, message.configuration.value(),
+                   message.draining, std::move(usage), std::move(in_flight)}));
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  const Result<json> fields = ParseCbor(bytes, kLimits);
+  if (!fields.has_value()) {
+    return fields.error();
+  }
+  try {
+    if (fields.value().at(0).get<uint64_t>() == kLayout) {
+      return ReadMessage(fields.value());
+    }
+  } catch (const json::exception&) {
+    // Falls through to the error below.
+  }
+  return Error(ErrorKind::kMalformedMessage,
+               "The datagram is of another layout. Upgrade the older process.");
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Placement/placing_core.cc
@@ -0,0 +1,282 @@
+#include "Placement/placing_core.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Base/rendezvous.h"
+
+namespace cowslip {
+
+namespace {
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+uint32_t PlacingCore::Backend::Online() const {
+  uint32_t sum = own.online;
+  for (const auto& [vm, use] : peers) {
+    sum += use.online;
+  }
+  return sum;
+}
+
+uint32_t PlacingCore::Backend::Batch() const {
+  uint32_t sum = own.batch;
+  for (const auto& [vm, use] : peers) {
+    sum += use.batch;
+  }
+  return sum;
+}
+
+PlacingCore::PlacingCore(PlacingOptions options)
+    : m_options(std::move(options)) {}
+
+void PlacingCore::Handle(const PlacingEvent& event, MonotonicTime now) {
+  std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
+}
+
+void PlacingCore::Apply(const BackendAdded& event, MonotonicTime) {
+  Backend& backend = m_backends[event.backend.id];
+  if (backend.record.started_at_ms != event.backend.started_at_ms) {
+    // Another incarnation under the same id: what was learnt of the earlier one
+    // says nothing about it.
+    backend = Backend{.own = backend.own};
+  }
+  backend.record = event.backend;
+}
+
+void PlacingCore::Apply(const BackendDropped& event, MonotonicTime) {
+  m_backends.erase(event.id);
+}
+
+void PlacingCore::Apply(const AttemptStarted& event, MonotonicTime) {
+  const auto found = m_backends.find(event.backend);
+  if (found != m_backends.end()) {
+    Use& own = found->second.own;
+    ++(event.work == WorkClass::kOnline ? own.online : own.batch);
+  }
+}
+
+void PlacingCore::Apply(const AttemptEnded& event, MonotonicTime now) {
+  const auto found = m_backends.find(event.backend);
+  if (found == m_backends.end()) {
+    return;
+  }
+  Backend& backend = found->second;
+  uint32_t& count =
+      event.work == WorkClass::kOnline ? backend.own.online : backend.own.batch;
+  count -= count > 0 ? 1 : 0;
+  switch (event.outcome) {
+    case AttemptOutcome::kCompleted:
+      backend.failures = 0;
+      backend.suspended_until = now;
+      break;
+    case AttemptOutcome::kCancelled:
+      break;
+    case AttemptOutcome::kFull:
+      backend.suspended_until =
+          std::max(backend.suspended_until, now + m_options.full_pause);
+      break;
+    case AttemptOutcome::kFailed: {
+      const uint32_t doublings = std::min(backend.failures, 8U);
+      const Duration pause =
+          std::min(m_options.longest_suspension,
+                   m_options.first_suspension * (1 << doublings));
+      ++backend.failures;
+      // One failure may be the request's own; two in a row are not.
+      if (backend.failures > 1) {
+        backend.suspended_until =
+            std::max(backend.suspended_until, now + pause);
+      }
+      break;
+    }
+  }
+}
+
+void PlacingCore::Smooth(double& average, Duration sample) const {
+  const double seconds = ToSeconds(sample);
+  average = average == 0 ? seconds
+                         : average + m_options.smoothing * (seconds - average);
+}
+
+void PlacingCore::Apply(const FirstEventSeen& event, MonotonicTime) {
+  const auto found = m_backends.find(event.backend);
+  if (found != m_backends.end()) {
+    Smooth(found->second.first_event, event.after);
+  }
+}
+
+void PlacingCore::Apply(const PaceSeen& event, MonotonicTime) {
+  const auto found = m_backends.find(event.backend);
+  if (found != m_backends.end()) {
+    Smooth(found->second.pace, event.per_event);
+  }
+}
+
+void PlacingCore::Apply(const SlotTimeSeen& event, MonotonicTime) {
+  const auto found = m_backends.find(event.backend);
+  if (found != m_backends.end()) {
+    Smooth(found->second.slot_time, event.held);
+  }
+}
+
+void PlacingCore::Apply(const PeerUseReported& event, MonotonicTime) {
+  for (auto& [id, backend] : m_backends) {
+    backend.peers.erase(event.vm);
+  }
+  for (const BackendUse& use : event.in_flight) {
+    const auto found = m_backends.find(use.backend);
+    if (found != m_backends.end()) {
+      found->second.peers[event.vm] = {use.online, use.batch};
+    }
+  }
+}
+
+void PlacingCore::Apply(const PeerUseForgotten& event, MonotonicTime) {
+  for (auto& [id, backend] : m_backends) {
+    backend.peers.erase(event.vm);
+  }
+}
+
+bool PlacingCore::IsUsable(const Backend& backend, MonotonicTime now) const {
+  return !backend.record.draining && now >= backend.suspended_until;
+}
+
+double PlacingCore::MedianPace(const ServiceId& service) const {
+  std::vector<double> paces;
+  for (const auto& [id, backend] : m_backends) {
+    if (backend.record.service == service && backend.pace > 0) {
+      paces.push_back(backend.pace);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  const auto middle = paces.begin() + paces.size() / 2;
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+bool PlacingCore::IsSlow(const Backend& backend) const {
+  const double median = MedianPace(backend.record.service);
+  return median > 0 && backend.pace > median * m_options.slow_factor;
+}
+
+template <class Limit>
+std::optional<BackendId> PlacingCore::PlaceBelow(const PlacementQuery& query,
+                                                 MonotonicTime now,
+                                                 const Limit& limit) const {
+  // Lower is better, element by element.
+  using Order = std::tuple<bool, bool, bool, double, uint64_t>;
+  std::optional<std::pair<Order, BackendId>> best;
+  for (const auto& [id, backend] : m_backends) {
+    const BackendRecord& record = backend.record;
+    if (record.service != query.service || !IsUsable(backend, now) ||
+        query.exclude.contains(id) || backend.Total() >= limit(backend)) {
+      continue;
+    }
+    const bool has_slot = backend.Total() < record.slots;
+    const double load = static_cast<double>(backend.Total()) /
+                        static_cast<double>(record.slots);
+    const std::string& seed = query.shared_prompt.empty()
+                                  ? m_options.self.value()
+                                  : query.shared_prompt;
+    const Order order(!has_slot, IsSlow(backend), record.zone != m_options.zone,
+                      load, ~RendezvousScore(seed, id.value()));
+    if (!best.has_value() || order < best->first) {
+      best = {order, id};
+    }
+  }
+  if (!best.has_value()) {
+    return std::nullopt;
+  }
+  return best->second;
+}
+
+std::optional<BackendId> PlacingCore::PlaceOnline(const PlacementQuery& query,
+                                                  MonotonicTime now) const {
+  return PlaceBelow(query, now, [&](const Backend& backend) {
+    // A batch item there gives its slot back.
+    const uint32_t yielding = std::min(backend.Batch(), backend.record.slots);
+    return backend.record.slots + std::max(query.queue_allowance, yielding);
+  });
+}
+
+std::optional<BackendId> PlacingCore::PlaceBatch(const PlacementQuery& query,
+                                                 MonotonicTime now) const {
+  return PlaceBelow(query, now, [&](const Backend& backend) {
+    const uint32_t slots = backend.record.slots;
+    return slots > m_options.batch_headroom ? slots - m_options.batch_headroom
+                                            : 1;
+  });
+}
+
+bool PlacingCore::ShouldYieldBatch(const BackendId& id) const {
+  const auto found = m_backends.find(id);
+  if (found == m_backends.end()) {
+    return false;
+  }
+  const Backend& backend = found->second;
+  if (backend.own.batch == 0 || backend.Total() < backend.record.slots) {
+    return false;
+  }
+  for (const auto& [vm, use] : backend.peers) {
+    if (use.batch > 0 && vm < m_options.self) {
+      return false;
+    }
+  }
+  return true;
+}
+
+ServiceLoad PlacingCore::Load(const ServiceId& service,
+                              MonotonicTime now) const {
+  ServiceLoad load;
+  double first_event = 0;
+  double slot_time = 0;
+  uint32_t samples = 0;
+  for (const auto& [id, backend] : m_backends) {
+    if (backend.record.service != service || !IsUsable(backend, now)) {
+      continue;
+    }
+    ++load.backends;
+    load.slots += backend.record.slots;
+    load.online += backend.Online();
+    load.batch += backend.Batch();
+    if (backend.slot_time > 0) {
+      first_event += backend.first_event;
+      slot_time += backend.slot_time;
+      ++samples;
+    }
+  }
+  if (samples > 0) {
+    load.first_event = FromSeconds(first_event / samples);
+    load.slot_time = FromSeconds(slot_time / samples);
+  }
+  return load;
+}
+
+const BackendRecord* PlacingCore::Find(const BackendId& id) const {
+  const auto found = m_backends.find(id);
+  return found == m_backends.end() ? nullptr : &found->second.record;
+}
+
+std::vector<BackendUse> PlacingCore::InFlight() const {
+  std::vector<BackendUse> in_flight;
+  for (const auto& [id, backend] : m_backends) {
+    if (backend.own.online > 0 || backend.own.batch > 0) {
+      in_flight.push_back({id, backend.own.online, backend.own.batch});
+    }
+  }
+  return in_flight;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Platform/document_watcher.h
@@ -0,0 +1,89 @@
+#ifndef SOURCE_PLATFORM_DOCUMENT_WATCHER_H_
+#define SOURCE_PLATFORM_DOCUMENT_WATCHER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Platform/document_store.h"
+
+namespace cowslip {
+
+/// \class DocumentWatcherOptions
+/// \brief How a kind is followed.
+struct DocumentWatcherOptions {
+  DocumentKind kind;
+  /// How long one watch waits: every call is charged, and the kernel's probes
+  /// find a dead connection sooner.
+  Duration wait = std::chrono::seconds(10);
+  /// The pause after a first failure; it doubles up to `longest_pause`.
+  Duration first_pause = std::chrono::milliseconds(150);
+  /// Refused calls are charged too, yet a return of the store must be seen
+  /// within the second.
+  Duration longest_pause = std::chrono::milliseconds(800);
+  uint64_t seed = 1;
+};
+
+/// \class DocumentWatcherEvents
+/// \brief What a watcher tells; all on the executor of the watcher.
+struct DocumentWatcherEvents {
+  /// All documents of the kind, after a listing.
+  std::function<void(std::vector<Document> documents)> listed;
+  std::function<void(const DocumentChange& change)> changed;
+  /// The store stopped answering, with the reason.
+  std::function<void(const Error& error)> lost;
+  /// It answers again; comes before what that answer brings.
+  std::function<void()> regained;
+};
+
+/// \class DocumentWatcher
+/// \brief Follows all documents of one kind: lists them, then watches, and
+/// lists again when changes may have been missed.
+class DocumentWatcher : public std::enable_shared_from_this<DocumentWatcher> {
+ public:
+  DocumentWatcher(boost::asio::any_io_executor executor,
+                  DocumentStore& store,
+                  DocumentWatcherOptions options,
+                  DocumentWatcherEvents events);
+
+  void Start();
+  /// Nothing is told any more.
+  void Stop();
+  /// Lists again now, because there is reason to believe that a change has been
+  /// missed.
+  void Refresh();
+  /// Whether the last call was answered.
+  bool connected() const { return m_connected; }
+
+ private:
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<Result<void>> ListAll();
+  boost::asio::awaitable<Result<void>> WatchOnce();
+  boost::asio::awaitable<void> ListOnce();
+  boost::asio::awaitable<void> Pause();
+  void Succeeded();
+  void Failed(const Error& error);
+
+  DocumentStore& m_store;
+  const DocumentWatcherOptions m_options;
+  const DocumentWatcherEvents m_events;
+  boost::asio::any_io_executor m_executor;
+  boost::asio::steady_timer m_timer;
+  std::mt19937_64 m_random;
+  ObjectVersion m_as_of;
+  bool m_stopped = false;
+  bool m_connected = false;
+  bool m_must_list = true;
+  bool m_refreshing = false;
+  uint32_t m_failures = 0;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_PLATFORM_DOCUMENT_WATCHER_H_
--- /dev/null
+++ b/Source/Quota/quota_core.cc
@@ -0,0 +1,139 @@
+#include "Quota/quota_core.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cowslip {
+
+namespace {
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+QuotaCore::QuotaCore(QuotaOptions options) : m_options(options) {}
+
+QuotaAction QuotaCore::Handle(const QuotaEvent& event, MonotonicTime now) {
+  return std::visit(
+      [&](const auto& alternative) { return Apply(alternative, now); }, event);
+}
+
+double QuotaCore::SilentPart() const {
+  return static_cast<double>(m_fleet.silent) /
+         static_cast<double>(std::max<uint32_t>(m_fleet.members, 1));
+}
+
+void QuotaCore::Refill(Bucket& bucket, MonotonicTime now) const {
+  const double seconds = ToSeconds(now - bucket.as_of);
+  bucket.as_of = now;
+  const double here = bucket.rate * (1 - SilentPart());
+  bucket.level = std::min(bucket.burst, bucket.level + here * seconds);
+  const double since_report = ToSeconds(now - bucket.peer_as_of);
+  bucket.peer_rate *= std::exp(-since_report);
+  bucket.peer_as_of = now;
+}
+
+QuotaAction QuotaCore::Apply(const QuotaAsked& event, MonotonicTime now) {
+  const auto found = m_buckets.find(event.organisation);
+  if (found == m_buckets.end()) {
+    return QuotaAdmitted{};
+  }
+  Bucket& bucket = found->second;
+  Refill(bucket, now);
+  const double unseen = bucket.peer_rate * ToSeconds(m_options.report_lag);
+  const double missing = 1 + unseen - bucket.level;
+  if (missing <= 0) {
+    bucket.level -= 1;
+    ++bucket.admitted;
+    return QuotaAdmitted{.level = bucket.level};
+  }
+  return QuotaExceeded{
+      .retry_after = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(missing / bucket.rate)),
+      .level = bucket.level};
+}
+
+void QuotaCore::TakePeerUsage(Bucket& bucket,
+                              double count,
+                              MonotonicTime now) const {
+  Refill(bucket, now);
+  bucket.level -= count;
+  bucket.peer_rate += count;
+}
+
+QuotaAction QuotaCore::Apply(const UsageReported& event, MonotonicTime now) {
+  PeerUsage& peer = m_peers[event.vm];
+  const bool restarted = peer.incarnation != event.incarnation;
+  if (restarted) {
+    peer = PeerUsage{.incarnation = event.incarnation};
+  }
+  for (const OrganisationUsage& usage : event.usage) {
+    uint64_t& known = peer.admitted[usage.organisation];
+    if (usage.admitted <= known) {
+      continue;
+    }
+    const uint64_t more = usage.admitted - known;
+    known = usage.admitted;
+    const auto bucket = m_buckets.find(usage.organisation);
+    if (bucket != m_buckets.end()) {
+      // More than a burst at once can only be what was admitted long ago.
+      const double count = std::min(static_cast<double>(more),
+                                    bucket->second.burst + bucket->second.rate);
+      TakePeerUsage(bucket->second, count, now);
+    }
+  }
+  return QuotaNoted{};
+}
+
+QuotaAction QuotaCore::Apply(const FleetCounted& event, MonotonicTime now) {
+  const double before = SilentPart();
+  for (auto& [id, bucket] : m_buckets) {
+    Refill(bucket, now);
+  }
+  m_fleet = event;
+  const double newly_silent = SilentPart() - before;
+  if (newly_silent > 0) {
+    for (auto& [id, bucket] : m_buckets) {
+      bucket.level -= std::max(bucket.level, 0.0) * newly_silent;
+    }
+  }
+  return QuotaNoted{};
+}
+
+QuotaAction QuotaCore::Apply(const QuotasChanged& event, MonotonicTime now) {
+  std::map<OrganisationId, Bucket> buckets;
+  for (const OrganisationQuota& quota : event.quotas) {
+    if (quota.rate <= 0) {
+      continue;
+    }
+    const double burst = std::max(quota.burst, 1.0);
+    Bucket bucket{.level = burst / std::max<uint32_t>(m_fleet.members, 1),
+                  .as_of = now,
+                  .peer_as_of = now};
+    const auto known = m_buckets.find(quota.organisation);
+    if (known != m_buckets.end()) {
+      bucket = known->second;
+      Refill(bucket, now);
+    }
+    bucket.rate = quota.rate;
+    bucket.burst = burst;
+    bucket.level = std::min(bucket.level, burst);
+    buckets.emplace(quota.organisation, bucket);
+  }
+  m_buckets = std::move(buckets);
+  return QuotaNoted{};
+}
+
+std::vector<OrganisationUsage> QuotaCore::Usage() const {
+  std::vector<OrganisationUsage> usage;
+  for (const auto& [organisation, bucket] : m_buckets) {
+    if (bucket.admitted > 0) {
+      usage.push_back({organisation, bucket.admitted});
+    }
+  }
+  return usage;
+}
+
+}  // namespace cowslip
--- a/Tests/Configuration/configuration_driver_test.cc
+++ b/Tests/Configuration/configuration_driver_test.cc
@@ -11,9 +11,9 @@
 #include <fstream>
 
 #include "Base/json.h"
+#include "Base/sha256.h"
 #include "Configuration/publish_runner.h"
 #include "Configuration/saved_configuration.h"
-#include "Configuration/sha256.h"
 #include "Configuration/snapshot.h"
 #include "Utilities/StandIns/Platform/fake_object_store.h"
 
--- a/Tests/Configuration/configuration_model.h
+++ b/Tests/Configuration/configuration_model.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "Base/sha256.h"
 #include "Configuration/configuration_head.h"
 #include "Configuration/declaration_json.h"
-#include "Configuration/sha256.h"
 #include "Configuration/snapshot.h"
 
 namespace cowslip {
--- a/Utilities/Bench/online_load.cc
+++ b/Utilities/Bench/online_load.cc
@@ -9,8 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "Backend/sse_reader.h"
 #include "Base/json.h"
+#include "Net/sse_reader.h"
 #include "Utilities/Bench/answer_check.h"
 
 namespace cowslip {
