--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -203,7 +203,9 @@
     return;
   }
   item.phase = ItemPhase::kPending;
+  const uint32_t failed_runs = item.progress.failed_runs;
   item.progress = event.progress;
+  item.progress.failed_runs = failed_runs;
   item.backend = BackendId();
   if (job->hold != Hold::kOpen) {
     return;
--- a/Source/Platform/document_store.h
+++ b/Source/Platform/document_store.h
@@ -19,6 +19,9 @@
 /// A document's name, unique in its kind.
 using DocumentName = StrongId<struct DocumentNameTag>;
 
+/// What one document may hold, in bytes.
+inline constexpr size_t kMaxDocumentBytes = 1 << 20;
+
 /// \class Document
 /// \brief A named JSON value with the version that a conditional update names.
 struct Document {
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -135,6 +135,9 @@
   // One cut watch is usual; only a second failure in a row is an outage.
   if (m_connected && m_failures > 1) {
     m_connected = false;
+    // A listing is answered at once, so that the end of the outage is seen
+    // although nothing changes.
+    m_must_list = true;
     m_events.lost(error);
   }
 }
--- /dev/null
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -0,0 +1,173 @@
+#include "gateway_fixture.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Base/base64.h"
+
+namespace cowslip {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A port that nobody uses at the moment.
+uint16_t FreePort(boost::asio::io_context& context) {
+  using boost::asio::ip::udp;
+  udp::socket socket(context, udp::endpoint(udp::v4(), 0));
+  return socket.local_endpoint().port();
+}
+
+nlohmann::json Route(const char* name, const char* prefix, const char* kind) {
+  return {
+      {"name", name},         {"host", "h.example"}, {"path_prefix", prefix},
+      {"kind", kind},         {"timeout_ms", 3000},  {"target_latency_ms", 300},
+      {"gap_target_ms", 400}, {"priority", 0},       {"service", "s"},
+      {"max_attempts", 2},    {"public", false}};
+}
+
+}  // namespace
+
+GatewayFixture::GatewayFixture(size_t backends) {
+  m_log = ::open("/dev/null", O_WRONLY);
+  REQUIRE(server.Start().has_value());
+  configuration = {{"version", 1},
+                   {"routes", nlohmann::json::array()},
+                   {"services", {{{"name", "s"}, {"max_connections", 100}}}},
+                   {"tenants",
+                    {{{"name", "mill"}, {"api_keys", {"key1"}}},
+                     {{"name", "studio"},
+                      {"api_keys", {"key2"}},
+                      {"rate_per_s", 1},
+                      {"burst", 2}}}}};
+  nlohmann::json stream = Route("stream", "/stream/", "streaming");
+  stream["resumable"] = true;
+  nlohmann::json job = Route("job", "/job/", "batch");
+  job["completion_target_ms"] = 18000;
+  job["retention_s"] = 60;
+  configuration["routes"] = {stream, Route("once", "/once/", "streaming"),
+                             Route("safe", "/safe/", "safe"),
+                             Route("unsafe", "/unsafe/", "unsafe"), job};
+  Publish();
+  for (size_t i = 0; i < backends; ++i) {
+    m_backends.push_back(
+        std::make_unique<ModelServer>(context, "i-" + std::to_string(i)));
+    REQUIRE(m_backends.back()->Start().has_value());
+    Register(i);
+  }
+}
+
+GatewayFixture::~GatewayFixture() {
+  // Coroutines of the gateways may still wait: they go with the context, and
+  // must not run again.
+  for (auto& gateway : m_gateways) {
+    static_cast<void>(gateway.release());
+  }
+  ::close(m_log);
+}
+
+void GatewayFixture::Publish() {
+  store.Put("config", "main", configuration);
+}
+
+void GatewayFixture::Register(size_t index) {
+  store.Put(
+      "servers", "i-" + std::to_string(index),
+      {{"service", "s"},
+       {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
+       {"zone", "z"},
+       {"slots", 8},
+       {"state", "ready"},
+       {"sequence", 1}});
+}
+
+size_t GatewayFixture::AddGateway() {
+  const size_t index = m_gateways.size();
+  GatewaySettings settings{.vm = VmId("gateway-" + std::to_string(index)),
+                           .zone = ZoneId("z"),
+                           .address = "127.0.0.1",
+                           .store = Endpoint{.port = server.port()}};
+  settings.first_internal_port = FreePort(context);
+  m_gateways.push_back(std::make_unique<GatewayDaemon>(
+      context, GatewayDaemonOptions{.settings = settings,
+                                    .incarnation = Incarnation(100 + index),
+                                    .log_descriptor = m_log}));
+  REQUIRE(m_gateways.back()->Start().has_value());
+  m_clients.push_back(std::make_unique<HttpClient>(
+      context.get_executor(),
+      Endpoint{.port = m_gateways.back()->caller_port()}));
+  return index;
+}
+
+awaitable<void> GatewayFixture::Sleep(Duration pause) {
+  boost::asio::steady_timer timer(context, pause);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+awaitable<void> GatewayFixture::WaitUntilReady() {
+  for (const auto& gateway : m_gateways) {
+    while (gateway != nullptr && !gateway->IsReady()) {
+      co_await Sleep(10ms);
+    }
+  }
+}
+
+awaitable<Result<HttpResponse>> GatewayFixture::Send(size_t gateway,
+                                                     HttpRequest request) {
+  const Duration timeout = 10s;
+  co_return co_await m_clients[gateway]->Send(std::move(request), timeout);
+}
+
+HttpRequest GatewayFixture::Request(const std::string& method,
+                                    const std::string& target,
+                                    const std::string& attempt,
+                                    std::string body) {
+  HttpRequest request{
+      .method = method, .target = target, .body = std::move(body)};
+  request.headers = {{"Host", "h.example"},
+                     {"Key", "key1"},
+                     {"Attempt-Id", attempt},
+                     {"Deadline-Ms", "3000"}};
+  return request;
+}
+
+HttpRequest GatewayFixture::Submission(const std::string& job, size_t items) {
+  nlohmann::json list = nlohmann::json::array();
+  for (size_t i = 0; i < items; ++i) {
+    list.push_back({{"id", job + "-" + std::to_string(i)},
+                    {"path", "/job/x"},
+                    {"headers", {{"Model", "m"}}},
+                    {"body", EncodeBase64("body" + std::to_string(i))}});
+  }
+  return Request("POST", "/job/submit", job,
+                 nlohmann::json({{"items", list}}).dump());
+}
+
+awaitable<nlohmann::json> GatewayFixture::ReadAll(size_t gateway,
+                                                  std::string job) {
+  nlohmann::json all = nlohmann::json::array();
+  for (int i = 0; i < 400; ++i) {
+    HttpRequest request = Request(
+        "GET", "/lots/" + job + "?after=" + std::to_string(all.size()), "read");
+    const Result<HttpResponse> response =
+        co_await Send(gateway, std::move(request));
+    if (response.has_value() && response.value().status == 200) {
+      const auto page = nlohmann::json::parse(response.value().body);
+      for (const auto& result : page["results"]) {
+        all.push_back(result);
+      }
+      if (all.size() == page["total"]) {
+        break;
+      }
+    }
+    co_await Sleep(50ms);
+  }
+  co_return all;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Gateway/gateway_fixture.h
@@ -0,0 +1,90 @@
+#ifndef TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#define TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "Gateway/gateway_daemon.h"
+#include "Net/http_client.h"
+#include "Utilities/StandIns/MetadataStore/metadata_server.h"
+#include "Utilities/StandIns/ModelServer/model_server.h"
+
+namespace cowslip {
+
+/// \class GatewayFixture
+/// \brief Gateways, backend servers and the platform's store in one process, on
+/// loopback.
+class GatewayFixture {
+ public:
+  /// Publishes a configuration with one route of each kind, and registers the
+  /// backend servers `i-0`, `i-1`, ...
+  explicit GatewayFixture(size_t backends);
+  ~GatewayFixture();
+
+  /// Starts a gateway; returns its index. Call WaitUntilReady() next.
+  size_t AddGateway();
+  /// Ends a gateway at once, as a crash would.
+  void KillGateway(size_t index) { m_gateways[index].reset(); }
+
+  template <class Body>
+  void Run(Body body) {
+    bool done = false;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+          co_await body();
+          done = true;
+          context.stop();
+        },
+        boost::asio::detached);
+    context.run_for(std::chrono::seconds(40));
+    CHECK(done);
+    context.restart();
+  }
+
+  boost::asio::awaitable<void> WaitUntilReady();
+  boost::asio::awaitable<void> Sleep(Duration pause);
+  /// Sends a request to a gateway and reads the whole response.
+  boost::asio::awaitable<Result<HttpResponse>> Send(size_t gateway,
+                                                    HttpRequest request);
+  /// A request of the organisation `mill`.
+  static HttpRequest Request(const std::string& method,
+                             const std::string& target,
+                             const std::string& attempt,
+                             std::string body = "");
+  /// A submission of `items` items under the job's id.
+  static HttpRequest Submission(const std::string& job, size_t items);
+  /// Reads all results of a job that has ended or has all of them.
+  boost::asio::awaitable<nlohmann::json> ReadAll(size_t gateway,
+                                                 std::string job);
+  /// The configuration in the store, to be changed and written again.
+  nlohmann::json configuration;
+  void Publish();
+
+  GatewayDaemon& gateway(size_t index) { return *m_gateways[index]; }
+  ModelServer& backend(size_t index) { return *m_backends[index]; }
+  size_t RequestsAt(size_t index) { return backend(index).received().size(); }
+
+  boost::asio::io_context context;
+  FakeDocumentStore store;
+  MetadataServer server{context, store};
+
+ private:
+  void Register(size_t index);
+
+  std::vector<std::unique_ptr<ModelServer>> m_backends;
+  std::vector<std::unique_ptr<GatewayDaemon>> m_gateways;
+  std::vector<std::unique_ptr<HttpClient>> m_clients;
+  int m_log = -1;
+};
+
+}  // namespace cowslip
+
+#endif  // TESTS_GATEWAY_GATEWAY_FIXTURE_H_
--- /dev/null
+++ b/Tests/Gateway/jobs_test.cc
@@ -0,0 +1,222 @@
+#include <set>
+
+#include "Jobs/job_documents.h"
+#include "gateway_fixture.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+// Runs one client against two gateways and two backend servers.
+template <class Body>
+void RunJobs(Body body) {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await body(f);
+  });
+}
+
+awaitable<int> SubmitTo(GatewayFixture& f,
+                        size_t gateway,
+                        std::string job,
+                        size_t items) {
+  HttpRequest request = f.Submission(job, items);
+  const auto response = co_await f.Send(gateway, std::move(request));
+  co_return response.has_value() ? response.value().status : -1;
+}
+
+std::string Output(const std::string& item, uint64_t events) {
+  std::string output;
+  for (uint64_t i = 1; i <= events; ++i) {
+    output += (i > 1 ? "\n" : "") + item + "-" + std::to_string(i);
+  }
+  return output;
+}
+
+// Every item once, with its whole output.
+void CheckWhole(const nlohmann::json& results, size_t items, uint64_t events) {
+  std::set<std::string> ids;
+  for (const auto& result : results) {
+    const std::string id = result["id"];
+    ids.insert(id);
+    CHECK(result["state"] == "completed");
+    CHECK(result["output"] == Output(id, events));
+  }
+  CHECK(results.size() == items);
+  CHECK(ids.size() == items);
+}
+
+TEST_CASE("A job is run, and any gateway gives its results in one order") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    CHECK(co_await SubmitTo(f, 0, "j1", 5) == 202);
+    const nlohmann::json one = co_await f.ReadAll(0, "j1");
+    const nlohmann::json two = co_await f.ReadAll(1, "j1");
+    CheckWhole(one, 5, 4);
+    CHECK(one == two);
+  });
+}
+
+TEST_CASE("A job that is sent again anywhere is accepted once") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    CHECK(co_await SubmitTo(f, 0, "j1", 3) == 202);
+    CHECK(co_await SubmitTo(f, 1, "j1", 3) == 202);
+    CHECK(co_await SubmitTo(f, 0, "j1", 3) == 202);
+    CheckWhole(co_await f.ReadAll(1, "j1"), 3, 4);
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) == 3);
+    // Another job under the same id is not taken for it.
+    CHECK(co_await SubmitTo(f, 1, "j1", 4) == 409);
+  });
+}
+
+TEST_CASE("An accepted job survives the loss of its gateway") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().events = 100;
+      f.backend(i).behaviour().pause = 10ms;
+    }
+    CHECK(co_await SubmitTo(f, 0, "j1", 4) == 202);
+    co_await f.Sleep(300ms);
+    f.gateway(0).Shutdown();
+    CheckWhole(co_await f.ReadAll(1, "j1"), 4, 100);
+    // What was begun went on where it had stopped.
+    bool resumed = false;
+    for (size_t i = 0; i < 2; ++i) {
+      for (const HttpRequest& request : f.backend(i).received()) {
+        resumed |= FindHeader(request.headers, "Last-Event-Id").has_value();
+      }
+    }
+    CHECK(resumed);
+  });
+}
+
+TEST_CASE("A job whose owner never comes back is taken over from the store") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    // As it stands after its owner's VM was lost right after the 202.
+    CHECK(co_await SubmitTo(f, 0, "j1", 2) == 202);
+    CheckWhole(co_await f.ReadAll(0, "j1"), 2, 4);
+    nlohmann::json lost = f.store.Find(kJobKind, "j1.mill")->content;
+    lost["id"] = "j2";
+    lost["accepted_by"] = "a-lost-vm";
+    const std::string digest = lost["digest"].get<std::string>();
+    const nlohmann::json inputs =
+        f.store.Find(kInputKind, "j1.mill." + digest.substr(0, 16) + ".0")
+            ->content;
+    f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
+    f.store.Put(kJobKind, "j2.mill", lost);
+    CheckWhole(co_await f.ReadAll(1, "j2"), 2, 4);
+  });
+}
+
+TEST_CASE("A job without an answer of the store is not said to be refused") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    f.server.SetFault(ServerFault::kLoseAnswers, kJobKind + std::string());
+    // It is in the store: accepted, when the watch tells so in time, or in
+    // doubt.
+    const int status = co_await SubmitTo(f, 0, "j1", 2);
+    CHECK((status == 202 || status == 504));
+    CHECK(f.store.Find(kJobKind, "j1.mill") != nullptr);
+    f.server.SetFault(ServerFault::kBusy);
+    CHECK(co_await SubmitTo(f, 0, "j2", 2) == 503);
+    f.server.SetFault(ServerFault::kNone);
+    co_await f.Sleep(1s);
+    CHECK(f.store.Find(kJobKind, "j2.mill") == nullptr);
+    CHECK(co_await SubmitTo(f, 1, "j1", 2) == 202);
+    CheckWhole(co_await f.ReadAll(1, "j1"), 2, 4);
+  });
+}
+
+TEST_CASE("An item that fails always is given up, the others are done") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().fail_status = 422;
+    }
+    f.backend(0).behaviour().fails = 1;
+    f.backend(1).behaviour().fails = 1;
+    CHECK(co_await SubmitTo(f, 0, "j1", 6) == 202);
+    const nlohmann::json results = co_await f.ReadAll(0, "j1");
+    CHECK(results.size() == 6);
+    size_t dead = 0;
+    for (const auto& result : results) {
+      dead += result["state"] == "dead_lettered" ? 1 : 0;
+    }
+    CHECK(dead >= 1);
+    CHECK(dead <= 2);
+  });
+}
+
+TEST_CASE("Broken runs go on after the last whole event") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().events = 9;
+      f.backend(i).behaviour().break_after = 3;
+      f.backend(i).behaviour().breaks = 3;
+    }
+    CHECK(co_await SubmitTo(f, 0, "j1", 4) == 202);
+    CheckWhole(co_await f.ReadAll(0, "j1"), 4, 9);
+  });
+}
+
+TEST_CASE("A job that is ended stops, and the end may be repeated anywhere") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().events = 2000;
+      f.backend(i).behaviour().pause = 10ms;
+    }
+    CHECK(co_await SubmitTo(f, 0, "j1", 3) == 202);
+    co_await f.Sleep(200ms);
+    CHECK(f.backend(0).active() + f.backend(1).active() == 3);
+    for (const size_t gateway : {1, 0, 1}) {
+      HttpRequest request = f.Request("DELETE", "/lots/j1", "end");
+      const auto response = co_await f.Send(gateway, std::move(request));
+      CHECK(response.value().status == 200);
+    }
+    co_await f.Sleep(300ms);
+    CHECK(f.backend(0).active() + f.backend(1).active() == 0);
+    HttpRequest item = f.Request("GET", "/items/j1?id=j1-0", "item");
+    const auto response = co_await f.Send(1, std::move(item));
+    CHECK(response.value().status == 404);
+  });
+}
+
+TEST_CASE(
+    "Bodies come back from any gateway; other organisations see nothing") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    f.backend(0).behaviour().pause = 1s;
+    f.backend(1).behaviour().pause = 1s;
+    CHECK(co_await SubmitTo(f, 0, "j1", 2) == 202);
+    for (const size_t gateway : {0, 1}) {
+      HttpRequest item = f.Request("GET", "/items/j1?id=j1-1", "item");
+      const auto response = co_await f.Send(gateway, std::move(item));
+      CHECK(response.value().status == 200);
+      CHECK(response.value().body == "body1");
+    }
+    HttpRequest other = f.Request("GET", "/lots/j1", "read");
+    other.headers[1].value = "key2";
+    auto response = co_await f.Send(0, std::move(other));
+    CHECK(response.value().status == 404);
+    HttpRequest none = f.Request("GET", "/lots/none", "read");
+    response = co_await f.Send(0, std::move(none));
+    CHECK(response.value().status == 404);
+    f.server.SetFault(ServerFault::kBusy);
+    none = f.Request("GET", "/lots/none", "read");
+    response = co_await f.Send(0, std::move(none));
+    CHECK(response.value().status == 503);
+  });
+}
+
+TEST_CASE("A bad submission is refused whole") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    HttpRequest request = f.Request("POST", "/job/x", "j1", "{\"items\":[]}");
+    const auto response = co_await f.Send(0, std::move(request));
+    CHECK(response.value().status == 400);
+    CHECK(f.store.Find(kJobKind, "j1.mill") == nullptr);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Jobs/job_board_test.cc
@@ -0,0 +1,299 @@
+#include <catch2/catch.hpp>
+
+#include "Jobs/job_board.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+const WallTime kSubmitted(std::chrono::milliseconds(1'000'000));
+
+JobTime At(Duration since_start) {
+  return {.monotonic = MonotonicTime(100s + since_start),
+          .wall = kSubmitted +
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      since_start)};
+}
+
+JobRecord Record(const char* id, const char* owner, uint64_t incarnation) {
+  JobRecord record{.key = JobKey(id), .version = ObjectVersion(1)};
+  record.definition = {.id = JobId(id),
+                       .organisation = OrganisationId("mill"),
+                       .submitted = kSubmitted,
+                       .due = kSubmitted + 18s,
+                       .give_up = kSubmitted + 60s,
+                       .max_attempts = 3,
+                       .items = {ItemId("a"), ItemId("b")}};
+  record.status = {.owner = VmId(owner),
+                   .incarnation = Incarnation(incarnation)};
+  return record;
+}
+
+/// One process's board with its view of the others.
+struct Fixture {
+  PeerTable peers{PeerTableOptions{.self = VmId("vm1")}};
+  JobBoard board{
+      JobBoardOptions{.self = VmId("vm1"), .incarnation = Incarnation(1)},
+      peers};
+
+  Fixture() {
+    peers.Handle(PeersListed{{{VmId("vm2"), Endpoint{}, Incarnation(2)}}},
+                 At(0s).monotonic);
+  }
+  std::vector<BoardAction> Tell(const BoardEvent& event, Duration at) {
+    return board.Handle(event, At(at));
+  }
+  void Open(const JobRecord& record, Duration at = 0s) {
+    Tell(JobSeen{record}, at);
+    Tell(JobOpened{record.key, {}}, at);
+  }
+  void RunItem(const char* item, ItemRunEnd end, Duration at) {
+    Tell(ItemStarted{JobKey("j"), ItemId(item), BackendId("x")}, at);
+    Tell(
+        ItemRunEnded{
+            JobKey("j"), ItemId(item), end, {.last_event = 3, .output = "out"}},
+        at);
+  }
+  // Makes vm2 silent.
+  void Silence(Duration at) { peers.Handle(PeerTick{}, At(at).monotonic); }
+};
+
+template <class T>
+const T* Find(const std::vector<BoardAction>& actions) {
+  for (const BoardAction& action : actions) {
+    if (const auto* found = std::get_if<T>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+TEST_CASE("An accepted job is opened, run, written and finished") {
+  Fixture f;
+  CHECK(Find<OpenJob>(f.Tell(JobSeen{Record("j", "vm1", 1)}, 0s)) != nullptr);
+  f.Tell(JobOpened{JobKey("j"), {}}, 0s);
+  CHECK(f.board.Runnable(At(0s)).size() == 2);
+  f.RunItem("a", ItemRunEnd::kCompleted, 1s);
+  CHECK(f.board.Runnable(At(1s)).size() == 1);
+  CHECK(Find<WriteResults>(f.Tell(BoardTick{}, 1100ms)) == nullptr);
+  const auto actions = f.Tell(BoardTick{}, 1300ms);
+  const auto* write = Find<WriteResults>(actions);
+  REQUIRE(write != nullptr);
+  CHECK(write->results.size() == 1);
+  CHECK(write->results[0].output == "out");
+  f.Tell(ResultsWritten{JobKey("j"), {ItemId("a")}}, 1400ms);
+  f.RunItem("b", ItemRunEnd::kImpossible, 2s);
+  const auto finish =
+      f.Tell(ResultsWritten{JobKey("j"), {ItemId("a"), ItemId("b")}}, 2100ms);
+  CHECK(Find<FinishJob>(finish) != nullptr);
+}
+
+TEST_CASE("Results that could not be written are written again") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.RunItem("a", ItemRunEnd::kCompleted, 1s);
+  CHECK(Find<WriteResults>(f.Tell(BoardTick{}, 2s)) != nullptr);
+  f.Tell(ResultsNotWritten{JobKey("j")}, 3s);
+  const auto actions = f.Tell(BoardTick{}, 4s);
+  REQUIRE(Find<WriteResults>(actions) != nullptr);
+  CHECK(Find<WriteResults>(actions)->results.size() == 1);
+}
+
+TEST_CASE("A job is taken over when its owner falls silent, not before") {
+  Fixture f;
+  f.Tell(BoardActivated{}, 0s);
+  f.Tell(JobSeen{Record("j", "vm2", 2)}, 0s);
+  f.peers.Handle(
+      PeerHeard{
+          {.vm = VmId("vm2"), .incarnation = Incarnation(2), .sequence = 1}},
+      At(4500ms).monotonic);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 5s)) == nullptr);
+  f.Silence(6s);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 6s)) != nullptr);
+  // While the claim is under way there is no second one.
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 6100ms)) == nullptr);
+  JobRecord claimed = Record("j", "vm1", 1);
+  claimed.version = ObjectVersion(2);
+  f.Tell(JobSeen{claimed}, 6200ms);
+  CHECK(Find<OpenJob>(f.Tell(ClaimEnded{JobKey("j"), true}, 6200ms)) !=
+        nullptr);
+}
+
+TEST_CASE("A failed claim is repeated after a pause") {
+  Fixture f;
+  f.Tell(BoardActivated{}, 0s);
+  f.Silence(3s);
+  CHECK(Find<ClaimJob>(f.Tell(JobSeen{Record("j", "vm2", 2)}, 3s)) != nullptr);
+  f.Tell(ClaimEnded{JobKey("j"), false}, 3100ms);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 3200ms)) == nullptr);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 3800ms)) != nullptr);
+}
+
+TEST_CASE("A process that has just started takes nothing over") {
+  Fixture f;
+  f.Silence(3s);
+  f.Tell(BoardActivated{}, 3s);
+  f.Tell(JobSeen{Record("j", "vm2", 2)}, 3s);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 4s)) == nullptr);
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 4300ms)) != nullptr);
+}
+
+TEST_CASE("The job of an earlier incarnation of this VM is claimed anew") {
+  Fixture f;
+  f.Tell(BoardActivated{}, 0s);
+  const auto seen = f.Tell(JobSeen{Record("j", "vm1", 99)}, 2s);
+  CHECK(Find<OpenJob>(seen) == nullptr);
+  // By this process or by the other one, as the hash decides; in the end by
+  // any.
+  CHECK(Find<ClaimJob>(f.Tell(BoardTick{}, 5s)) != nullptr);
+}
+
+TEST_CASE("An owner that another process has replaced stops its items") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.Tell(ItemStarted{JobKey("j"), ItemId("a"), BackendId("x")}, 1s);
+  JobRecord claimed = Record("j", "vm2", 2);
+  claimed.version = ObjectVersion(2);
+  const auto actions = f.Tell(JobSeen{claimed}, 2s);
+  CHECK(Find<StopItem>(actions) != nullptr);
+  CHECK(Find<CloseJob>(actions) != nullptr);
+  CHECK_FALSE(f.board.IsOpenHere(JobKey("j")));
+}
+
+TEST_CASE("An older record does not undo a newer one") {
+  Fixture f;
+  JobRecord newer = Record("j", "vm2", 2);
+  newer.version = ObjectVersion(5);
+  f.Tell(JobSeen{newer}, 0s);
+  f.Tell(JobSeen{Record("j", "vm1", 1)}, 1s);
+  CHECK(f.board.Find(JobKey("j"))->status.owner == VmId("vm2"));
+}
+
+TEST_CASE("An ended job stops and runs nothing more") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.Tell(ItemStarted{JobKey("j"), ItemId("a"), BackendId("x")}, 1s);
+  JobRecord ended = Record("j", "vm1", 1);
+  ended.version = ObjectVersion(2);
+  ended.status.ended = true;
+  CHECK(Find<StopItem>(f.Tell(JobSeen{ended}, 2s)) != nullptr);
+  CHECK(f.board.Runnable(At(2s)).empty());
+}
+
+TEST_CASE("A stopping process hands its jobs back with what was begun") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.Tell(ItemStarted{JobKey("j"), ItemId("a"), BackendId("x")}, 1s);
+  const auto stopping = f.Tell(BoardStopping{}, 2s);
+  CHECK(Find<StopItem>(stopping) != nullptr);
+  CHECK(Find<HandBackJob>(stopping) == nullptr);
+  CHECK_FALSE(f.board.IsIdle());
+  const auto ended = f.Tell(ItemRunEnded{JobKey("j"),
+                                         ItemId("a"),
+                                         ItemRunEnd::kInterrupted,
+                                         {.last_event = 7, .output = "seven"}},
+                            2100ms);
+  const auto* back = Find<HandBackJob>(ended);
+  REQUIRE(back != nullptr);
+  CHECK(back->progress.at(ItemId("a")).last_event == 7);
+  CHECK(f.board.IsIdle());
+  CHECK(f.board.Runnable(At(3s)).empty());
+}
+
+TEST_CASE("What an earlier owner had begun goes on") {
+  Fixture f;
+  JobRecord record = Record("j", "vm1", 1);
+  record.status.progress[ItemId("a")] = {.last_event = 7, .output = "seven"};
+  f.Open(record);
+  const auto runnable = f.board.Runnable(At(0s));
+  REQUIRE(runnable.size() == 2);
+  CHECK(runnable[0].progress.last_event == 7);
+}
+
+TEST_CASE("An item that always fails is given up after its attempts") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  for (int i = 0; i < 2; ++i) {
+    f.RunItem("a", ItemRunEnd::kFailed, 1s * (i + 1));
+    CHECK(f.board.Runnable(At(1s * (i + 1) + 900ms)).size() == 2);
+  }
+  // A failed run is begun anew, not continued.
+  CHECK(f.board.Runnable(At(3s))[0].progress.last_event == 0);
+  f.RunItem("a", ItemRunEnd::kFailed, 3s);
+  CHECK(f.board.Runnable(At(4s)).size() == 1);
+  const auto actions = f.Tell(BoardTick{}, 4s);
+  const auto* write = Find<WriteResults>(actions);
+  REQUIRE(write != nullptr);
+  CHECK(write->results[0].state == ItemState::kDeadLettered);
+  CHECK(write->results[0].output.empty());
+}
+
+TEST_CASE("Runs of doubtful end are repeated with growing pauses, for ever") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.RunItem("a", ItemRunEnd::kInDoubt, 1s);
+  CHECK(f.board.Runnable(At(1200ms)).size() == 1);
+  CHECK(f.board.Runnable(At(1300ms)).size() == 2);
+  f.RunItem("a", ItemRunEnd::kInDoubt, 2s);
+  CHECK(f.board.Runnable(At(2500ms)).size() == 1);
+  CHECK(f.board.Runnable(At(2600ms)).size() == 2);
+}
+
+TEST_CASE("Items are given up at the end of their retention, not before") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  CHECK(Find<WriteResults>(f.Tell(BoardTick{}, 59s)) == nullptr);
+  const auto actions = f.Tell(BoardTick{}, 61s);
+  const auto* write = Find<WriteResults>(actions);
+  REQUIRE(write != nullptr);
+  CHECK(write->results.size() == 2);
+}
+
+TEST_CASE("Items that can still be in time go before late ones") {
+  Fixture f;
+  JobRecord late = Record("j", "vm1", 1);
+  late.definition.due = kSubmitted + 2s;
+  JobRecord urgent = Record("k", "vm1", 1);
+  f.Open(late);
+  f.Open(urgent);
+  const auto runnable = f.board.Runnable(At(1s));
+  REQUIRE(runnable.size() == 4);
+  CHECK(runnable[0].job == JobKey("k"));
+  CHECK(runnable[3].job == JobKey("j"));
+}
+
+TEST_CASE("A large job of one organisation does not hold up another's") {
+  Fixture f;
+  JobRecord large = Record("j", "vm1", 1);
+  large.definition.items.clear();
+  for (int i = 0; i < 100; ++i) {
+    large.definition.items.push_back(ItemId(std::to_string(i)));
+  }
+  JobRecord small = Record("k", "vm1", 1);
+  small.definition.organisation = OrganisationId("studio");
+  small.definition.due += 5s;
+  f.Open(large);
+  f.Open(small);
+  const auto runnable = f.board.Runnable(At(0s));
+  size_t place = 0;
+  while (runnable[place].job != JobKey("k")) {
+    ++place;
+  }
+  CHECK(place <= 8);
+}
+
+TEST_CASE("Finished jobs are deleted after their retention") {
+  Fixture f;
+  JobRecord record = Record("j", "vm1", 1);
+  record.status.finished = true;
+  f.Tell(BoardActivated{}, 0s);
+  f.Silence(3s);
+  f.Tell(JobSeen{record}, 3s);
+  CHECK(Find<DeleteJob>(f.Tell(BoardTick{}, 170s)) == nullptr);
+  CHECK(Find<DeleteJob>(f.Tell(BoardTick{}, 181s)) != nullptr);
+  CHECK(Find<DeleteJob>(f.Tell(BoardTick{}, 182s)) == nullptr);
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Peers/peers_test.cc
@@ -0,0 +1,133 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "Peers/peer_message.h"
+#include "Peers/peer_table.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+MonotonicTime At(Duration since_start) {
+  return MonotonicTime(100s + since_start);
+}
+
+PeerRecord Record(const char* vm, uint64_t incarnation) {
+  return {.vm = VmId(vm),
+          .address = Endpoint{.port = 7000},
+          .incarnation = Incarnation(incarnation)};
+}
+
+PeerHeard Heard(const char* vm, uint64_t incarnation, uint64_t sequence) {
+  return PeerHeard{{.vm = VmId(vm),
+                    .incarnation = Incarnation(incarnation),
+                    .sequence = sequence}};
+}
+
+template <class T>
+bool Has(const std::vector<PeerAction>& actions) {
+  for (const PeerAction& action : actions) {
+    if (std::holds_alternative<T>(action)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST_CASE("A peer counts as live until it has been silent for a second") {
+  PeerTable table({.self = VmId("a")});
+  table.Handle(PeersListed{{Record("a", 1), Record("b", 2)}}, At(0s));
+  CHECK(table.members() == 2);
+  CHECK(table.IsLive(VmId("b"), Incarnation(2)));
+  CHECK_FALSE(table.IsLive(VmId("b"), Incarnation(3)));
+  table.Handle(Heard("b", 2, 1), At(500ms));
+  CHECK_FALSE(Has<PeerFellSilent>(table.Handle(PeerTick{}, At(1400ms))));
+  CHECK(Has<PeerFellSilent>(table.Handle(PeerTick{}, At(1500ms))));
+  CHECK_FALSE(table.IsLive(VmId("b"), Incarnation(2)));
+  CHECK(Has<PeerAppeared>(table.Handle(Heard("b", 2, 2), At(2s))));
+  CHECK(table.IsLive(VmId("b"), Incarnation(2)));
+}
+
+TEST_CASE("A new incarnation ends the one before at once") {
+  PeerTable table({.self = VmId("a")});
+  table.Handle(PeersListed{{Record("b", 2)}}, At(0s));
+  table.Handle(Heard("b", 3, 1), At(100ms));
+  CHECK_FALSE(table.IsLive(VmId("b"), Incarnation(2)));
+  CHECK(table.IsLive(VmId("b"), Incarnation(3)));
+}
+
+TEST_CASE("A late datagram does not make a silent peer live") {
+  PeerTable table({.self = VmId("a")});
+  table.Handle(PeersListed{{Record("b", 2)}}, At(0s));
+  table.Handle(Heard("b", 2, 5), At(100ms));
+  table.Handle(PeerTick{}, At(2s));
+  table.Handle(Heard("b", 2, 5), At(2s));
+  CHECK_FALSE(table.IsLive(VmId("b"), Incarnation(2)));
+}
+
+TEST_CASE("Only the first live process removes one that is gone") {
+  for (const bool is_first : {true, false}) {
+    PeerTable table({.self = VmId(is_first ? "a" : "c")});
+    table.Handle(PeersListed{{Record("b", 1), Record("d", 1)}}, At(0s));
+    for (int i = 1; i <= 60; ++i) {
+      table.Handle(Heard("b", 1, i), At(1s * i));
+      const auto actions = table.Handle(PeerTick{}, At(1s * i));
+      if (i < 45) {
+        CHECK_FALSE(Has<PeerGone>(actions));
+      }
+      if (i == 45) {
+        CHECK(Has<PeerGone>(actions) == is_first);
+      }
+    }
+  }
+}
+
+TEST_CASE("Members and silent ones are counted") {
+  PeerTable table({.self = VmId("a")});
+  auto actions =
+      table.Handle(PeersListed{{Record("b", 1), Record("c", 1)}}, At(0s));
+  REQUIRE(Has<PeersCounted>(actions));
+  table.Handle(Heard("b", 1, 1), At(900ms));
+  actions = table.Handle(PeerTick{}, At(1100ms));
+  REQUIRE(Has<PeersCounted>(actions));
+  const auto counted = std::get<PeersCounted>(actions.back());
+  CHECK(counted.members == 3);
+  CHECK(counted.silent == 1);
+  CHECK(table.Live() == std::vector<VmId>{VmId("a"), VmId("b")});
+}
+
+TEST_CASE("A message survives its encoding") {
+  rc::check([](uint64_t incarnation, uint64_t sequence, uint64_t version,
+               bool draining, const std::vector<uint32_t>& counts) {
+    PeerMessage message{.vm = VmId("vm"),
+                        .incarnation = Incarnation(incarnation),
+                        .sequence = sequence,
+                        .configuration = ConfigVersion(version),
+                        .draining = draining};
+    for (const uint32_t count : counts) {
+      message.usage.push_back({OrganisationId(std::to_string(count)), count});
+      message.in_flight.push_back(
+          {BackendId(std::to_string(count)), count, count / 2});
+    }
+    const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().incarnation == message.incarnation);
+    RC_ASSERT(decoded.value().sequence == sequence);
+    RC_ASSERT(decoded.value().usage.size() == counts.size());
+    RC_ASSERT(decoded.value().in_flight.size() == counts.size());
+  });
+}
+
+TEST_CASE("Bytes that are no message are refused") {
+  rc::check([](const std::string& bytes) {
+    RC_ASSERT(!DecodePeerMessage(bytes).has_value());
+  });
+  std::string bytes = EncodePeerMessage(PeerMessage{.vm = VmId("vm")});
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodePeerMessage(bytes.substr(0, size)).has_value());
+  }
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -0,0 +1,193 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "platform/backend_entry.h"
+#include "platform/configuration_entry.h"
+#include "platform/retirement_entry.h"
+#include "platform/store_documents.h"
+
+namespace cowslip {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+json BackendEntry() {
+  return {{"service", "s"},
+          {"address", "10.0.0.9:8080"},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"sequence", 4},
+          {"born", 1700000000000},
+          {"cold_remaining_ms", 0}};
+}
+
+Document Entry(json content) {
+  return Document{.name = DocumentName("i-1"), .content = std::move(content)};
+}
+
+TEST_CASE("A backend server's entry is read") {
+  const auto backend = platform::DecodeBackend(Entry(BackendEntry()));
+  REQUIRE(backend.has_value());
+  CHECK(backend->id == BackendId("i-1"));
+  CHECK(backend->address.ToString() == "10.0.0.9:8080");
+  CHECK(backend->slots == 8);
+  CHECK(backend->started_at_ms == 1700000000000);
+  CHECK_FALSE(backend->draining);
+  json draining = BackendEntry();
+  draining["state"] = "draining";
+  CHECK(platform::DecodeBackend(Entry(draining))->draining);
+}
+
+TEST_CASE("A spoilt entry names no backend server") {
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    json missing = BackendEntry();
+    missing.erase(field);
+    CHECK_FALSE(platform::DecodeBackend(Entry(missing)).has_value());
+    for (const json& other : {json(nullptr), json::array(), json(-1), json("?"),
+                              json(1.5), json(true)}) {
+      json spoilt = BackendEntry();
+      spoilt[field] = other;
+      const bool is_text = other == "?" && (std::string(field) == "service" ||
+                                            std::string(field) == "zone");
+      CHECK(platform::DecodeBackend(Entry(spoilt)).has_value() == is_text);
+    }
+  }
+  CHECK_FALSE(platform::DecodeBackend(Entry("text")).has_value());
+  CHECK_FALSE(platform::DecodeBackend(Entry(nullptr)).has_value());
+}
+
+json Configuration() {
+  return json::parse(R"({"version":7,
+    "routes":[
+      {"name":"r1","host":"a.example","path_prefix":"/p/","kind":"streaming",
+       "timeout_ms":5000,"target_latency_ms":300,"priority":1,
+       "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+       "max_attempts":2,"public":false,"sticky":true,"resumable":true,
+       "gap_target_ms":400},
+      {"name":"r2","host":"a.example","path_prefix":"/p/q/","kind":"batch",
+       "service":"s1","max_attempts":3,"completion_target_ms":18000,
+       "retention_s":60},
+      {"name":"r3","host":"b.example","path_prefix":"/","kind":"unknown",
+       "service":"s1"}],
+    "services":[{"name":"s1","health_path":"/health","max_connections":370}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+              "header_timeout_ms":3000,"idle_timeout_ms":15000},
+    "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,
+                "rate_per_s":35,"burst":36}]})");
+}
+
+TEST_CASE("A configuration is read") {
+  auto parts = platform::DecodeConfiguration(Configuration());
+  REQUIRE(parts.has_value());
+  const FleetConfiguration configuration(std::move(parts.value()));
+  CHECK(configuration.version() == ConfigVersion(7));
+  const FleetRoute* route = configuration.FindRoute("A.example:80", "/p/x");
+  REQUIRE(route != nullptr);
+  CHECK(route->id == RouteId("r1"));
+  CHECK(route->idempotent());
+  CHECK(route->max_pause == 400ms);
+  CHECK(route->split.size() == 2);
+  const FleetRoute* batch = configuration.FindRoute("a.example", "/p/q/z");
+  REQUIRE(batch != nullptr);
+  CHECK(batch->kind == RequestKind::kBatch);
+  CHECK(batch->completion_target == 18s);
+  CHECK(batch->retention == 60s);
+  CHECK(configuration.FindRoute("a.example", "/other") == nullptr);
+  CHECK(configuration.FindRoute("b.example", "/x") == nullptr);
+  CHECK(configuration.FindKeyHolder("k2")->id == OrganisationId("t1"));
+  CHECK(configuration.FindKeyHolder("k3") == nullptr);
+  CHECK(configuration.FindOrganisation(OrganisationId("t1"))->burst == 36);
+  CHECK(configuration.limits().idle_timeout == 15s);
+  CHECK(configuration.keys_required());
+}
+
+TEST_CASE("Without organisations no key is asked for") {
+  json spec = Configuration();
+  spec.erase("tenants");
+  CHECK_FALSE(platform::DecodeConfiguration(spec).value().keys_required);
+}
+
+TEST_CASE("A configuration without its main fields is refused") {
+  for (const char* field : {"version", "routes"}) {
+    json spec = Configuration();
+    spec.erase(field);
+    const auto parts = platform::DecodeConfiguration(spec);
+    REQUIRE_FALSE(parts.has_value());
+    CHECK(parts.error().message.find(field) != std::string::npos);
+  }
+}
+
+// Replaces one value somewhere in a document.
+void Spoil(json& value, uint32_t& steps, const json& with) {
+  if (steps == 0) {
+    value = with;
+    steps = ~0U;
+    return;
+  }
+  --steps;
+  if (value.is_structured()) {
+    for (json& child : value) {
+      if (steps == ~0U) {
+        return;
+      }
+      Spoil(child, steps, with);
+    }
+  }
+}
+
+TEST_CASE("No spoilt document breaks the decoders") {
+  const std::vector<json> replacements = {nullptr,
+                                          true,
+                                          -5,
+                                          1e300,
+                                          "text",
+                                          json::array(),
+                                          json::object(),
+                                          json::array({1, "x"})};
+  for (uint32_t step = 0; step < 80; ++step) {
+    for (const json& with : replacements) {
+      uint32_t steps = step;
+      json spec = Configuration();
+      Spoil(spec, steps, with);
+      static_cast<void>(platform::DecodeConfiguration(spec));
+      steps = step;
+      json entry = BackendEntry();
+      Spoil(entry, steps, with);
+      static_cast<void>(platform::DecodeBackend(Entry(entry)));
+      steps = step;
+      json page = {{"items",
+                    {{{"metadata", {{"name", "a"}, {"revision", 1}}},
+                      {"spec", json::object()}}}},
+                   {"has_more", false},
+                   {"as_of", 5}};
+      Spoil(page, steps, with);
+      static_cast<void>(platform::DecodePage(page));
+    }
+  }
+}
+
+TEST_CASE("The store's documents survive their encoding") {
+  const std::string body =
+      platform::EncodeContent(DocumentName("n"), ObjectVersion(12), {{"a", 1}});
+  const auto document = platform::DecodeDocument(json::parse(body));
+  REQUIRE(document.has_value());
+  CHECK(document.value().name == DocumentName("n"));
+  CHECK(document.value().version == ObjectVersion(12));
+  CHECK(document.value().content == json{{"a", 1}});
+  CHECK_FALSE(platform::DecodeChanges(json::object()).has_value());
+}
+
+TEST_CASE("A VM is retired when its entry says so") {
+  Document entry;
+  CHECK_FALSE(platform::IsRetired(entry));
+  entry.status = {{"state", "running"}};
+  CHECK_FALSE(platform::IsRetired(entry));
+  entry.status = platform::EncodeRetired();
+  CHECK(platform::IsRetired(entry));
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -0,0 +1,176 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "platform/job_messages.h"
+#include "platform/request_headers.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+HttpRequest Request() {
+  return HttpRequest{.method = "POST",
+                     .target = "/p/x?y=1",
+                     .headers = {{"Host", "h.example"},
+                                 {"Attempt-Id", "a1"},
+                                 {"Deadline-Ms", "5000"},
+                                 {"Key", "secret"},
+                                 {"Tenant", "forged"},
+                                 {"Expect-Instance", "forged"},
+                                 {"Connection", "keep-alive, X-Hop"},
+                                 {"X-Hop", "1"},
+                                 {"Transfer-Encoding", "chunked"},
+                                 {"Prompt-Prefix", "5c1:800,91b:410,e44:250"},
+                                 {"X-Other", "kept"}}};
+}
+
+TEST_CASE("A caller's headers are read") {
+  const auto caller = platform::DecodeCallerRequest(Request());
+  REQUIRE(caller.has_value());
+  CHECK(caller.value().attempt == AttemptId("a1"));
+  CHECK(caller.value().deadline == 5000ms);
+  CHECK(caller.value().key == "secret");
+  // The last part belongs to the request alone.
+  CHECK(caller.value().shared_prompt == "5c1:800,91b:410");
+}
+
+TEST_CASE("Ambiguous or malformed headers are refused") {
+  for (const char* name : {"Key", "Attempt-Id", "Host", "Deadline-Ms"}) {
+    HttpRequest request = Request();
+    request.headers.push_back({name, "1"});
+    CHECK_FALSE(platform::DecodeCallerRequest(request).has_value());
+  }
+  HttpRequest request = Request();
+  request.headers.push_back({"Last-Event-Id", "-1"});
+  CHECK_FALSE(platform::DecodeCallerRequest(request).has_value());
+}
+
+TEST_CASE("A backend server gets neither the key nor forged headers") {
+  const BackendCall call{.organisation = OrganisationId("mill"),
+                         .backend = BackendId("i-1"),
+                         .deadline = 1234ms,
+                         .last_event = 7};
+  const HttpHeaders sent =
+      platform::EncodeBackendHeaders(Request().headers, call);
+  CHECK_FALSE(FindHeader(sent, "Key").has_value());
+  CHECK_FALSE(FindHeader(sent, "X-Hop").has_value());
+  CHECK_FALSE(FindHeader(sent, "Transfer-Encoding").has_value());
+  CHECK(FindHeader(sent, "Tenant") == "mill");
+  CHECK(FindHeader(sent, "Expect-Instance") == "i-1");
+  CHECK(FindHeader(sent, "Deadline-Ms") == "1234");
+  CHECK(FindHeader(sent, "Last-Event-Id") == "7");
+  CHECK(FindHeader(sent, "Host") == "h.example");
+  CHECK(FindHeader(sent, "X-Other") == "kept");
+  for (const HttpHeader& header : sent) {
+    CHECK(header.value != "forged");
+  }
+}
+
+TEST_CASE("An item carries its own id and its job's host") {
+  const HttpHeaders submitted = {{"Model", "m"}, {"host", "other"}};
+  const HttpHeaders sent = platform::EncodeItemHeaders(
+      submitted, "h.example", AttemptId("item1"),
+      BackendCall{.organisation = OrganisationId("mill"),
+                  .backend = BackendId("i-1"),
+                  .deadline = 60s});
+  CHECK(FindHeader(sent, "Host") == "h.example");
+  CHECK(FindHeader(sent, "Attempt-Id") == "item1");
+  CHECK(FindHeader(sent, "Model") == "m");
+  CHECK_FALSE(FindHeader(sent, "Last-Event-Id").has_value());
+}
+
+TEST_CASE("A backend server's headers are read") {
+  const auto facts =
+      platform::DecodeBackendResponse(200, {{"attempt-id", "a1"},
+                                            {"response-signature", "s"},
+                                            {"Server-Load", "3,1,8"}});
+  CHECK(facts.attempt == AttemptId("a1"));
+  CHECK(facts.has_signature);
+  CHECK_FALSE(facts.not_executed);
+  REQUIRE(facts.load.has_value());
+  CHECK(facts.load->running == 3);
+  CHECK(facts.load->slots == 8);
+  CHECK(platform::DecodeBackendResponse(421, {}).not_executed);
+  CHECK(platform::DecodeBackendResponse(503, {{"Not-Executed", "1"}})
+            .not_executed);
+  CHECK_FALSE(platform::DecodeBackendResponse(503, {}).not_executed);
+  CHECK_FALSE(platform::DecodeBackendResponse(200, {{"Server-Load", "3,x"}})
+                  .load.has_value());
+}
+
+template <class Call>
+Call DecodeAs(const char* method, const char* target) {
+  const auto call =
+      platform::DecodeJobCall(HttpRequest{.method = method, .target = target});
+  REQUIRE(call.has_value());
+  REQUIRE(std::holds_alternative<Call>(*call));
+  return std::get<Call>(*call);
+}
+
+TEST_CASE("Calls about jobs are recognised") {
+  CHECK(DecodeAs<ReadResultsCall>("GET", "/lots/j1?after=12").from == 12);
+  CHECK(DecodeAs<ReadResultsCall>("GET", "/lots/j1").from == 0);
+  CHECK(DecodeAs<ReadItemCall>("GET", "/items/j1?id=i7").item == ItemId("i7"));
+  CHECK(DecodeAs<EndJobCall>("DELETE", "/lots/j1").job == JobId("j1"));
+  DecodeAs<MalformedJobCall>("GET", "/lots/j1?after=-1");
+  DecodeAs<MalformedJobCall>("GET", "/lots/");
+  DecodeAs<MalformedJobCall>("GET", "/lots/a/b");
+  DecodeAs<MalformedJobCall>("PUT", "/lots/j1");
+  DecodeAs<MalformedJobCall>("GET", "/items/j1");
+  CHECK_FALSE(platform::DecodeJobCall(HttpRequest{.target = "/p"}).has_value());
+}
+
+TEST_CASE("A submission is read") {
+  const auto items = platform::DecodeSubmission(
+      R"({"items":[{"id":"i1","path":"/p","headers":{"Model":"m"},)"
+      R"("body":"q83vEjRWeJA=","tokens":940}]})");
+  REQUIRE(items.has_value());
+  REQUIRE(items.value().size() == 1);
+  CHECK(items.value()[0].body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+  CHECK(items.value()[0].headers[0].value == "m");
+}
+
+TEST_CASE("A bad submission is refused with the item and the field") {
+  const std::pair<const char*, const char*> cases[] = {
+      {R"({"items":[]})", "items"},
+      {R"({"items":{}})", "items"},
+      {R"([])", "items"},
+      {R"({"items":[{"path":"/p"}]})", "id"},
+      {R"({"items":[{"id":"a","path":"p"}]})", "path"},
+      {R"({"items":[{"id":"a","path":"/p","body":"*"}]})", "base64"},
+      {R"({"items":[{"id":"a","path":"/p","headers":[]}]})", "headers"},
+      {R"({"items":[{"id":"a","path":"/p"},{"id":"a","path":"/p"}]})", "same"}};
+  for (const auto& [body, word] : cases) {
+    const auto items = platform::DecodeSubmission(body);
+    REQUIRE_FALSE(items.has_value());
+    INFO(items.error().message);
+    CHECK(items.error().message.find(word) != std::string::npos);
+  }
+}
+
+TEST_CASE("No body breaks the reader of submissions") {
+  rc::check([](const std::string& body) {
+    RC_ASSERT(!platform::DecodeSubmission(body).has_value());
+  });
+}
+
+TEST_CASE(
+    "A page of results holds a megabyte at most, and one result at least") {
+  const std::vector<ItemResult> results(
+      5, {.item = ItemId("i"), .output = std::string(400 * 1024, 'x')});
+  auto page = nlohmann::json::parse(platform::EncodeResultPage(7, 0, results));
+  CHECK(page["total"] == 7);
+  CHECK(page["results"].size() == 2);
+  CHECK(page["next_token"] == 2);
+  const std::vector<ItemResult> huge = {
+      {.item = ItemId("i"), .output = std::string(3 << 20, 'x')}};
+  page = nlohmann::json::parse(platform::EncodeResultPage(1, 0, huge));
+  CHECK(page["results"].size() == 1);
+  page = nlohmann::json::parse(platform::EncodeResultPage(7, 9, results));
+  CHECK(page["results"].empty());
+  CHECK(page["next_token"] == 9);
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/PlatformAdapter/settings_file_test.cc
@@ -0,0 +1,68 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "platform/settings_file.h"
+
+namespace cowslip {
+namespace {
+
+constexpr char kSettings[] =
+    "node_name=edge-a-1\n"
+    "ip=10.1.0.21\n"
+    "zone=a\n"
+    "listen.front=10.1.0.21:8689\n"
+    "listen.ready=10.1.0.21:8687\n"
+    "internal_ports=7360,7375\n"
+    "bounds.grace_s=8.5\n"
+    "a.new.field=with=equals\n"
+    "platform.address=10.200.1.7:8688\n";
+
+std::string Without(const std::string& line) {
+  std::string text = kSettings;
+  const size_t at = text.find(line);
+  REQUIRE(at != std::string::npos);
+  text.erase(at, text.find('\n', at) - at + 1);
+  return text;
+}
+
+TEST_CASE("Settings are read, unknown fields ignored") {
+  const auto settings = platform::ParseSettings(kSettings);
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().vm == VmId("edge-a-1"));
+  CHECK(settings.value().listen_callers->ToString() == "10.1.0.21:8689");
+  CHECK(settings.value().first_internal_port == 7360);
+  CHECK(settings.value().last_internal_port == 7375);
+  CHECK(settings.value().stop_grace == std::chrono::milliseconds(8500));
+  CHECK(settings.value().store.port == 8688);
+}
+
+TEST_CASE("A VM that serves no callers has no port for them") {
+  const auto settings = platform::ParseSettings(Without("listen.front"));
+  REQUIRE(settings.has_value());
+  CHECK_FALSE(settings.value().listen_callers.has_value());
+}
+
+TEST_CASE("A missing or malformed field is named") {
+  for (const char* key :
+       {"node_name", "ip", "zone", "internal_ports", "platform.address"}) {
+    const auto settings = platform::ParseSettings(Without(key));
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().message.find(key) != std::string::npos);
+  }
+  for (const char* line :
+       {"listen.front=nowhere\n", "platform.address=1.2.3.4:99999\n",
+        "internal_ports=9,1\n", "bounds.grace_s=soon\n", "no equals sign\n"}) {
+    CHECK_FALSE(
+        platform::ParseSettings(kSettings + std::string(line)).has_value());
+  }
+}
+
+TEST_CASE("No text breaks the reader") {
+  rc::check([](const std::string& text) {
+    static_cast<void>(platform::ParseSettings(text));
+    static_cast<void>(platform::ParseSettings(kSettings + text));
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -0,0 +1,182 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include "Platform/document_watcher.h"
+#include "Utilities/StandIns/MetadataStore/metadata_server.h"
+#include "platform/store_client.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+const DocumentKind kKind("things");
+
+/// The store's stand-in and one client of it.
+struct Fixture {
+  boost::asio::io_context context;
+  FakeDocumentStore store;
+  MetadataServer server{context, store};
+  std::unique_ptr<platform::StoreClient> client;
+
+  Fixture() {
+    REQUIRE(server.Start().has_value());
+    client = std::make_unique<platform::StoreClient>(
+        context.get_executor(), Endpoint{.port = server.port()},
+        platform::StoreClientOptions{.call_timeout = 500ms});
+  }
+
+  template <class Body>
+  void Run(Body body) {
+    bool done = false;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+          co_await body();
+          done = true;
+          context.stop();
+        },
+        boost::asio::detached);
+    context.run_for(20s);
+    CHECK(done);
+  }
+  awaitable<void> Sleep(Duration pause) {
+    boost::asio::steady_timer timer(context, pause);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+};
+
+TEST_CASE("Documents are created, read, replaced and removed") {
+  Fixture f;
+  f.Run([&]() -> awaitable<void> {
+    const DocumentName name("a b/c");
+    nlohmann::json content = {{"x", 1}};
+    auto created = co_await f.client->Create(kKind, name, content);
+    REQUIRE(created.has_value());
+    auto again = co_await f.client->Create(kKind, name, content);
+    CHECK(again.error().kind() == ErrorKind::kConflict);
+    const ObjectVersion version = created.value().version;
+    nlohmann::json status = {{"state", "running"}};
+    auto reported =
+        co_await f.client->ReplaceStatus(kKind, name, status, version);
+    REQUIRE(reported.has_value());
+    auto stale = co_await f.client->Replace(kKind, name, content, version);
+    CHECK(stale.error().kind() == ErrorKind::kConflict);
+    auto got = co_await f.client->Get(kKind, name);
+    CHECK(got.value().content == content);
+    CHECK(got.value().status == status);
+    const Result<void> removed = co_await f.client->Remove(kKind, name);
+    INFO((removed.has_value() ? std::string() : removed.error().message));
+    CHECK(removed.has_value());
+    auto gone = co_await f.client->Get(kKind, name);
+    CHECK(gone.error().kind() == ErrorKind::kNotFound);
+  });
+}
+
+TEST_CASE("A refused write has no effect, one without an answer is in doubt") {
+  Fixture f;
+  f.Run([&]() -> awaitable<void> {
+    const DocumentName name("a");
+    nlohmann::json content = {{"x", 1}};
+    f.server.SetFault(ServerFault::kBusy);
+    auto refused = co_await f.client->Create(kKind, name, content);
+    CHECK(refused.error().kind() == ErrorKind::kUnavailable);
+    f.server.SetFault(ServerFault::kLoseAnswers);
+    auto lost = co_await f.client->Create(kKind, name, content);
+    CHECK(lost.error().kind() == ErrorKind::kInDoubt);
+    CHECK(f.store.Find("things", "a") != nullptr);
+    f.server.SetFault(ServerFault::kReset);
+    auto read = co_await f.client->Get(kKind, name);
+    CHECK(read.error().kind() == ErrorKind::kUnavailable);
+  });
+}
+
+/// Follows the kind and keeps what it is told.
+struct Follower {
+  explicit Follower(Fixture& f) {
+    watcher = std::make_shared<DocumentWatcher>(
+        f.context.get_executor(), *f.client,
+        DocumentWatcherOptions{.kind = kKind, .wait = 2s, .first_pause = 20ms},
+        DocumentWatcherEvents{
+            .listed =
+                [this](const std::vector<Document>& documents) {
+                  names.clear();
+                  ++listings;
+                  for (const Document& document : documents) {
+                    names.insert(document.name.value());
+                  }
+                },
+            .changed =
+                [this](const DocumentChange& change) {
+                  const std::string name = change.document.name.value();
+                  change.removed ? (void)names.erase(name)
+                                 : (void)names.insert(name);
+                },
+            .lost = [this](const Error&) { ++lost; },
+            .regained = [this] { ++regained; }});
+    watcher->Start();
+  }
+  std::shared_ptr<DocumentWatcher> watcher;
+  std::set<std::string> names;
+  int listings = 0;
+  int lost = 0;
+  int regained = 0;
+};
+
+TEST_CASE("A watcher lists several pages and follows every change") {
+  Fixture f;
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g"}) {
+    f.store.Put("things", name, {{"x", 1}});
+  }
+  Follower follower(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(100ms);
+    CHECK(follower.names.size() == 7);
+    f.store.Erase("things", "b");
+    f.store.Put("things", "h", {{"x", 1}});
+    co_await f.Sleep(50ms);
+    CHECK(follower.names.size() == 7);
+    CHECK(follower.names.contains("h"));
+    CHECK(follower.listings == 1);
+  });
+}
+
+TEST_CASE("A watcher lists again when the history is gone") {
+  Fixture f;
+  Follower follower(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kReset);
+    co_await f.Sleep(50ms);
+    f.store.Put("things", "a", {{"x", 1}});
+    f.store.Compact();
+    f.store.Put("things", "b", {{"x", 1}});
+    f.server.SetFault(ServerFault::kNone);
+    co_await f.Sleep(1200ms);
+    CHECK(follower.names == std::set<std::string>{"a", "b"});
+    CHECK(follower.listings == 2);
+  });
+}
+
+TEST_CASE("A watcher tells of an outage once, and of its end") {
+  Fixture f;
+  Follower follower(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    CHECK(follower.regained == 1);
+    f.server.SetFault(ServerFault::kBusy);
+    co_await f.Sleep(600ms);
+    CHECK(follower.lost == 1);
+    f.server.SetFault(ServerFault::kNone);
+    co_await f.Sleep(1200ms);
+    CHECK(follower.regained == 2);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Tests/Quota/quota_core_test.cc
@@ -0,0 +1,229 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "Quota/quota_core.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+const OrganisationId kOrganisation("furniture");
+
+MonotonicTime At(Duration since_start) {
+  return MonotonicTime(1000s + since_start);
+}
+
+bool Admits(QuotaCore& core, Duration at) {
+  const QuotaAction action = core.Handle(QuotaAsked{kOrganisation}, At(at));
+  return std::holds_alternative<QuotaAdmitted>(action);
+}
+
+void SetQuota(QuotaCore& core, double rate, double burst, Duration at) {
+  core.Handle(QuotasChanged{{{kOrganisation, rate, burst}}}, At(at));
+}
+
+/// Several processes whose reports arrive late.
+class QuotaFleet {
+ public:
+  QuotaFleet(size_t size, double rate, double burst) : m_cut(size, false) {
+    for (size_t i = 0; i < size; ++i) {
+      m_cores.push_back(std::make_unique<QuotaCore>(QuotaOptions{}));
+      m_cores.back()->Handle(
+          FleetCounted{.members = static_cast<uint32_t>(size)}, At(0s));
+      SetQuota(*m_cores.back(), rate, burst, 0s);
+    }
+  }
+
+  // Cuts one process off from the others; all notice after `notice`.
+  void Cut(size_t index) { m_cut[index] = true; }
+  void CountSilent(Duration at) {
+    const auto cut =
+        static_cast<uint32_t>(std::count(m_cut.begin(), m_cut.end(), true));
+    const auto size = static_cast<uint32_t>(m_cores.size());
+    for (size_t i = 0; i < m_cores.size(); ++i) {
+      m_cores[i]->Handle(
+          FleetCounted{.members = size, .silent = m_cut[i] ? size - 1 : cut},
+          At(at));
+    }
+  }
+
+  void Ask(size_t index, Duration at) {
+    Deliver(at);
+    if (Admits(*m_cores[index], at)) {
+      m_admitted.push_back(at);
+    } else {
+      ++m_refused;
+    }
+  }
+
+  // Every process reports; reports arrive after `lag`.
+  void Report(Duration at, Duration lag) {
+    for (size_t i = 0; i < m_cores.size(); ++i) {
+      if (!m_cut[i]) {
+        m_reports.push_back({at + lag, i, m_cores[i]->Usage()});
+      }
+    }
+  }
+
+  size_t MostWithin(Duration window) const {
+    size_t most = 0;
+    size_t begin = 0;
+    for (size_t end = 0; end < m_admitted.size(); ++end) {
+      while (m_admitted[end] - m_admitted[begin] > window) {
+        ++begin;
+      }
+      most = std::max(most, end - begin + 1);
+    }
+    return most;
+  }
+  size_t refused() const { return m_refused; }
+  size_t admitted() const { return m_admitted.size(); }
+
+ private:
+  struct Report_ {
+    Duration arrives;
+    size_t from;
+    std::vector<OrganisationUsage> usage;
+  };
+
+  void Deliver(Duration at) {
+    while (!m_reports.empty() && m_reports.front().arrives <= at) {
+      const Report_& report = m_reports.front();
+      for (size_t i = 0; i < m_cores.size(); ++i) {
+        if (i != report.from && !m_cut[i]) {
+          m_cores[i]->Handle(UsageReported{VmId(std::to_string(report.from)),
+                                           Incarnation(1), report.usage},
+                             At(report.arrives));
+        }
+      }
+      m_reports.pop_front();
+    }
+  }
+
+  std::vector<std::unique_ptr<QuotaCore>> m_cores;
+  std::vector<bool> m_cut;
+  std::deque<Report_> m_reports;
+  std::vector<Duration> m_admitted;
+  size_t m_refused = 0;
+};
+
+// What the platform allows in a window of five seconds.
+size_t Allowed(double rate, double burst) {
+  return static_cast<size_t>((rate * 5 + burst) * 1.1 + 20);
+}
+
+// One organisation sends `per_second` through all processes for 30 s.
+void Drive(QuotaFleet& fleet,
+           size_t size,
+           double per_second,
+           uint64_t seed,
+           Duration begin,
+           Duration end) {
+  std::mt19937_64 random(seed);
+  std::exponential_distribution<double> gap(per_second);
+  std::uniform_int_distribution<size_t> pick(0, size - 1);
+  Duration at = begin;
+  Duration next_report = begin;
+  while (at < end) {
+    at += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(gap(random)));
+    while (next_report <= at) {
+      fleet.Report(next_report, 5ms);
+      next_report += 50ms;
+    }
+    fleet.Ask(pick(random), at);
+  }
+}
+
+TEST_CASE("A hot organisation stays within its fleet-wide quota") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    QuotaFleet fleet(5, 35, 35);
+    Drive(fleet, 5, 260, seed, 0s, 30s);
+    CHECK(fleet.MostWithin(5s) <= Allowed(35, 35));
+    // Its own share is not withheld either.
+    CHECK(fleet.admitted() >= 0.9 * 35 * 30);
+  }
+}
+
+TEST_CASE("An organisation within its rate is never refused") {
+  QuotaFleet fleet(5, 35, 35);
+  Drive(fleet, 5, 20, 1, 2s, 30s);
+  CHECK(fleet.refused() == 0);
+}
+
+TEST_CASE("Both sides of a partition together stay within the quota") {
+  QuotaFleet fleet(5, 35, 35);
+  Drive(fleet, 5, 260, 1, 0s, 5s);
+  fleet.Cut(2);
+  Drive(fleet, 5, 260, 2, 5s, 6s);
+  fleet.CountSilent(6s);
+  Drive(fleet, 5, 260, 3, 6s, 20s);
+  CHECK(fleet.MostWithin(5s) <= Allowed(35, 35));
+}
+
+TEST_CASE("Repeated and lost reports do no harm") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 1}, At(0s));
+  SetQuota(core, 10, 10, 0s);
+  const UsageReported report{VmId("b"), Incarnation(1), {{kOrganisation, 4}}};
+  for (int i = 0; i < 3; ++i) {
+    core.Handle(report, At(0s));
+  }
+  int admitted = 0;
+  while (Admits(core, 0s)) {
+    ++admitted;
+  }
+  // Ten, less four at the peer, less what it may have admitted since.
+  CHECK(admitted <= 6);
+  CHECK(admitted >= 5);
+}
+
+TEST_CASE("A restarted process counts from zero again") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 1}, At(0s));
+  SetQuota(core, 10, 10, 0s);
+  core.Handle(UsageReported{VmId("b"), Incarnation(1), {{kOrganisation, 4}}},
+              At(0s));
+  core.Handle(UsageReported{VmId("b"), Incarnation(2), {{kOrganisation, 4}}},
+              At(0s));
+  int admitted = 0;
+  while (Admits(core, 0s)) {
+    ++admitted;
+  }
+  CHECK(admitted <= 2);
+}
+
+TEST_CASE("A lowered quota binds at once, a lifted one no longer") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 1}, At(0s));
+  SetQuota(core, 100, 100, 0s);
+  SetQuota(core, 1, 1, 0s);
+  CHECK(Admits(core, 0s));
+  CHECK_FALSE(Admits(core, 0s));
+  SetQuota(core, 0, 0, 0s);
+  CHECK(Admits(core, 0s));
+  CHECK(Admits(core, 0s));
+}
+
+TEST_CASE("A refusal says when the next request fits") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 1}, At(0s));
+  SetQuota(core, 2, 1, 0s);
+  CHECK(Admits(core, 0s));
+  const QuotaAction action = core.Handle(QuotaAsked{kOrganisation}, At(0s));
+  const auto* exceeded = std::get_if<QuotaExceeded>(&action);
+  REQUIRE(exceeded != nullptr);
+  CHECK(exceeded->retry_after > 400ms);
+  CHECK(exceeded->retry_after < 600ms);
+  CHECK(Admits(core, exceeded->retry_after + 1ms));
+}
+
+}  // namespace
+}  // namespace cowslip
--- /dev/null
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -0,0 +1,205 @@
+#include "Utilities/StandIns/MetadataStore/fake_document_store.h"
+
+namespace cowslip {
+
+using boost::asio::awaitable;
+
+namespace {
+
+Error Refused() {
+  return Error(ErrorKind::kUnavailable, "The stand-in refuses the call.");
+}
+
+Error NoAnswer() {
+  return Error(ErrorKind::kInDoubt, "The stand-in's answer is lost.");
+}
+
+}  // namespace
+
+void FakeDocumentStore::FailNext(StoreFault fault, size_t count) {
+  m_fault = fault;
+  m_fault_count = count;
+}
+
+StoreFault FakeDocumentStore::TakeFault() {
+  if (m_fault_count == 0) {
+    return StoreFault::kNone;
+  }
+  --m_fault_count;
+  return m_fault;
+}
+
+Result<Document> FakeDocumentStore::Run(Write write) {
+  switch (TakeFault()) {
+    case StoreFault::kRefuse:
+      return Refused();
+    case StoreFault::kLoseAnswer:
+      static_cast<void>(write());
+      return NoAnswer();
+    case StoreFault::kDelayWrite:
+      m_late.push_back(std::move(write));
+      return NoAnswer();
+    case StoreFault::kNone:
+      break;
+  }
+  return write();
+}
+
+void FakeDocumentStore::DoLateWrites() {
+  for (const Write& write : std::exchange(m_late, {})) {
+    static_cast<void>(write());
+  }
+}
+
+void FakeDocumentStore::Record(const Key& key,
+                               const Document& document,
+                               bool removed) {
+  m_changes.push_back({m_version, key.first, {document, removed}});
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+const Document* FakeDocumentStore::Find(const std::string& kind,
+                                        const std::string& name) const {
+  const auto found = m_documents.find({kind, name});
+  return found == m_documents.end() ? nullptr : &found->second;
+}
+
+void FakeDocumentStore::Put(const std::string& kind,
+                            const std::string& name,
+                            nlohmann::json content) {
+  Document& document = m_documents[{kind, name}];
+  document.name = DocumentName(name);
+  document.version = ObjectVersion(++m_version);
+  document.content = std::move(content);
+  Record({kind, name}, document, false);
+}
+
+void FakeDocumentStore::Erase(const std::string& kind,
+                              const std::string& name) {
+  const auto found = m_documents.find({kind, name});
+  if (found == m_documents.end()) {
+    return;
+  }
+  Document document = found->second;
+  m_documents.erase(found);
+  document.version = ObjectVersion(++m_version);
+  Record({kind, name}, document, true);
+}
+
+awaitable<Result<Document>> FakeDocumentStore::Get(DocumentKind kind,
+                                                   DocumentName name) {
+  if (TakeFault() != StoreFault::kNone) {
+    co_return Refused();
+  }
+  const Document* document = Find(kind.value(), name.value());
+  if (document == nullptr) {
+    co_return Error(ErrorKind::kNotFound, "No such document.");
+  }
+  co_return *document;
+}
+
+awaitable<Result<DocumentPage>> FakeDocumentStore::List(DocumentKind kind,
+                                                        DocumentName after) {
+  if (TakeFault() != StoreFault::kNone) {
+    co_return Refused();
+  }
+  // Small pages, so that tests meet several.
+  constexpr size_t kPage = 3;
+  DocumentPage page{.as_of = version()};
+  for (auto at = m_documents.upper_bound({kind.value(), after.value()});
+       at != m_documents.end() && at->first.first == kind.value(); ++at) {
+    if (page.documents.size() == kPage) {
+      page.has_more = true;
+      break;
+    }
+    page.documents.push_back(at->second);
+  }
+  co_return page;
+}
+
+awaitable<Result<DocumentChanges>> FakeDocumentStore::Watch(DocumentKind kind,
+                                                            ObjectVersion since,
+                                                            Duration) {
+  if (TakeFault() != StoreFault::kNone) {
+    co_return Refused();
+  }
+  if (since.value() < m_compacted) {
+    co_return Error(ErrorKind::kHistoryLost, "The history is gone.");
+  }
+  DocumentChanges changes{.as_of = version()};
+  for (const Change& change : m_changes) {
+    if (change.version > since.value() && change.kind == kind.value()) {
+      changes.changes.push_back(change.change);
+    }
+  }
+  co_return changes;
+}
+
+awaitable<Result<Document>> FakeDocumentStore::Create(DocumentKind kind,
+                                                      DocumentName name,
+                                                      nlohmann::json content) {
+  co_return Run([=, this]() -> Result<Document> {
+    const Key key(kind.value(), name.value());
+    if (m_documents.contains(key)) {
+      return Error(ErrorKind::kConflict, "The document exists.");
+    }
+    Put(key.first, key.second, content);
+    return m_documents[key];
+  });
+}
+
+awaitable<Result<Document>> FakeDocumentStore::Replace(DocumentKind kind,
+                                                       DocumentName name,
+                                                       nlohmann::json content,
+                                                       ObjectVersion expected) {
+  co_return Run([=, this]() -> Result<Document> {
+    const Key key(kind.value(), name.value());
+    const auto found = m_documents.find(key);
+    if (found == m_documents.end()) {
+      return Error(ErrorKind::kNotFound, "No such document.");
+    }
+    if (found->second.version != expected) {
+      return Error(ErrorKind::kConflict, "Another version.");
+    }
+    Put(key.first, key.second, content);
+    return m_documents[key];
+  });
+}
+
+awaitable<Result<Document>> FakeDocumentStore::ReplaceStatus(
+    DocumentKind kind,
+    DocumentName name,
+    nlohmann::json status,
+    ObjectVersion expected) {
+  co_return Run([=, this]() -> Result<Document> {
+    const Key key(kind.value(), name.value());
+    const auto found = m_documents.find(key);
+    if (found == m_documents.end()) {
+      return Error(ErrorKind::kNotFound, "No such document.");
+    }
+    Document& document = found->second;
+    if (document.version != expected) {
+      return Error(ErrorKind::kConflict, "Another version.");
+    }
+    document.status = status;
+    document.version = ObjectVersion(++m_version);
+    Record(key, document, false);
+    return document;
+  });
+}
+
+awaitable<Result<void>> FakeDocumentStore::Remove(DocumentKind kind,
+                                                  DocumentName name) {
+  if (TakeFault() != StoreFault::kNone) {
+    co_return Refused();
+  }
+  if (Find(kind.value(), name.value()) == nullptr) {
+    co_return Error(ErrorKind::kNotFound, "No such document.");
+  }
+  Erase(kind.value(), name.value());
+  co_return Ok();
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -0,0 +1,217 @@
+#include "Utilities/StandIns/MetadataStore/metadata_server.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Base/json.h"
+#include "Net/http_exchange.h"
+#include "Net/percent_encoding.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+using nlohmann::json;
+
+json ToObject(const Document& document) {
+  return {{"metadata",
+           {{"name", document.name.value()},
+            {"revision", document.version.value()},
+            {"created", 1},
+            {"finalizers", json::array()},
+            {"deleting", false}}},
+          {"spec", document.content},
+          {"status", document.status}};
+}
+
+HttpResponse FromJson(int status, const json& body) {
+  return HttpResponse{.status = status,
+                      .headers = {{"Content-Type", "application/json"}},
+                      .body = DumpJson(body)};
+}
+
+HttpResponse FromError(const Error& error) {
+  switch (error.kind()) {
+    case ErrorKind::kNotFound:
+      return HttpResponse{.status = 404};
+    case ErrorKind::kConflict:
+      return FromJson(409, json::object());
+    case ErrorKind::kHistoryLost:
+      return HttpResponse{.status = 410};
+    default:
+      return HttpResponse{.status = 503};
+  }
+}
+
+HttpResponse FromDocument(const Result<Document>& document) {
+  return document.has_value() ? FromJson(200, ToObject(document.value()))
+                              : FromError(document.error());
+}
+
+uint64_t Number(const HttpRequest& request, const char* name) {
+  return std::stoull(request.Query(name).value_or("0"));
+}
+
+}  // namespace
+
+MetadataServer::MetadataServer(boost::asio::io_context& context,
+                               FakeDocumentStore& store)
+    : m_store(store),
+      m_server(context,
+               HttpServerOptions{.max_body_bytes = 4 << 20},
+               [this](HttpExchange& exchange) { return Handle(exchange); }),
+      m_context(context) {
+  m_store.OnChange([this] { WakeWatches(); });
+}
+
+void MetadataServer::SetFault(ServerFault fault, std::string kind) {
+  m_fault = fault;
+  m_fault_kind = std::move(kind);
+  WakeWatches();
+}
+
+void MetadataServer::WakeWatches() {
+  for (boost::asio::steady_timer* timer : m_waiting) {
+    timer->cancel();
+  }
+}
+
+ServerFault MetadataServer::FaultFor(const HttpRequest& request) const {
+  const bool applies = request.target.find(m_fault_kind) != std::string::npos;
+  return applies ? m_fault : ServerFault::kNone;
+}
+
+awaitable<void> MetadataServer::Handle(HttpExchange& exchange) {
+  const HttpRequest request = exchange.request();
+  if (FaultFor(request) == ServerFault::kReset) {
+    exchange.Abort();
+    co_return;
+  }
+  HttpResponse response{.status = 503};
+  if (FaultFor(request) != ServerFault::kBusy) {
+    response = co_await Answer(request);
+  }
+  const bool is_write = request.method != "GET";
+  const ServerFault fault = FaultFor(request);
+  if (fault == ServerFault::kReset ||
+      (fault == ServerFault::kLoseAnswers && is_write)) {
+    exchange.Abort();
+    co_return;
+  }
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+awaitable<HttpResponse> MetadataServer::Answer(const HttpRequest& request) {
+  std::string path = request.Path();
+  constexpr std::string_view kPrefix = "/objects/";
+  if (!path.starts_with(kPrefix)) {
+    co_return HttpResponse{.status = 404};
+  }
+  path.erase(0, kPrefix.size());
+  const size_t slash = path.find('/');
+  const DocumentKind kind(PercentDecode(path.substr(0, slash)));
+  const std::string name =
+      slash == std::string::npos ? "" : PercentDecode(path.substr(slash + 1));
+  if (request.method == "GET") {
+    co_return co_await Read(request, kind, name);
+  }
+  co_return co_await Write(request, kind, name);
+}
+
+awaitable<HttpResponse> MetadataServer::Read(const HttpRequest& request,
+                                             DocumentKind kind,
+                                             std::string name) {
+  if (!name.empty()) {
+    const Result<Document> document =
+        co_await m_store.Get(kind, DocumentName(name));
+    co_return FromDocument(document);
+  }
+  if (request.Query("watch").has_value()) {
+    co_return co_await WatchKind(request, kind);
+  }
+  const DocumentName after(request.Query("after").value_or(""));
+  const Result<DocumentPage> page = co_await m_store.List(kind, after);
+  if (!page.has_value()) {
+    co_return FromError(page.error());
+  }
+  json items = json::array();
+  for (const Document& document : page.value().documents) {
+    items.push_back(ToObject(document));
+  }
+  co_return FromJson(200, {{"items", std::move(items)},
+                           {"has_more", page.value().has_more},
+                           {"as_of", page.value().as_of.value()}});
+}
+
+awaitable<HttpResponse> MetadataServer::WatchKind(const HttpRequest& request,
+                                                  DocumentKind kind) {
+  const ObjectVersion since(Number(request, "watch"));
+  const auto until = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(Number(request, "wait_ms"));
+  while (true) {
+    const Result<DocumentChanges> changes =
+        co_await m_store.Watch(kind, since, Duration::zero());
+    if (!changes.has_value()) {
+      co_return FromError(changes.error());
+    }
+    const bool is_late = std::chrono::steady_clock::now() >= until;
+    if (!changes.value().changes.empty() || is_late ||
+        m_fault != ServerFault::kNone) {
+      json events = json::array();
+      for (const DocumentChange& change : changes.value().changes) {
+        events.push_back({{"removed", change.removed},
+                          {"object", ToObject(change.document)}});
+      }
+      co_return FromJson(200, {{"events", std::move(events)},
+                               {"as_of", changes.value().as_of.value()}});
+    }
+    boost::asio::steady_timer timer(m_context, until);
+    m_waiting.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    m_waiting.erase(&timer);
+  }
+}
+
+awaitable<HttpResponse> MetadataServer::Write(const HttpRequest& request,
+                                              DocumentKind kind,
+                                              std::string name) {
+  constexpr std::string_view kStatus = "/status";
+  if (request.method == "DELETE") {
+    const Result<void> removed =
+        co_await m_store.Remove(kind, DocumentName(name));
+    co_return removed.has_value() ? HttpResponse() : FromError(removed.error());
+  }
+  const json body = json::parse(request.body, nullptr, false);
+  // The platform takes only objects as contents.
+  if (!body.is_object() ||
+      (body.contains("spec") && !body["spec"].is_object())) {
+    co_return HttpResponse{.status = 400};
+  }
+  const json& metadata = body["metadata"];
+  if (request.method == "POST") {
+    const DocumentName created(metadata["name"].get<std::string>());
+    json spec = body["spec"];
+    const Result<Document> document =
+        co_await m_store.Create(kind, created, std::move(spec));
+    co_return FromDocument(document);
+  }
+  const ObjectVersion expected(metadata["revision"].get<uint64_t>());
+  if (name.ends_with(kStatus)) {
+    name.resize(name.size() - kStatus.size());
+    json status = body["status"];
+    const Result<Document> document = co_await m_store.ReplaceStatus(
+        kind, DocumentName(name), std::move(status), expected);
+    co_return FromDocument(document);
+  }
+  json spec = body["spec"];
+  const Result<Document> document = co_await m_store.Replace(
+      kind, DocumentName(name), std::move(spec), expected);
+  co_return FromDocument(document);
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -0,0 +1,62 @@
+#ifndef UTILITIES_STANDINS_METADATASTORE_METADATA_SERVER_H_
+#define UTILITIES_STANDINS_METADATASTORE_METADATA_SERVER_H_
+
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Net/http_server.h"
+#include "Utilities/StandIns/MetadataStore/fake_document_store.h"
+
+namespace cowslip {
+
+/// What the server does with every call from now on.
+enum class ServerFault {
+  kNone,
+  /// Status 503.
+  kBusy,
+  /// Closes the connection without an answer, before doing anything.
+  kReset,
+  /// Carries out writes and closes the connection without an answer.
+  kLoseAnswers,
+};
+
+/// \class MetadataServer
+/// \brief Speaks the platform's metadata protocol over HTTP, for a
+/// FakeDocumentStore.
+class MetadataServer {
+ public:
+  MetadataServer(boost::asio::io_context& context, FakeDocumentStore& store);
+
+  Result<void> Start() { return m_server.Start(); }
+  uint16_t port() const { return m_server.port(); }
+  /// With `kind`, only calls about that kind meet the fault.
+  void SetFault(ServerFault fault, std::string kind = "");
+
+ private:
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  boost::asio::awaitable<HttpResponse> Answer(const HttpRequest& request);
+  boost::asio::awaitable<HttpResponse> Read(const HttpRequest& request,
+                                            DocumentKind kind,
+                                            std::string name);
+  boost::asio::awaitable<HttpResponse> WatchKind(const HttpRequest& request,
+                                                 DocumentKind kind);
+  boost::asio::awaitable<HttpResponse> Write(const HttpRequest& request,
+                                             DocumentKind kind,
+                                             std::string name);
+  void WakeWatches();
+  ServerFault FaultFor(const HttpRequest& request) const;
+
+  FakeDocumentStore& m_store;
+  HttpServer m_server;
+  boost::asio::io_context& m_context;
+  std::set<boost::asio::steady_timer*> m_waiting;
+  ServerFault m_fault = ServerFault::kNone;
+  std::string m_fault_kind;
+};
+
+}  // namespace cowslip
+
+#endif  // UTILITIES_STANDINS_METADATASTORE_METADATA_SERVER_H_
--- /dev/null
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -0,0 +1,131 @@
+#include "Utilities/StandIns/ModelServer/model_server.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Net/http_exchange.h"
+
+namespace cowslip {
+
+using boost::asio::awaitable;
+
+namespace {
+
+// Takes one of a counted fault.
+bool Take(int& counter) {
+  if (counter <= 0) {
+    return false;
+  }
+  --counter;
+  return true;
+}
+
+std::string Event(const std::string& attempt, uint64_t number) {
+  return "id: " + std::to_string(number) + "\ndata: " + attempt + "-" +
+         std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+ModelServer::ModelServer(boost::asio::io_context& context, std::string id)
+    : m_id(std::move(id)),
+      m_context(context),
+      m_server(context, HttpServerOptions{}, [this](HttpExchange& exchange) {
+        return Handle(exchange);
+      }) {}
+
+std::string ModelServer::Body(const std::string& attempt,
+                              uint64_t first,
+                              uint64_t last) {
+  std::string body;
+  for (uint64_t number = first; number <= last; ++number) {
+    body += Event(attempt, number);
+  }
+  return body;
+}
+
+HttpHeaders ModelServer::Headers(const std::string& attempt) {
+  HttpHeaders headers = {{"Attempt-Id", attempt},
+                         {"Server-Load", "1,0,8"},
+                         {"Content-Type", "text/event-stream"}};
+  if (!Take(m_behaviour.unsigned_answers)) {
+    headers.push_back({"Response-Signature", "signed-by-" + m_id});
+  }
+  return headers;
+}
+
+awaitable<void> ModelServer::Handle(HttpExchange& exchange) {
+  m_received.push_back(exchange.request());
+  const HttpHeaders& headers = exchange.request().headers;
+  const std::string attempt = FindHeader(headers, "Attempt-Id").value_or("");
+  const bool misbehaved = co_await Misbehave(exchange);
+  if (misbehaved) {
+    co_return;
+  }
+  const std::string expected =
+      FindHeader(headers, "Expect-Instance").value_or(m_id);
+  if (expected != m_id) {
+    HttpResponse response{.status = 421, .headers = {{"Instance-Id", m_id}}};
+    (void)co_await exchange.Respond(std::move(response));
+    co_return;
+  }
+  co_await StreamEvents(exchange, attempt);
+}
+
+awaitable<bool> ModelServer::Misbehave(HttpExchange& exchange) {
+  const std::string attempt =
+      FindHeader(exchange.request().headers, "Attempt-Id").value_or("");
+  if (Take(m_behaviour.silent_closes)) {
+    exchange.Abort();
+    co_return true;
+  }
+  if (Take(m_behaviour.turn_away)) {
+    HttpResponse response{
+        .status = 503,
+        .headers = {{"Attempt-Id", attempt}, {"Not-Executed", "1"}}};
+    (void)co_await exchange.Respond(std::move(response));
+    co_return true;
+  }
+  if (Take(m_behaviour.fails)) {
+    HttpResponse response{.status = m_behaviour.fail_status,
+                          .headers = Headers(attempt),
+                          .body = "failed"};
+    (void)co_await exchange.Respond(std::move(response));
+    co_return true;
+  }
+  co_return false;
+}
+
+awaitable<void> ModelServer::StreamEvents(HttpExchange& exchange,
+                                          std::string attempt) {
+  const bool other = Take(m_behaviour.wrong_ids);
+  const bool breaks = m_behaviour.break_after > 0 && Take(m_behaviour.breaks);
+  HttpHeaders headers = Headers(other ? "another" : attempt);
+  (void)co_await exchange.StartStream(200, std::move(headers));
+  const std::string resumed =
+      FindHeader(exchange.request().headers, "Last-Event-Id").value_or("0");
+  const uint64_t first = std::stoull(resumed) + 1;
+  for (uint64_t number = first; number <= m_behaviour.events; ++number) {
+    if (breaks && number - first == m_behaviour.break_after) {
+      // In the middle of an event, too.
+      (void)co_await exchange.WriteChunk("id: 9");
+      exchange.Abort();
+      co_return;
+    }
+    std::string event = Event(attempt, number);
+    const Result<void> written = co_await exchange.WriteChunk(std::move(event));
+    if (!written.has_value()) {
+      co_return;
+    }
+    boost::asio::steady_timer timer(m_context, m_behaviour.pause);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+  (void)co_await exchange.FinishStream();
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -0,0 +1,73 @@
+#ifndef UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
+#define UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Base/time.h"
+#include "Net/http_message.h"
+#include "Net/http_server.h"
+
+namespace cowslip {
+
+/// \class ModelBehaviour
+/// \brief How the next requests are treated. Counters tick down to zero.
+struct ModelBehaviour {
+  /// Events of a whole answer.
+  uint64_t events = 4;
+  Duration pause = std::chrono::milliseconds(2);
+  /// Closes the connection after this many events; 0 for never.
+  uint64_t break_after = 0;
+  /// Streams that break that way.
+  int breaks = 0;
+  /// Requests that are turned away as not run.
+  int turn_away = 0;
+  /// Requests that are answered with this status instead.
+  int fail_status = 0;
+  int fails = 0;
+  /// Requests that are answered in the name of another one.
+  int wrong_ids = 0;
+  /// Requests that are answered without a signature.
+  int unsigned_answers = 0;
+  /// Closes the connection before any answer.
+  int silent_closes = 0;
+};
+
+/// \class ModelServer
+/// \brief A backend server that speaks the platform's protocol: numbered events,
+/// resumption, signatures, and the faults of ModelBehaviour.
+class ModelServer {
+ public:
+  ModelServer(boost::asio::io_context& context, std::string id);
+
+  Result<void> Start() { return m_server.Start(); }
+  uint16_t port() const { return m_server.port(); }
+  ModelBehaviour& behaviour() { return m_behaviour; }
+  /// Every request that reached this server, in order.
+  const std::vector<HttpRequest>& received() const { return m_received; }
+  size_t active() const { return m_server.active_requests(); }
+  /// What a whole answer to an attempt looks like.
+  static std::string Body(const std::string& attempt,
+                          uint64_t first,
+                          uint64_t last);
+
+ private:
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  boost::asio::awaitable<bool> Misbehave(HttpExchange& exchange);
+  boost::asio::awaitable<void> StreamEvents(HttpExchange& exchange,
+                                            std::string attempt);
+  HttpHeaders Headers(const std::string& attempt);
+
+  const std::string m_id;
+  boost::asio::io_context& m_context;
+  HttpServer m_server;
+  ModelBehaviour m_behaviour;
+  std::vector<HttpRequest> m_received;
+};
+
+}  // namespace cowslip
+
+#endif  // UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
