Platform: reach the store through peers, poll it in turn, answer only what is certain

Change: RelayedStore goes through a live peer that reaches the store; gateways poll in turn and DivergenceDetector compares digests; results are served from memory only while the log is certain. Each has a test that failed first.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -32,6 +32,8 @@
   /// Whether newer versions would be heard of. While they would not, what the
   /// version in force does not know may yet exist.
   bool configuration_is_current = false;
+  /// Whether this process would hear that another one has taken over a job.
+  bool jobs_are_current = false;
   /// Called when an admission has changed what the other processes must know.
   std::function<void()> usage_changed;
 };
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -33,6 +33,14 @@
 // The end of the grace time is left to write the log and to exit.
 constexpr Duration kExitMargin = std::chrono::milliseconds(400);
 
+// A change that a dropped watch has missed is seen within this time and the
+// patience of DivergenceDetector: together below the two seconds in which
+// configurations and drains must be in force.
+constexpr Duration kPollInterval = std::chrono::milliseconds(1000);
+
+// The largest document, in CBOR.
+constexpr size_t kMaxPeerBodyBytes = 4 << 20;
+
 // Pauses between attempts to register while the store does not answer.
 constexpr Duration kRegisterPause = std::chrono::milliseconds(300);
 
@@ -48,7 +56,11 @@
       m_options(std::move(options)),
       m_settings(m_options.settings),
       m_log(EventLogOptions{.descriptor = m_options.log_descriptor}),
-      m_store(context.get_executor(), m_settings.store),
+      m_direct_store(context.get_executor(), m_settings.store),
+      m_store(context.get_executor(),
+              m_direct_store,
+              [this] { return m_peers.PickWithStore(m_random()); }),
+      m_random(m_options.incarnation.value()),
       m_quota(QuotaOptions{}),
       m_peers(PeerTableOptions{.self = m_settings.vm}),
       m_directory(BackendDirectoryOptions{}),
@@ -70,6 +82,7 @@
       m_jobs(m_gateway, m_store, m_board, m_runner),
       m_front_door(m_gateway, m_jobs, m_options.incarnation.value()),
       m_tick(context),
+      m_poll_timer(context),
       m_register_timer(context) {
   const Endpoint listen{.address = m_settings.address,
                         .port = m_settings.first_internal_port};
@@ -87,6 +100,7 @@
                           {"zone", m_settings.zone.value()},
                           {"incarnation", m_options.incarnation.value()},
                           {"version", COWSLIP_VERSION}});
+  StartWatchers();
   const Result<void> gossip = m_gossip->Start();
   if (!gossip.has_value()) {
     return gossip.error();
@@ -95,10 +109,10 @@
   if (!servers.has_value()) {
     return servers.error();
   }
-  StartWatchers();
   boost::asio::co_spawn(
       m_context, [this] { return Register(); }, boost::asio::detached);
   Tick();
+  PollInTurn();
   return Ok();
 }
 
@@ -122,8 +136,15 @@
   m_metrics_server = std::make_unique<HttpServer>(
       m_context, std::move(metrics),
       [this](HttpExchange& exchange) { return AnswerMetrics(exchange); });
-  for (HttpServer* server :
-       {m_callers.get(), m_ready.get(), m_metrics_server.get()}) {
+  HttpServerOptions peers;
+  peers.listen = Endpoint{.address = m_settings.address,
+                          .port = m_settings.first_internal_port};
+  peers.max_body_bytes = kMaxPeerBodyBytes;
+  m_peer_server = std::make_unique<HttpServer>(
+      m_context, std::move(peers),
+      [this](HttpExchange& exchange) { return m_store.Serve(exchange); });
+  for (HttpServer* server : {m_callers.get(), m_ready.get(),
+                             m_metrics_server.get(), m_peer_server.get()}) {
     const Result<void> started = server->Start();
     if (!started.has_value()) {
       return started.error();
@@ -136,6 +157,9 @@
     const char* kind,
     DocumentWatcherEvents events) {
   const std::string name = kind;
+  events.failed = [this, name](const Error& error) {
+    m_log.Write("watch_failed", {{"kind", name}, {"why", error.message}});
+  };
   events.lost = [this, name,
                  lost = std::move(events.lost)](const Error& error) {
     m_log.Write("store_lost", {{"kind", name}, {"why", error.message}});
@@ -158,6 +182,51 @@
   return watcher;
 }
 
+// The live processes poll the store in turn, one each kPollInterval, so that
+// the number of calls does not grow with the fleet.
+Duration GatewayDaemon::UntilMyTurn() const {
+  const std::vector<VmId> live = m_peers.Live();
+  const auto self = std::find(live.begin(), live.end(), m_settings.vm);
+  const int64_t turn = std::distance(live.begin(), self);
+  const Duration round =
+      kPollInterval * static_cast<int64_t>(std::max<size_t>(live.size(), 1));
+  const Duration now = WallNow().time_since_epoch();
+  const Duration left = (kPollInterval * turn - now % round + round) % round;
+  return left < kPollInterval / 2 ? left + round : left;
+}
+
+void GatewayDaemon::PollInTurn() {
+  m_poll_timer.expires_after(UntilMyTurn());
+  m_poll_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error || m_stopped) {
+      return;
+    }
+    for (const auto& watcher :
+         {m_configuration_watcher, m_backend_watcher, m_job_watcher}) {
+      watcher->Poll();
+    }
+    PollInTurn();
+  });
+}
+
+void GatewayDaemon::CompareDigests(const DivergenceEvent& event) {
+  const std::vector<DocumentWatcher*> followed = {m_configuration_watcher.get(),
+                                                  m_backend_watcher.get(),
+                                                  m_job_watcher.get()};
+  const std::vector<DivergenceAction> actions =
+      m_divergence.Handle(event, MonotonicClock::now());
+  for (const DivergenceAction& action : actions) {
+    const size_t kind = std::get<RefreshKind>(action).kind;
+    m_log.Write("store_view_differs", {{"kind", kind}});
+    followed[kind]->Refresh();
+  }
+}
+
+StoreDigests GatewayDaemon::OwnStoreDigests() const {
+  return {m_configuration_watcher->digest(), m_backend_watcher->digest(),
+          m_job_watcher->digest()};
+}
+
 void GatewayDaemon::StartWatchers() {
   m_configuration_watcher = Watch(
       platform::kConfigurationKind,
@@ -193,20 +262,22 @@
            },
        .changed =
            [this](const DocumentChange& change) { TakePeerChange(change); }});
-  m_job_watcher =
-      Watch(kJobKind,
-            {.listed =
-                 [this](const std::vector<Document>& documents) {
-                   TakeJobs(documents);
-                 },
-             .changed =
-                 [this](const DocumentChange& change) {
-                   if (change.removed) {
-                     m_runner.Forgotten(JobKey(change.document.name.value()));
-                   } else {
-                     m_runner.Seen(change.document);
-                   }
-                 }});
+  m_job_watcher = Watch(
+      kJobKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakeJobs(documents);
+           },
+       .changed =
+           [this](const DocumentChange& change) {
+             if (change.removed) {
+               m_runner.Forgotten(JobKey(change.document.name.value()));
+             } else {
+               m_runner.Seen(change.document);
+             }
+           },
+       .lost = [this](const Error&) { m_gateway.jobs_are_current = false; },
+       .regained = [this] { m_gateway.jobs_are_current = true; }});
 }
 
 void GatewayDaemon::TakeJobs(const std::vector<Document>& documents) {
@@ -245,7 +316,6 @@
   }
   m_gateway.configuration =
       std::make_shared<const FleetConfiguration>(std::move(parts.value()));
-  m_newest_heard = std::max(m_newest_heard, version);
   const FleetConfiguration& now = *m_gateway.configuration;
   QuotasChanged quotas;
   for (const FleetOrganisation& organisation : now.organisations()) {
@@ -371,6 +441,7 @@
 
 void GatewayDaemon::Carry(const PeerFellSilent& silent) {
   m_log.Write("peer_silent", {{"peer", silent.vm.value()}});
+  CompareDigests(PeerDigestsForgotten{silent.vm});
   m_dispatcher.Tell(PeerUseForgotten{silent.vm});
 }
 
@@ -398,10 +469,10 @@
                  now);
   m_dispatcher.Tell(PeerUseReported{message.vm, message.in_flight});
   m_runner.Wake();
-  if (message.configuration > m_newest_heard) {
-    // A peer has a newer version; the watch should have told of it too.
-    m_newest_heard = message.configuration;
-    m_configuration_watcher->Refresh();
+  if (message.reaches_store) {
+    CompareDigests(PeerDigests{message.vm, message.digests});
+  } else {
+    CompareDigests(PeerDigestsForgotten{message.vm});
   }
 }
 
@@ -409,6 +480,8 @@
   PeerMessage message{.vm = m_settings.vm,
                       .incarnation = m_options.incarnation,
                       .draining = m_shutting_down,
+                      .reaches_store = m_store.reaches_store(),
+                      .digests = OwnStoreDigests(),
                       .usage = m_quota.Usage(),
                       .in_flight = m_dispatcher.placing().InFlight()};
   if (m_gateway.configuration != nullptr) {
@@ -487,7 +560,7 @@
 void GatewayDaemon::UpdateGauges() {
   m_metrics.SetGauge("cowslip_store_calls",
                      "Calls to the platform's store since the start.",
-                     static_cast<double>(m_store.calls()));
+                     static_cast<double>(m_direct_store.calls()));
   m_metrics.SetGauge("cowslip_log_lines_dropped",
                      "Log lines that were not written.",
                      static_cast<double>(m_log.dropped()));
@@ -509,6 +582,7 @@
     }
     TellDirectory(DirectoryTick{});
     TellPeers(PeerTick{});
+    CompareDigests(OwnDigests{OwnStoreDigests()});
     m_runner.Tick();
     m_log.Flush();
     if (m_shutting_down) {
@@ -552,6 +626,7 @@
     watcher->Stop();
   }
   m_gossip->Stop();
+  m_poll_timer.cancel();
   if (m_options.on_stopped) {
     m_options.on_stopped();
   }
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,12 @@
 #include "Gateway/job_runner.h"
 #include "Jobs/job_board.h"
 #include "Net/http_server.h"
+#include "Peers/divergence_detector.h"
 #include "Peers/peer_gossip.h"
 #include "Peers/peer_table.h"
 #include "Placement/backend_directory.h"
 #include "Platform/document_watcher.h"
+#include "Platform/relayed_store.h"
 #include "Quota/quota_core.h"
 #include "platform/store_client.h"
 
@@ -74,6 +77,11 @@
   void ShowPeers();
   void ConsiderActivation();
   void LoadChanged();
+  /// The time until this process is to poll the store.
+  Duration UntilMyTurn() const;
+  void PollInTurn();
+  void CompareDigests(const DivergenceEvent& event);
+  StoreDigests OwnStoreDigests() const;
   void TellDirectory(const DirectoryEvent& event);
   void TellPeers(const PeerEvent& event);
   void Carry(const PeersCounted& counted);
@@ -96,7 +104,9 @@
   GatewaySettings m_settings;
   EventLog m_log;
   GatewayMetrics m_metrics;
-  platform::StoreClient m_store;
+  platform::StoreClient m_direct_store;
+  RelayedStore m_store;
+  std::mt19937_64 m_random;
   QuotaCore m_quota;
   PeerTable m_peers;
   std::map<VmId, PeerRecord> m_peer_records;
@@ -111,13 +121,15 @@
   std::unique_ptr<HttpServer> m_callers;
   std::unique_ptr<HttpServer> m_ready;
   std::unique_ptr<HttpServer> m_metrics_server;
+  std::unique_ptr<HttpServer> m_peer_server;
   std::shared_ptr<DocumentWatcher> m_configuration_watcher;
   std::shared_ptr<DocumentWatcher> m_backend_watcher;
   std::shared_ptr<DocumentWatcher> m_peer_watcher;
   std::shared_ptr<DocumentWatcher> m_job_watcher;
   boost::asio::steady_timer m_tick;
+  boost::asio::steady_timer m_poll_timer;
   boost::asio::steady_timer m_register_timer;
-  ConfigVersion m_newest_heard;
+  DivergenceDetector m_divergence{DivergenceOptions{}};
   MonotonicTime m_shutdown_began;
   bool m_backends_known = false;
   bool m_peers_known = false;
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -68,9 +68,13 @@
 
 const ResultLog* JobRunner::OpenResults(const JobKey& job) const {
   const auto found = m_open.find(job);
-  return m_board.IsOpenHere(job) && found != m_open.end()
-             ? found->second.results.get()
-             : nullptr;
+  const bool is_open = m_board.IsOpenHere(job) && found != m_open.end();
+  // Without word from the store, another process may have taken the job over.
+  if (!is_open || !m_gateway.jobs_are_current ||
+      !found->second.results->is_certain()) {
+    return nullptr;
+  }
+  return found->second.results.get();
 }
 
 const JobItem* JobRunner::FindItem(const JobKey& job,
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -60,7 +60,8 @@
   void Wake();
   void Tick();
 
-  /// The results of a job that is open here; null for any other one.
+  /// All results of a job that is open here; null for any other one, and while
+  /// another process may know more.
   const ResultLog* OpenResults(const JobKey& job) const;
   /// An item of a job that is open here; null when it is not known.
   const JobItem* FindItem(const JobKey& job, const ItemId& item) const;
--- a/Source/Gateway/storage_daemon.cc
+++ b/Source/Gateway/storage_daemon.cc
@@ -16,6 +16,9 @@
 
 using boost::asio::awaitable;
 
+// Short enough that a watch which the store has dropped silently delays a
+// retirement, which is asked for in seconds, by less than that.
+constexpr Duration kWatchTime = std::chrono::seconds(5);
 constexpr Duration kFlushInterval = std::chrono::seconds(1);
 // Between attempts to report while the store does not answer.
 constexpr Duration kReportPause = std::chrono::milliseconds(300);
@@ -38,7 +41,7 @@
   m_watcher = std::make_shared<DocumentWatcher>(
       m_context.get_executor(), m_store,
       DocumentWatcherOptions{.kind = DocumentKind(platform::kRetirementKind),
-                             .wait = std::chrono::seconds(30),
+                             .wait = kWatchTime,
                              .seed = m_options.incarnation.value()},
       DocumentWatcherEvents{
           .listed =
--- a/Source/Jobs/result_log.h
+++ b/Source/Jobs/result_log.h
@@ -27,6 +27,9 @@
   const std::vector<ItemResult>& results() const { return m_results; }
   bool Contains(const ItemId& item) const { return m_items.contains(item); }
   size_t bytes() const { return m_bytes; }
+  /// False from the moment a write begins until its outcome is known: other
+  /// processes may then have read results that this one does not have yet.
+  bool is_certain() const { return !m_uncertain; }
 
   /// The job has just been created, so nothing has been appended yet.
   void AssumeEmpty() { m_uncertain = false; }
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 // Changes when the layout below does; other layouts are not understood.
-constexpr uint64_t kLayout = 1;
+constexpr uint64_t kLayout = 3;
 // The largest payload of a UDP datagram over IPv4.
 constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
 
@@ -22,11 +22,13 @@
   message.sequence = fields.at(3).get<uint64_t>();
   message.configuration = ConfigVersion(fields.at(4).get<uint64_t>());
   message.draining = fields.at(5).get<bool>();
-  for (const json& usage : fields.at(6)) {
+  message.reaches_store = fields.at(6).get<bool>();
+  message.digests = fields.at(7).get<StoreDigests>();
+  for (const json& usage : fields.at(8)) {
     message.usage.push_back({OrganisationId(usage.at(0).get<std::string>()),
                              usage.at(1).get<uint64_t>()});
   }
-  for (const json& use : fields.at(7)) {
+  for (const json& use : fields.at(9)) {
     message.in_flight.push_back({BackendId(use.at(0).get<std::string>()),
                                  use.at(1).get<uint32_t>(),
                                  use.at(2).get<uint32_t>()});
@@ -48,7 +50,8 @@
   return ToCbor(
       json::array({kLayout, message.vm.value(), message.incarnation.value(),
                    message.sequence, message.configuration.value(),
-                   message.draining, std::move(usage), std::move(in_flight)}));
+                   message.draining, message.reaches_store, message.digests,
+                   std::move(usage), std::move(in_flight)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -9,6 +9,7 @@
 #include "Base/ids.h"
 #include "Base/result.h"
 #include "Fleet/backend_record.h"
+#include "Peers/divergence_detector.h"
 #include "Quota/quota_core.h"
 
 namespace cowslip {
@@ -33,6 +34,10 @@
   ConfigVersion configuration;
   /// The sender takes no new work.
   bool draining = false;
+  /// The sender's own calls to the store are answered.
+  bool reaches_store = false;
+  /// What the sender knows of the store.
+  StoreDigests digests;
   std::vector<OrganisationUsage> usage;
   std::vector<BackendUse> in_flight;
 };
--- a/Source/Peers/peer_table.cc
+++ b/Source/Peers/peer_table.cc
@@ -48,6 +48,7 @@
   }
   peer.sequence = event.message.sequence;
   peer.draining = event.message.draining;
+  peer.reaches_store = event.message.reaches_store;
   peer.heard = now;
   if (!same || peer.silent) {
     Appear(found->first, peer, event.message.incarnation);
@@ -112,6 +113,19 @@
   return {live.begin(), live.end()};
 }
 
+std::optional<Endpoint> PeerTable::PickWithStore(uint64_t draw) const {
+  std::vector<Endpoint> able;
+  for (const auto& [vm, peer] : m_peers) {
+    if (!peer.silent && !peer.draining && peer.reaches_store) {
+      able.push_back(peer.address);
+    }
+  }
+  if (able.empty()) {
+    return std::nullopt;
+  }
+  return able[draw % able.size()];
+}
+
 std::vector<Endpoint> PeerTable::Addresses() const {
   std::vector<Endpoint> addresses;
   for (const auto& [vm, peer] : m_peers) {
--- a/Source/Peers/peer_table.h
+++ b/Source/Peers/peer_table.h
@@ -86,6 +86,9 @@
   std::vector<VmId> Live() const;
   /// Where datagrams go.
   std::vector<Endpoint> Addresses() const;
+  /// The address of a live peer that reaches the store, one of them by `draw`;
+  /// nullopt when there is none.
+  std::optional<Endpoint> PickWithStore(uint64_t draw) const;
   size_t members() const { return m_peers.size() + 1; }
 
  private:
@@ -96,6 +99,7 @@
     MonotonicTime heard;
     bool silent = false;
     bool draining = false;
+    bool reaches_store = false;
     bool removal_asked = false;
   };
 
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -8,10 +8,23 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Base/rendezvous.h"
+
 namespace cowslip {
 
 using boost::asio::awaitable;
 
+namespace {
+
+// The shortest that a watch can wait: it answers with what there is.
+constexpr Duration kPollWait = std::chrono::milliseconds(1);
+
+uint64_t DigestOf(const DocumentName& name, ObjectVersion version) {
+  return RendezvousScore(name.value(), std::to_string(version.value()));
+}
+
+}  // namespace
+
 DocumentWatcher::DocumentWatcher(boost::asio::any_io_executor executor,
                                  DocumentStore& store,
                                  DocumentWatcherOptions options,
@@ -44,6 +57,29 @@
       m_executor, [self] { return self->ListOnce(); }, boost::asio::detached);
 }
 
+void DocumentWatcher::Poll() {
+  if (m_refreshing || m_stopped || m_must_list) {
+    return;
+  }
+  m_refreshing = true;
+  const auto self = shared_from_this();
+  boost::asio::co_spawn(
+      m_executor, [self] { return self->PollOnce(); }, boost::asio::detached);
+}
+
+awaitable<void> DocumentWatcher::PollOnce() {
+  // What fails here, the watch or the next poll sees too.
+  const Duration wait = kPollWait;
+  Result<void> outcome = co_await WatchOnce(wait);
+  if (outcome.has_value() && m_must_list) {
+    outcome = co_await ListAll();
+  }
+  if (!outcome.has_value()) {
+    Report(outcome.error());
+  }
+  m_refreshing = false;
+}
+
 awaitable<void> DocumentWatcher::ListOnce() {
   const Result<void> listed = co_await ListAll();
   static_cast<void>(listed);
@@ -56,7 +92,7 @@
     if (m_must_list) {
       outcome = co_await ListAll();
     } else {
-      outcome = co_await WatchOnce();
+      outcome = co_await WatchOnce(m_options.wait);
     }
     if (m_stopped) {
       co_return;
@@ -96,19 +132,21 @@
   Succeeded();
   m_as_of = std::max(m_as_of, as_of);
   m_must_list = false;
+  TakeListing(documents);
   m_events.listed(std::move(documents));
   co_return Ok();
 }
 
-awaitable<Result<void>> DocumentWatcher::WatchOnce() {
+awaitable<Result<void>> DocumentWatcher::WatchOnce(Duration wait) {
   const ObjectVersion since = m_as_of;
   const Result<DocumentChanges> changes =
-      co_await m_store.Watch(m_options.kind, since, m_options.wait);
+      co_await m_store.Watch(m_options.kind, since, wait);
   if (m_stopped) {
     co_return Ok();
   }
   if (!changes.has_value()) {
     if (changes.error().kind() == ErrorKind::kHistoryLost) {
+      Report(changes.error());
       m_must_list = true;
       co_return Ok();
     }
@@ -117,11 +155,39 @@
   Succeeded();
   m_as_of = std::max(m_as_of, changes.value().as_of);
   for (const DocumentChange& change : changes.value().changes) {
-    m_events.changed(change);
+    if (TakeChange(change)) {
+      m_events.changed(change);
+    }
   }
   co_return Ok();
 }
 
+void DocumentWatcher::TakeListing(const std::vector<Document>& documents) {
+  m_known.clear();
+  m_digest = 0;
+  for (const Document& document : documents) {
+    m_known[document.name] = document.version;
+    m_digest ^= DigestOf(document.name, document.version);
+  }
+}
+
+bool DocumentWatcher::TakeChange(const DocumentChange& change) {
+  const Document& document = change.document;
+  const auto known = m_known.find(document.name);
+  if (known != m_known.end()) {
+    if (document.version < known->second) {
+      return false;
+    }
+    m_digest ^= DigestOf(document.name, known->second);
+    m_known.erase(known);
+  }
+  if (!change.removed) {
+    m_known[document.name] = document.version;
+    m_digest ^= DigestOf(document.name, document.version);
+  }
+  return true;
+}
+
 void DocumentWatcher::Succeeded() {
   m_failures = 0;
   if (!m_connected) {
@@ -130,8 +196,15 @@
   }
 }
 
+void DocumentWatcher::Report(const Error& error) {
+  if (m_events.failed) {
+    m_events.failed(error);
+  }
+}
+
 void DocumentWatcher::Failed(const Error& error) {
   ++m_failures;
+  Report(error);
   // One cut watch is usual; only a second failure in a row is an outage.
   if (m_connected && m_failures > 1) {
     m_connected = false;
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -19,8 +20,8 @@
 /// \brief How a kind is followed.
 struct DocumentWatcherOptions {
   DocumentKind kind;
-  /// How long one watch waits: every call is charged, and the kernel's probes
-  /// find a dead connection sooner.
+  /// How long one watch waits. Every call is charged; but a watch that the store
+  /// has dropped silently hears nothing until it is renewed, see Poll().
   Duration wait = std::chrono::seconds(10);
   /// The pause after a first failure; it doubles up to `longest_pause`.
   Duration first_pause = std::chrono::milliseconds(150);
@@ -36,6 +37,9 @@
   /// All documents of the kind, after a listing.
   std::function<void(std::vector<Document> documents)> listed;
   std::function<void(const DocumentChange& change)> changed;
+  /// A call has failed, or the history that it asked for is gone; not yet an
+  /// outage.
+  std::function<void(const Error& error)> failed;
   /// The store stopped answering, with the reason.
   std::function<void(const Error& error)> lost;
   /// It answers again; comes before what that answer brings.
@@ -55,20 +59,30 @@
   void Start();
   /// Nothing is told any more.
   void Stop();
+  /// Asks now for changes, beside the watch that waits.
+  void Poll();
   /// Lists again now, because there is reason to believe that a change has been
   /// missed.
   void Refresh();
   /// Whether the last call was answered.
   bool connected() const { return m_connected; }
+  /// Names the documents and versions that are known: equal for two watchers of
+  /// a kind if, and as far as can be told only if, they know the same.
+  uint64_t digest() const { return m_digest; }
 
  private:
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<Result<void>> ListAll();
-  boost::asio::awaitable<Result<void>> WatchOnce();
+  boost::asio::awaitable<Result<void>> WatchOnce(Duration wait);
+  boost::asio::awaitable<void> PollOnce();
   boost::asio::awaitable<void> ListOnce();
   boost::asio::awaitable<void> Pause();
   void Succeeded();
+  void TakeListing(const std::vector<Document>& documents);
+  /// Returns false for a change that is older than what is known.
+  bool TakeChange(const DocumentChange& change);
   void Failed(const Error& error);
+  void Report(const Error& error);
 
   DocumentStore& m_store;
   const DocumentWatcherOptions m_options;
@@ -77,6 +91,8 @@
   boost::asio::steady_timer m_timer;
   std::mt19937_64 m_random;
   ObjectVersion m_as_of;
+  std::map<DocumentName, ObjectVersion> m_known;
+  uint64_t m_digest = 0;
   bool m_stopped = false;
   bool m_connected = false;
   bool m_must_list = true;
--- /dev/null
+++ b/Source/Platform/store_relay_messages.h
@@ -0,0 +1,71 @@
+#ifndef SOURCE_PLATFORM_STORE_RELAY_MESSAGES_H_
+#define SOURCE_PLATFORM_STORE_RELAY_MESSAGES_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "Platform/document_store.h"
+
+namespace cowslip {
+
+// What a process asks another one to do at the store, in CBOR.
+
+struct GetDocument {
+  DocumentKind kind;
+  DocumentName name;
+};
+struct ListDocuments {
+  DocumentKind kind;
+  DocumentName after;
+};
+struct WatchDocuments {
+  DocumentKind kind;
+  ObjectVersion since;
+  Duration wait{0};
+};
+struct CreateDocument {
+  DocumentKind kind;
+  DocumentName name;
+  nlohmann::json content;
+};
+struct ReplaceDocument {
+  DocumentKind kind;
+  DocumentName name;
+  nlohmann::json content;
+  ObjectVersion expected;
+};
+struct ReplaceDocumentStatus {
+  DocumentKind kind;
+  DocumentName name;
+  nlohmann::json status;
+  ObjectVersion expected;
+};
+struct RemoveDocument {
+  DocumentKind kind;
+  DocumentName name;
+};
+using StoreRequest = std::variant<GetDocument,
+                                  ListDocuments,
+                                  WatchDocuments,
+                                  CreateDocument,
+                                  ReplaceDocument,
+                                  ReplaceDocumentStatus,
+                                  RemoveDocument>;
+
+/// Nothing but success.
+struct Done {};
+using StoreAnswer = std::variant<Done, Document, DocumentPage, DocumentChanges>;
+
+std::string EncodeStoreRequest(const StoreRequest& request);
+/// Errors: kMalformedMessage, kTooLarge.
+Result<StoreRequest> DecodeStoreRequest(std::string_view bytes);
+
+std::string EncodeStoreAnswer(const Result<StoreAnswer>& answer);
+/// Returns the answer or the error that the other process had from the store.
+/// Errors of its own: kMalformedMessage, kTooLarge.
+Result<StoreAnswer> DecodeStoreAnswer(std::string_view bytes);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_PLATFORM_STORE_RELAY_MESSAGES_H_
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,11 +17,33 @@
 
 namespace {
 
-// A port that nobody uses at the moment.
+// A port that is free for datagrams and for connections. It lies below the
+// range from which the kernel gives ports to others, in a part of its own for
+// each test program.
 uint16_t FreePort(boost::asio::io_context& context) {
+  using boost::asio::ip::tcp;
   using boost::asio::ip::udp;
-  udp::socket socket(context, udp::endpoint(udp::v4(), 0));
-  return socket.local_endpoint().port();
+  constexpr int kFirst = 26000;
+  constexpr int kPrograms = 100;
+  constexpr int kPortsEach = 60;
+  static int next = 0;
+  const int base = kFirst + ::getpid() % kPrograms * kPortsEach;
+  for (int tries = 0; tries < kPortsEach; ++tries) {
+    const auto port = static_cast<uint16_t>(base + next++ % kPortsEach);
+    boost::system::error_code error;
+    udp::socket datagrams(context, udp::v4());
+    datagrams.bind(udp::endpoint(udp::v4(), port), error);
+    tcp::acceptor connections(context, tcp::v4());
+    if (!error) {
+      connections.set_option(tcp::acceptor::reuse_address(true));
+      connections.bind(tcp::endpoint(tcp::v4(), port), error);
+    }
+    if (!error) {
+      return port;
+    }
+  }
+  FAIL("No internal port is free for another gateway.");
+  return 0;
 }
 
 nlohmann::json Route(const char* name, const char* prefix, const char* kind) {
@@ -36,6 +59,7 @@
 GatewayFixture::GatewayFixture(size_t backends) {
   m_log = ::open("/dev/null", O_WRONLY);
   REQUIRE(server.Start().has_value());
+  REQUIRE(other_server.Start().has_value());
   configuration = {{"version", 1},
                    {"routes", nlohmann::json::array()},
                    {"services", {{{"name", "s"}, {"max_connections", 100}}}},
@@ -87,11 +111,15 @@
 }
 
 size_t GatewayFixture::AddGateway() {
+  return AddGateway(server.port());
+}
+
+size_t GatewayFixture::AddGateway(uint16_t store_port) {
   const size_t index = m_gateways.size();
   GatewaySettings settings{.vm = VmId("gateway-" + std::to_string(index)),
                            .zone = ZoneId("z"),
                            .address = "127.0.0.1",
-                           .store = Endpoint{.port = server.port()}};
+                           .store = Endpoint{.port = store_port}};
   settings.first_internal_port = FreePort(context);
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       context, GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -30,6 +30,8 @@
 
   /// Starts a gateway; returns its index. Call WaitUntilReady() next.
   size_t AddGateway();
+  /// As above, with the store behind another port.
+  size_t AddGateway(uint16_t store_port);
   /// Ends a gateway at once, as a crash would.
   void KillGateway(size_t index) { m_gateways[index].reset(); }
 
@@ -75,6 +77,8 @@
   boost::asio::io_context context;
   FakeDocumentStore store;
   MetadataServer server{context, store};
+  /// Another way to the same store.
+  MetadataServer other_server{context, store};
 
  private:
   void Register(size_t index);
--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -209,6 +209,56 @@
   });
 }
 
+TEST_CASE("A gateway that the store turns away goes through another one") {
+  for (const ServerFault fault : {ServerFault::kBusy, ServerFault::kReset}) {
+    GatewayFixture f(2);
+    f.AddGateway();
+    f.AddGateway(f.other_server.port());
+    f.Run([&]() -> awaitable<void> {
+      co_await f.WaitUntilReady();
+      co_await f.Sleep(600ms);
+      f.other_server.SetFault(fault);
+      co_await f.Sleep(300ms);
+      CHECK(co_await SubmitTo(f, 1, "j1", 3) == 202);
+      CheckWhole(co_await f.ReadAll(1, "j1"), 3, 4);
+      // What operators change meanwhile is in force there, too.
+      f.configuration["version"] = 9;
+      f.configuration["tenants"][0]["api_keys"] = {"key9"};
+      f.Publish();
+      co_await f.Sleep(1500ms);
+      HttpRequest request = f.Request("POST", "/stream/x", "a1");
+      const auto response = co_await f.Send(1, std::move(request));
+      CHECK(response.value().status == 401);
+    });
+  }
+}
+
+awaitable<size_t> CountResults(GatewayFixture& f, size_t gateway) {
+  HttpRequest request = f.Request("GET", "/lots/j1", "read");
+  const auto response = co_await f.Send(gateway, std::move(request));
+  if (!response.has_value() || response.value().status != 200) {
+    co_return 0;
+  }
+  const auto page = nlohmann::json::parse(response.value().body);
+  co_return page["results"].size();
+}
+
+TEST_CASE(
+    "A result that one gateway has shown is shown by the job's owner too") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    CHECK(co_await SubmitTo(f, 0, "j1", 4) == 202);
+    // The owner writes results and does not hear that it has.
+    f.server.SetFault(ServerFault::kLoseAnswers, kResultKind);
+    for (int i = 0; i < 60; ++i) {
+      const size_t shown = co_await CountResults(f, 1);
+      const size_t at_owner = co_await CountResults(f, 0);
+      CHECK(at_owner >= shown);
+      co_await f.Sleep(20ms);
+    }
+    CHECK(co_await CountResults(f, 0) == 4);
+  });
+}
+
 TEST_CASE("A bad submission is refused whole") {
   RunJobs([](GatewayFixture& f) -> awaitable<void> {
     HttpRequest request = f.Request("POST", "/job/x", "j1", "{\"items\":[]}");
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include "Peers/divergence_detector.h"
 #include "Peers/peer_message.h"
 #include "Peers/peer_table.h"
 
@@ -129,5 +130,41 @@
   }
 }
 
+bool Refreshes(DivergenceDetector& detector,
+               const DivergenceEvent& event,
+               Duration at) {
+  return !detector.Handle(event, At(at)).empty();
+}
+
+TEST_CASE("Processes that differ for long read the store again, now and then") {
+  DivergenceDetector detector{DivergenceOptions{}};
+  detector.Handle(OwnDigests{{1, 2}}, At(0s));
+  CHECK_FALSE(Refreshes(detector, PeerDigests{VmId("b"), {1, 3}}, 0s));
+  CHECK_FALSE(Refreshes(detector, DivergenceTick{}, 200ms));
+  const auto actions = detector.Handle(DivergenceTick{}, At(250ms));
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<RefreshKind>(actions[0]).kind == 1);
+  // The other side may be the one that is behind.
+  CHECK_FALSE(Refreshes(detector, DivergenceTick{}, 1200ms));
+  CHECK(Refreshes(detector, DivergenceTick{}, 1250ms));
+}
+
+TEST_CASE("A short difference is no reason to read again") {
+  DivergenceDetector detector{DivergenceOptions{}};
+  detector.Handle(OwnDigests{{1}}, At(0s));
+  CHECK_FALSE(Refreshes(detector, PeerDigests{VmId("b"), {2}}, 0s));
+  CHECK_FALSE(Refreshes(detector, OwnDigests{{2}}, 200ms));
+  CHECK_FALSE(Refreshes(detector, OwnDigests{{3}}, 300ms));
+  CHECK_FALSE(Refreshes(detector, PeerDigestsForgotten{VmId("b")}, 400ms));
+  CHECK_FALSE(Refreshes(detector, DivergenceTick{}, 2s));
+}
+
+TEST_CASE("A message of another set of kinds is not compared") {
+  DivergenceDetector detector{DivergenceOptions{}};
+  detector.Handle(OwnDigests{{1, 2}}, At(0s));
+  CHECK_FALSE(Refreshes(detector, PeerDigests{VmId("b"), {5}}, 0s));
+  CHECK_FALSE(Refreshes(detector, DivergenceTick{}, 1s));
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -163,6 +163,31 @@
   });
 }
 
+TEST_CASE("A poll finds what a watch that has gone deaf misses") {
+  Fixture f;
+  Follower follower(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kDeafWatches);
+    f.store.Put("things", "a", {{"x", 1}});
+    co_await f.Sleep(100ms);
+    CHECK(follower.names.empty());
+    SECTION("The history is still there") {
+      follower.watcher->Poll();
+      co_await f.Sleep(100ms);
+      CHECK(follower.names == std::set<std::string>{"a"});
+    }
+    SECTION("The history is gone") {
+      f.store.Compact();
+      const uint64_t before = follower.watcher->digest();
+      follower.watcher->Poll();
+      co_await f.Sleep(100ms);
+      CHECK(follower.names == std::set<std::string>{"a"});
+      CHECK(follower.watcher->digest() != before);
+    }
+  });
+}
+
 TEST_CASE("A watcher tells of an outage once, and of its end") {
   Fixture f;
   Follower follower(f);
--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -55,8 +55,8 @@
                                const Document& document,
                                bool removed) {
   m_changes.push_back({m_version, key.first, {document, removed}});
-  if (m_on_change) {
-    m_on_change();
+  for (const auto& callback : m_on_change) {
+    callback();
   }
 }
 
--- a/Utilities/StandIns/MetadataStore/fake_document_store.h
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.h
@@ -67,7 +67,7 @@
   void Erase(const std::string& kind, const std::string& name);
   /// Called after each change.
   void OnChange(std::function<void()> callback) {
-    m_on_change = std::move(callback);
+    m_on_change.push_back(std::move(callback));
   }
 
  private:
@@ -86,7 +86,7 @@
   std::map<Key, Document> m_documents;
   std::vector<Change> m_changes;
   std::vector<Write> m_late;
-  std::function<void()> m_on_change;
+  std::vector<std::function<void()>> m_on_change;
   uint64_t m_version = 10;
   uint64_t m_compacted = 0;
   StoreFault m_fault = StoreFault::kNone;
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -51,6 +51,8 @@
                               : FromError(document.error());
 }
 
+constexpr auto kNever = std::chrono::steady_clock::time_point::max();
+
 uint64_t Number(const HttpRequest& request, const char* name) {
   return std::stoull(request.Query(name).value_or("0"));
 }
@@ -151,6 +153,7 @@
   const ObjectVersion since(Number(request, "watch"));
   const auto until = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(Number(request, "wait_ms"));
+  bool waited = false;
   while (true) {
     const Result<DocumentChanges> changes =
         co_await m_store.Watch(kind, since, Duration::zero());
@@ -158,8 +161,9 @@
       co_return FromError(changes.error());
     }
     const bool is_late = std::chrono::steady_clock::now() >= until;
-    if (!changes.value().changes.empty() || is_late ||
-        m_fault != ServerFault::kNone) {
+    const bool is_deaf = m_fault == ServerFault::kDeafWatches && waited;
+    const bool has_news = !changes.value().changes.empty();
+    if (!is_deaf && (has_news || is_late || m_fault != ServerFault::kNone)) {
       json events = json::array();
       for (const DocumentChange& change : changes.value().changes) {
         events.push_back({{"removed", change.removed},
@@ -168,7 +172,8 @@
       co_return FromJson(200, {{"events", std::move(events)},
                                {"as_of", changes.value().as_of.value()}});
     }
-    boost::asio::steady_timer timer(m_context, until);
+    waited = true;
+    boost::asio::steady_timer timer(m_context, is_late ? kNever : until);
     m_waiting.insert(&timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -21,6 +21,8 @@
   kReset,
   /// Carries out writes and closes the connection without an answer.
   kLoseAnswers,
+  /// Watches that wait hear nothing any more; other calls are answered.
+  kDeafWatches,
 };
 
 /// \class MetadataServer
