Jobs: a new owner shuts earlier ones out of the result log

Change: results carry the fencing number of their owner, the version of the job's document that names it; Claim() writes it before a job is opened, appends of an earlier owner fail. A write without an answer keeps the log uncertain until it can no longer be carried out. The check of answers is one function for requests and items; unused load reports are gone; idle connections respect max_connections.

--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -42,14 +42,6 @@
   uint64_t last_event = 0;
 };
 
-/// \class LoadReport
-/// \brief The load of a backend server when it answered.
-struct LoadReport {
-  uint32_t running = 0;
-  uint32_t waiting = 0;
-  uint32_t slots = 0;
-};
-
 /// \class BackendResponse
 /// \brief What the headers of a backend server's response say.
 struct BackendResponse {
@@ -61,7 +53,6 @@
   /// The body has been encoded on the way, so that it isn't the backend
   /// server's.
   bool is_encoded = false;
-  std::optional<LoadReport> load;
 };
 
 }  // namespace cowslip
--- a/Source/Fleet/fleet_configuration.cc
+++ b/Source/Fleet/fleet_configuration.cc
@@ -27,9 +27,6 @@
                        return a->path_prefix.size() > b->path_prefix.size();
                      });
   }
-  for (const FleetService& service : m_parts.services) {
-    m_services[service.id] = &service;
-  }
   for (const FleetOrganisation& organisation : m_parts.organisations) {
     m_organisations[organisation.id] = &organisation;
     for (const std::string& key : organisation.keys) {
@@ -61,11 +58,6 @@
   return nullptr;
 }
 
-const FleetService* FleetConfiguration::FindService(const ServiceId& id) const {
-  const auto found = m_services.find(id);
-  return found == m_services.end() ? nullptr : found->second;
-}
-
 const FleetOrganisation* FleetConfiguration::FindOrganisation(
     const OrganisationId& id) const {
   const auto found = m_organisations.find(id);
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -123,6 +123,7 @@
   ConfigVersion version() const { return m_parts.version; }
   bool keys_required() const { return m_parts.keys_required; }
   const CallerLimits& limits() const { return m_parts.limits; }
+  const std::vector<FleetService>& services() const { return m_parts.services; }
   const std::vector<FleetOrganisation>& organisations() const {
     return m_parts.organisations;
   }
@@ -131,7 +132,6 @@
   const FleetRoute* FindRoute(std::string_view host,
                               std::string_view path) const;
   const FleetRoute* FindRoute(const RouteId& id) const;
-  const FleetService* FindService(const ServiceId& id) const;
   const FleetOrganisation* FindOrganisation(const OrganisationId& id) const;
   /// The organisation that holds a key, or null. The lookup goes by the key's
   /// digest, so that its time tells nothing about other keys.
@@ -140,7 +140,6 @@
  private:
   FleetConfigurationParts m_parts;
   std::unordered_map<std::string, std::vector<const FleetRoute*>> m_by_host;
-  std::map<ServiceId, const FleetService*> m_services;
   std::map<OrganisationId, const FleetOrganisation*> m_organisations;
   std::unordered_map<Digest, const FleetOrganisation*> m_key_holders;
 };
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -1,5 +1,6 @@
 #include "Gateway/dispatcher.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -71,13 +72,25 @@
     client = std::make_shared<HttpClient>(
         m_context.get_executor(), endpoint,
         HttpClientOptions{
-            .max_idle_connections = m_options.max_idle_connections,
+            .max_idle_connections =
+                record == nullptr ? 0 : MaxIdleConnections(record->service),
             .connect_timeout = m_options.connect_timeout,
             .dead_peer_timeout = m_options.dead_peer_timeout});
   }
   return client;
 }
 
+// Half of what a backend server takes, shared evenly: the other half is left
+// for connections in use.
+size_t Dispatcher::MaxIdleConnections(const ServiceId& service) const {
+  const auto limit = m_max_connections.find(service);
+  if (limit == m_max_connections.end()) {
+    return m_options.max_idle_connections;
+  }
+  const size_t share = limit->second / 2 / std::max<uint32_t>(m_members, 1);
+  return std::clamp<size_t>(share, 1, m_options.max_idle_connections);
+}
+
 awaitable<PlacementResult> Dispatcher::PlaceOnline(
     OnlinePlacement placement,
     std::shared_ptr<const bool> gone) {
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -109,6 +109,11 @@
   /// Tells the placing core something and looks at the waiting requests.
   void Tell(const PlacingEvent& event);
   void SetMembers(uint32_t members) { m_members = members; }
+  /// How many connections a backend server of that service takes from all
+  /// processes together.
+  void SetMaxConnections(const ServiceId& service, uint32_t max_connections) {
+    m_max_connections[service] = max_connections;
+  }
 
   const PlacingCore& placing() const { return m_placing; }
   RefusingCore& refusing() { return m_refusing; }
@@ -124,6 +129,7 @@
       PlacementQuery query,
       MayWait bounds,
       std::shared_ptr<const bool> gone);
+  size_t MaxIdleConnections(const ServiceId& service) const;
   void LookAtWaiters();
   /// Returns true when a request was placed.
   bool CarryOut(const std::vector<WaitingAction>& actions);
@@ -139,6 +145,7 @@
   bool m_tick_is_set = false;
   bool m_looking = false;
   uint32_t m_members = 1;
+  std::map<ServiceId, uint32_t> m_max_connections;
   uint64_t m_last_ticket = 0;
   std::map<TicketId, std::shared_ptr<PendingWait>> m_pending;
   std::map<BackendId, std::shared_ptr<HttpClient>> m_clients;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -323,6 +323,9 @@
         {organisation.id, organisation.rate, organisation.burst});
   }
   m_quota.Handle(quotas, MonotonicClock::now());
+  for (const FleetService& service : now.services()) {
+    m_dispatcher.SetMaxConnections(service.id, service.max_connections);
+  }
   const CallerLimits& limits = now.limits();
   m_callers->SetLimits(
       HttpServerLimits{.max_header_bytes = limits.max_header_bytes,
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Gateway/answer_check.h"
 #include "Gateway/dispatcher.h"
 #include "platform/request_headers.h"
 
@@ -67,36 +68,36 @@
 
 awaitable<ItemRunEnd> ItemRun::ReadAnswer(AttemptLease& lease) {
   const int status = m_answer->status();
-  const BackendResponse facts =
-      platform::DecodeBackendResponse(status, m_answer->headers());
-  const bool names_another =
-      facts.attempt.has_value() &&
-      facts.attempt->value() != m_request.item.id.value();
-  if (names_another ||
-      (!facts.attempt.has_value() && m_answer->on_kept_connection())) {
-    co_return InDoubt(lease, "the answer belongs to another request");
-  }
-  if (facts.not_executed) {
-    lease.SetOutcome(AttemptOutcome::kFull);
-    m_why = "turned away with status " + std::to_string(status);
-    co_return ItemRunEnd::kNotRun;
-  }
-  if (!facts.has_signature || facts.is_encoded) {
-    co_return InDoubt(lease, "the answer is not the backend server's");
-  }
-  if (status >= 200 && status < 300) {
-    co_return co_await ReadEvents(lease);
-  }
+  const AttemptId attempt(m_request.item.id.value());
   m_why = "the backend server answered status " + std::to_string(status);
-  if (status == 422) {
-    lease.SetOutcome(AttemptOutcome::kCompleted);
-    co_return ItemRunEnd::kImpossible;
+  switch (CheckAnswer(*m_answer, attempt)) {
+    case AnswerKind::kForeign:
+      co_return InDoubt(lease, "the answer belongs to another request");
+    case AnswerKind::kNotRun:
+      lease.SetOutcome(AttemptOutcome::kFull);
+      co_return ItemRunEnd::kNotRun;
+    case AnswerKind::kUnvouched:
+      co_return InDoubt(lease, "the answer is not the backend server's");
+    case AnswerKind::kFailure:
+      co_return Failure(lease, status);
+    case AnswerKind::kSuccess:
+      m_why.clear();
+      break;
   }
-  if (status == 500) {
-    lease.SetOutcome(AttemptOutcome::kCompleted);
-    co_return ItemRunEnd::kFailed;
+  co_return co_await ReadEvents(lease);
+}
+
+ItemRunEnd ItemRun::Failure(AttemptLease& lease, int status) {
+  switch (status) {
+    case 422:
+      lease.SetOutcome(AttemptOutcome::kCompleted);
+      return ItemRunEnd::kImpossible;
+    case 500:
+      lease.SetOutcome(AttemptOutcome::kCompleted);
+      return ItemRunEnd::kFailed;
+    default:
+      return InDoubt(lease, m_why);
   }
-  co_return InDoubt(lease, m_why);
 }
 
 awaitable<ItemRunEnd> ItemRun::ReadEvents(AttemptLease& lease) {
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -46,6 +46,8 @@
   boost::asio::awaitable<ItemRunEnd> ReadAnswer(AttemptLease& lease);
   boost::asio::awaitable<ItemRunEnd> ReadEvents(AttemptLease& lease);
   bool TakeEvents(const std::vector<SseEvent>& events);
+  /// The backend server's own failure.
+  ItemRunEnd Failure(AttemptLease& lease, int status);
   ItemRunEnd InDoubt(AttemptLease& lease, std::string why);
 
   ItemRunRequest m_request;
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -75,7 +75,7 @@
 // Its log is used by one coroutine at a time; the others wait on `free`.
 struct JobHandler::Reader {
   Reader(boost::asio::io_context& context, DocumentStore& store, JobKey job)
-      : log(store, std::move(job)), free(context) {}
+      : log(store, std::move(job), FencingNumber()), free(context) {}
   ResultLog log;
   boost::asio::steady_timer free;
   bool busy = false;
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -46,6 +46,11 @@
   return "unknown";
 }
 
+// The version at which the store named this process the owner.
+FencingNumber FenceOf(const JobRecord& record) {
+  return FencingNumber(record.version.value());
+}
+
 std::set<ItemId> IdsOf(const std::vector<ItemResult>& results) {
   std::set<ItemId> ids;
   for (const ItemResult& result : results) {
@@ -93,7 +98,8 @@
     const ItemId id = item.id;
     open.items.emplace(id, std::move(item));
   }
-  open.results = std::make_shared<ResultLog>(m_store, record.key);
+  open.results =
+      std::make_shared<ResultLog>(m_store, record.key, FenceOf(record));
   open.results->AssumeEmpty();
   Tell(JobSeen{std::move(record)});
 }
@@ -227,9 +233,21 @@
   Wake();
 }
 
+awaitable<void> JobRunner::ReadRecord(JobKey job) {
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  const Result<Document> document = co_await m_store.Get(kind, name);
+  if (document.has_value()) {
+    Seen(document.value());
+  }
+}
+
 awaitable<void> JobRunner::Open(JobKey job) {
   const Result<void> read = co_await ReadJob(job);
   if (!read.has_value()) {
+    if (read.error().kind() == ErrorKind::kConflict) {
+      co_await ReadRecord(job);
+    }
     m_gateway.log.Write("job_open_failed",
                         {{"job", job.value()}, {"why", read.error().message}});
     co_await Pause(m_options.store_pause);
@@ -257,6 +275,7 @@
     co_return Ok();
   }
   const JobDefinition definition = record->definition;
+  const FencingNumber fence = FenceOf(*record);
   OpenedJob opened;
   const DocumentKind kind(kInputKind);
   for (uint32_t i = 0; i < definition.input_segments; ++i) {
@@ -278,8 +297,8 @@
     co_return Error(ErrorKind::kMalformedMessage,
                     "The job's documents hold other items than its record.");
   }
-  opened.results = std::make_shared<ResultLog>(m_store, job);
-  const Result<void> results = co_await opened.results->Refresh();
+  opened.results = std::make_shared<ResultLog>(m_store, job, fence);
+  const Result<void> results = co_await opened.results->Claim();
   if (!results.has_value()) {
     co_return results.error();
   }
@@ -301,6 +320,9 @@
                         {{"job", job.value()},
                          {"results", count},
                          {"why", written.error().message}});
+    if (written.error().kind() == ErrorKind::kConflict) {
+      co_await ReadRecord(job);
+    }
     co_await Pause(m_options.store_pause);
     Tell(ResultsNotWritten{job});
     co_return;
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -86,6 +86,8 @@
   boost::asio::awaitable<void> Claim(JobKey job);
   boost::asio::awaitable<void> Open(JobKey job);
   boost::asio::awaitable<Result<void>> ReadJob(JobKey job);
+  /// Reads the job's document, because another owner has shown up.
+  boost::asio::awaitable<void> ReadRecord(JobKey job);
   boost::asio::awaitable<void> Write(JobKey job,
                                      std::vector<ItemResult> results);
   boost::asio::awaitable<void> SetStatus(JobKey job, JobStatus status);
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Base/event_log.h"
+#include "Gateway/answer_check.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/problem_response.h"
@@ -276,29 +277,22 @@
 
 awaitable<RelaySession::AttemptEnd> RelaySession::ReadAnswer(
     AttemptLease& lease) {
-  const int status = m_answer->status();
-  const BackendResponse facts =
-      platform::DecodeBackendResponse(status, m_answer->headers());
-  const bool names_another =
-      facts.attempt.has_value() && *facts.attempt != m_request.caller.attempt;
-  // On a kept connection, an answer that names no request may be a late one.
-  const bool unnamed_and_late =
-      !facts.attempt.has_value() && m_answer->on_kept_connection();
-  if (names_another || unnamed_and_late) {
-    co_return InDoubt(lease, "the answer belongs to another request");
-  }
-  if (facts.not_executed) {
-    co_return NotRun(lease, AttemptOutcome::kFull,
-                     "the backend server turned the request away with status " +
-                         std::to_string(status));
-  }
-  if (!facts.has_signature || facts.is_encoded) {
-    co_return InDoubt(lease, "the answer is not the backend server's");
-  }
-  if (status >= 200 && status < 300) {
-    co_return co_await RelayBody(lease);
+  switch (CheckAnswer(*m_answer, m_request.caller.attempt)) {
+    case AnswerKind::kForeign:
+      co_return InDoubt(lease, "the answer belongs to another request");
+    case AnswerKind::kNotRun:
+      co_return NotRun(
+          lease, AttemptOutcome::kFull,
+          "the backend server turned the request away with status " +
+              std::to_string(m_answer->status()));
+    case AnswerKind::kUnvouched:
+      co_return InDoubt(lease, "the answer is not the backend server's");
+    case AnswerKind::kFailure:
+      co_return co_await RelayFailure(lease);
+    case AnswerKind::kSuccess:
+      break;
   }
-  co_return co_await RelayFailure(lease);
+  co_return co_await RelayBody(lease);
 }
 
 awaitable<RelaySession::AttemptEnd> RelaySession::RelayFailure(
--- a/Source/Jobs/job_documents.cc
+++ b/Source/Jobs/job_documents.cc
@@ -194,12 +194,15 @@
     results.push_back({result.item.value(),
                        result.state == ItemState::kCompleted, result.output});
   }
-  return {{"results", std::move(results)}, {"sealed", segment.sealed}};
+  return {{"results", std::move(results)},
+          {"fence", segment.fence},
+          {"sealed", segment.sealed}};
 }
 
 Result<ResultSegment> DecodeResults(const json& content) {
   try {
-    ResultSegment segment{.sealed = content.at("sealed").get<bool>()};
+    ResultSegment segment{.fence = content.at("fence").get<FencingNumber>(),
+                          .sealed = content.at("sealed").get<bool>()};
     for (const json& entry : content.at("results")) {
       segment.results.push_back({.item = entry.at(0).get<ItemId>(),
                                  .state = entry.at(1).get<bool>()
--- a/Source/Jobs/job_documents.h
+++ b/Source/Jobs/job_documents.h
@@ -28,6 +28,8 @@
 /// \brief One document of results.
 struct ResultSegment {
   std::vector<ItemResult> results;
+  /// Of the owner that may append; a later owner's is higher.
+  FencingNumber fence;
   /// The next segment has begun: this one never changes again.
   bool sealed = false;
 };
--- a/Source/Jobs/result_log.cc
+++ b/Source/Jobs/result_log.cc
@@ -6,12 +6,44 @@
 
 using boost::asio::awaitable;
 
-ResultLog::ResultLog(DocumentStore& store, JobKey key)
-    : m_store(store), m_key(std::move(key)) {}
+namespace {
+
+Error Fenced() {
+  return Error(ErrorKind::kConflict,
+               "A later owner has claimed the job's results. Read the job's "
+               "document again.");
+}
+
+}  // namespace
+
+ResultLog::ResultLog(DocumentStore& store, JobKey key, FencingNumber fence)
+    : m_store(store), m_key(std::move(key)), m_fence(fence) {}
+
+ResultSegment ResultLog::LastSegment() const {
+  ResultSegment segment{.fence = m_fence};
+  segment.results.assign(m_results.begin() + m_segment_begin, m_results.end());
+  return segment;
+}
+
+awaitable<Result<void>> ResultLog::Claim() {
+  Result<void> outcome = co_await Refresh();
+  while (outcome.has_value() && m_segment_fence != m_fence) {
+    if (m_segment_fence > m_fence) {
+      co_return Fenced();
+    }
+    outcome = co_await WriteLastSegment(LastSegment());
+    if (!outcome.has_value() &&
+        outcome.error().kind() == ErrorKind::kConflict) {
+      outcome = co_await Refresh();
+    }
+  }
+  co_return outcome;
+}
 
 void ResultLog::TakeSegment(const ResultSegment& segment,
                             ObjectVersion version) {
   m_version = version;
+  m_segment_fence = segment.fence;
   for (size_t i = m_results.size() - m_segment_begin;
        i < segment.results.size(); ++i) {
     const ItemResult& result = segment.results[i];
@@ -72,10 +104,13 @@
     if (results.empty()) {
       co_return Ok();
     }
+    // A segment that does not exist yet may follow one of an earlier owner.
+    const bool exists = m_version != ObjectVersion();
+    if (m_segment_fence > m_fence || (exists && m_segment_fence != m_fence)) {
+      co_return Fenced();
+    }
     // As many as the last segment takes; a full one is sealed.
-    ResultSegment segment;
-    segment.results.assign(m_results.begin() + m_segment_begin,
-                           m_results.end());
+    ResultSegment segment = LastSegment();
     size_t bytes = m_segment_bytes;
     for (const ItemResult& result : results) {
       if (bytes >= kSegmentBytes) {
@@ -107,6 +142,9 @@
     written = co_await m_store.Replace(kind, name, std::move(content), version);
   }
   if (!written.has_value()) {
+    if (written.error().kind() == ErrorKind::kInDoubt) {
+      m_in_doubt = std::pair(m_segment, version);
+    }
     co_return written.error();
   }
   TakeSegment(segment, written.value().version);
