--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -37,6 +37,9 @@
 // Results of other processes' jobs that are kept in memory.
 constexpr size_t kMaxReaderBytes = 16 << 20;
 
+// The alternatives of JobCall, for the log.
+constexpr const char* kNames[] = {"results", "item", "end", "malformed"};
+
 int64_t WallMillis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -282,7 +285,6 @@
   } else {
     response = MalformedCall();
   }
-  constexpr const char* kNames[] = {"results", "item", "end", "malformed"};
   const std::string path = exchange.request().Path();
   m_gateway.metrics.RequestEnded(std::string("job_") + kNames[kind] + "_" +
                                  std::to_string(response.status));
--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -8,6 +8,14 @@
 
 namespace cowslip {
 
+namespace {
+
+// Items that an organisation starts before it is another one's turn: about a
+// backend server's slots, so that the due time counts within an organisation.
+constexpr size_t kTurn = 8;
+
+}  // namespace
+
 JobBoard::JobBoard(JobBoardOptions options, const PeerTable& peers)
     : m_options(std::move(options)), m_peers(peers) {}
 
@@ -452,8 +460,6 @@
           found->second.not_before > now.monotonic) {
         continue;
       }
-      // A few at a time, so that the due time counts within an organisation.
-      constexpr size_t kTurn = 8;
       ordered.push_back({{late, share / kTurn, definition.due, key, id},
                          {key, id, found->second.progress}});
       ++share;
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -20,8 +20,8 @@
 /// \brief How a kind is followed.
 struct DocumentWatcherOptions {
   DocumentKind kind;
-  /// How long one watch waits. Every call is charged; but a watch that the store
-  /// has dropped silently hears nothing until it is renewed, see Poll().
+  /// How long one watch waits. Every call is charged; but a watch that the
+  /// store has dropped silently hears nothing until it is renewed, see Poll().
   Duration wait = std::chrono::seconds(10);
   /// The pause after a first failure; it doubles up to `longest_pause`.
   Duration first_pause = std::chrono::milliseconds(150);
--- a/Source/Platform/relayed_store.h
+++ b/Source/Platform/relayed_store.h
@@ -50,12 +50,11 @@
   boost::asio::awaitable<Result<DocumentPage>> List(
       DocumentKind kind,
       DocumentName after) override;
-  boost::asio::awaitable<Result<DocumentChanges>>
-  Watch(DocumentKind kind, ObjectVersion since, Duration wait) override;
-  boost::asio::awaitable<Result<Document>> Create(
-      DocumentKind kind,
-      DocumentName name,
-      nlohmann::json content) override;
+  boost::asio::awaitable<Result<DocumentChanges>> Watch(DocumentKind kind,
+                                                        ObjectVersion since,
+                                                        Duration wait) override;
+  boost::asio::awaitable<Result<Document>>
+  Create(DocumentKind kind, DocumentName name, nlohmann::json content) override;
   boost::asio::awaitable<Result<Document>> Replace(
       DocumentKind kind,
       DocumentName name,
--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Small pages, so that tests meet several.
+constexpr size_t kPage = 3;
+
 Error Refused() {
   return Error(ErrorKind::kUnavailable, "The stand-in refuses the call.");
 }
@@ -105,8 +108,6 @@
   if (TakeFault() != StoreFault::kNone) {
     co_return Refused();
   }
-  // Small pages, so that tests meet several.
-  constexpr size_t kPage = 3;
   DocumentPage page{.as_of = version()};
   for (auto at = m_documents.upper_bound({kind.value(), after.value()});
        at != m_documents.end() && at->first.first == kind.value(); ++at) {
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -51,6 +51,8 @@
                               : FromError(document.error());
 }
 
+constexpr std::string_view kPrefix = "/objects/";
+constexpr std::string_view kStatus = "/status";
 constexpr auto kNever = std::chrono::steady_clock::time_point::max();
 
 uint64_t Number(const HttpRequest& request, const char* name) {
@@ -108,7 +110,6 @@
 
 awaitable<HttpResponse> MetadataServer::Answer(const HttpRequest& request) {
   std::string path = request.Path();
-  constexpr std::string_view kPrefix = "/objects/";
   if (!path.starts_with(kPrefix)) {
     co_return HttpResponse{.status = 404};
   }
@@ -185,7 +186,6 @@
 awaitable<HttpResponse> MetadataServer::Write(const HttpRequest& request,
                                               DocumentKind kind,
                                               std::string name) {
-  constexpr std::string_view kStatus = "/status";
   if (request.method == "DELETE") {
     const Result<void> removed =
         co_await m_store.Remove(kind, DocumentName(name));
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -37,8 +37,8 @@
 };
 
 /// \class ModelServer
-/// \brief A backend server that speaks the platform's protocol: numbered events,
-/// resumption, signatures, and the faults of ModelBehaviour.
+/// \brief A backend server that speaks the platform's protocol: numbered
+/// events, resumption, signatures, and the faults of ModelBehaviour.
 class ModelServer {
  public:
   ModelServer(boost::asio::io_context& context, std::string id);
