Gateway: what the daemon hears from the store in a file of its own

Change: watchers, polls and the documents they bring moved to gateway_daemon_store.cc; no behaviour changed.

--- /dev/null
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -0,0 +1,278 @@
+#include "Gateway/gateway_daemon.h"
+
+// What a GatewayDaemon hears from the platform's store.
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/overloaded.h"
+#include "Gateway/peer_documents.h"
+#include "Jobs/job_documents.h"
+#include "platform/backend_entry.h"
+#include "platform/configuration_entry.h"
+#include "platform/wire_names.h"
+
+namespace cowslip {
+
+namespace {
+
+// A change that a dropped watch has missed is seen within this time and the
+// patience of DivergenceDetector: together below the two seconds in which
+// configurations and drains must be in force.
+constexpr Duration kPollInterval = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+std::shared_ptr<DocumentWatcher> GatewayDaemon::Watch(
+    const char* kind,
+    DocumentWatcherEvents events) {
+  const std::string name = kind;
+  events.failed = [this, name](const Error& error) {
+    m_log.Write("watch_failed", {{"kind", name}, {"why", error.message}});
+  };
+  events.lost = [this, name,
+                 lost = std::move(events.lost)](const Error& error) {
+    m_log.Write("store_lost", {{"kind", name}, {"why", error.message}});
+    if (lost) {
+      lost(error);
+    }
+  };
+  events.regained = [this, name, regained = std::move(events.regained)] {
+    m_log.Write("store_regained", {{"kind", name}});
+    if (regained) {
+      regained();
+    }
+  };
+  auto watcher = std::make_shared<DocumentWatcher>(
+      m_context.get_executor(), m_store,
+      DocumentWatcherOptions{.kind = DocumentKind(name),
+                             .seed = m_options.incarnation.value()},
+      std::move(events));
+  watcher->Start();
+  return watcher;
+}
+
+// The live processes poll the store in turn, one each kPollInterval, so that
+// the number of calls does not grow with the fleet.
+Duration GatewayDaemon::UntilMyTurn() const {
+  const std::vector<VmId> live = m_peers.Live();
+  const auto self = std::find(live.begin(), live.end(), m_settings.vm);
+  const int64_t turn = std::distance(live.begin(), self);
+  const Duration round =
+      kPollInterval * static_cast<int64_t>(std::max<size_t>(live.size(), 1));
+  const Duration now = WallNow().time_since_epoch();
+  const Duration left = (kPollInterval * turn - now % round + round) % round;
+  return left < kPollInterval / 2 ? left + round : left;
+}
+
+void GatewayDaemon::PollInTurn() {
+  m_poll_timer.expires_after(UntilMyTurn());
+  m_poll_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error || m_stopped) {
+      return;
+    }
+    for (const auto& watcher :
+         {m_configuration_watcher, m_backend_watcher, m_job_watcher}) {
+      watcher->Poll();
+    }
+    PollInTurn();
+  });
+}
+
+void GatewayDaemon::CompareDigests(const DivergenceEvent& event) {
+  const std::vector<DocumentWatcher*> followed = {m_configuration_watcher.get(),
+                                                  m_backend_watcher.get(),
+                                                  m_job_watcher.get()};
+  const std::vector<DivergenceAction> actions =
+      m_divergence.Handle(event, MonotonicClock::now());
+  for (const DivergenceAction& action : actions) {
+    const size_t kind = std::get<RefreshKind>(action).kind;
+    m_log.Write("store_view_differs", {{"kind", kind}});
+    followed[kind]->Refresh();
+  }
+}
+
+StoreDigests GatewayDaemon::OwnStoreDigests() const {
+  return {m_configuration_watcher->digest(), m_backend_watcher->digest(),
+          m_job_watcher->digest()};
+}
+
+void GatewayDaemon::StartWatchers() {
+  m_configuration_watcher = Watch(
+      platform::kConfigurationKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             for (const Document& document : documents) {
+               TakeConfiguration(document);
+             }
+           },
+       .changed =
+           [this](const DocumentChange& change) {
+             if (!change.removed) {
+               TakeConfiguration(change.document);
+             }
+           },
+       .lost =
+           [this](const Error&) { m_gateway.configuration_is_current = false; },
+       .regained = [this] { m_gateway.configuration_is_current = true; }});
+  m_backend_watcher = Watch(
+      platform::kBackendKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakeBackends(documents);
+           },
+       .changed = [this](const DocumentChange& change) { TakeBackend(change); },
+       .lost = [this](const Error&) { TellDirectory(DirectoryStoreLost{}); },
+       .regained = [this] { TellDirectory(DirectoryStoreRegained{}); }});
+  m_peer_watcher = Watch(
+      kPeerKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakePeers(documents);
+           },
+       .changed =
+           [this](const DocumentChange& change) { TakePeerChange(change); }});
+  m_job_watcher = Watch(
+      kJobKind,
+      {.listed =
+           [this](const std::vector<Document>& documents) {
+             TakeJobs(documents);
+           },
+       .changed =
+           [this](const DocumentChange& change) {
+             if (change.removed) {
+               m_runner.Forgotten(JobKey(change.document.name.value()));
+             } else {
+               m_runner.Seen(change.document);
+             }
+           },
+       .lost = [this](const Error&) { m_gateway.jobs_are_current = false; },
+       .regained = [this] { m_gateway.jobs_are_current = true; }});
+}
+
+void GatewayDaemon::TakeJobs(const std::vector<Document>& documents) {
+  for (const Document& document : documents) {
+    m_runner.Seen(document);
+  }
+  m_jobs_known = true;
+  ConsiderActivation();
+}
+
+void GatewayDaemon::ConsiderActivation() {
+  if (m_registered && m_peers_known && m_jobs_known) {
+    m_runner.Tell(BoardActivated{});
+  }
+}
+
+void GatewayDaemon::TakeConfiguration(const Document& document) {
+  if (document.name.value() != platform::kConfigurationName) {
+    return;
+  }
+  Result<FleetConfigurationParts> parts =
+      platform::DecodeConfiguration(document.content);
+  if (!parts.has_value()) {
+    m_log.Write("configuration_rejected", {{"why", parts.error().message}});
+    return;
+  }
+  const ConfigVersion version = parts.value().version;
+  const auto& old = m_gateway.configuration;
+  if (old != nullptr && version <= old->version()) {
+    return;
+  }
+  m_gateway.configuration =
+      std::make_shared<const FleetConfiguration>(std::move(parts.value()));
+  const FleetConfiguration& now = *m_gateway.configuration;
+  QuotasChanged quotas;
+  for (const FleetOrganisation& organisation : now.organisations()) {
+    quotas.quotas.push_back(
+        {organisation.id, organisation.rate, organisation.burst});
+  }
+  m_quota.Handle(quotas, MonotonicClock::now());
+  for (const FleetService& service : now.services()) {
+    m_dispatcher.SetMaxConnections(service.id, service.max_connections);
+  }
+  const CallerLimits& limits = now.limits();
+  m_callers->SetLimits(
+      HttpServerLimits{.max_header_bytes = limits.max_header_bytes,
+                       .max_body_bytes = limits.max_body_bytes,
+                       .read_timeout = limits.header_timeout * 4,
+                       .idle_timeout = limits.idle_timeout});
+  m_log.Write("configuration_in_force",
+              {{"version", version.value()},
+               {"organisations", now.organisations().size()}});
+  m_gossip->StateChanged();
+}
+
+void GatewayDaemon::TakeBackends(const std::vector<Document>& documents) {
+  BackendsListed listed;
+  for (const Document& document : documents) {
+    const auto backend = platform::DecodeBackend(document);
+    if (backend.has_value()) {
+      listed.backends.push_back(*backend);
+    } else {
+      m_log.Write("backend_entry_unreadable",
+                  {{"entry", document.name.value()}});
+    }
+  }
+  m_backends_known = true;
+  TellDirectory(listed);
+}
+
+void GatewayDaemon::TakeBackend(const DocumentChange& change) {
+  const auto backend = platform::DecodeBackend(change.document);
+  if (!change.removed && backend.has_value()) {
+    TellDirectory(BackendEntryWritten{*backend});
+    return;
+  }
+  if (!change.removed) {
+    m_log.Write("backend_entry_unreadable",
+                {{"entry", change.document.name.value()}});
+  }
+  TellDirectory(BackendEntryRemoved{BackendId(change.document.name.value())});
+}
+
+void GatewayDaemon::TellDirectory(const DirectoryEvent& event) {
+  const std::vector<DirectoryAction> actions =
+      m_directory.Handle(event, MonotonicClock::now());
+  for (const DirectoryAction& action : actions) {
+    std::visit(Overloaded{[&](const BackendUsable& usable) {
+                            m_log.Write(
+                                "backend_usable",
+                                {{"backend", usable.backend.id.value()},
+                                 {"address", usable.backend.address.ToString()},
+                                 {"draining", usable.backend.draining}});
+                            m_dispatcher.Tell(BackendAdded{usable.backend});
+                          },
+                          [&](const BackendUnusable& unusable) {
+                            m_log.Write("backend_unusable",
+                                        {{"backend", unusable.id.value()}});
+                            m_dispatcher.Tell(BackendDropped{unusable.id});
+                          }},
+               action);
+  }
+}
+
+void GatewayDaemon::TakePeers(const std::vector<Document>& documents) {
+  m_peer_records.clear();
+  for (const Document& document : documents) {
+    const auto record = DecodePeer(document);
+    if (record.has_value()) {
+      m_peer_records[record->vm] = *record;
+    }
+  }
+  m_peers_known = true;
+  ShowPeers();
+  ConsiderActivation();
+}
+
+void GatewayDaemon::TakePeerChange(const DocumentChange& change) {
+  const auto record = DecodePeer(change.document);
+  if (change.removed || !record.has_value()) {
+    m_peer_records.erase(VmId(change.document.name.value()));
+  } else {
+    m_peer_records[record->vm] = *record;
+  }
+  ShowPeers();
+}
+
+}  // namespace cowslip
