Jobs, Placement: one loop gives items up; the median pace once a placement

Cause: read of the whole change: JobRouteGone repeated the loop of GiveUpItems, and each placement worked out a service's median pace once for every backend server. Change: both callers use GiveUpPending; PlaceBelow works the median out once. Behaviour is unchanged.

--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -346,9 +346,12 @@
 }
 
 void JobBoard::GiveUpItems(Job& job, JobTime now) {
-  if (job.hold != Hold::kOpen || now.wall < job.record.definition.give_up) {
-    return;
+  if (job.hold == Hold::kOpen && now.wall >= job.record.definition.give_up) {
+    GiveUpPending(job, now);
   }
+}
+
+void JobBoard::GiveUpPending(Job& job, JobTime now) {
   std::vector<ItemId> given_up;
   for (const auto& [id, item] : job.items) {
     if (item.phase == ItemPhase::kPending) {
@@ -365,15 +368,7 @@
   if (job == nullptr || job->hold != Hold::kOpen) {
     return;
   }
-  std::vector<ItemId> given_up;
-  for (const auto& [id, item] : job->items) {
-    if (item.phase == ItemPhase::kPending) {
-      given_up.push_back(id);
-    }
-  }
-  for (const ItemId& id : given_up) {
-    EndItem(*job, id, ItemState::kDeadLettered, now);
-  }
+  GiveUpPending(*job, now);
 }
 
 void JobBoard::Apply(const BoardTick&, JobTime now) {
--- a/Source/Jobs/job_board.h
+++ b/Source/Jobs/job_board.h
@@ -259,7 +259,9 @@
   void Close(Job& job);
   void StopItems(Job& job);
   void EndItem(Job& job, const ItemId& id, ItemState state, JobTime now);
+  /// At the end of the job's retention.
   void GiveUpItems(Job& job, JobTime now);
+  void GiveUpPending(Job& job, JobTime now);
   void ConsiderWriting(Job& job, JobTime now);
   void ConsiderFinish(Job& job);
   void ConsiderHandBack(Job& job);
--- a/Source/Placement/placing_core.cc
+++ b/Source/Placement/placing_core.cc
@@ -166,8 +166,7 @@
   return *middle;
 }
 
-bool PlacingCore::IsSlow(const Backend& backend) const {
-  const double median = MedianPace(backend.record.service);
+bool PlacingCore::IsSlow(const Backend& backend, double median) const {
   return median > 0 && backend.pace > median * m_options.slow_factor;
 }
 
@@ -178,6 +177,7 @@
   // Lower is better, element by element.
   using Order = std::tuple<bool, bool, bool, double, uint64_t>;
   std::optional<std::pair<Order, BackendId>> best;
+  const double median = MedianPace(query.service);
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
     if (record.service != query.service || !IsUsable(backend, now) ||
@@ -190,8 +190,9 @@
     const std::string& seed = query.shared_prompt.empty()
                                   ? m_options.self.value()
                                   : query.shared_prompt;
-    const Order order(!has_slot, IsSlow(backend), record.zone != m_options.zone,
-                      load, ~RendezvousScore(seed, id.value()));
+    const Order order(!has_slot, IsSlow(backend, median),
+                      record.zone != m_options.zone, load,
+                      ~RendezvousScore(seed, id.value()));
     if (!best.has_value() || order < best->first) {
       best = {order, id};
     }
--- a/Source/Placement/placing_core.h
+++ b/Source/Placement/placing_core.h
@@ -197,7 +197,7 @@
   void Apply(const PeerUseForgotten& event, MonotonicTime now);
   void Smooth(double& average, Duration sample) const;
   bool IsUsable(const Backend& backend, MonotonicTime now) const;
-  bool IsSlow(const Backend& backend) const;
+  bool IsSlow(const Backend& backend, double median) const;
   double MedianPace(const ServiceId& service) const;
   template <class Limit>
   std::optional<BackendId> PlaceBelow(const PlacementQuery& query,
