Jobs: what was read under one ownership never serves a later one

Change: an opening is dropped when the job's document has changed meanwhile, and a log is used again only under the fencing number of the present ownership. The metadata stand-in can answer slowly; gateway.jobs "A job that changes owners while it is opened is finished" failed before.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -266,14 +266,22 @@
   Wake();
 }
 
+bool JobRunner::HasRead(const JobRecord& record) const {
+  const auto found = m_open.find(record.key);
+  return found != m_open.end() &&
+         found->second.items.size() == record.definition.items.size() &&
+         found->second.results->fence() == FenceOf(record);
+}
+
 awaitable<Result<void>> JobRunner::ReadJob(JobKey job) {
   const JobRecord* record = m_board.Find(job);
-  const auto found = m_open.find(job);
-  if (record == nullptr ||
-      (found != m_open.end() &&
-       found->second.items.size() == record->definition.items.size())) {
+  if (record == nullptr || HasRead(*record)) {
     co_return Ok();
   }
+  if (!m_board.Owns(*record)) {
+    co_return Error(ErrorKind::kConflict,
+                    "Another process owns the job by now.");
+  }
   const JobDefinition definition = record->definition;
   const FencingNumber fence = FenceOf(*record);
   OpenedJob opened;
@@ -302,6 +310,13 @@
   if (!results.has_value()) {
     co_return results.error();
   }
+  // Meanwhile other processes may have owned the job. What was read then must
+  // not serve a later ownership of this process: its claim counts no longer.
+  record = m_board.Find(job);
+  if (record == nullptr || FenceOf(*record) != fence) {
+    co_return Error(ErrorKind::kConflict,
+                    "The job's document has changed. Read the job again.");
+  }
   m_open[job] = std::move(opened);
   co_return Ok();
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -86,6 +86,9 @@
   boost::asio::awaitable<void> Claim(JobKey job);
   boost::asio::awaitable<void> Open(JobKey job);
   boost::asio::awaitable<Result<void>> ReadJob(JobKey job);
+  /// Whether the job's items and results are here, claimed as of that version
+  /// of its document.
+  bool HasRead(const JobRecord& record) const;
   /// Reads the job's document, because another owner has shown up.
   boost::asio::awaitable<void> ReadRecord(JobKey job);
   boost::asio::awaitable<void> Write(JobKey job,
--- a/Source/Jobs/result_log.h
+++ b/Source/Jobs/result_log.h
@@ -31,6 +31,7 @@
   ResultLog(DocumentStore& store, JobKey key, FencingNumber fence);
 
   const std::vector<ItemResult>& results() const { return m_results; }
+  FencingNumber fence() const { return m_fence; }
   bool Contains(const ItemId& item) const { return m_items.contains(item); }
   size_t bytes() const { return m_bytes; }
   /// False from the moment a write begins until its outcome is known: other
--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -259,6 +259,41 @@
   });
 }
 
+// Names a gateway the job's owner, as its claim would.
+awaitable<void> NameOwner(GatewayFixture& f, const char* job, size_t gateway) {
+  const Document* known = f.store.Find(kJobKind, job);
+  JobStatus status = DecodeJob(*known)->status;
+  status.owner = VmId("gateway-" + std::to_string(gateway));
+  status.incarnation = Incarnation(100 + gateway);
+  const DocumentKind kind(kJobKind);
+  const DocumentName name(job);
+  const ObjectVersion version = known->version;
+  nlohmann::json encoded = EncodeStatus(status);
+  const auto written =
+      co_await f.store.ReplaceStatus(kind, name, std::move(encoded), version);
+  CHECK(written.has_value());
+}
+
+TEST_CASE("A job that changes owners while it is opened is finished") {
+  RunJobs([](GatewayFixture& f) -> awaitable<void> {
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().events = 40;
+      f.backend(i).behaviour().pause = 20ms;
+    }
+    CHECK(co_await SubmitTo(f, 0, "j1", 4) == 202);
+    co_await f.Sleep(50ms);
+    // Gateway 1 hears of the second change before it has read the job.
+    f.server.SetFault(ServerFault::kSlow, kInputKind);
+    co_await NameOwner(f, "j1.mill", 1);
+    co_await f.Sleep(kSlowAnswer / 3);
+    co_await NameOwner(f, "j1.mill", 0);
+    co_await f.Sleep(kSlowAnswer * 3);
+    f.server.SetFault(ServerFault::kNone);
+    co_await NameOwner(f, "j1.mill", 1);
+    CheckWhole(co_await f.ReadAll(1, "j1"), 4, 40);
+  });
+}
+
 TEST_CASE("A bad submission is refused whole") {
   RunJobs([](GatewayFixture& f) -> awaitable<void> {
     HttpRequest request = f.Request("POST", "/job/x", "j1", "{\"items\":[]}");
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -90,6 +90,10 @@
 
 awaitable<void> MetadataServer::Handle(HttpExchange& exchange) {
   const HttpRequest request = exchange.request();
+  if (FaultFor(request) == ServerFault::kSlow) {
+    boost::asio::steady_timer pause(m_context, kSlowAnswer);
+    co_await pause.async_wait(boost::asio::use_awaitable);
+  }
   if (FaultFor(request) == ServerFault::kReset) {
     exchange.Abort();
     co_return;
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -23,8 +23,13 @@
   kLoseAnswers,
   /// Watches that wait hear nothing any more; other calls are answered.
   kDeafWatches,
+  /// Answers after kSlowAnswer.
+  kSlow,
 };
 
+/// How long a slow server takes.
+inline constexpr Duration kSlowAnswer = std::chrono::milliseconds(150);
+
 /// \class MetadataServer
 /// \brief Speaks the platform's metadata protocol over HTTP, for a
 /// FakeDocumentStore.
