Gateway: requests that crash backend servers are held back

The crash registry of the product's own entry needs a gate that lets a suspect run alone, which the platform does not have. Change: BrokenRunLedger counts runs that broke off per fingerprint, over all gateways (datagram layout 4), and clears a request by a whole run. Three broken runs hold the request back with 503.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -13,6 +13,7 @@
 
 namespace cowslip {
 
+class BrokenRunLedger;
 class Dispatcher;
 class EventLog;
 class FleetConfiguration;
@@ -25,6 +26,7 @@
   boost::asio::io_context& io;
   Dispatcher& dispatcher;
   QuotaCore& quota;
+  BrokenRunLedger& broken_runs;
   EventLog& log;
   GatewayMetrics& metrics;
   /// The configuration in force; null before the first one.
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -62,6 +62,7 @@
       m_gateway{.io = context,
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
+                .broken_runs = m_broken_runs,
                 .log = m_log,
                 .metrics = m_metrics,
                 .usage_changed = [this] { m_gossip->StateChanged(); }},
@@ -208,6 +209,8 @@
   const MonotonicTime now = MonotonicClock::now();
   m_quota.Handle(UsageReported{message.vm, message.incarnation, message.usage},
                  now);
+  m_broken_runs.Handle(PeerBrokenRunsReported{message.vm, message.broken_runs},
+                       now);
   m_dispatcher.Tell(PeerUseReported{message.vm, message.in_flight});
   m_runner.Wake();
   if (message.reaches_store) {
@@ -218,13 +221,15 @@
 }
 
 PeerMessage GatewayDaemon::ComposePeerMessage() const {
-  PeerMessage message{.vm = m_settings.vm,
-                      .incarnation = m_options.incarnation,
-                      .draining = m_shutting_down,
-                      .reaches_store = m_store.reaches_store(),
-                      .digests = OwnStoreDigests(),
-                      .usage = m_quota.Usage(),
-                      .in_flight = m_dispatcher.placing().InFlight()};
+  PeerMessage message{
+      .vm = m_settings.vm,
+      .incarnation = m_options.incarnation,
+      .draining = m_shutting_down,
+      .reaches_store = m_store.reaches_store(),
+      .digests = OwnStoreDigests(),
+      .usage = m_quota.Usage(),
+      .in_flight = m_dispatcher.placing().InFlight(),
+      .broken_runs = m_broken_runs.Recent(MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -25,6 +25,7 @@
 #include "Peers/peer_table.h"
 #include "Placement/backend_directory.h"
 #include "Platform/document_watcher.h"
+#include "Placement/broken_run_ledger.h"
 #include "Platform/relayed_store.h"
 #include "Quota/quota_core.h"
 #include "platform/store_client.h"
@@ -112,6 +113,7 @@
   std::map<VmId, PeerRecord> m_peer_records;
   BackendDirectory m_directory;
   std::unique_ptr<PeerGossip> m_gossip;
+  BrokenRunLedger m_broken_runs{BrokenRunLedgerOptions{}};
   Dispatcher m_dispatcher;
   GatewayContext m_gateway;
   JobBoard m_board;
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -11,6 +11,7 @@
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/problem_response.h"
 #include "Net/http_exchange.h"
+#include "Placement/broken_run_ledger.h"
 #include "platform/request_headers.h"
 
 namespace cowslip {
@@ -27,6 +28,10 @@
 // events stay below half a second; callers give up after two seconds.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
 
+// How long a request that crashes backend servers stays held back, see
+// BrokenRunLedgerOptions.
+constexpr Duration kHarmfulRetry = BrokenRunLedgerOptions{}.lifetime;
+
 // The largest answer other than a success that is passed on.
 constexpr size_t kMaxFailureBytes = 1 << 20;
 
@@ -101,6 +106,9 @@
 awaitable<void> RelaySession::Run() {
   WatchCaller();
   while (!*m_stopped) {
+    if (IsHarmful()) {
+      break;
+    }
     OnlinePlacement placement{.service = m_request.service,
                               .shared_prompt = m_request.caller.shared_prompt,
                               .exclude = m_tried,
@@ -169,6 +177,17 @@
     m_exchange.Abort();
     co_return;
   }
+  if (m_in_doubt == 0 && IsHarmful()) {
+    Problem problem{.kind = ProblemKind::kHeldBack,
+                    .detail =
+                        "Backend servers broke off whenever they ran "
+                        "this request. Change it before sending it "
+                        "again.",
+                    .not_run = true,
+                    .retry_after = kHarmfulRetry};
+    co_await Refuse(std::move(problem));
+    co_return;
+  }
   if (m_in_doubt == 0) {
     const Duration retry_after = m_gateway.dispatcher.refusing().ReturnTime(
         std::max(Left(), Duration::zero()));
@@ -232,6 +251,31 @@
   return AttemptEnd::kInDoubt;
 }
 
+RelaySession::AttemptEnd RelaySession::Broken(AttemptLease& lease,
+                                              const Error& error) {
+  // Silence has many causes; a connection that ends has mostly one.
+  if (!*m_stopped && error.kind() == ErrorKind::kInDoubt) {
+    m_gateway.broken_runs.Handle(RunBroken{RequestFingerprint()},
+                                 MonotonicClock::now());
+  }
+  return InDoubt(lease, error.message);
+}
+
+const Fingerprint& RelaySession::RequestFingerprint() {
+  if (!m_fingerprint.has_value()) {
+    const HttpRequest& request = m_exchange.request();
+    m_fingerprint =
+        FingerprintOf(m_request.organisation, request.target, request.body);
+  }
+  return *m_fingerprint;
+}
+
+bool RelaySession::IsHarmful() {
+  return !m_gateway.broken_runs.empty() &&
+         m_gateway.broken_runs.IsHarmful(RequestFingerprint(),
+                                         MonotonicClock::now());
+}
+
 RelaySession::AttemptEnd RelaySession::NotRun(AttemptLease& lease,
                                               AttemptOutcome outcome,
                                               const std::string& why) {
@@ -269,7 +313,7 @@
     if (error.kind() == ErrorKind::kUnavailable) {
       co_return NotRun(lease, AttemptOutcome::kFailed, error.message);
     }
-    co_return InDoubt(lease, error.message);
+    co_return Broken(lease, error);
   }
   m_answer = std::move(opened.value());
   co_return co_await ReadAnswer(lease);
@@ -334,7 +378,7 @@
     Result<std::optional<std::string>> piece =
         co_await m_answer->ReadSome(timeout);
     if (!piece.has_value()) {
-      co_return InDoubt(lease, piece.error().message);
+      co_return Broken(lease, piece.error());
     }
     if (!piece.value().has_value()) {
       break;
@@ -446,6 +490,10 @@
 void RelaySession::NoteCompleted(AttemptLease& lease) {
   lease.SetOutcome(AttemptOutcome::kCompleted);
   m_gateway.metrics.AttemptEnded("completed");
+  if (!m_gateway.broken_runs.empty()) {
+    m_gateway.broken_runs.Handle(RunCompleted{RequestFingerprint()},
+                                 MonotonicClock::now());
+  }
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.dispatcher.Tell(
       SlotTimeSeen{lease.backend(), now - m_attempt_began});
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -82,6 +82,11 @@
   Duration Left() const;
   Duration StallTimeout() const;
   AttemptEnd InDoubt(AttemptLease& lease, const std::string& why);
+  /// The response did not come, or not to its end.
+  AttemptEnd Broken(AttemptLease& lease, const Error& error);
+  /// Whether the request is known to crash backend servers.
+  bool IsHarmful();
+  const Fingerprint& RequestFingerprint();
   AttemptEnd NotRun(AttemptLease& lease,
                     AttemptOutcome outcome,
                     const std::string& why);
@@ -116,6 +121,8 @@
   uint32_t m_not_run = 0;
   std::set<BackendId> m_tried;
   BackendId m_last_backend;
+  // Computed when it is first needed.
+  std::optional<Fingerprint> m_fingerprint;
   std::string m_last_failure;
 };
 
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 // Changes when the layout below does; other layouts are not understood.
-constexpr uint64_t kLayout = 3;
+constexpr uint64_t kLayout = 4;
 // The largest payload of a UDP datagram over IPv4.
 constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
 
@@ -33,6 +33,10 @@
                                  use.at(1).get<uint32_t>(),
                                  use.at(2).get<uint32_t>()});
   }
+  for (const json& runs : fields.at(10)) {
+    message.broken_runs.push_back({Fingerprint(runs.at(0).get<std::string>()),
+                                   runs.at(1).get<uint32_t>()});
+  }
   return message;
 }
 
@@ -47,11 +51,15 @@
   for (const BackendUse& use : message.in_flight) {
     in_flight.push_back({use.backend.value(), use.online, use.batch});
   }
-  return ToCbor(
-      json::array({kLayout, message.vm.value(), message.incarnation.value(),
-                   message.sequence, message.configuration.value(),
-                   message.draining, message.reaches_store, message.digests,
-                   std::move(usage), std::move(in_flight)}));
+  json broken_runs = json::array();
+  for (const BrokenRuns& runs : message.broken_runs) {
+    broken_runs.push_back({runs.fingerprint.value(), runs.count});
+  }
+  return ToCbor(json::array(
+      {kLayout, message.vm.value(), message.incarnation.value(),
+       message.sequence, message.configuration.value(), message.draining,
+       message.reaches_store, message.digests, std::move(usage),
+       std::move(in_flight), std::move(broken_runs)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Base/fingerprint.h"
 #include "Base/ids.h"
 #include "Base/result.h"
 #include "Fleet/backend_record.h"
@@ -22,6 +23,13 @@
   uint32_t batch = 0;
 };
 
+/// \class BrokenRuns
+/// \brief Runs of one request that one process saw break off.
+struct BrokenRuns {
+  Fingerprint fingerprint;
+  uint32_t count = 0;
+};
+
 /// \class PeerMessage
 /// \brief What the processes tell each other in every datagram. It holds whole
 /// values, no differences, so that lost and repeated datagrams do no harm.
@@ -40,6 +48,7 @@
   StoreDigests digests;
   std::vector<OrganisationUsage> usage;
   std::vector<BackendUse> in_flight;
+  std::vector<BrokenRuns> broken_runs;
 };
 
 /// Encodes to CBOR.
--- /dev/null
+++ b/Source/Placement/broken_run_ledger.cc
@@ -0,0 +1,88 @@
+#include "Placement/broken_run_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslip {
+
+BrokenRunLedger::BrokenRunLedger(BrokenRunLedgerOptions options)
+    : m_options(options) {}
+
+void BrokenRunLedger::Handle(const BrokenRunEvent& event, MonotonicTime now) {
+  std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
+  MakeRoom(now);
+}
+
+void BrokenRunLedger::Apply(const RunBroken& event, MonotonicTime now) {
+  Record& record = m_records[event.fingerprint];
+  ++record.own;
+  record.own_newest = now;
+  record.newest = now;
+}
+
+void BrokenRunLedger::Apply(const RunCompleted& event, MonotonicTime) {
+  m_records.erase(event.fingerprint);
+}
+
+void BrokenRunLedger::Apply(const PeerBrokenRunsReported& event,
+                            MonotonicTime now) {
+  for (const BrokenRuns& runs : event.runs) {
+    Record& record = m_records[runs.fingerprint];
+    uint32_t& known = record.peers[event.vm];
+    if (runs.count > known) {
+      known = runs.count;
+      record.newest = now;
+    }
+  }
+}
+
+bool BrokenRunLedger::IsHarmful(const Fingerprint& fingerprint,
+                                MonotonicTime now) const {
+  const auto found = m_records.find(fingerprint);
+  if (found == m_records.end() ||
+      now - found->second.newest > m_options.lifetime) {
+    return false;
+  }
+  uint32_t count = found->second.own;
+  for (const auto& [vm, seen] : found->second.peers) {
+    count += seen;
+  }
+  return count >= m_options.limit;
+}
+
+std::vector<BrokenRuns> BrokenRunLedger::Recent(MonotonicTime now) const {
+  std::vector<std::pair<MonotonicTime, BrokenRuns>> recent;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (record.own > 0 && now - record.own_newest <= m_options.report_time) {
+      recent.push_back({record.own_newest, {fingerprint, record.own}});
+    }
+  }
+  std::sort(recent.begin(), recent.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<BrokenRuns> reported;
+  for (auto& [seen, runs] : recent) {
+    if (reported.size() == m_options.max_reported) {
+      break;
+    }
+    reported.push_back(std::move(runs));
+  }
+  return reported;
+}
+
+void BrokenRunLedger::MakeRoom(MonotonicTime now) {
+  if (m_records.size() <= m_options.max_records) {
+    return;
+  }
+  std::erase_if(m_records, [&](const auto& record) {
+    return now - record.second.newest > m_options.lifetime;
+  });
+  while (m_records.size() > m_options.max_records) {
+    const auto oldest = std::min_element(
+        m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
+          return a.second.newest < b.second.newest;
+        });
+    m_records.erase(oldest);
+  }
+}
+
+}  // namespace cowslip
--- a/Source/Requests/problem.cc
+++ b/Source/Requests/problem.cc
@@ -31,6 +31,8 @@
     {ProblemKind::kOverloaded, 503, "overloaded", "Overloaded"},
     {ProblemKind::kQuarantined, 422, "quarantined",
      "The request crashes backend servers"},
+    {ProblemKind::kHeldBack, 503, "held-back",
+     "Backend servers broke off on this request"},
     {ProblemKind::kBackendFailed, 502, "backend-failed",
      "The backend server failed"},
     {ProblemKind::kDeadlinePassed, 504, "deadline-passed",
--- a/Source/Requests/problem.h
+++ b/Source/Requests/problem.h
@@ -23,6 +23,7 @@
   kNoBackend,
   kOverloaded,
   kQuarantined,
+  kHeldBack,
   kBackendFailed,
   kDeadlinePassed,
   kAlreadyClaimed,
--- a/Source/Requests/request_core.cc
+++ b/Source/Requests/request_core.cc
@@ -50,7 +50,7 @@
   request.arrival = event;
   request.deadline = m_now + event.timeout;
   request.fingerprint =
-      FingerprintOf(event.organisation, event.route, event.body);
+      FingerprintOf(event.organisation, event.route.value(), event.body);
   m_deadlines.insert({request.deadline, event.request});
   if (m_crashes.Judge(request.fingerprint, m_now) ==
       CrashRegistry::Verdict::kQuarantined) {
--- a/Source/Routing/crash_registry.cc
+++ b/Source/Routing/crash_registry.cc
@@ -2,32 +2,8 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
-
 namespace cowslip {
 
-namespace {
-
-constexpr char kHex[] = "0123456789abcdef";
-
-}  // namespace
-
-Fingerprint FingerprintOf(const OrganisationId& organisation,
-                          const RouteId& route,
-                          std::string_view body) {
-  std::string text = organisation.value() + '\0' + route.value() + '\0';
-  text += body;
-  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-  XXH128_canonical_t canonical;
-  XXH128_canonicalFromHash(&canonical, hash);
-  std::string hex;
-  for (const unsigned char byte : canonical.digest) {
-    hex += kHex[byte >> 4];
-    hex += kHex[byte & 15];
-  }
-  return Fingerprint(hex);
-}
-
 CrashRegistry::CrashRegistry(CrashRegistryOptions options)
     : m_options(options) {}
 
--- a/Source/Routing/crash_registry.h
+++ b/Source/Routing/crash_registry.h
@@ -4,24 +4,15 @@
 #include <chrono>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
-#include "Base/ids.h"
+#include "Base/fingerprint.h"
 #include "Base/time.h"
 
 namespace cowslip {
 
-/// Names one request by organisation, route and body.
-using Fingerprint = StrongId<struct FingerprintTag>;
-
-/// Computes the fingerprint of a request.
-Fingerprint FingerprintOf(const OrganisationId& organisation,
-                          const RouteId& route,
-                          std::string_view body);
-
 /// The peer link channel on which entries tell each other of crashes.
 inline constexpr char kCrashChannel[] = "crash";
 
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -367,5 +367,36 @@
   });
 }
 
+TEST_CASE("A request that crashes backend servers is held back everywhere") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    ForAll(f, [](ModelBehaviour& b) { b.silent_closes = 100; });
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = "a" + std::to_string(i);
+      HttpRequest request = f.Request("POST", "/unsafe/x", id, "poison");
+      const auto response = co_await f.Send(0, std::move(request));
+      REQUIRE(response.has_value());
+      CHECK(response.value().status == 502);
+    }
+    co_await f.Sleep(400ms);
+    ForAll(f, [](ModelBehaviour& b) { b.silent_closes = 0; });
+    for (size_t gateway = 0; gateway < 2; ++gateway) {
+      HttpRequest request = f.Request("POST", "/unsafe/x", "a9", "poison");
+      const auto response = co_await f.Send(gateway, std::move(request));
+      REQUIRE(response.has_value());
+      CHECK(response.value().status == 503);
+      CHECK(FindHeader(response.value().headers, "Retry-After").has_value());
+    }
+    CHECK(TotalRequests(f) == 3);
+    HttpRequest request = f.Request("POST", "/unsafe/x", "a10", "another");
+    const auto response = co_await f.Send(1, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 200);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -110,6 +110,8 @@
       message.usage.push_back({OrganisationId(std::to_string(count)), count});
       message.in_flight.push_back(
           {BackendId(std::to_string(count)), count, count / 2});
+      message.broken_runs.push_back(
+          {Fingerprint(std::to_string(count)), count});
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
@@ -117,6 +119,7 @@
     RC_ASSERT(decoded.value().sequence == sequence);
     RC_ASSERT(decoded.value().usage.size() == counts.size());
     RC_ASSERT(decoded.value().in_flight.size() == counts.size());
+    RC_ASSERT(decoded.value().broken_runs.size() == counts.size());
   });
 }
 
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "Placement/backend_directory.h"
+#include "Placement/broken_run_ledger.h"
 #include "Placement/placing_core.h"
 #include "Placement/refusing_core.h"
 #include "Placement/waiting_core.h"
@@ -261,5 +262,51 @@
   CHECK(waiting.size() == 0);
 }
 
+const Fingerprint kPrint("f");
+
+TEST_CASE(
+    "Broken runs add up over the processes until the request is harmful") {
+  BrokenRunLedger ledger({});
+  ledger.Handle(RunBroken{kPrint}, At(0s));
+  ledger.Handle(RunBroken{kPrint}, At(1s));
+  CHECK_FALSE(ledger.IsHarmful(kPrint, At(1s)));
+  const PeerBrokenRunsReported report{VmId("vm-c"), {{kPrint, 1}}};
+  ledger.Handle(report, At(2s));
+  CHECK(ledger.IsHarmful(kPrint, At(2s)));
+  CHECK_FALSE(ledger.IsHarmful(Fingerprint("g"), At(2s)));
+  CHECK_FALSE(ledger.IsHarmful(kPrint, At(20min)));
+}
+
+TEST_CASE("A report that is repeated counts once") {
+  BrokenRunLedger ledger({});
+  for (int i = 0; i < 5; ++i) {
+    ledger.Handle(PeerBrokenRunsReported{VmId("vm-c"), {{kPrint, 2}}}, At(0s));
+  }
+  CHECK_FALSE(ledger.IsHarmful(kPrint, At(0s)));
+}
+
+TEST_CASE("A whole run clears the request") {
+  BrokenRunLedger ledger({});
+  for (int i = 0; i < 3; ++i) {
+    ledger.Handle(RunBroken{kPrint}, At(0s));
+  }
+  CHECK(ledger.IsHarmful(kPrint, At(0s)));
+  ledger.Handle(RunCompleted{kPrint}, At(1s));
+  CHECK_FALSE(ledger.IsHarmful(kPrint, At(1s)));
+}
+
+TEST_CASE("Only newly broken runs are reported, and memory is bounded") {
+  BrokenRunLedger ledger({.max_reported = 2, .max_records = 3});
+  for (int i = 0; i < 5; ++i) {
+    const Duration since_start = std::chrono::seconds(i);
+    ledger.Handle(RunBroken{Fingerprint(std::to_string(i))}, At(since_start));
+  }
+  const auto recent = ledger.Recent(At(4s));
+  REQUIRE(recent.size() == 2);
+  CHECK(recent[0].fingerprint == Fingerprint("4"));
+  CHECK(ledger.Recent(At(30s)).empty());
+  CHECK_FALSE(ledger.empty());
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Routing/crash_registry_test.cc
+++ b/Tests/Routing/crash_registry_test.cc
@@ -42,7 +42,7 @@
 
 TEST_CASE("Fingerprints differ by organisation, route and body") {
   const auto print = [](const char* org, const char* route, const char* body) {
-    return FingerprintOf(OrganisationId(org), RouteId(route), body);
+    return FingerprintOf(OrganisationId(org), route, body);
   };
   CHECK(print("a", "b", "c") == print("a", "b", "c"));
   CHECK(print("ab", "", "c") != print("a", "b", "c"));
