Gateway: settings re-read without a signal, the store read again after a pause

Cause: the settings file may change silently, and only SIGHUP was heard; a VM that was suspended went on with what it knew until its watches, possibly on dead connections, ended after 10 s. Change: SettingsWatcher looks at the file every two seconds; an invalid one is a log line and changes nothing. PauseDetector compares ticks by CLOCK_BOOTTIME; after a gap of a second the configuration and the jobs count as outdated (503 instead of 404 and 401, no results from memory) until the store has answered. Tests: gateway.settings, base.pause_detector, platform_adapter.store_client "After a pause...".

--- /dev/null
+++ b/Source/Base/pause_detector.cc
@@ -0,0 +1,21 @@
+#include "Base/pause_detector.h"
+
+namespace cowslip {
+
+namespace {
+
+// Ticks come ten times a second; peers count a process as silent after this.
+constexpr Duration kLongestGap = std::chrono::seconds(1);
+
+}  // namespace
+
+std::optional<Duration> PauseDetector::Tick(BootTime now) {
+  const std::optional<BootTime> last = m_last;
+  m_last = now;
+  if (!last.has_value() || now - *last <= kLongestGap) {
+    return std::nullopt;
+  }
+  return now - *last;
+}
+
+}  // namespace cowslip
--- a/Source/Base/time.h
+++ b/Source/Base/time.h
@@ -1,6 +1,8 @@
 #ifndef SOURCE_BASE_TIME_H_
 #define SOURCE_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace cowslip {
@@ -24,6 +26,26 @@
 
 using MonotonicTime = MonotonicClock::time_point;
 
+/// \class BootClock
+/// \brief Tags time points of the clock that, unlike MonotonicClock, also
+/// counts the time for which the VM was suspended.
+struct BootClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+  /// Only daemons call this.
+  static time_point now() {
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
+using BootTime = BootClock::time_point;
+
 /// Wall-clock time, used only where people or other VMs read it.
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::milliseconds>;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -326,6 +326,7 @@
     if (error) {
       return;
     }
+    ConsiderPause();
     TellDirectory(DirectoryTick{});
     TellPeers(PeerTick{});
     CompareDigests(OwnDigests{OwnStoreDigests()});
@@ -340,6 +341,24 @@
   });
 }
 
+void GatewayDaemon::ConsiderPause() {
+  const std::optional<Duration> pause = m_pauses.Tick(BootClock::now());
+  if (!pause.has_value()) {
+    return;
+  }
+  const Error why(ErrorKind::kUnavailable,
+                  "The process stood still. The store is read again.");
+  m_log.Write(
+      "process_stood_still",
+      {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(*pause)
+                  .count()}});
+  m_configuration_watcher->AssumeStale(why);
+  m_job_watcher->AssumeStale(why);
+  // Backend servers that were used until now are still the best guess.
+  m_backend_watcher->Refresh();
+  m_peer_watcher->Refresh();
+}
+
 void GatewayDaemon::Shutdown() {
   if (m_shutting_down) {
     return;
@@ -384,4 +403,8 @@
   m_settings.job_retention = settings.job_retention;
 }
 
+void GatewayDaemon::RejectSettings(const Error& why) {
+  m_log.Write("settings_rejected", {{"why", why.message}});
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Base/event_log.h"
+#include "Base/pause_detector.h"
 #include "Fleet/gateway_settings.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/front_door.h"
@@ -24,8 +25,8 @@
 #include "Peers/peer_gossip.h"
 #include "Peers/peer_table.h"
 #include "Placement/backend_directory.h"
-#include "Platform/document_watcher.h"
 #include "Placement/broken_run_ledger.h"
+#include "Platform/document_watcher.h"
 #include "Platform/relayed_store.h"
 #include "Quota/quota_core.h"
 #include "platform/store_client.h"
@@ -59,6 +60,8 @@
   void Shutdown();
   /// The settings file has changed.
   void Reload(const GatewaySettings& settings);
+  /// The settings file is invalid; the earlier settings stay in force.
+  void RejectSettings(const Error& why);
 
   uint16_t caller_port() const { return m_callers->port(); }
   uint16_t ready_port() const { return m_ready->port(); }
@@ -99,6 +102,7 @@
   void UpdateGauges();
   void Tick();
   void ContinueShutdown();
+  void ConsiderPause();
 
   boost::asio::io_context& m_context;
   const GatewayDaemonOptions m_options;
@@ -109,11 +113,11 @@
   RelayedStore m_store;
   std::mt19937_64 m_random;
   QuotaCore m_quota;
+  BrokenRunLedger m_broken_runs{BrokenRunLedgerOptions{}};
   PeerTable m_peers;
   std::map<VmId, PeerRecord> m_peer_records;
   BackendDirectory m_directory;
   std::unique_ptr<PeerGossip> m_gossip;
-  BrokenRunLedger m_broken_runs{BrokenRunLedgerOptions{}};
   Dispatcher m_dispatcher;
   GatewayContext m_gateway;
   JobBoard m_board;
@@ -131,6 +135,7 @@
   boost::asio::steady_timer m_tick;
   boost::asio::steady_timer m_poll_timer;
   boost::asio::steady_timer m_register_timer;
+  PauseDetector m_pauses;
   DivergenceDetector m_divergence{DivergenceOptions{}};
   MonotonicTime m_shutdown_began;
   bool m_backends_known = false;
--- a/Source/Gateway/storage_daemon.cc
+++ b/Source/Gateway/storage_daemon.cc
@@ -127,4 +127,8 @@
   m_log.Write("settings_reloaded", {});
 }
 
+void StorageDaemon::RejectSettings(const Error& why) {
+  m_log.Write("settings_rejected", {{"why", why.message}});
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/storage_daemon.h
+++ b/Source/Gateway/storage_daemon.h
@@ -35,6 +35,7 @@
   Result<void> Start();
   void Shutdown();
   void Reload(const GatewaySettings& settings);
+  void RejectSettings(const Error& why);
 
  private:
   void TakeRetirement(const Document& document);
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -57,6 +57,14 @@
       m_executor, [self] { return self->ListOnce(); }, boost::asio::detached);
 }
 
+void DocumentWatcher::AssumeStale(const Error& why) {
+  if (m_connected) {
+    m_connected = false;
+    m_events.lost(why);
+  }
+  Refresh();
+}
+
 void DocumentWatcher::Poll() {
   if (m_refreshing || m_stopped || m_must_list) {
     return;
@@ -81,8 +89,16 @@
 }
 
 awaitable<void> DocumentWatcher::ListOnce() {
-  const Result<void> listed = co_await ListAll();
-  static_cast<void>(listed);
+  Result<void> listed = co_await ListAll();
+  // The watch that waits may be the one that no answer comes to any more.
+  while (!listed.has_value() && !m_connected && !m_stopped) {
+    Report(listed.error());
+    boost::asio::steady_timer pause(m_executor, m_options.longest_pause);
+    boost::system::error_code ignored;
+    co_await pause.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    listed = co_await ListAll();
+  }
   m_refreshing = false;
 }
 
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -64,6 +64,8 @@
   /// Lists again now, because there is reason to believe that a change has been
   /// missed.
   void Refresh();
+  /// Takes what is known for outdated until the store has been read again.
+  void AssumeStale(const Error& why);
   /// Whether the last call was answered.
   bool connected() const { return m_connected; }
   /// Names the documents and versions that are known: equal for two watchers of
--- a/Source/Programs/Gateway/main.cc
+++ b/Source/Programs/Gateway/main.cc
@@ -12,6 +12,7 @@
 
 #include "Base/log.h"
 #include "Gateway/gateway_daemon.h"
+#include "Gateway/settings_watcher.h"
 #include "Gateway/storage_daemon.h"
 #include "Settings/daemon_options.h"
 #include "platform/settings_file.h"
@@ -116,17 +117,15 @@
     LOG(ERROR) << "gateway: " << started.error();
     return cowslip::kExitFailure;
   }
+  cowslip::SettingsWatcher watcher(
+      context, {.path = arguments.settings_path},
+      {.changed =
+           [&](const GatewaySettings& changed) { daemon.Reload(changed); },
+       .rejected =
+           [&](const cowslip::Error& why) { daemon.RejectSettings(why); }});
+  watcher.Start();
   const Signals signals(
-      context, [&] { daemon.Shutdown(); },
-      [&] {
-        const Result<GatewaySettings> changed =
-            cowslip::platform::ReadSettingsFile(arguments.settings_path);
-        if (changed.has_value()) {
-          daemon.Reload(changed.value());
-        } else {
-          LOG(ERROR) << "gateway: " << changed.error();
-        }
-      });
+      context, [&] { daemon.Shutdown(); }, [&] { watcher.Reload(); });
   context.run();
   // Calls that still wait at the store hold on to parts of the daemon.
   std::_Exit(cowslip::kExitSuccess);
--- /dev/null
+++ b/Tests/Gateway/settings_watcher_test.cc
@@ -0,0 +1,85 @@
+#include "Gateway/settings_watcher.h"
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// \class SettingsFixture
+/// \brief A settings file that is followed, and what came of it.
+class SettingsFixture {
+ public:
+  SettingsFixture() {
+    Write(Text(8));
+    watcher.Start();
+  }
+  ~SettingsFixture() { std::remove(m_path.c_str()); }
+
+  static std::string Text(int grace_s) {
+    return "node_name=vm-1\nip=127.0.0.1\nzone=z\nplatform.address=127.0.0.1:"
+           "1\n"
+           "internal_ports=7000,7010\nbounds.grace_s=" +
+           std::to_string(grace_s) + "\n";
+  }
+  void Write(const std::string& text) {
+    std::ofstream(m_path, std::ios::trunc) << text;
+  }
+  void RunFor(Duration time) {
+    context.run_for(time);
+    context.restart();
+  }
+
+ private:
+  const std::string m_path =
+      "/tmp/cowslip-settings-" + std::to_string(::getpid());
+
+ public:
+  boost::asio::io_context context;
+  std::vector<GatewaySettings> changed;
+  std::vector<Error> rejected;
+  SettingsWatcher watcher{
+      context,
+      {.path = m_path, .interval = 10ms},
+      {.changed = [this](const GatewaySettings& s) { changed.push_back(s); },
+       .rejected = [this](const Error& error) { rejected.push_back(error); }}};
+};
+
+TEST_CASE("A file that changes without a signal is taken over, once") {
+  SettingsFixture f;
+  f.RunFor(50ms);
+  CHECK(f.changed.empty());
+  f.Write(SettingsFixture::Text(5));
+  f.RunFor(100ms);
+  REQUIRE(f.changed.size() == 1);
+  CHECK(f.changed[0].stop_grace == Duration(5s));
+  CHECK(f.rejected.empty());
+}
+
+TEST_CASE("An invalid file is rejected once, and the next valid one taken") {
+  SettingsFixture f;
+  f.Write("platform.address\n");
+  f.RunFor(100ms);
+  CHECK(f.changed.empty());
+  REQUIRE(f.rejected.size() == 1);
+  CHECK_FALSE(f.rejected[0].message.empty());
+  f.Write(SettingsFixture::Text(6));
+  f.RunFor(100ms);
+  CHECK(f.changed.size() == 1);
+}
+
+TEST_CASE("A signal reports the file even if it is unchanged") {
+  SettingsFixture f;
+  f.watcher.Reload();
+  CHECK(f.changed.size() == 1);
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -203,5 +203,31 @@
   });
 }
 
+TEST_CASE("After a pause, a watcher is outdated until it has read again") {
+  Fixture f;
+  Follower follower(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kDeafWatches);
+    f.store.Put("things", "a", {{"x", 1}});
+    SECTION("The store answers") {
+      follower.watcher->AssumeStale(Error(ErrorKind::kUnavailable, "asleep"));
+      CHECK(follower.lost == 1);
+    }
+    SECTION("The store answers later") {
+      f.server.SetFault(ServerFault::kBusy);
+      follower.watcher->AssumeStale(Error(ErrorKind::kUnavailable, "asleep"));
+      co_await f.Sleep(300ms);
+      CHECK(follower.lost == 1);
+      CHECK(follower.regained == 1);
+      f.server.SetFault(ServerFault::kNone);
+      co_await f.Sleep(1200ms);
+    }
+    co_await f.Sleep(100ms);
+    CHECK(follower.regained == 2);
+    CHECK(follower.names == std::set<std::string>{"a"});
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
