--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -58,6 +58,7 @@
 }
 
 void DocumentWatcher::AssumeStale(const Error& why) {
+  ++m_trust;
   if (m_connected) {
     m_connected = false;
     m_events.lost(why);
@@ -121,6 +122,7 @@
 }
 
 awaitable<Result<void>> DocumentWatcher::ListAll() {
+  const uint32_t trust = m_trust;
   std::vector<Document> documents;
   DocumentName after;
   ObjectVersion as_of;
@@ -145,7 +147,7 @@
   if (m_stopped) {
     co_return Ok();
   }
-  Succeeded();
+  Succeeded(trust);
   m_as_of = std::max(m_as_of, as_of);
   m_must_list = false;
   TakeListing(documents);
@@ -154,6 +156,7 @@
 }
 
 awaitable<Result<void>> DocumentWatcher::WatchOnce(Duration wait) {
+  const uint32_t trust = m_trust;
   const ObjectVersion since = m_as_of;
   const Result<DocumentChanges> changes =
       co_await m_store.Watch(m_options.kind, since, wait);
@@ -168,7 +171,7 @@
     }
     co_return changes.error();
   }
-  Succeeded();
+  Succeeded(trust);
   m_as_of = std::max(m_as_of, changes.value().as_of);
   for (const DocumentChange& change : changes.value().changes) {
     if (TakeChange(change)) {
@@ -204,9 +207,9 @@
   return true;
 }
 
-void DocumentWatcher::Succeeded() {
+void DocumentWatcher::Succeeded(uint32_t trust) {
   m_failures = 0;
-  if (!m_connected) {
+  if (!m_connected && trust == m_trust) {
     m_connected = true;
     m_events.regained();
   }
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -79,7 +79,8 @@
   boost::asio::awaitable<void> PollOnce();
   boost::asio::awaitable<void> ListOnce();
   boost::asio::awaitable<void> Pause();
-  void Succeeded();
+  /// A call that was begun under that trust was answered.
+  void Succeeded(uint32_t trust);
   void TakeListing(const std::vector<Document>& documents);
   /// Returns false for a change that is older than what is known.
   bool TakeChange(const DocumentChange& change);
@@ -100,6 +101,8 @@
   bool m_must_list = true;
   bool m_refreshing = false;
   uint32_t m_failures = 0;
+  // Counts AssumeStale(): answers to earlier calls may be as old as they are.
+  uint32_t m_trust = 0;
 };
 
 }  // namespace cowslip
