Quota: a VM that joins or was cut off pays only for what went unnoticed

Found by the new log line quota_exceeded, which names the organisation and the bucket. Change: a report after a silence is charged for the share of that time in which the bucket was filled with the sender's part, too: until silence is noticed, and not before this process began. Datagrams carry the sender's uptime. quota.core "A process that joins...", "After a silence..." failed before.

--- a/Source/Gateway/front_door.cc
+++ b/Source/Gateway/front_door.cc
@@ -9,6 +9,7 @@
 #include "Gateway/job_handler.h"
 #include "Gateway/problem_response.h"
 #include "Gateway/relay_session.h"
+#include "Gateway/start_gate.h"
 #include "Net/http_exchange.h"
 #include "Quota/quota_core.h"
 #include "platform/job_messages.h"
@@ -56,6 +57,10 @@
 }
 
 awaitable<void> FrontDoor::Handle(HttpExchange& exchange) {
+  const MonotonicTime arrived = MonotonicClock::now();
+  if (!m_gateway.start_gate.is_open()) {
+    co_await m_gateway.start_gate.Wait();
+  }
   Result<CallerRequest> decoded =
       platform::DecodeCallerRequest(exchange.request());
   if (!decoded.has_value()) {
@@ -104,7 +109,8 @@
     co_await m_jobs.Submit(exchange, std::move(caller), *route, organisation);
     co_return;
   }
-  co_await HandleOnline(exchange, std::move(caller), *route, organisation);
+  co_await HandleOnline(exchange, std::move(caller), *route, organisation,
+                        arrived);
 }
 
 awaitable<void> FrontDoor::HandleJobCall(HttpExchange& exchange,
@@ -145,10 +151,18 @@
 }
 
 std::optional<Problem> FrontDoor::CheckQuota(
+    const CallerRequest& caller,
     const OrganisationId& organisation) {
   const QuotaAction action =
       m_gateway.quota.Handle(QuotaAsked{organisation}, MonotonicClock::now());
   if (const auto* exceeded = std::get_if<QuotaExceeded>(&action)) {
+    m_gateway.log.Write("quota_exceeded",
+                        {{"id", caller.attempt.value()},
+                         {"organisation", organisation.value()},
+                         {"level", exceeded->level},
+                         {"unseen", exceeded->unseen},
+                         {"rate", exceeded->rate},
+                         {"burst", exceeded->burst}});
     return Problem{.kind = ProblemKind::kRateLimited,
                    .detail =
                        "The organisation's rate and burst are used up. "
@@ -182,9 +196,9 @@
 awaitable<void> FrontDoor::HandleOnline(HttpExchange& exchange,
                                         CallerRequest caller,
                                         const FleetRoute& route,
-                                        OrganisationId organisation) {
-  const MonotonicTime arrived = MonotonicClock::now();
-  std::optional<Problem> problem = CheckQuota(organisation);
+                                        OrganisationId organisation,
+                                        MonotonicTime arrived) {
+  std::optional<Problem> problem = CheckQuota(caller, organisation);
   if (problem.has_value()) {
     co_await Answer(exchange, caller, std::move(*problem));
     co_return;
--- a/Source/Gateway/front_door.h
+++ b/Source/Gateway/front_door.h
@@ -32,7 +32,8 @@
   boost::asio::awaitable<void> HandleOnline(HttpExchange& exchange,
                                             CallerRequest caller,
                                             const FleetRoute& route,
-                                            OrganisationId organisation);
+                                            OrganisationId organisation,
+                                            MonotonicTime arrived);
   boost::asio::awaitable<void> Answer(HttpExchange& exchange,
                                       const CallerRequest& caller,
                                       Problem problem);
@@ -42,7 +43,8 @@
   // Finds the organisation that holds the caller's key.
   std::optional<Problem> CheckKey(const CallerRequest& caller,
                                   OrganisationId& organisation) const;
-  std::optional<Problem> CheckQuota(const OrganisationId& organisation);
+  std::optional<Problem> CheckQuota(const CallerRequest& caller,
+                                    const OrganisationId& organisation);
   ServiceId PickService(const FleetRoute& route);
 
   GatewayContext& m_gateway;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -207,7 +207,8 @@
 void GatewayDaemon::ReceivePeer(const PeerMessage& message) {
   TellPeers(PeerHeard{message});
   const MonotonicTime now = MonotonicClock::now();
-  m_quota.Handle(UsageReported{message.vm, message.incarnation, message.usage},
+  m_quota.Handle(UsageReported{message.vm, message.incarnation, message.uptime,
+                               message.usage},
                  now);
   m_broken_runs.Handle(PeerBrokenRunsReported{message.vm, message.broken_runs},
                        now);
@@ -226,6 +227,7 @@
       .incarnation = m_options.incarnation,
       .draining = m_shutting_down,
       .reaches_store = m_store.reaches_store(),
+      .uptime = MonotonicClock::now() - m_started,
       .digests = OwnStoreDigests(),
       .usage = m_quota.Usage(),
       .in_flight = m_dispatcher.placing().InFlight(),
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -141,6 +141,7 @@
   bool m_backends_known = false;
   bool m_peers_known = false;
   bool m_jobs_known = false;
+  const MonotonicTime m_started = MonotonicClock::now();
   bool m_registered = false;
   bool m_shutting_down = false;
   bool m_stopped = false;
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -15,25 +15,31 @@
 // The largest payload of a UDP datagram over IPv4.
 constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
 
+int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 PeerMessage ReadMessage(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
   message.incarnation = Incarnation(fields.at(2).get<uint64_t>());
   message.sequence = fields.at(3).get<uint64_t>();
-  message.configuration = ConfigVersion(fields.at(4).get<uint64_t>());
-  message.draining = fields.at(5).get<bool>();
-  message.reaches_store = fields.at(6).get<bool>();
-  message.digests = fields.at(7).get<StoreDigests>();
-  for (const json& usage : fields.at(8)) {
+  message.uptime = std::chrono::milliseconds(fields.at(4).get<int64_t>());
+  message.configuration = ConfigVersion(fields.at(5).get<uint64_t>());
+  message.draining = fields.at(6).get<bool>();
+  message.reaches_store = fields.at(7).get<bool>();
+  message.digests = fields.at(8).get<StoreDigests>();
+  for (const json& usage : fields.at(9)) {
     message.usage.push_back({OrganisationId(usage.at(0).get<std::string>()),
                              usage.at(1).get<uint64_t>()});
   }
-  for (const json& use : fields.at(9)) {
+  for (const json& use : fields.at(10)) {
     message.in_flight.push_back({BackendId(use.at(0).get<std::string>()),
                                  use.at(1).get<uint32_t>(),
                                  use.at(2).get<uint32_t>()});
   }
-  for (const json& runs : fields.at(10)) {
+  for (const json& runs : fields.at(11)) {
     message.broken_runs.push_back({Fingerprint(runs.at(0).get<std::string>()),
                                    runs.at(1).get<uint32_t>()});
   }
@@ -57,9 +63,9 @@
   }
   return ToCbor(json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
-       message.sequence, message.configuration.value(), message.draining,
-       message.reaches_store, message.digests, std::move(usage),
-       std::move(in_flight), std::move(broken_runs)}));
+       message.sequence, Millis(message.uptime), message.configuration.value(),
+       message.draining, message.reaches_store, message.digests,
+       std::move(usage), std::move(in_flight), std::move(broken_runs)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -9,6 +9,7 @@
 #include "Base/fingerprint.h"
 #include "Base/ids.h"
 #include "Base/result.h"
+#include "Base/time.h"
 #include "Fleet/backend_record.h"
 #include "Peers/divergence_detector.h"
 #include "Quota/quota_core.h"
@@ -38,6 +39,8 @@
   Incarnation incarnation;
   /// Grows with every datagram of an incarnation; a lower one came late.
   uint64_t sequence = 0;
+  /// How long the sender's incarnation has run.
+  Duration uptime{0};
   /// The configuration in force at the sender.
   ConfigVersion configuration;
   /// The sender takes no new work.
--- a/Source/Quota/quota_core.cc
+++ b/Source/Quota/quota_core.cc
@@ -16,6 +16,9 @@
 QuotaCore::QuotaCore(QuotaOptions options) : m_options(options) {}
 
 QuotaAction QuotaCore::Handle(const QuotaEvent& event, MonotonicTime now) {
+  if (!m_began.has_value()) {
+    m_began = now;
+  }
   return std::visit(
       [&](const auto& alternative) { return Apply(alternative, now); }, event);
 }
@@ -52,7 +55,10 @@
   return QuotaExceeded{
       .retry_after = std::chrono::duration_cast<Duration>(
           std::chrono::duration<double>(missing / bucket.rate)),
-      .level = bucket.level};
+      .level = bucket.level,
+      .unseen = unseen,
+      .rate = bucket.rate,
+      .burst = bucket.burst};
 }
 
 void QuotaCore::TakePeerUsage(Bucket& bucket,
@@ -63,12 +69,23 @@
   bucket.peer_rate += count;
 }
 
+double QuotaCore::ChargedShare(Duration unheard, MonotonicTime now) const {
+  if (unheard <= Duration::zero()) {
+    return 1;
+  }
+  const Duration unnoticed = std::min(m_options.silence_notice, now - *m_began);
+  return std::min(1.0, ToSeconds(unnoticed) / ToSeconds(unheard));
+}
+
 QuotaAction QuotaCore::Apply(const UsageReported& event, MonotonicTime now) {
   PeerUsage& peer = m_peers[event.vm];
   const bool restarted = peer.incarnation != event.incarnation;
   if (restarted) {
-    peer = PeerUsage{.incarnation = event.incarnation};
+    peer = PeerUsage{.incarnation = event.incarnation,
+                     .heard = now - event.uptime};
   }
+  const double charged = ChargedShare(now - peer.heard, now);
+  peer.heard = now;
   for (const OrganisationUsage& usage : event.usage) {
     uint64_t& known = peer.admitted[usage.organisation];
     if (usage.admitted <= known) {
@@ -79,7 +96,7 @@
     const auto bucket = m_buckets.find(usage.organisation);
     if (bucket != m_buckets.end()) {
       // More than a burst at once can only be what was admitted long ago.
-      const double count = std::min(static_cast<double>(more),
+      const double count = std::min(charged * static_cast<double>(more),
                                     bucket->second.burst + bucket->second.rate);
       TakePeerUsage(bucket->second, count, now);
     }
--- a/Source/Quota/quota_core.h
+++ b/Source/Quota/quota_core.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -19,6 +20,9 @@
   /// Time until an admission elsewhere is known here: one gossip interval and
   /// the way of a datagram.
   Duration report_lag = std::chrono::milliseconds(100);
+  /// Time until the silence of a process is noticed, see PeerTableOptions: from
+  /// then on its part of the rate is left to it.
+  Duration silence_notice = std::chrono::milliseconds(1000);
 };
 
 /// \class OrganisationQuota
@@ -47,6 +51,8 @@
 struct UsageReported {
   VmId vm;
   Incarnation incarnation;
+  /// How long that incarnation has run.
+  Duration uptime{0};
   std::vector<OrganisationUsage> usage;
 };
 /// How many processes share the quotas, this one included, and how many of them
@@ -71,7 +77,12 @@
 /// The organisation is over its quota until about `retry_after` from now.
 struct QuotaExceeded {
   Duration retry_after{0};
+  /// What decided: the bucket, and the admissions that other processes are
+  /// taken to have made since their last report.
   double level = 0;
+  double unseen = 0;
+  double rate = 0;
+  double burst = 0;
 };
 using QuotaAction = std::variant<QuotaNoted, QuotaAdmitted, QuotaExceeded>;
 
@@ -86,7 +97,9 @@
 /// the bucket by the demand of one report interval; the debt is paid back
 /// before anybody admits again. A process that is silent is taken to use its
 /// equal part of the rate, and it leaves the other parts alone, so that both
-/// sides of a partition together stay within the quota.
+/// sides of a partition together stay within the quota. When the two sides hear
+/// of each other again, each pays only for what the other admitted before the
+/// silence was noticed, and a process that joins does not pay for the past.
 class QuotaCore {
  public:
   explicit QuotaCore(QuotaOptions options);
@@ -109,6 +122,7 @@
   };
   struct PeerUsage {
     Incarnation incarnation;
+    MonotonicTime heard;
     std::unordered_map<OrganisationId, uint64_t> admitted;
   };
 
@@ -119,11 +133,17 @@
   void Refill(Bucket& bucket, MonotonicTime now) const;
   void TakePeerUsage(Bucket& bucket, double count, MonotonicTime now) const;
   double SilentPart() const;
+  /// The share of what a process admitted during `unheard` that this one has to
+  /// pay for: the bucket was filled with that process's part, too, only while
+  /// its silence was not noticed and this process ran.
+  double ChargedShare(Duration unheard, MonotonicTime now) const;
 
   const QuotaOptions m_options;
   std::map<OrganisationId, Bucket> m_buckets;
   std::map<VmId, PeerUsage> m_peers;
   FleetCounted m_fleet;
+  // When this process began to fill its buckets.
+  std::optional<MonotonicTime> m_began;
 };
 
 }  // namespace cowslip
--- a/Tests/Quota/quota_core_test.cc
+++ b/Tests/Quota/quota_core_test.cc
@@ -98,9 +98,10 @@
       const Report_& report = m_reports.front();
       for (size_t i = 0; i < m_cores.size(); ++i) {
         if (i != report.from && !m_cut[i]) {
-          m_cores[i]->Handle(UsageReported{VmId(std::to_string(report.from)),
-                                           Incarnation(1), report.usage},
-                             At(report.arrives));
+          m_cores[i]->Handle(
+              UsageReported{VmId(std::to_string(report.from)), Incarnation(1),
+                            report.arrives, report.usage},
+              At(report.arrives));
         }
       }
       m_reports.pop_front();
@@ -172,7 +173,8 @@
   QuotaCore core{QuotaOptions{}};
   core.Handle(FleetCounted{.members = 1}, At(0s));
   SetQuota(core, 10, 10, 0s);
-  const UsageReported report{VmId("b"), Incarnation(1), {{kOrganisation, 4}}};
+  const UsageReported report{
+      VmId("b"), Incarnation(1), 0s, {{kOrganisation, 4}}};
   for (int i = 0; i < 3; ++i) {
     core.Handle(report, At(0s));
   }
@@ -189,10 +191,12 @@
   QuotaCore core{QuotaOptions{}};
   core.Handle(FleetCounted{.members = 1}, At(0s));
   SetQuota(core, 10, 10, 0s);
-  core.Handle(UsageReported{VmId("b"), Incarnation(1), {{kOrganisation, 4}}},
-              At(0s));
-  core.Handle(UsageReported{VmId("b"), Incarnation(2), {{kOrganisation, 4}}},
-              At(0s));
+  core.Handle(
+      UsageReported{VmId("b"), Incarnation(1), 0s, {{kOrganisation, 4}}},
+      At(0s));
+  core.Handle(
+      UsageReported{VmId("b"), Incarnation(2), 0s, {{kOrganisation, 4}}},
+      At(0s));
   int admitted = 0;
   while (Admits(core, 0s)) {
     ++admitted;
@@ -200,6 +204,64 @@
   CHECK(admitted <= 2);
 }
 
+// Seconds until an organisation that waits is admitted again.
+Duration FirstAdmission(QuotaCore& core, Duration from) {
+  for (Duration at = from; at < from + 20s; at += 10ms) {
+    if (Admits(core, at)) {
+      return at - from;
+    }
+  }
+  return 20s;
+}
+
+TEST_CASE("A process that joins is not charged for the others' past") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 4}, At(0s));
+  SetQuota(core, 30, 30, 0s);
+  for (const char* vm : {"b", "c", "d"}) {
+    core.Handle(UsageReported{.vm = VmId(vm),
+                              .incarnation = Incarnation(1),
+                              .uptime = 100s,
+                              .usage = {{kOrganisation, 700}}},
+                At(20ms));
+  }
+  CHECK(FirstAdmission(core, 20ms) <= 100ms);
+}
+
+TEST_CASE("After a silence, only what went unnoticed is charged") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 2}, At(0s));
+  SetQuota(core, 30, 30, 0s);
+  const auto report = [&](uint64_t admitted, Duration at) {
+    core.Handle(UsageReported{.vm = VmId("b"),
+                              .incarnation = Incarnation(1),
+                              .uptime = at,
+                              .usage = {{kOrganisation, admitted}}},
+                At(at));
+  };
+  report(0, 0s);
+  // The peer goes on with half of the rate when both have noticed.
+  core.Handle(FleetCounted{.members = 2, .silent = 1}, At(1s));
+  report(90, 5s);
+  core.Handle(FleetCounted{.members = 2}, At(5s));
+  // A fifth of the silence went unnoticed: 18 of 90.
+  CHECK(Admits(core, 5s));
+}
+
+TEST_CASE("A short silence of a hot peer is charged in full") {
+  QuotaCore core{QuotaOptions{}};
+  core.Handle(FleetCounted{.members = 2}, At(0s));
+  SetQuota(core, 30, 30, 0s);
+  core.Handle(UsageReported{.vm = VmId("b"), .incarnation = Incarnation(1)},
+              At(0s));
+  core.Handle(UsageReported{.vm = VmId("b"),
+                            .incarnation = Incarnation(1),
+                            .uptime = 900ms,
+                            .usage = {{kOrganisation, 60}}},
+              At(900ms));
+  CHECK(FirstAdmission(core, 900ms) >= 900ms);
+}
+
 TEST_CASE("A lowered quota binds at once, a lifted one no longer") {
   QuotaCore core{QuotaOptions{}};
   core.Handle(FleetCounted{.members = 1}, At(0s));
