Gateway: requests that come while a process starts are held, not refused

Change: StartGate holds requests until both listings are there, for 500 ms after the start at most; then the store is taken to be away and they are refused at once. gateway.online "A request that comes before the store was read..." failed before.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -19,6 +19,7 @@
 class FleetConfiguration;
 class GatewayMetrics;
 class QuotaCore;
+class StartGate;
 
 /// \class GatewayContext
 /// \brief What the handlers of one gateway share. The daemon owns all of it.
@@ -29,6 +30,7 @@
   BrokenRunLedger& broken_runs;
   EventLog& log;
   GatewayMetrics& metrics;
+  StartGate& start_gate;
   /// The configuration in force; null before the first one.
   std::shared_ptr<const FleetConfiguration> configuration;
   /// Whether newer versions would be heard of. While they would not, what the
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -19,6 +19,7 @@
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/job_handler.h"
 #include "Gateway/job_runner.h"
+#include "Gateway/start_gate.h"
 #include "Jobs/job_board.h"
 #include "Net/http_server.h"
 #include "Peers/divergence_detector.h"
@@ -80,6 +81,8 @@
   void TakeJobs(const std::vector<Document>& documents);
   void ShowPeers();
   void ConsiderActivation();
+  /// Lets requests in once their configuration and backend servers are known.
+  void ConsiderOpening();
   void LoadChanged();
   /// The time until this process is to poll the store.
   Duration UntilMyTurn() const;
@@ -119,6 +122,7 @@
   BackendDirectory m_directory;
   std::unique_ptr<PeerGossip> m_gossip;
   Dispatcher m_dispatcher;
+  StartGate m_start_gate;
   GatewayContext m_gateway;
   JobBoard m_board;
   JobRunner m_runner;
@@ -137,11 +141,11 @@
   boost::asio::steady_timer m_register_timer;
   PauseDetector m_pauses;
   DivergenceDetector m_divergence{DivergenceOptions{}};
+  const MonotonicTime m_started = MonotonicClock::now();
   MonotonicTime m_shutdown_began;
   bool m_backends_known = false;
   bool m_peers_known = false;
   bool m_jobs_known = false;
-  const MonotonicTime m_started = MonotonicClock::now();
   bool m_registered = false;
   bool m_shutting_down = false;
   bool m_stopped = false;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -164,6 +164,20 @@
   }
 }
 
+void GatewayDaemon::ConsiderOpening() {
+  if (m_start_gate.is_open() || m_gateway.configuration == nullptr ||
+      !m_backends_known) {
+    return;
+  }
+  m_start_gate.Open();
+  const Duration since = MonotonicClock::now() - m_started;
+  m_log.Write(
+      "requests_let_in",
+      {{"held", m_start_gate.held()},
+       {"since_start_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count()}});
+}
+
 void GatewayDaemon::TakeConfiguration(const Document& document) {
   if (document.name.value() != platform::kConfigurationName) {
     return;
@@ -200,6 +214,7 @@
   m_log.Write("configuration_in_force",
               {{"version", version.value()},
                {"organisations", now.organisations().size()}});
+  ConsiderOpening();
   m_gossip->StateChanged();
 }
 
@@ -216,6 +231,7 @@
   }
   m_backends_known = true;
   TellDirectory(listed);
+  ConsiderOpening();
 }
 
 void GatewayDaemon::TakeBackend(const DocumentChange& change) {
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -367,6 +367,37 @@
   });
 }
 
+TEST_CASE(
+    "A request that comes before the store was read is held, not refused") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    HttpRequest request = f.Request("POST", "/stream/x", "a1");
+    const auto response = co_await f.Send(0, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 200);
+  });
+}
+
+TEST_CASE("While the store is away at a start, requests are refused soon") {
+  GatewayFixture f(2);
+  f.server.SetFault(ServerFault::kReset);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    HttpRequest request = f.Request("POST", "/stream/x", "a1");
+    auto response = co_await f.Send(0, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 503);
+    CHECK(FindHeader(response.value().headers, "Retry-After").has_value());
+    // By now nothing is worth waiting for.
+    const MonotonicTime began = MonotonicClock::now();
+    request = f.Request("POST", "/stream/x", "a2");
+    response = co_await f.Send(0, std::move(request));
+    CHECK(response.value().status == 503);
+    CHECK(MonotonicClock::now() - began < 200ms);
+  });
+}
+
 TEST_CASE("A request that crashes backend servers is held back everywhere") {
   GatewayFixture f(2);
   f.AddGateway();
