--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -294,6 +294,36 @@
   });
 }
 
+TEST_CASE(
+    "After the loss of every gateway, a new one serves and finishes jobs") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    CHECK(co_await SubmitTo(f, 0, "j1", 3) == 202);
+    CheckWhole(co_await f.ReadAll(0, "j1"), 3, 4);
+    // Another job, as its owner left it when all VMs lost power after the 202.
+    nlohmann::json lost = f.store.Find(kJobKind, "j1.mill")->content;
+    lost["id"] = "j2";
+    lost["accepted_by"] = "a-lost-vm";
+    const std::string digest = lost["digest"].get<std::string>();
+    const nlohmann::json inputs =
+        f.store.Find(kInputKind, "j1.mill." + digest.substr(0, 16) + ".0")
+            ->content;
+    f.gateway(0).Shutdown();
+    f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
+    f.store.Put(kJobKind, "j2.mill", lost);
+    const size_t next = f.AddGateway();
+    HttpRequest request = f.Request("POST", "/stream/x", "a1");
+    const auto response = co_await f.Send(next, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 200);
+    CheckWhole(co_await f.ReadAll(next, "j2"), 3, 4);
+    // What the lost gateways had finished is still there.
+    CheckWhole(co_await f.ReadAll(next, "j1"), 3, 4);
+  });
+}
+
 TEST_CASE("A bad submission is refused whole") {
   RunJobs([](GatewayFixture& f) -> awaitable<void> {
     HttpRequest request = f.Request("POST", "/job/x", "j1", "{\"items\":[]}");
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -266,6 +266,22 @@
   });
 }
 
+TEST_CASE("A gateway is ready within a second, and stays so in an outage") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(1s);
+    CHECK(f.gateway(0).IsReady());
+    f.server.SetFault(ServerFault::kReset);
+    co_await f.Sleep(1500ms);
+    CHECK(f.gateway(0).IsReady());
+    HttpRequest request = f.Request("POST", "/stream/x", "a1");
+    const auto response = co_await f.Send(0, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 200);
+  });
+}
+
 TEST_CASE("A draining backend server gets nothing new") {
   RunOnline([](GatewayFixture& f) -> awaitable<void> {
     nlohmann::json entry = f.store.Find("servers", "i-0")->content;
