Jobs: what interrupted items have come to survives their owner

Change: JobBoard asks for a save when a job's interrupted items have 150 unsaved events, a second after the first; JobRunner writes them into a document that nobody watches and reads it when a job changes owners. Its calls to the store move to job_runner_store.cc. jobs.board "What interrupted items have come to is saved, in one write", "What a lost owner had saved goes on"; gateway.jobs "After the loss of every gateway..." asks for the resumption.

--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -70,6 +70,10 @@
   struct OpenedJob {
     std::map<ItemId, JobItem> items;
     std::shared_ptr<ResultLog> results;
+    /// What an earlier owner had saved, until the board knows it.
+    std::map<ItemId, ItemProgress> saved;
+    /// The version of the saved progress; 0 while there is none.
+    ObjectVersion saved_version;
     std::optional<MonotonicTime> route_missing_since;
   };
   using RunKey = std::pair<JobKey, ItemId>;
@@ -80,6 +84,7 @@
   void Carry(const WriteResults& action);
   void Carry(const FinishJob& action);
   void Carry(const HandBackJob& action);
+  void Carry(const SaveProgress& action);
   void Carry(const CloseJob& action);
   void Carry(const DeleteJob& action);
 
@@ -94,6 +99,10 @@
   boost::asio::awaitable<void> Write(JobKey job,
                                      std::vector<ItemResult> results);
   boost::asio::awaitable<void> SetStatus(JobKey job, JobStatus status);
+  boost::asio::awaitable<void> Save(JobKey job,
+                                    std::map<ItemId, ItemProgress> progress);
+  /// Reads what an earlier owner has saved of the job's items.
+  boost::asio::awaitable<Result<void>> ReadSaved(JobKey job, OpenedJob& opened);
   boost::asio::awaitable<void> Delete(JobKey job);
   boost::asio::awaitable<void> RunItem(RunnableItem runnable,
                                        std::shared_ptr<AttemptLease> lease,
--- /dev/null
+++ b/Source/Gateway/job_runner_store.cc
@@ -0,0 +1,290 @@
+#include "Gateway/job_runner.h"
+
+// What a JobRunner reads and writes in the platform's store.
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Base/event_log.h"
+#include "Jobs/job_documents.h"
+
+namespace cowslip {
+
+namespace {
+
+using boost::asio::awaitable;
+
+std::set<ItemId> IdsOf(const std::vector<ItemResult>& results) {
+  std::set<ItemId> ids;
+  for (const ItemResult& result : results) {
+    ids.insert(result.item);
+  }
+  return ids;
+}
+
+}  // namespace
+
+awaitable<void> JobRunner::Pause(Duration pause) {
+  boost::asio::steady_timer timer(m_gateway.io, pause);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+awaitable<void> JobRunner::Claim(JobKey job) {
+  const JobRecord* known = m_board.Find(job);
+  if (known == nullptr) {
+    co_return;
+  }
+  JobStatus status = known->status;
+  m_board.NameOwner(status);
+  const ObjectVersion version = known->version;
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  nlohmann::json encoded = EncodeStatus(status);
+  const Result<Document> claimed =
+      co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
+  bool won = claimed.has_value();
+  if (won) {
+    Seen(claimed.value());
+  } else {
+    m_gateway.log.Write("job_claim_failed", {{"job", job.value()},
+                                             {"why", claimed.error().message}});
+    // The claim may have been carried out, or another one: the store tells.
+    const Result<Document> now = co_await m_store.Get(kind, name);
+    if (now.has_value()) {
+      Seen(now.value());
+      const JobRecord* record = m_board.Find(job);
+      won = record != nullptr && m_board.Owns(*record);
+    }
+  }
+  Tell(ClaimEnded{job, won});
+  Wake();
+}
+
+awaitable<void> JobRunner::ReadRecord(JobKey job) {
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  const Result<Document> document = co_await m_store.Get(kind, name);
+  if (document.has_value()) {
+    Seen(document.value());
+  }
+}
+
+awaitable<void> JobRunner::Open(JobKey job) {
+  const Result<void> read = co_await ReadJob(job);
+  if (!read.has_value()) {
+    if (read.error().kind() == ErrorKind::kConflict) {
+      co_await ReadRecord(job);
+    }
+    m_gateway.log.Write("job_open_failed",
+                        {{"job", job.value()}, {"why", read.error().message}});
+    co_await Pause(m_options.store_pause);
+    Tell(JobOpenFailed{job});
+    co_return;
+  }
+  const auto open = m_open.find(job);
+  if (open == m_open.end()) {
+    co_return;
+  }
+  std::set<ItemId> listed = IdsOf(open->second.results->results());
+  m_gateway.log.Write("job_opened", {{"job", job.value()},
+                                     {"items", open->second.items.size()},
+                                     {"listed", listed.size()}});
+  Tell(JobOpened{job, std::move(listed), std::move(open->second.saved)});
+  Wake();
+}
+
+bool JobRunner::HasRead(const JobRecord& record) const {
+  const auto found = m_open.find(record.key);
+  return found != m_open.end() &&
+         found->second.items.size() == record.definition.items.size() &&
+         found->second.results->fence() == record.fence();
+}
+
+awaitable<Result<void>> JobRunner::ReadJob(JobKey job) {
+  const JobRecord* record = m_board.Find(job);
+  if (record == nullptr || HasRead(*record)) {
+    co_return Ok();
+  }
+  if (!m_board.Owns(*record)) {
+    co_return Error(ErrorKind::kConflict,
+                    "Another process owns the job by now.");
+  }
+  const JobDefinition definition = record->definition;
+  const FencingNumber fence = record->fence();
+  OpenedJob opened;
+  const DocumentKind kind(kInputKind);
+  for (uint32_t i = 0; i < definition.input_segments; ++i) {
+    const DocumentName name = InputName(job, definition.digest, i);
+    const Result<Document> document = co_await m_store.Get(kind, name);
+    if (!document.has_value()) {
+      co_return document.error();
+    }
+    Result<std::vector<JobItem>> items = DecodeInputs(document.value().content);
+    if (!items.has_value()) {
+      co_return items.error();
+    }
+    for (JobItem& item : items.value()) {
+      const ItemId id = item.id;
+      opened.items.emplace(id, std::move(item));
+    }
+  }
+  if (opened.items.size() != definition.items.size()) {
+    co_return Error(ErrorKind::kMalformedMessage,
+                    "The job's documents hold other items than its record.");
+  }
+  opened.results = std::make_shared<ResultLog>(m_store, job, fence);
+  const Result<void> results = co_await opened.results->Claim();
+  if (!results.has_value()) {
+    co_return results.error();
+  }
+  const Result<void> saved = co_await ReadSaved(job, opened);
+  if (!saved.has_value()) {
+    co_return saved.error();
+  }
+  // Meanwhile other processes may have owned the job. What was read then must
+  // not serve a later ownership of this process: its claim counts no longer.
+  record = m_board.Find(job);
+  if (record == nullptr || record->fence() != fence) {
+    co_return Error(ErrorKind::kConflict,
+                    "The job's document has changed. Read the job again.");
+  }
+  m_open[job] = std::move(opened);
+  co_return Ok();
+}
+
+awaitable<Result<void>> JobRunner::ReadSaved(JobKey job, OpenedJob& opened) {
+  const DocumentKind kind(kProgressKind);
+  const DocumentName name = ProgressName(job);
+  const Result<Document> document = co_await m_store.Get(kind, name);
+  if (!document.has_value()) {
+    const bool is_absent = document.error().kind() == ErrorKind::kNotFound;
+    co_return is_absent ? Ok() : Result<void>(document.error());
+  }
+  opened.saved_version = document.value().version;
+  auto saved = DecodeProgress(document.value().content);
+  if (saved.has_value()) {
+    opened.saved = std::move(saved.value());
+  } else {
+    // The items begin anew, which is always right.
+    m_gateway.log.Write("job_progress_unreadable",
+                        {{"job", job.value()}, {"why", saved.error().message}});
+  }
+  co_return Ok();
+}
+
+awaitable<void> JobRunner::Save(JobKey job,
+                                std::map<ItemId, ItemProgress> progress) {
+  const DocumentKind kind(kProgressKind);
+  const DocumentName name = ProgressName(job);
+  const auto before = m_open.find(job);
+  const ObjectVersion version =
+      before == m_open.end() ? ObjectVersion() : before->second.saved_version;
+  nlohmann::json content = EncodeProgress(progress);
+  Result<Document> saved = Error();
+  if (version == ObjectVersion()) {
+    saved = co_await m_store.Create(kind, name, std::move(content));
+  } else {
+    saved = co_await m_store.Replace(kind, name, std::move(content), version);
+  }
+  m_gateway.log.Write(
+      "job_progress_saved",
+      {{"job", job.value()},
+       {"items_begun", progress.size()},
+       {"why", saved.has_value() ? "" : saved.error().message}});
+  const auto open = m_open.find(job);
+  if (open != m_open.end()) {
+    if (saved.has_value()) {
+      open->second.saved_version = saved.value().version;
+    } else if (saved.error().kind() == ErrorKind::kConflict) {
+      // An earlier write whose answer was lost.
+      const Result<Document> known = co_await m_store.Get(kind, name);
+      const auto still_open = m_open.find(job);
+      if (known.has_value() && still_open != m_open.end()) {
+        still_open->second.saved_version = known.value().version;
+      }
+    }
+  }
+  Tell(ProgressSaved{job, saved.has_value()});
+}
+
+awaitable<void> JobRunner::Write(JobKey job, std::vector<ItemResult> results) {
+  const auto open = m_open.find(job);
+  if (open == m_open.end()) {
+    co_return;
+  }
+  // The job may be closed meanwhile; the log lives until the call has ended.
+  const std::shared_ptr<ResultLog> log = open->second.results;
+  const size_t count = results.size();
+  const Result<void> written = co_await log->Append(std::move(results));
+  if (!written.has_value()) {
+    m_gateway.log.Write("results_not_written",
+                        {{"job", job.value()},
+                         {"results", count},
+                         {"why", written.error().message}});
+    if (written.error().kind() == ErrorKind::kConflict) {
+      co_await ReadRecord(job);
+    }
+    co_await Pause(m_options.store_pause);
+    Tell(ResultsNotWritten{job});
+    co_return;
+  }
+  m_gateway.log.Write("results_written", {{"job", job.value()},
+                                          {"results", count},
+                                          {"listed", log->results().size()}});
+  Tell(ResultsWritten{job, IdsOf(log->results())});
+}
+
+awaitable<void> JobRunner::SetStatus(JobKey job, JobStatus status) {
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  const JobRecord* record = m_board.Find(job);
+  if (record == nullptr) {
+    co_return;
+  }
+  const ObjectVersion version = record->version;
+  nlohmann::json encoded = EncodeStatus(status);
+  const Result<Document> written =
+      co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
+  if (written.has_value()) {
+    Seen(written.value());
+    co_return;
+  }
+  // Not needed for a correct result: the next owner finds the same in the
+  // results, and a job with a dead owner is taken over.
+  m_gateway.log.Write("job_status_not_written",
+                      {{"job", job.value()}, {"why", written.error().message}});
+}
+
+awaitable<void> JobRunner::Delete(JobKey job) {
+  const JobRecord* record = m_board.Find(job);
+  if (record == nullptr) {
+    co_return;
+  }
+  const JobDefinition definition = record->definition;
+  const DocumentKind inputs(kInputKind);
+  for (uint32_t i = 0; i < definition.input_segments; ++i) {
+    const DocumentName name = InputName(job, definition.digest, i);
+    (void)co_await m_store.Remove(inputs, name);
+  }
+  const DocumentKind results(kResultKind);
+  Result<void> removed = Ok();
+  for (uint32_t i = 0; removed.has_value(); ++i) {
+    const DocumentName name = ResultName(job, i);
+    removed = co_await m_store.Remove(results, name);
+  }
+  const DocumentKind progress(kProgressKind);
+  const DocumentName progress_name = ProgressName(job);
+  (void)co_await m_store.Remove(progress, progress_name);
+  const DocumentKind jobs(kJobKind);
+  const DocumentName name = JobName(job);
+  removed = co_await m_store.Remove(jobs, name);
+  m_gateway.log.Write("job_deleted",
+                      {{"job", job.value()}, {"removed", removed.has_value()}});
+}
+
+}  // namespace cowslip
--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -163,12 +163,8 @@
   job->hold = Hold::kOpen;
   for (const ItemId& id : job->record.definition.items) {
     Item& item = job->items[id];
-    const auto progress = job->record.status.progress.find(id);
-    if (progress != job->record.status.progress.end() &&
-        item.phase == ItemPhase::kPending &&
-        item.progress.last_event < progress->second.last_event) {
-      item.progress = progress->second;
-    }
+    TakeProgress(item, job->record.status.progress, id);
+    TakeProgress(item, event.saved, id);
     if (event.listed.contains(id)) {
       item.phase = ItemPhase::kListed;
     } else if (item.phase == ItemPhase::kEnded ||
@@ -181,6 +177,16 @@
   ConsiderHandBack(*job);
 }
 
+void JobBoard::TakeProgress(Item& item,
+                            const std::map<ItemId, ItemProgress>& known,
+                            const ItemId& id) {
+  const auto found = known.find(id);
+  if (found != known.end() && item.phase == ItemPhase::kPending &&
+      item.progress.last_event < found->second.last_event) {
+    item.progress = found->second;
+  }
+}
+
 void JobBoard::Apply(const JobOpenFailed& event, JobTime) {
   Job* job = FindJob(event.job);
   if (job != nullptr && job->hold == Hold::kOpening) {
@@ -212,12 +218,17 @@
   }
   item.phase = ItemPhase::kPending;
   const uint32_t failed_runs = item.progress.failed_runs;
+  const uint64_t known_events = item.progress.last_event;
   item.progress = event.progress;
   item.progress.failed_runs = failed_runs;
   item.backend = BackendId();
   if (job->hold != Hold::kOpen) {
     return;
   }
+  if (event.end == ItemRunEnd::kInterrupted ||
+      event.end == ItemRunEnd::kInDoubt) {
+    NoteUnsaved(*job, item.progress.last_event - known_events, now);
+  }
   switch (event.end) {
     case ItemRunEnd::kCompleted:
       EndItem(*job, event.item, ItemState::kCompleted, now);
@@ -327,21 +338,73 @@
       !job.unwritten.empty()) {
     return;
   }
-  HandBackJob action{.job = job.record.key};
+  const bool some_run =
+      std::any_of(job.items.begin(), job.items.end(), [](const auto& item) {
+        return item.second.phase == ItemPhase::kRunning;
+      });
+  if (some_run) {
+    return;
+  }
+  job.hold = Hold::kNone;
+  job.handed_back = true;
+  if (!AllListed(job)) {
+    m_actions.push_back(
+        HandBackJob{.job = job.record.key, .progress = ProgressOf(job)});
+  }
+}
+
+std::map<ItemId, ItemProgress> JobBoard::ProgressOf(const Job& job) {
+  std::map<ItemId, ItemProgress> progress;
   for (const auto& [id, item] : job.items) {
-    if (item.phase == ItemPhase::kRunning) {
-      return;
-    }
+    const bool open =
+        item.phase == ItemPhase::kPending || item.phase == ItemPhase::kRunning;
     const bool begun =
         item.progress.last_event > 0 || item.progress.failed_runs > 0;
-    if (item.phase == ItemPhase::kPending && begun) {
-      action.progress[id] = item.progress;
+    if (open && begun) {
+      progress[id] = item.progress;
     }
   }
-  job.hold = Hold::kNone;
-  job.handed_back = true;
-  if (!AllListed(job)) {
-    m_actions.push_back(std::move(action));
+  return progress;
+}
+
+void JobBoard::NoteUnsaved(Job& job, uint64_t events, JobTime now) {
+  if (job.unsaved_events == 0) {
+    job.save_at = now.monotonic + m_options.save_delay;
+  }
+  job.unsaved_events += events;
+}
+
+void JobBoard::ConsiderSaving(Job& job, JobTime now) {
+  if (job.hold != Hold::kOpen || job.saving || job.finish_asked || m_stopping ||
+      job.unsaved_events < m_options.events_worth_saving ||
+      now.monotonic < job.save_at) {
+    return;
+  }
+  SaveProgress action{.job = job.record.key};
+  size_t bytes = 0;
+  for (auto& [id, progress] : ProgressOf(job)) {
+    bytes += progress.output.size();
+    if (bytes > m_options.max_saved_bytes) {
+      break;
+    }
+    action.progress[id] = std::move(progress);
+  }
+  job.unsaved_events = 0;
+  if (action.progress.empty()) {
+    return;
+  }
+  job.saving = true;
+  m_actions.push_back(std::move(action));
+}
+
+void JobBoard::Apply(const ProgressSaved& event, JobTime now) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr) {
+    return;
+  }
+  job->saving = false;
+  if (!event.saved) {
+    NoteUnsaved(*job, m_options.events_worth_saving, now);
   }
 }
 
@@ -376,6 +439,7 @@
     ConsiderTakeover(job, now);
     GiveUpItems(job, now);
     ConsiderWriting(job, now);
+    ConsiderSaving(job, now);
     ConsiderHandBack(job);
     ConsiderDeletion(job, now);
   }
--- a/Source/Jobs/job_board.h
+++ b/Source/Jobs/job_board.h
@@ -40,6 +40,14 @@
   /// The time that an item usually takes; one that has less left before its due
   /// time goes after those that can still make it.
   Duration usual_item_time = std::chrono::seconds(4);
+  /// What interrupted items have come to is saved once this many events would
+  /// be lost, about the work of one item, and this long after the first of
+  /// them: a peak interrupts most items of a job within a second.
+  uint64_t events_worth_saving = 150;
+  Duration save_delay = std::chrono::milliseconds(1000);
+  /// Bytes of output that one save may hold, a fraction of what a document
+  /// takes; what is beyond is not saved.
+  size_t max_saved_bytes = 256 * 1024;
   /// Finished jobs are deleted this long after they were submitted.
   Duration retention = std::chrono::seconds(180);
 };
@@ -65,6 +73,8 @@
 struct JobOpened {
   JobKey job;
   std::set<ItemId> listed;
+  /// What an owner that was lost had saved of its items.
+  std::map<ItemId, ItemProgress> saved;
 };
 /// Opening the job has failed; it is tried again.
 struct JobOpenFailed {
@@ -106,6 +116,11 @@
 struct ResultsNotWritten {
   JobKey job;
 };
+/// What items have come to has been saved, or could not be.
+struct ProgressSaved {
+  JobKey job;
+  bool saved = false;
+};
 /// A job's route is gone from the configuration in force.
 struct JobRouteGone {
   JobKey job;
@@ -123,6 +138,7 @@
                                 ItemRunEnded,
                                 ResultsWritten,
                                 ResultsNotWritten,
+                                ProgressSaved,
                                 JobRouteGone,
                                 BoardTick>;
 
@@ -155,6 +171,12 @@
   JobKey job;
   std::map<ItemId, ItemProgress> progress;
 };
+/// Write down what the job's items have come to, for the case that this process
+/// is lost.
+struct SaveProgress {
+  JobKey job;
+  std::map<ItemId, ItemProgress> progress;
+};
 /// This process no longer runs the job.
 struct CloseJob {
   JobKey job;
@@ -169,6 +191,7 @@
                                  WriteResults,
                                  FinishJob,
                                  HandBackJob,
+                                 SaveProgress,
                                  CloseJob,
                                  DeleteJob>;
 
@@ -234,6 +257,11 @@
     bool finish_asked = false;
     bool handed_back = false;
     bool delete_asked = false;
+    /// Events that interrupted items have come to since the last save, when
+    /// they are to be saved, and whether that is under way.
+    uint64_t unsaved_events = 0;
+    MonotonicTime save_at;
+    bool saving = false;
     /// Since when its owner has not been live.
     std::optional<MonotonicTime> orphaned_since;
     MonotonicTime claim_again_at;
@@ -250,6 +278,7 @@
   void Apply(const ItemRunEnded& event, JobTime now);
   void Apply(const ResultsWritten& event, JobTime now);
   void Apply(const ResultsNotWritten& event, JobTime now);
+  void Apply(const ProgressSaved& event, JobTime now);
   void Apply(const JobRouteGone& event, JobTime now);
   void Apply(const BoardTick&, JobTime now);
 
@@ -265,6 +294,14 @@
   void ConsiderWriting(Job& job, JobTime now);
   void ConsiderFinish(Job& job);
   void ConsiderHandBack(Job& job);
+  void ConsiderSaving(Job& job, JobTime now);
+  void NoteUnsaved(Job& job, uint64_t events, JobTime now);
+  /// Goes on from `known` if that is further than what the item has come to.
+  static void TakeProgress(Item& item,
+                           const std::map<ItemId, ItemProgress>& known,
+                           const ItemId& id);
+  /// What the items that have no result yet have come to.
+  static std::map<ItemId, ItemProgress> ProgressOf(const Job& job);
   void ConsiderTakeover(Job& job, JobTime now);
   void ConsiderDeletion(Job& job, JobTime now);
   bool IsMyTurn(const Job& job, Duration orphaned_for) const;
--- a/Source/Jobs/job_documents.cc
+++ b/Source/Jobs/job_documents.cc
@@ -79,6 +79,26 @@
   return definition;
 }
 
+std::map<ItemId, ItemProgress> ReadProgress(const json& entries) {
+  std::map<ItemId, ItemProgress> progress;
+  for (const json& entry : entries) {
+    progress[entry.at(0).get<ItemId>()] =
+        ItemProgress{.last_event = entry.at(1).get<uint64_t>(),
+                     .output = entry.at(2).get<std::string>(),
+                     .failed_runs = entry.at(3).get<uint32_t>()};
+  }
+  return progress;
+}
+
+json WriteProgress(const std::map<ItemId, ItemProgress>& progress) {
+  json entries = json::array();
+  for (const auto& [item, done] : progress) {
+    entries.push_back(
+        {item.value(), done.last_event, done.output, done.failed_runs});
+  }
+  return entries;
+}
+
 JobStatus ReadStatus(const json& status, const JobDefinition& definition) {
   // A job without a status has never left the process that accepted it.
   if (!status.is_object() || !status.contains("owner")) {
@@ -90,12 +110,7 @@
   read.incarnation = status.at("incarnation").get<Incarnation>();
   read.ended = status.at("ended").get<bool>();
   read.finished = status.at("finished").get<bool>();
-  for (const json& entry : status.at("progress")) {
-    read.progress[entry.at(0).get<ItemId>()] =
-        ItemProgress{.last_event = entry.at(1).get<uint64_t>(),
-                     .output = entry.at(2).get<std::string>(),
-                     .failed_runs = entry.at(3).get<uint32_t>()};
-  }
+  read.progress = ReadProgress(status.at("progress"));
   return read;
 }
 
@@ -121,6 +136,10 @@
   return DocumentName(key.value() + "." + std::to_string(segment));
 }
 
+DocumentName ProgressName(const JobKey& key) {
+  return DocumentName(key.value());
+}
+
 std::vector<json> EncodeInputs(const std::vector<JobItem>& items) {
   std::vector<json> segments;
   size_t size = kSegmentBytes;
@@ -164,16 +183,11 @@
 }
 
 json EncodeStatus(const JobStatus& status) {
-  json progress = json::array();
-  for (const auto& [item, done] : status.progress) {
-    progress.push_back(
-        {item.value(), done.last_event, done.output, done.failed_runs});
-  }
   return {{"owner", status.owner},
           {"incarnation", status.incarnation},
           {"ended", status.ended},
           {"finished", status.finished},
-          {"progress", std::move(progress)}};
+          {"progress", WriteProgress(status.progress)}};
 }
 
 std::optional<JobRecord> DecodeJob(const Document& document) {
@@ -188,6 +202,20 @@
   }
 }
 
+json EncodeProgress(const std::map<ItemId, ItemProgress>& progress) {
+  return {{"progress", WriteProgress(progress)}};
+}
+
+Result<std::map<ItemId, ItemProgress>> DecodeProgress(const json& content) {
+  try {
+    return ReadProgress(content.at("progress"));
+  } catch (const json::exception& error) {
+    return Error(ErrorKind::kMalformedMessage,
+                 std::string("Not the progress of a job's items: ") +
+                     error.what() + ". Delete the document.");
+  }
+}
+
 json EncodeResults(const ResultSegment& segment) {
   json results = json::array();
   for (const ItemResult& result : segment.results) {
--- a/Source/Jobs/job_documents.h
+++ b/Source/Jobs/job_documents.h
@@ -2,6 +2,7 @@
 #define SOURCE_JOBS_JOB_DOCUMENTS_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -20,6 +21,10 @@
 /// The results of jobs, in segments that only grow.
 inline constexpr char kResultKind[] = "cowslip-job-results";
 
+/// What the items of a job have come to, for the case that its owner is lost.
+/// Nobody watches these documents: they are read when a job changes owners.
+inline constexpr char kProgressKind[] = "cowslip-job-progress";
+
 /// Bytes of items or results after which the next segment begins: half of what
 /// one document may hold, so that the largest item still fits.
 inline constexpr size_t kSegmentBytes = 400 * 1024;
@@ -40,6 +45,7 @@
                        const Digest& digest,
                        uint32_t segment);
 DocumentName ResultName(const JobKey& key, uint32_t segment);
+DocumentName ProgressName(const JobKey& key);
 
 /// Cuts items into documents.
 std::vector<nlohmann::json> EncodeInputs(const std::vector<JobItem>& items);
@@ -51,6 +57,11 @@
 /// nullopt for what is not of that form.
 std::optional<JobRecord> DecodeJob(const Document& document);
 
+nlohmann::json EncodeProgress(const std::map<ItemId, ItemProgress>& progress);
+/// Errors: kMalformedMessage.
+Result<std::map<ItemId, ItemProgress>> DecodeProgress(
+    const nlohmann::json& content);
+
 nlohmann::json EncodeResults(const ResultSegment& segment);
 /// Errors: kMalformedMessage.
 Result<ResultSegment> DecodeResults(const nlohmann::json& content);
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -92,6 +92,9 @@
   ObjectVersion version;
   JobDefinition definition;
   JobStatus status;
+
+  /// The version at which the store named the present owner, or a later one.
+  FencingNumber fence() const { return FencingNumber(version.value()); }
 };
 
 /// \class JobTime
--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -313,12 +313,25 @@
     f.gateway(0).Shutdown();
     f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
     f.store.Put(kJobKind, "j2.mill", lost);
+    // The owner had saved what one of the items had come to.
+    const ItemId begun(lost["items"][0].get<std::string>());
+    f.store.Put(
+        kProgressKind, "j2.mill",
+        EncodeProgress(
+            {{begun, {.last_event = 2, .output = Output(begun.value(), 2)}}}));
     const size_t next = f.AddGateway();
     HttpRequest request = f.Request("POST", "/stream/x", "a1");
     const auto response = co_await f.Send(next, std::move(request));
     REQUIRE(response.has_value());
     CHECK(response.value().status == 200);
     CheckWhole(co_await f.ReadAll(next, "j2"), 3, 4);
+    size_t resumed = 0;
+    for (size_t i = 0; i < 2; ++i) {
+      for (const HttpRequest& sent : f.backend(i).received()) {
+        resumed += FindHeader(sent.headers, "Last-Event-Id") == "2" ? 1 : 0;
+      }
+    }
+    CHECK(resumed == 1);
     // What the lost gateways had finished is still there.
     CheckWhole(co_await f.ReadAll(next, "j1"), 3, 4);
   });
--- a/Tests/Jobs/job_board_test.cc
+++ b/Tests/Jobs/job_board_test.cc
@@ -201,6 +201,70 @@
   CHECK(f.board.Runnable(At(3s)).empty());
 }
 
+// Ends a run of an item that gave way after some events.
+void Interrupt(Fixture& f, const char* item, uint64_t events, Duration at) {
+  f.Tell(ItemStarted{JobKey("j"), ItemId(item), BackendId("x")}, at);
+  f.Tell(ItemRunEnded{JobKey("j"),
+                      ItemId(item),
+                      ItemRunEnd::kInterrupted,
+                      {.last_event = events, .output = "some"}},
+         at);
+}
+
+TEST_CASE("What interrupted items have come to is saved, in one write") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  Interrupt(f, "a", 100, 1s);
+  CHECK(Find<SaveProgress>(f.Tell(BoardTick{}, 2100ms)) == nullptr);
+  Interrupt(f, "b", 120, 2200ms);
+  const auto actions = f.Tell(BoardTick{}, 2300ms);
+  const auto* save = Find<SaveProgress>(actions);
+  REQUIRE(save != nullptr);
+  CHECK(save->progress.size() == 2);
+  CHECK(save->progress.at(ItemId("b")).last_event == 120);
+  CHECK(Find<SaveProgress>(f.Tell(BoardTick{}, 2400ms)) == nullptr);
+  SECTION("Saved: nothing more until there is more") {
+    f.Tell(ProgressSaved{JobKey("j"), true}, 2500ms);
+    CHECK(Find<SaveProgress>(f.Tell(BoardTick{}, 10s)) == nullptr);
+  }
+  SECTION("Not saved: tried again after a pause") {
+    f.Tell(ProgressSaved{JobKey("j"), false}, 2500ms);
+    CHECK(Find<SaveProgress>(f.Tell(BoardTick{}, 3400ms)) == nullptr);
+    CHECK(Find<SaveProgress>(f.Tell(BoardTick{}, 3600ms)) != nullptr);
+  }
+}
+
+TEST_CASE("What a lost owner had saved goes on") {
+  Fixture f;
+  f.Tell(JobSeen{Record("j", "vm1", 1)}, 0s);
+  f.Tell(JobOpened{JobKey("j"),
+                   {ItemId("b")},
+                   {{ItemId("a"), {.last_event = 7, .output = "seven"}},
+                    {ItemId("b"), {.last_event = 9, .output = "nine"}}}},
+         0s);
+  const auto runnable = f.board.Runnable(At(0s));
+  REQUIRE(runnable.size() == 1);
+  CHECK(runnable[0].item == ItemId("a"));
+  CHECK(runnable[0].progress.last_event == 7);
+}
+
+TEST_CASE("A save holds no more than a document takes") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  for (const char* item : {"a", "b"}) {
+    f.Tell(ItemStarted{JobKey("j"), ItemId(item), BackendId("x")}, 1s);
+    f.Tell(ItemRunEnded{JobKey("j"),
+                        ItemId(item),
+                        ItemRunEnd::kInterrupted,
+                        {.last_event = 100,
+                         .output = std::string(200 * 1024, 'x')}},
+           1s);
+  }
+  const auto actions = f.Tell(BoardTick{}, 2100ms);
+  REQUIRE(Find<SaveProgress>(actions) != nullptr);
+  CHECK(Find<SaveProgress>(actions)->progress.size() == 1);
+}
+
 TEST_CASE("What an earlier owner had begun goes on") {
   Fixture f;
   JobRecord record = Record("j", "vm1", 1);
