Tests: one way to put a lost job into the store

Cause: two cases of gateway.jobs copied the documents of a job line by line. Change: PutLostJob serves both; assertions unchanged.

--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -94,20 +94,25 @@
   });
 }
 
+// Puts a copy of job `j1` into the store as `j2`, as it stands after its
+// owner's VM was lost right after the 202.
+void PutLostJob(GatewayFixture& f) {
+  nlohmann::json lost = f.store.Find(kJobKind, "j1.mill")->content;
+  lost["id"] = "j2";
+  lost["accepted_by"] = "a-lost-vm";
+  const std::string digest = lost["digest"].get<std::string>();
+  const nlohmann::json inputs =
+      f.store.Find(kInputKind, "j1.mill." + digest.substr(0, 16) + ".0")
+          ->content;
+  f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
+  f.store.Put(kJobKind, "j2.mill", lost);
+}
+
 TEST_CASE("A job whose owner never comes back is taken over from the store") {
   RunJobs([](GatewayFixture& f) -> awaitable<void> {
-    // As it stands after its owner's VM was lost right after the 202.
     CHECK(co_await SubmitTo(f, 0, "j1", 2) == 202);
     CheckWhole(co_await f.ReadAll(0, "j1"), 2, 4);
-    nlohmann::json lost = f.store.Find(kJobKind, "j1.mill")->content;
-    lost["id"] = "j2";
-    lost["accepted_by"] = "a-lost-vm";
-    const std::string digest = lost["digest"].get<std::string>();
-    const nlohmann::json inputs =
-        f.store.Find(kInputKind, "j1.mill." + digest.substr(0, 16) + ".0")
-            ->content;
-    f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
-    f.store.Put(kJobKind, "j2.mill", lost);
+    PutLostJob(f);
     CheckWhole(co_await f.ReadAll(1, "j2"), 2, 4);
   });
 }
@@ -302,19 +307,12 @@
     co_await f.WaitUntilReady();
     CHECK(co_await SubmitTo(f, 0, "j1", 3) == 202);
     CheckWhole(co_await f.ReadAll(0, "j1"), 3, 4);
-    // Another job, as its owner left it when all VMs lost power after the 202.
-    nlohmann::json lost = f.store.Find(kJobKind, "j1.mill")->content;
-    lost["id"] = "j2";
-    lost["accepted_by"] = "a-lost-vm";
-    const std::string digest = lost["digest"].get<std::string>();
-    const nlohmann::json inputs =
-        f.store.Find(kInputKind, "j1.mill." + digest.substr(0, 16) + ".0")
-            ->content;
+    const ItemId begun(f.store.Find(kJobKind, "j1.mill")
+                           ->content["items"][0]
+                           .get<std::string>());
     f.gateway(0).Shutdown();
-    f.store.Put(kInputKind, "j2.mill." + digest.substr(0, 16) + ".0", inputs);
-    f.store.Put(kJobKind, "j2.mill", lost);
+    PutLostJob(f);
     // The owner had saved what one of the items had come to.
-    const ItemId begun(lost["items"][0].get<std::string>());
     f.store.Put(
         kProgressKind, "j2.mill",
         EncodeProgress(
