--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -183,7 +183,11 @@
   const auto found = known.find(id);
   if (found != known.end() && item.phase == ItemPhase::kPending &&
       item.progress.last_event < found->second.last_event) {
+    const uint32_t failed_runs = item.progress.failed_runs;
     item.progress = found->second;
+    // A run that has failed since the save still counts.
+    item.progress.failed_runs =
+        std::max(item.progress.failed_runs, failed_runs);
   }
 }
 
