Gateway: results are not freed on their way to a caller

After a read, JobHandler frees the reader that was used longest ago while all of them exceed 16 MB; if the one just read is the only one, its results were freed before the page was encoded. Change: the reader that was just used is never the one to go.

--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -324,14 +324,14 @@
   return reader;
 }
 
-void JobHandler::EvictReaders() {
+void JobHandler::EvictReaders(const Reader& in_use) {
   size_t bytes = 0;
   auto oldest = m_readers.end();
   for (auto at = m_readers.begin(); at != m_readers.end(); ++at) {
     bytes += at->second->log.bytes();
     const bool older =
         oldest == m_readers.end() || at->second->used < oldest->second->used;
-    if (!at->second->busy && older) {
+    if (!at->second->busy && at->second.get() != &in_use && older) {
       oldest = at;
     }
   }
@@ -383,7 +383,7 @@
   Result<void> read = co_await reader->log.Refresh();
   reader->busy = false;
   reader->free.cancel();
-  EvictReaders();
+  EvictReaders(*reader);
   co_return read;
 }
 
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -75,7 +75,8 @@
       std::shared_ptr<Reader> reader,
       size_t from);
   std::shared_ptr<Reader> ReaderFor(const JobKey& job);
-  void EvictReaders();
+  /// Frees memory, but never `in_use`, whose results are about to be read.
+  void EvictReaders(const Reader& in_use);
   boost::asio::awaitable<void> Pause(Duration pause);
   HttpResponse Failure(const Error& error) const;
 
