--- a/Source/Base/event_log.cc
+++ b/Source/Base/event_log.cc
@@ -47,7 +47,6 @@
   m_pending += line.dump(-1, ' ', false,
                          nlohmann::ordered_json::error_handler_t::replace);
   m_pending += '\n';
-  ++m_lines;
   if (m_pending.size() >= kFlushBytes) {
     Flush();
   }
--- a/Source/Base/event_log.h
+++ b/Source/Base/event_log.h
@@ -43,7 +43,6 @@
   /// Writes what waits, as far as the descriptor takes it.
   void Flush();
 
-  uint64_t lines() const { return m_lines; }
   uint64_t dropped() const { return m_dropped; }
 
  private:
@@ -51,7 +50,6 @@
 
   const EventLogOptions m_options;
   std::string m_pending;
-  uint64_t m_lines = 0;
   uint64_t m_dropped = 0;
   // Lines of each event in the second that is counted.
   std::unordered_map<std::string, uint32_t> m_counts;
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -267,7 +267,7 @@
 void JobRunner::StartItems(JobTime now) {
   size_t started = 0;
   std::set<ServiceId> full;
-  for (RunnableItem& runnable : m_board.Runnable(now)) {
+  for (const RunnableItem& runnable : m_board.Runnable(now)) {
     if (started >= m_options.starts_per_pass) {
       break;
     }
@@ -289,30 +289,32 @@
       continue;
     }
     ++started;
+    ItemProgress progress = *runnable.progress;
     Tell(ItemStarted{runnable.job, runnable.item, lease->backend()});
     boost::asio::co_spawn(
         m_gateway.io,
-        [this, runnable = std::move(runnable),
+        [this, key = RunKey(runnable.job, runnable.item),
+         progress = std::move(progress),
          lease = std::shared_ptr<AttemptLease>(std::move(lease)),
-         body = item->second] { return RunItem(runnable, lease, body); },
+         body = item->second] { return RunItem(key, progress, lease, body); },
         boost::asio::detached);
   }
 }
 
-awaitable<void> JobRunner::RunItem(RunnableItem runnable,
+awaitable<void> JobRunner::RunItem(RunKey key,
+                                   ItemProgress progress,
                                    std::shared_ptr<AttemptLease> lease,
                                    JobItem item) {
-  const RunKey key(runnable.job, runnable.item);
-  const JobRecord* record = m_board.Find(runnable.job);
+  const JobRecord* record = m_board.Find(key.first);
   const BackendId backend = lease->backend();
-  const uint64_t began_after = runnable.progress.last_event;
+  const uint64_t began_after = progress.last_event;
   const auto run = std::make_shared<ItemRun>(
       ItemRunRequest{.item = std::move(item),
                      .host = record->definition.host,
                      .call = {.organisation = record->definition.organisation,
                               .backend = backend,
                               .deadline = kItemDeadline},
-                     .progress = std::move(runnable.progress)});
+                     .progress = std::move(progress)});
   m_runs[key] = run;
   const ItemRunEnd end = co_await run->Run(*lease);
   m_runs.erase(key);
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -104,7 +104,8 @@
   /// Reads what an earlier owner has saved of the job's items.
   boost::asio::awaitable<Result<void>> ReadSaved(JobKey job, OpenedJob& opened);
   boost::asio::awaitable<void> Delete(JobKey job);
-  boost::asio::awaitable<void> RunItem(RunnableItem runnable,
+  boost::asio::awaitable<void> RunItem(RunKey key,
+                                       ItemProgress progress,
                                        std::shared_ptr<AttemptLease> lease,
                                        JobItem item);
   boost::asio::awaitable<void> Pause(Duration pause);
--- a/Source/Jobs/job_board.cc
+++ b/Source/Jobs/job_board.cc
@@ -207,11 +207,9 @@
   item.phase = ItemPhase::kRunning;
   item.backend = event.backend;
   item.stopping = false;
-  ++m_running;
 }
 
 void JobBoard::Apply(const ItemRunEnded& event, JobTime now) {
-  --m_running;
   Job* job = FindJob(event.job);
   if (job == nullptr) {
     return;
@@ -524,7 +522,7 @@
         continue;
       }
       ordered.push_back({{late, share / kTurn, definition.due, key, id},
-                         {key, id, found->second.progress}});
+                         {key, id, &found->second.progress}});
       ++share;
     }
     running[definition.organisation] = share;
--- a/Source/Jobs/job_board.h
+++ b/Source/Jobs/job_board.h
@@ -200,7 +200,8 @@
 struct RunnableItem {
   JobKey job;
   ItemId item;
-  ItemProgress progress;
+  /// The board's own; valid until the board is told that the job is forgotten.
+  const ItemProgress* progress = nullptr;
 };
 
 /// \class JobBoard
@@ -234,7 +235,6 @@
   /// Nothing is left to hand back.
   bool IsIdle() const;
   size_t jobs() const { return m_jobs.size(); }
-  size_t running() const { return m_running; }
 
  private:
   enum class ItemPhase { kPending, kRunning, kEnded, kListed };
@@ -313,7 +313,6 @@
   std::map<JobKey, Job> m_jobs;
   std::optional<MonotonicTime> m_active_since;
   bool m_stopping = false;
-  size_t m_running = 0;
   std::vector<BoardAction> m_actions;
 };
 
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -66,8 +66,6 @@
   void Refresh();
   /// Takes what is known for outdated until the store has been read again.
   void AssumeStale(const Error& why);
-  /// Whether the last call was answered.
-  bool connected() const { return m_connected; }
   /// Names the documents and versions that are known: equal for two watchers of
   /// a kind if, and as far as can be told only if, they know the same.
   uint64_t digest() const { return m_digest; }
--- a/Tests/Jobs/job_board_test.cc
+++ b/Tests/Jobs/job_board_test.cc
@@ -245,7 +245,7 @@
   const auto runnable = f.board.Runnable(At(0s));
   REQUIRE(runnable.size() == 1);
   CHECK(runnable[0].item == ItemId("a"));
-  CHECK(runnable[0].progress.last_event == 7);
+  CHECK(runnable[0].progress->last_event == 7);
 }
 
 TEST_CASE("A save holds no more than a document takes") {
@@ -272,7 +272,7 @@
   f.Open(record);
   const auto runnable = f.board.Runnable(At(0s));
   REQUIRE(runnable.size() == 2);
-  CHECK(runnable[0].progress.last_event == 7);
+  CHECK(runnable[0].progress->last_event == 7);
 }
 
 TEST_CASE("An item that always fails is given up after its attempts") {
@@ -283,7 +283,7 @@
     CHECK(f.board.Runnable(At(1s * (i + 1) + 900ms)).size() == 2);
   }
   // A failed run is begun anew, not continued.
-  CHECK(f.board.Runnable(At(3s))[0].progress.last_event == 0);
+  CHECK(f.board.Runnable(At(3s))[0].progress->last_event == 0);
   f.RunItem("a", ItemRunEnd::kFailed, 3s);
   CHECK(f.board.Runnable(At(4s)).size() == 1);
   const auto actions = f.Tell(BoardTick{}, 4s);
