--- a/Source/Base/fingerprint.cc
+++ b/Source/Base/fingerprint.cc
@@ -5,13 +5,9 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-namespace cowslip {
-
-namespace {
+#include "Base/hex.h"
 
-constexpr char kHex[] = "0123456789abcdef";
-
-}  // namespace
+namespace cowslip {
 
 Fingerprint FingerprintOf(const OrganisationId& organisation,
                           std::string_view target,
@@ -24,12 +20,7 @@
   const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
   XXH128_canonical_t canonical;
   XXH128_canonicalFromHash(&canonical, hash);
-  std::string hex;
-  for (const unsigned char byte : canonical.digest) {
-    hex += kHex[byte >> 4];
-    hex += kHex[byte & 15];
-  }
-  return Fingerprint(hex);
+  return Fingerprint(ToHex(canonical.digest));
 }
 
 }  // namespace cowslip
--- /dev/null
+++ b/Source/Base/hex.h
@@ -0,0 +1,14 @@
+#ifndef SOURCE_BASE_HEX_H_
+#define SOURCE_BASE_HEX_H_
+
+#include <span>
+#include <string>
+
+namespace cowslip {
+
+/// The bytes in lower-case hexadecimal.
+std::string ToHex(std::span<const unsigned char> bytes);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_BASE_HEX_H_
--- a/Source/Base/time.h
+++ b/Source/Base/time.h
@@ -4,11 +4,18 @@
 #include <time.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace cowslip {
 
 using Duration = std::chrono::nanoseconds;
 
+/// Whole milliseconds, rounded down, as logs and messages name times.
+inline int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 /// \class MonotonicClock
 /// \brief Tags time points of a process's own monotonic clock. Decision cores
 /// get such time points passed in and never read a clock themselves.
--- a/Source/Batch/batch_http_handler.cc
+++ b/Source/Batch/batch_http_handler.cc
@@ -6,6 +6,7 @@
 
 #include "Base/json.h"
 #include "Batch/batch_driver.h"
+#include "Net/json_response.h"
 
 namespace cowslip {
 
@@ -75,12 +76,6 @@
   return response;
 }
 
-HttpResponse ToJson(int status, const nlohmann::json& json) {
-  HttpResponse response{.status = status, .body = DumpJson(json)};
-  response.headers.push_back({"Content-Type", "application/json"});
-  return response;
-}
-
 nlohmann::json ToJson(const JobView& job) {
   nlohmann::json json = {{"id", job.job},
                          {"status", job.status},
@@ -219,7 +214,7 @@
     co_return ToProblem(job.error());
   }
   HttpResponse response =
-      ToJson(job.value().created ? 201 : 200, ToJson(job.value()));
+      JsonResponse(job.value().created ? 201 : 200, ToJson(job.value()));
   response.headers.push_back(
       {"Location", std::string(kRoot) + "/" + job.value().job.value()});
   co_return response;
@@ -231,7 +226,7 @@
   if (!view.has_value()) {
     co_return ToProblem(view.error());
   }
-  co_return ToJson(200, ToJson(view.value()));
+  co_return JsonResponse(200, ToJson(view.value()));
 }
 
 awaitable<HttpResponse> BatchHttpHandler::Results(const HttpRequest& request,
@@ -257,7 +252,7 @@
                                {"results", std::move(results)},
                                {"next", page.value().next},
                                {"complete", page.value().complete}};
-  co_return ToJson(200, body);
+  co_return JsonResponse(200, body);
 }
 
 awaitable<HttpResponse> BatchHttpHandler::Cancel(OrganisationId organisation,
@@ -266,7 +261,7 @@
   if (!view.has_value()) {
     co_return ToProblem(view.error());
   }
-  co_return ToJson(200, ToJson(view.value()));
+  co_return JsonResponse(200, ToJson(view.value()));
 }
 
 }  // namespace cowslip
--- a/Source/Configuration/declaration_json.cc
+++ b/Source/Configuration/declaration_json.cc
@@ -21,14 +21,10 @@
 // Keeps a corrupt number from overflowing the duration: about a month.
 constexpr int64_t kMaxMilliseconds = int64_t{1} << 31;
 
-int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 Duration ReadMilliseconds(const json& source,
                           const char* field,
                           Duration absent) {
-  const int64_t read = source.value(field, ToMilliseconds(absent));
+  const int64_t read = source.value(field, ToMillis(absent));
   return milliseconds(std::clamp<int64_t>(read, 0, kMaxMilliseconds));
 }
 
@@ -114,14 +110,14 @@
           {"methods", route.methods},
           {"allow", ToJson(route.allow)},
           {"idempotent", route.idempotent},
-          {"timeout_ms", ToMilliseconds(route.timeout)},
+          {"timeout_ms", ToMillis(route.timeout)},
           {"max_body_bytes", route.max_body_bytes},
           {"batchable", route.batchable}};
 }
 
 json ToJson(const BatchDeclaration& batch) {
   return {{"name", batch.id},
-          {"default_deadline_ms", ToMilliseconds(batch.default_deadline)},
+          {"default_deadline_ms", ToMillis(batch.default_deadline)},
           {"max_items", batch.max_items},
           {"max_attempts", batch.max_attempts},
           {"max_item_bytes", batch.max_item_bytes}};
--- a/Source/Entry/admin_handler.cc
+++ b/Source/Entry/admin_handler.cc
@@ -1,7 +1,7 @@
 #include "Entry/admin_handler.h"
 
-#include "Base/json.h"
 #include "Net/http_exchange.h"
+#include "Net/json_response.h"
 #include "Requests/problem.h"
 
 namespace cowslip {
@@ -18,21 +18,13 @@
   return response;
 }
 
-HttpResponse Json(int status, const nlohmann::json& body) {
-  HttpResponse response;
-  response.status = status;
-  response.headers.push_back({"Content-Type", "application/json"});
-  response.body = DumpJson(body);
-  return response;
-}
-
 HttpResponse NotFound() {
-  return Json(404, {{"type", "urn:cowslip:no-such-route"},
-                    {"title", "No such page"},
-                    {"status", 404},
-                    {"detail",
-                     "Use /healthz, /readyz, /metrics, /status, "
-                     "/jobs or /quarantine/FINGERPRINT."}});
+  return JsonResponse(404, {{"type", "urn:cowslip:no-such-route"},
+                            {"title", "No such page"},
+                            {"status", 404},
+                            {"detail",
+                             "Use /healthz, /readyz, /metrics, /status, "
+                             "/jobs or /quarantine/FINGERPRINT."}});
 }
 
 }  // namespace
@@ -54,12 +46,13 @@
   const Fingerprint fingerprint(path.substr(sizeof(kQuarantinePath) - 1));
   const bool released = co_await m_hooks.release(fingerprint);
   if (released) {
-    co_return Json(200, {{"released", fingerprint}});
+    co_return JsonResponse(200, {{"released", fingerprint}});
   }
-  co_return Json(503, {{"type", "urn:cowslip:store-unavailable"},
-                       {"title", "The platform's store did not answer"},
-                       {"status", 503},
-                       {"detail", "Repeat the call once the store is back."}});
+  co_return JsonResponse(
+      503, {{"type", "urn:cowslip:store-unavailable"},
+            {"title", "The platform's store did not answer"},
+            {"status", 503},
+            {"detail", "Repeat the call once the store is back."}});
 }
 
 boost::asio::awaitable<HttpResponse> AdminHandler::Answer(
@@ -75,7 +68,7 @@
     co_return Text(200, m_hooks.metrics());
   }
   if (path == "/status") {
-    co_return Json(200, m_hooks.status());
+    co_return JsonResponse(200, m_hooks.status());
   }
   if (path == "/jobs" || path.starts_with("/jobs/")) {
     co_return co_await m_hooks.jobs(request);
--- a/Source/Entry/operator_jobs.cc
+++ b/Source/Entry/operator_jobs.cc
@@ -1,7 +1,7 @@
 #include "Entry/operator_jobs.h"
 
-#include "Base/json.h"
 #include "Batch/batch_driver.h"
+#include "Net/json_response.h"
 
 namespace cowslip {
 
@@ -11,22 +11,17 @@
 constexpr char kCancel[] = "/cancel";
 constexpr size_t kMaxListedJobs = 10'000;
 
-HttpResponse ToJson(int status, const nlohmann::json& body) {
-  HttpResponse response{.status = status, .body = DumpJson(body)};
-  response.headers.push_back({"Content-Type", "application/json"});
-  return response;
-}
-
 HttpResponse ToProblem(const Error& error) {
   const int status = error.kind() == ErrorKind::kNotFound ? 404 : 503;
-  return ToJson(status, {{"type", "urn:cowslip:jobs"},
-                         {"title", error.code.message()},
-                         {"status", status},
-                         {"detail", error.message}});
+  return JsonResponse(status, {{"type", "urn:cowslip:jobs"},
+                               {"title", error.code.message()},
+                               {"status", status},
+                               {"detail", error.message}});
 }
 
 HttpResponse ToResponse(const Result<JobView>& job) {
-  return job.has_value() ? ToJson(200, job.value()) : ToProblem(job.error());
+  return job.has_value() ? JsonResponse(200, job.value())
+                         : ToProblem(job.error());
 }
 
 }  // namespace
@@ -62,7 +57,7 @@
   if (!jobs.has_value()) {
     co_return ToProblem(jobs.error());
   }
-  co_return ToJson(200, {{"jobs", jobs.value()}});
+  co_return JsonResponse(200, {{"jobs", jobs.value()}});
 }
 
 // Callers' calls name their organisation; an operator knows only the job.
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -5,12 +5,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "Gateway/peer_documents.h"
 #include "Gateway/problem_response.h"
 #include "Net/http_exchange.h"
+#include "Net/sleep_for.h"
 
 namespace cowslip {
 
@@ -75,8 +74,7 @@
       m_jobs(m_gateway, m_store, m_board, m_runner),
       m_front_door(m_gateway, m_jobs, m_options.incarnation.value()),
       m_tick(context),
-      m_poll_timer(context),
-      m_register_timer(context) {
+      m_poll_timer(context) {
   const Endpoint listen{.address = m_settings.address,
                         .port = m_settings.first_internal_port};
   m_gossip = std::make_unique<PeerGossip>(
@@ -250,10 +248,7 @@
       co_return;
     }
     m_log.Write("registration_failed", {{"why", done.error().message}});
-    m_register_timer.expires_after(kRegisterPause);
-    boost::system::error_code ignored;
-    co_await m_register_timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    co_await SleepFor(kRegisterPause);
   }
 }
 
@@ -352,10 +347,7 @@
   }
   const Error why(ErrorKind::kUnavailable,
                   "The process stood still. The store is read again.");
-  m_log.Write(
-      "process_stood_still",
-      {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(*pause)
-                  .count()}});
+  m_log.Write("process_stood_still", {{"ms", ToMillis(*pause)}});
   m_configuration_watcher->AssumeStale(why);
   m_job_watcher->AssumeStale(why);
   // Backend servers that were used until now are still the best guess.
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -138,7 +138,6 @@
   std::shared_ptr<DocumentWatcher> m_job_watcher;
   boost::asio::steady_timer m_tick;
   boost::asio::steady_timer m_poll_timer;
-  boost::asio::steady_timer m_register_timer;
   PauseDetector m_pauses;
   DivergenceDetector m_divergence{DivergenceOptions{}};
   const MonotonicTime m_started = MonotonicClock::now();
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -171,11 +171,8 @@
   }
   m_start_gate.Open();
   const Duration since = MonotonicClock::now() - m_started;
-  m_log.Write(
-      "requests_let_in",
-      {{"held", m_start_gate.held()},
-       {"since_start_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count()}});
+  m_log.Write("requests_let_in", {{"held", m_start_gate.held()},
+                                  {"since_start_ms", ToMillis(since)}});
 }
 
 void GatewayDaemon::TakeConfiguration(const Document& document) {
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -14,6 +14,8 @@
 #include "Gateway/problem_response.h"
 #include "Jobs/job_documents.h"
 #include "Net/http_exchange.h"
+#include "Net/json_response.h"
+#include "Net/sleep_for.h"
 #include "platform/job_messages.h"
 
 namespace cowslip {
@@ -40,11 +42,6 @@
 // The alternatives of JobCall, for the log.
 constexpr const char* kNames[] = {"results", "item", "end", "malformed"};
 
-int64_t WallMillis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 HttpResponse NoSuchJob() {
   return ProblemResponse(
       Problem{.kind = ProblemKind::kNoSuchRoute,
@@ -91,13 +88,6 @@
                        JobRunner& runner)
     : m_gateway(gateway), m_store(store), m_board(board), m_runner(runner) {}
 
-awaitable<void> JobHandler::Pause(Duration pause) {
-  boost::asio::steady_timer timer(m_gateway.io, pause);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 HttpResponse JobHandler::Failure(const Error& error) const {
   return ProblemResponse(Problem{
       .kind = ProblemKind::kNotReady,
@@ -126,7 +116,7 @@
     const JobId id(caller.attempt.value());
     const WallTime now = WallNow();
     const auto after = [now](Duration duration) {
-      return now + std::chrono::milliseconds(WallMillis(duration));
+      return now + std::chrono::milliseconds(ToMillis(duration));
     };
     JobRecord record{.key = JobKeyFor(id, organisation),
                      .definition = {.id = id,
@@ -201,7 +191,7 @@
     if (MonotonicClock::now() + kSubmitPause >= give_up) {
       co_return NotAccepted(in_doubt, error);
     }
-    co_await Pause(kSubmitPause);
+    co_await SleepFor(kSubmitPause);
   }
 }
 
@@ -311,7 +301,7 @@
   if (!results.has_value()) {
     co_return Failure(results.error());
   }
-  co_return JsonResponse(
+  co_return JsonTextResponse(
       200, platform::EncodeResultPage(total, call.from, *results.value()));
 }
 
@@ -363,7 +353,7 @@
     if (results->size() > from || complete_here || ended || !has_time) {
       co_return results;
     }
-    co_await Pause(kReadPause);
+    co_await SleepFor(kReadPause);
   }
 }
 
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -77,7 +77,6 @@
   std::shared_ptr<Reader> ReaderFor(const JobKey& job);
   /// Frees memory, but never `in_use`, whose results are about to be read.
   void EvictReaders(const Reader& in_use);
-  boost::asio::awaitable<void> Pause(Duration pause);
   HttpResponse Failure(const Error& error) const;
 
   GatewayContext& m_gateway;
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -108,7 +108,6 @@
                                        ItemProgress progress,
                                        std::shared_ptr<AttemptLease> lease,
                                        JobItem item);
-  boost::asio::awaitable<void> Pause(Duration pause);
 
   void Pass();
   void StartItems(JobTime now);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -4,12 +4,9 @@
 
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "Base/event_log.h"
 #include "Jobs/job_documents.h"
+#include "Net/sleep_for.h"
 
 namespace cowslip {
 
@@ -27,13 +24,6 @@
 
 }  // namespace
 
-awaitable<void> JobRunner::Pause(Duration pause) {
-  boost::asio::steady_timer timer(m_gateway.io, pause);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(
-      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 awaitable<void> JobRunner::Claim(JobKey job) {
   const JobRecord* known = m_board.Find(job);
   if (known == nullptr) {
@@ -82,7 +72,7 @@
     }
     m_gateway.log.Write("job_open_failed",
                         {{"job", job.value()}, {"why", read.error().message}});
-    co_await Pause(m_options.store_pause);
+    co_await SleepFor(m_options.store_pause);
     Tell(JobOpenFailed{job});
     co_return;
   }
@@ -229,7 +219,7 @@
     if (written.error().kind() == ErrorKind::kConflict) {
       co_await ReadRecord(job);
     }
-    co_await Pause(m_options.store_pause);
+    co_await SleepFor(m_options.store_pause);
     Tell(ResultsNotWritten{job});
     co_return;
   }
--- a/Source/Gateway/problem_response.cc
+++ b/Source/Gateway/problem_response.cc
@@ -1,7 +1,6 @@
 #include "Gateway/problem_response.h"
 
 #include <cstdio>
-#include <utility>
 
 namespace cowslip {
 
@@ -28,10 +27,4 @@
   return response;
 }
 
-HttpResponse JsonResponse(int status, std::string body) {
-  HttpResponse response{.status = status, .body = std::move(body)};
-  response.headers.push_back({"Content-Type", "application/json"});
-  return response;
-}
-
 }  // namespace cowslip
--- a/Source/Gateway/problem_response.h
+++ b/Source/Gateway/problem_response.h
@@ -9,9 +9,6 @@
 /// The whole answer to a request that is refused or has failed.
 HttpResponse ProblemResponse(const Problem& problem);
 
-/// A whole answer with a JSON body.
-HttpResponse JsonResponse(int status, std::string body);
-
 }  // namespace cowslip
 
 #endif  // SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -43,11 +43,6 @@
   return request.arrived + time;
 }
 
-int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
 RelaySession::RelaySession(GatewayContext& gateway,
@@ -521,8 +516,9 @@
        {"in_doubt", m_in_doubt},
        {"not_run", m_not_run},
        {"why", m_last_failure},
-       {"first_ms", has_first ? Millis(m_first_byte - m_request.arrived) : -1},
-       {"total_ms", Millis(took)},
+       {"first_ms",
+        has_first ? ToMillis(m_first_byte - m_request.arrived) : -1},
+       {"total_ms", ToMillis(took)},
        {"last_event", m_last_event}});
 }
 
--- a/Source/Gateway/storage_daemon.cc
+++ b/Source/Gateway/storage_daemon.cc
@@ -4,9 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
+#include "Net/sleep_for.h"
 #include "platform/retirement_entry.h"
 #include "platform/wire_names.h"
 
@@ -31,8 +30,7 @@
       m_options(std::move(options)),
       m_log(EventLogOptions{.descriptor = m_options.log_descriptor}),
       m_store(context.get_executor(), m_options.settings.store),
-      m_flush(context),
-      m_retry(context) {}
+      m_flush(context) {}
 
 Result<void> StorageDaemon::Start() {
   m_log.Write("started", {{"vm", m_options.settings.vm.value()},
@@ -91,10 +89,7 @@
     }
     m_log.Write("retirement_report_failed",
                 {{"why", reported.error().message}});
-    m_retry.expires_after(kReportPause);
-    boost::system::error_code ignored;
-    co_await m_retry.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    co_await SleepFor(kReportPause);
     Result<Document> known = co_await m_store.Get(kind, name);
     if (known.has_value()) {
       document = std::move(known.value());
--- a/Source/Gateway/storage_daemon.h
+++ b/Source/Gateway/storage_daemon.h
@@ -48,7 +48,6 @@
   platform::StoreClient m_store;
   std::shared_ptr<DocumentWatcher> m_watcher;
   boost::asio::steady_timer m_flush;
-  boost::asio::steady_timer m_retry;
   bool m_reporting = false;
 };
 
--- /dev/null
+++ b/Source/Net/sleep_for.h
@@ -0,0 +1,15 @@
+#ifndef SOURCE_NET_SLEEP_FOR_H_
+#define SOURCE_NET_SLEEP_FOR_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "Base/time.h"
+
+namespace cowslip {
+
+/// Suspends the calling coroutine for that time, on its own executor.
+boost::asio::awaitable<void> SleepFor(Duration time);
+
+}  // namespace cowslip
+
+#endif  // SOURCE_NET_SLEEP_FOR_H_
--- a/Source/Net/sse_reader.cc
+++ b/Source/Net/sse_reader.cc
@@ -1,23 +1,10 @@
 #include "Net/sse_reader.h"
 
-#include <charconv>
 #include <utility>
 
-namespace cowslip {
-
-namespace {
-
-std::optional<uint64_t> ParseEventId(std::string_view text) {
-  uint64_t id = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, id);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return id;
-}
+#include "Base/whole_number.h"
 
-}  // namespace
+namespace cowslip {
 
 Result<std::vector<std::string>> SseReader::Feed(std::string_view bytes) {
   Result<std::vector<SseEvent>> events = FeedEvents(bytes);
@@ -77,7 +64,7 @@
     value.remove_prefix(1);
   }
   if (name == "id") {
-    m_event.id = ParseEventId(value);
+    m_event.id = ParseWholeNumber(value);
   } else if (name == "data") {
     if (m_event.data.has_value()) {
       *m_event.data += '\n';
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -15,11 +15,6 @@
 // The largest payload of a UDP datagram over IPv4.
 constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
 
-int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 PeerMessage ReadMessage(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -61,11 +56,12 @@
   for (const BrokenRuns& runs : message.broken_runs) {
     broken_runs.push_back({runs.fingerprint.value(), runs.count});
   }
-  return ToCbor(json::array(
-      {kLayout, message.vm.value(), message.incarnation.value(),
-       message.sequence, Millis(message.uptime), message.configuration.value(),
-       message.draining, message.reaches_store, message.digests,
-       std::move(usage), std::move(in_flight), std::move(broken_runs)}));
+  return ToCbor(
+      json::array({kLayout, message.vm.value(), message.incarnation.value(),
+                   message.sequence, ToMillis(message.uptime),
+                   message.configuration.value(), message.draining,
+                   message.reaches_store, message.digests, std::move(usage),
+                   std::move(in_flight), std::move(broken_runs)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Base/rendezvous.h"
+#include "Net/sleep_for.h"
 
 namespace cowslip {
 
@@ -94,10 +95,7 @@
   // The watch that waits may be the one that no answer comes to any more.
   while (!listed.has_value() && !m_connected && !m_stopped) {
     Report(listed.error());
-    boost::asio::steady_timer pause(m_executor, m_options.longest_pause);
-    boost::system::error_code ignored;
-    co_await pause.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    co_await SleepFor(m_options.longest_pause);
     listed = co_await ListAll();
   }
   m_refreshing = false;
--- a/Source/Platform/http_object_store.cc
+++ b/Source/Platform/http_object_store.cc
@@ -1,10 +1,10 @@
 #include "Platform/http_object_store.h"
 
-#include <charconv>
 #include <utility>
 
 #include "Base/json.h"
 #include "Base/overloaded.h"
+#include "Base/whole_number.h"
 #include "Net/percent_encoding.h"
 #include "Platform/platform_json.h"
 
@@ -94,15 +94,13 @@
   if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"') {
     tag = tag.substr(1, tag.size() - 2);
   }
-  uint64_t version = 0;
-  const char* end = tag.data() + tag.size();
-  const auto parsed = std::from_chars(tag.data(), end, version);
-  if (tag.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+  const std::optional<uint64_t> version = ParseWholeNumber(tag);
+  if (!version.has_value()) {
     return Error(ErrorKind::kMalformedMessage,
                  "The platform's answer has no version in its ETag. Check "
                  "that the settings name the platform's port.");
   }
-  return ObjectVersion(version);
+  return ObjectVersion(*version);
 }
 
 }  // namespace
--- a/Utilities/Bench/batch_load.cc
+++ b/Utilities/Bench/batch_load.cc
@@ -2,11 +2,8 @@
 
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include "Base/json.h"
+#include "Net/sleep_for.h"
 #include "Utilities/Bench/answer_check.h"
 
 namespace cowslip {
@@ -22,13 +19,6 @@
 constexpr size_t kResultsPage = 1000;
 constexpr JsonLimits kAnswerLimits = {.max_bytes = 64 << 20};
 
-awaitable<void> Sleep(boost::asio::io_context& context, Duration duration) {
-  boost::asio::steady_timer timer(context, duration);
-  boost::system::error_code error;
-  auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
-  co_await timer.async_wait(token);
-}
-
 double SecondsOf(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -80,7 +70,7 @@
         co_return parsed.value();
       }
     }
-    co_await Sleep(m_context, kRetryDelay);
+    co_await SleepFor(kRetryDelay);
   }
   co_return nlohmann::json();
 }
@@ -151,7 +141,7 @@
 
 awaitable<void> BatchLoad::WaitForJobs() {
   while (!AllEnded() && MonotonicClock::now() < m_give_up) {
-    co_await Sleep(m_context, kPollInterval);
+    co_await SleepFor(kPollInterval);
     for (Job& job : m_jobs) {
       if (job.status.empty() || job.status == "running") {
         co_await Poll(job);
--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -151,18 +151,27 @@
   });
 }
 
+Result<Document*> FakeDocumentStore::FindAt(const Key& key,
+                                            ObjectVersion expected) {
+  const auto found = m_documents.find(key);
+  if (found == m_documents.end()) {
+    return Error(ErrorKind::kNotFound, "No such document.");
+  }
+  if (found->second.version != expected) {
+    return Error(ErrorKind::kConflict, "Another version.");
+  }
+  return &found->second;
+}
+
 awaitable<Result<Document>> FakeDocumentStore::Replace(DocumentKind kind,
                                                        DocumentName name,
                                                        nlohmann::json content,
                                                        ObjectVersion expected) {
   co_return Run([=, this]() -> Result<Document> {
     const Key key(kind.value(), name.value());
-    const auto found = m_documents.find(key);
-    if (found == m_documents.end()) {
-      return Error(ErrorKind::kNotFound, "No such document.");
-    }
-    if (found->second.version != expected) {
-      return Error(ErrorKind::kConflict, "Another version.");
+    const Result<Document*> found = FindAt(key, expected);
+    if (!found.has_value()) {
+      return found.error();
     }
     Put(key.first, key.second, content);
     return m_documents[key];
@@ -176,14 +185,11 @@
     ObjectVersion expected) {
   co_return Run([=, this]() -> Result<Document> {
     const Key key(kind.value(), name.value());
-    const auto found = m_documents.find(key);
-    if (found == m_documents.end()) {
-      return Error(ErrorKind::kNotFound, "No such document.");
-    }
-    Document& document = found->second;
-    if (document.version != expected) {
-      return Error(ErrorKind::kConflict, "Another version.");
+    const Result<Document*> found = FindAt(key, expected);
+    if (!found.has_value()) {
+      return found.error();
     }
+    Document& document = *found.value();
     document.status = status;
     document.version = ObjectVersion(++m_version);
     Record(key, document, false);
--- a/Utilities/StandIns/MetadataStore/fake_document_store.h
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.h
@@ -80,6 +80,9 @@
   using Write = std::function<Result<Document>()>;
 
   StoreFault TakeFault();
+  /// The stored document, if it is at that version. Errors: kNotFound and
+  /// kConflict.
+  Result<Document*> FindAt(const Key& key, ObjectVersion expected);
   Result<Document> Run(Write write);
   void Record(const Key& key, const Document& document, bool removed);
 
--- a/Utilities/StandIns/Platform/fake_object_store.cc
+++ b/Utilities/StandIns/Platform/fake_object_store.cc
@@ -2,11 +2,7 @@
 
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
+#include "Net/sleep_for.h"
 #include "Utilities/StandIns/Platform/change_wait.h"
 
 namespace cowslip {
@@ -15,14 +11,6 @@
 
 using boost::asio::awaitable;
 
-awaitable<void> Sleep(Duration duration) {
-  const auto executor = co_await boost::asio::this_coro::executor;
-  boost::asio::steady_timer timer(executor, duration);
-  boost::system::error_code error;
-  auto token = boost::asio::redirect_error(boost::asio::use_awaitable, error);
-  co_await timer.async_wait(token);
-}
-
 Error Down() {
   return Error(ErrorKind::kUnavailable,
                "The platform is down. Try again once it is back.");
@@ -41,7 +29,7 @@
 awaitable<Result<void>> FakeObjectStore::Begin(StoreCall call) {
   m_calls.Count(call);
   if (m_faults.slow > Duration(0)) {
-    co_await Sleep(m_faults.slow);
+    co_await SleepFor(m_faults.slow);
   }
   if (m_faults.down) {
     co_return Down();
