Gateway: log how an answer was framed and what it left unfinished

`request_ended` and `attempt_in_doubt` now say which it was, and how many bytes came after the last whole event. Behaviour is unchanged.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -249,7 +249,9 @@
                        {"backend", lease.backend().value()},
                        {"why", why},
                        {"last_event", m_last_event_id},
-                       {"attempts_in_doubt", m_in_doubt_attempts}});
+                       {"attempts_in_doubt", m_in_doubt_attempts},
+                       {"ends_with_connection", ResponseEndsWithConnection()},
+                       {"partial_event_bytes", PartialEventBytes()}});
   return AttemptResult::kInDoubt;
 }
 
@@ -516,6 +518,14 @@
   LogRequestEnd("served", m_response->status());
 }
 
+bool RelaySession::ResponseEndsWithConnection() const {
+  return m_response != nullptr && m_response->ends_with_connection();
+}
+
+size_t RelaySession::PartialEventBytes() const {
+  return m_event_reader.partial_event().size();
+}
+
 void RelaySession::LogRequestEnd(const char* outcome, int status) {
   m_gateway.metrics.CountRequest(outcome);
   const Duration took = MonotonicClock::now() - m_request.arrived;
@@ -536,7 +546,9 @@
        {"first_ms",
         has_first ? ToMillis(m_first_byte_time - m_request.arrived) : -1},
        {"total_ms", ToMillis(took)},
-       {"last_event", m_last_event_id}});
+       {"last_event", m_last_event_id},
+       {"ends_with_connection", ResponseEndsWithConnection()},
+       {"partial_event_bytes", PartialEventBytes()}});
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -99,6 +99,9 @@
   void Stop();
   void RecordFirstByte(AttemptLease& lease);
   void RecordCompletion(AttemptLease& lease);
+  bool ResponseEndsWithConnection() const;
+  /// The number of bytes received after the last whole event of the attempt.
+  size_t PartialEventBytes() const;
   void LogRequestEnd(const char* outcome, int status);
 
   GatewayContext& m_gateway;
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -198,9 +198,11 @@
         m_connection(std::move(connection)),
         m_parser(std::move(parser)),
         m_reused(m_connection->reused),
+        m_ends_with_connection(m_parser->need_eof()),
         m_headers(ToHeaders(m_parser->get())) {}
 
   bool on_reused_connection() const override { return m_reused; }
+  bool ends_with_connection() const override { return m_ends_with_connection; }
 
   int status() const override { return m_parser->get().result_int(); }
   const HttpHeaders& headers() const override { return m_headers; }
@@ -257,6 +259,7 @@
   ConnectionPtr m_connection;
   const std::unique_ptr<http::response_parser<http::buffer_body>> m_parser;
   const bool m_reused;
+  const bool m_ends_with_connection;
   const HttpHeaders m_headers;
   std::array<char, kReadBytes> m_read_buffer;
 };
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -71,6 +71,10 @@
   /// Whether the connection had carried an earlier response. In that case this
   /// response may be a delayed one to an earlier request.
   virtual bool on_reused_connection() const = 0;
+  /// Whether the body has neither a length nor chunks. Such a body ends with
+  /// its connection, so an early end cannot be told from the regular one unless
+  /// the connection was reset.
+  virtual bool ends_with_connection() const = 0;
   /// Returns the next chunk, or nullopt at the regular end of the body. Errors:
   /// kInDoubt when the body is truncated, kTimeout.
   virtual boost::asio::awaitable<Result<std::optional<std::string>>> ReadSome(
