--- /dev/null
+++ b/Tests/Gateway/raw_backend.h
@@ -0,0 +1,48 @@
+#ifndef TESTS_GATEWAY_RAW_BACKEND_H_
+#define TESTS_GATEWAY_RAW_BACKEND_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "Net/http_message.h"
+
+namespace cowslip {
+
+/// How a connection ends after an answer.
+enum class ConnectionEnd { kKeptOpen, kClosed, kReset };
+
+/// \class RawAnswer
+/// \brief The bytes of an answer, its head included, exactly as sent.
+struct RawAnswer {
+  std::string bytes;
+  ConnectionEnd end = ConnectionEnd::kClosed;
+};
+
+/// \class RawBackend
+/// \brief A backend server whose answers are written byte by byte by the test,
+/// so that they may be framed or broken off in any way.
+class RawBackend {
+ public:
+  using Script = std::function<RawAnswer(const HttpRequest& request)>;
+
+  RawBackend(boost::asio::io_context& context, Script script);
+
+  uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+ private:
+  boost::asio::awaitable<void> Accept();
+  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+
+  boost::asio::io_context& m_context;
+  const Script m_script;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+}  // namespace cowslip
+
+#endif  // TESTS_GATEWAY_RAW_BACKEND_H_
--- /dev/null
+++ b/Tests/Gateway/stream_end_test.cc
@@ -0,0 +1,181 @@
+#include <sstream>
+
+#include "gateway_fixture.h"
+#include "raw_backend.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+constexpr uint64_t kEvents = 3;
+
+enum class Framing { kNone, kLength, kChunks };
+
+// An answer that is broken off after `size` bytes of its body.
+struct BrokenAnswer {
+  Framing framing = Framing::kNone;
+  ConnectionEnd end = ConnectionEnd::kClosed;
+  size_t size = 0;
+};
+
+std::string Head(const std::string& attempt, const std::string& framing) {
+  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
+         "\r\nResponse-Signature: s\r\n"
+         "Content-Type: text/event-stream\r\n" +
+         framing + "\r\n";
+}
+
+std::string Chunk(const std::string& data) {
+  if (data.empty()) {
+    return "";
+  }
+  std::ostringstream size;
+  size << std::hex << data.size();
+  return size.str() + "\r\n" + data + "\r\n";
+}
+
+RawAnswer WholeAnswer(const std::string& attempt, const std::string& body) {
+  return {.bytes = Head(attempt, "Transfer-Encoding: chunked\r\n") +
+                   Chunk(body) + "0\r\n\r\n",
+          .end = ConnectionEnd::kKeptOpen};
+}
+
+RawAnswer Break(const BrokenAnswer& broken,
+                const std::string& attempt,
+                const std::string& body) {
+  const std::string sent = body.substr(0, broken.size);
+  switch (broken.framing) {
+    case Framing::kNone:
+      return {Head(attempt, "") + sent, broken.end};
+    case Framing::kLength:
+      return {Head(attempt,
+                   "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+                  sent,
+              broken.end};
+    case Framing::kChunks:
+      return {Head(attempt, "Transfer-Encoding: chunked\r\n") + Chunk(sent),
+              broken.end};
+  }
+  return {};
+}
+
+// Two backend servers of one service. The next stream that begins at either is
+// broken off as `broken` says; all other streams are whole.
+class BreakingBackends {
+ public:
+  explicit BreakingBackends(GatewayFixture& f)
+      : m_backends{RawBackend(f.context, Script()),
+                   RawBackend(f.context, Script())} {
+    for (size_t i = 0; i < 2; ++i) {
+      f.store.Put(
+          "servers", "raw-" + std::to_string(i),
+          {{"service", "s"},
+           {"address", "127.0.0.1:" + std::to_string(m_backends[i].port())},
+           {"zone", "z"},
+           {"slots", 8},
+           {"state", "ready"},
+           {"version", "v1"}});
+    }
+  }
+
+  void BreakNext(const BrokenAnswer& broken) { m_broken = broken; }
+
+ private:
+  RawBackend::Script Script() {
+    return [this](const HttpRequest& request) {
+      const std::string attempt =
+          FindHeader(request.headers, "Attempt-Id").value_or("");
+      const uint64_t last = std::stoull(
+          FindHeader(request.headers, "Last-Event-Id").value_or("0"));
+      const std::string body = ModelServer::Body(attempt, last + 1, kEvents);
+      if (!m_broken.has_value()) {
+        return WholeAnswer(attempt, body);
+      }
+      const BrokenAnswer broken = *m_broken;
+      m_broken.reset();
+      return Break(broken, attempt, body);
+    };
+  }
+
+  std::optional<BrokenAnswer> m_broken;
+  RawBackend m_backends[2];
+};
+
+// Whether the bytes end with a whole event, or hold none.
+bool EndsBetweenEvents(const std::string& bytes) {
+  return bytes.empty() || bytes.ends_with("\n\n");
+}
+
+// Sends one request for each byte after which an answer can be broken off, with
+// each framing and each end of the connection. Between two of them a whole
+// answer follows, so that the backend servers stay usable.
+template <class Check>
+void BreakEverywhere(const std::string& path, Check check) {
+  GatewayFixture f(0);
+  BreakingBackends backends(f);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    const size_t whole = ModelServer::Body("a000", 1, kEvents).size();
+    int sent = 0;
+    for (const Framing framing :
+         {Framing::kNone, Framing::kLength, Framing::kChunks}) {
+      for (const ConnectionEnd end :
+           {ConnectionEnd::kClosed, ConnectionEnd::kReset}) {
+        for (size_t size = 0; size < whole; ++size) {
+          const BrokenAnswer broken{framing, end, size};
+          backends.BreakNext(broken);
+          const std::string id = "a" + std::to_string(100 + sent);
+          HttpRequest request =
+              f.Request("POST", path + std::to_string(sent++), id);
+          const auto response = co_await f.Send(0, std::move(request));
+          INFO("framing " << static_cast<int>(framing) << ", end "
+                          << static_cast<int>(end) << ", after " << size
+                          << " bytes");
+          check(broken, ModelServer::Body(id, 1, kEvents), response);
+          HttpRequest next =
+              f.Request("POST", path + std::to_string(sent++), "next");
+          const auto answered = co_await f.Send(0, std::move(next));
+          REQUIRE(answered.has_value());
+          CHECK(answered.value().status == 200);
+        }
+      }
+    }
+  });
+}
+
+// An answer without length and chunks that is closed between two events cannot
+// be told from a whole one.
+bool LooksWhole(const BrokenAnswer& broken, const std::string& body) {
+  return broken.framing == Framing::kNone &&
+         broken.end == ConnectionEnd::kClosed && broken.size > 0 &&
+         EndsBetweenEvents(body.substr(0, broken.size));
+}
+
+TEST_CASE("A broken-off stream is never relayed as a complete one") {
+  BreakEverywhere(
+      "/once/", [](const BrokenAnswer& broken, const std::string& body,
+                   const Result<HttpResponse>& response) {
+        if (LooksWhole(broken, body)) {
+          return;
+        }
+        CHECK_FALSE((response.has_value() && response.value().status == 200));
+      });
+}
+
+TEST_CASE("A resumable stream that is broken off anywhere is resumed") {
+  BreakEverywhere("/stream/",
+                  [](const BrokenAnswer& broken, const std::string& body,
+                     const Result<HttpResponse>& response) {
+                    REQUIRE(response.has_value());
+                    CHECK(response.value().status == 200);
+                    if (!LooksWhole(broken, body)) {
+                      CHECK(response.value().body == body);
+                    }
+                  });
+}
+
+}  // namespace
+}  // namespace cowslip
