Gateway: a stream that ends inside an event is broken off

An answer with neither length nor chunks ends with its connection, so the HTTP client reports the end of the connection as the regular end of the body, also when the backend server crashed. RelaySession then wrote what was left of an event and the last chunk. ItemRun looked for the incomplete event, but took a stream without any event for an empty result.

CheckStreamEnd decides for both whether a stream that has ended is complete: not inside an event, and not before the first event if only the connection ended it. A broken stream takes the path of a lost connection: it is resumed after the last whole event, or the caller's connection is closed without the last chunk.

--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -4,6 +4,7 @@
 
 #include "Gateway/dispatcher.h"
 #include "Gateway/response_classification.h"
+#include "Gateway/stream_end.h"
 #include "platform/request_headers.h"
 
 namespace cowslip {
@@ -122,8 +123,9 @@
       co_return EndInDoubt(lease, "the events are malformed or out of order");
     }
   }
-  if (!m_event_reader.partial_event().empty()) {
-    co_return EndInDoubt(lease, "the stream ended within an event");
+  const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
+  if (!complete.has_value()) {
+    co_return EndInDoubt(lease, complete.error().message);
   }
   lease.SetOutcome(AttemptOutcome::kCompleted);
   co_return ItemRunOutcome::kCompleted;
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -10,6 +10,7 @@
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/problem_response.h"
 #include "Gateway/response_classification.h"
+#include "Gateway/stream_end.h"
 #include "Net/http_exchange.h"
 #include "Placement/aborted_run_tracker.h"
 #include "platform/request_headers.h"
@@ -403,11 +404,10 @@
           "the events are out of order, or the caller does not take them");
     }
   }
-  std::string rest = m_event_reader.partial_event();
-  if (!rest.empty()) {
-    const bool written = co_await WriteToCaller(std::move(rest));
-    if (!written) {
-      co_return EndAttemptInDoubt(lease, "the caller does not take the answer");
+  if (m_request.route->kind == RequestKind::kStreaming) {
+    const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
+    if (!complete.has_value()) {
+      co_return HandleResponseError(lease, complete.error());
     }
   }
   if (!m_head_sent) {
--- a/Source/Net/sse_reader.cc
+++ b/Source/Net/sse_reader.cc
@@ -42,6 +42,7 @@
     m_line_begin = m_event.raw.size();
     if (ended) {
       events.push_back(std::exchange(m_event, SseEvent()));
+      ++m_event_count;
       m_line_begin = 0;
     }
   }
--- a/Source/Net/sse_reader.h
+++ b/Source/Net/sse_reader.h
@@ -38,6 +38,8 @@
   Result<std::vector<SseEvent>> FeedEvents(std::string_view bytes);
   /// The bytes after the last complete event.
   const std::string& partial_event() const { return m_event.raw; }
+  /// The number of complete events so far.
+  uint64_t event_count() const { return m_event_count; }
 
  private:
   // Parses one line, without its line feed, into m_event. Returns true when it
@@ -47,6 +49,7 @@
   SseEvent m_event;
   // Offset in `m_event.raw` of the line that is being read.
   size_t m_line_begin = 0;
+  uint64_t m_event_count = 0;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/stream_end_test.cc
+++ b/Tests/Gateway/stream_end_test.cc
@@ -1,3 +1,4 @@
+#include <set>
 #include <sstream>
 
 #include "gateway_fixture.h"
@@ -61,6 +62,18 @@
   return {};
 }
 
+void RegisterRawBackend(GatewayFixture& f,
+                        const std::string& id,
+                        const RawBackend& backend) {
+  f.store.Put("servers", id,
+              {{"service", "s"},
+               {"address", "127.0.0.1:" + std::to_string(backend.port())},
+               {"zone", "z"},
+               {"slots", 8},
+               {"state", "ready"},
+               {"version", "v1"}});
+}
+
 // Two backend servers of one service. The next stream that begins at either is
 // broken off as `broken` says; all other streams are whole.
 class BreakingBackends {
@@ -177,5 +190,41 @@
                   });
 }
 
+TEST_CASE("An item whose unframed stream is broken off is resumed") {
+  GatewayFixture f(0);
+  std::set<std::string> broken_items;
+  // The first run of item N is broken off after 6 * N bytes.
+  const auto script = [&](const HttpRequest& request) {
+    const std::string item =
+        FindHeader(request.headers, "Attempt-Id").value_or("");
+    const uint64_t last =
+        std::stoull(FindHeader(request.headers, "Last-Event-Id").value_or("0"));
+    const std::string body = ModelServer::Body(item, last + 1, kEvents);
+    if (!broken_items.insert(item).second) {
+      return WholeAnswer(item, body);
+    }
+    const size_t number = std::stoul(item.substr(item.find('-') + 1));
+    return Break({.size = 6 * number}, item, body);
+  };
+  RawBackend backend(f.context, script);
+  RegisterRawBackend(f, "raw-0", backend);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    constexpr size_t kItems = 8;
+    HttpRequest submission = f.Submission("j", kItems);
+    const auto accepted = co_await f.Send(0, std::move(submission));
+    REQUIRE(accepted.has_value());
+    REQUIRE(accepted.value().status == 202);
+    const nlohmann::json results = co_await f.ReadAllResults(0, "j");
+    REQUIRE(results.size() == kItems);
+    for (const auto& result : results) {
+      const std::string item = result["id"];
+      CHECK(result["state"] == "completed");
+      CHECK(result["output"] == item + "-1\n" + item + "-2\n" + item + "-3");
+    }
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
