Backend: a plain service's event stream that breaks off is an error

An engine's stream counted as complete as soon as it held [DONE], also when the event was cut short after it.

SseBoundary tells without keeping any bytes whether a stream stands between two events. EventStreamResponse uses it for plain services, StreamedResponse beside its closing event.

Other HTTP bodies that the system reads are JSON or CBOR documents, whose early end does not parse: the store's clients report such writes as in doubt.

--- a/Source/Backend/engine_response.cc
+++ b/Source/Backend/engine_response.cc
@@ -13,13 +13,28 @@
 
 Error Truncated() {
   return Error(ErrorKind::kMalformedMessage,
-               "The backend server's stream ended without its closing event. "
+               "The backend server's stream ended inside an event or without "
+               "its closing event. "
                "Check the backend server, and retry what is idempotent.");
 }
 
 }  // namespace
 
+Result<std::string> EventStreamResponse::Feed(std::string data) {
+  m_boundary.Feed(data);
+  return data;
+}
+
+Result<std::string> EventStreamResponse::Finish() {
+  const bool empty = !m_boundary.after_event();
+  if (m_boundary.in_event() || (m_ends_with_connection && empty)) {
+    return Truncated();
+  }
+  return std::string();
+}
+
 Result<std::string> StreamedResponse::Feed(std::string data) {
+  m_boundary.Feed(data);
   m_tail += data;
   if (m_tail.size() > kTailBytes) {
     m_tail.erase(0, m_tail.size() - kTailBytes);
@@ -32,7 +47,7 @@
   const std::string closing(kStreamEndMarker);
   const bool whole = m_tail.find("\ndata: " + closing) != std::string::npos ||
                      m_tail.find("\ndata:" + closing) != std::string::npos;
-  if (!whole) {
+  if (!whole || m_boundary.in_event()) {
     return Truncated();
   }
   return std::string();
--- a/Source/Backend/engine_response.h
+++ b/Source/Backend/engine_response.h
@@ -9,6 +9,7 @@
 
 #include "Backend/resume_token.h"
 #include "Base/result.h"
+#include "Net/sse_boundary.h"
 #include "Net/sse_reader.h"
 
 namespace cowslip {
@@ -24,9 +25,28 @@
   ResumeToken Progress() const { return {}; }
 };
 
+/// \class EventStreamResponse
+/// \brief Passes on a stream of server-sent events that has no final event of
+/// its own. It is complete if it ends between two events and, when it ends with
+/// its connection, holds at least one.
+class EventStreamResponse {
+ public:
+  explicit EventStreamResponse(bool ends_with_connection)
+      : m_ends_with_connection(ends_with_connection) {}
+
+  Result<std::string> Feed(std::string data);
+  /// Errors: kMalformedMessage for a stream that was broken off.
+  Result<std::string> Finish();
+  ResumeToken Progress() const { return {}; }
+
+ private:
+  SseBoundary m_boundary;
+  bool m_ends_with_connection;
+};
+
 /// \class StreamedResponse
 /// \brief Passes a stream of server-sent events on. The stream is complete
-/// only if it contains the final `[DONE]` event.
+/// only if it contains the final `[DONE]` event and ends between two events.
 class StreamedResponse {
  public:
   Result<std::string> Feed(std::string data);
@@ -37,6 +57,7 @@
  private:
   // The last bytes of the stream, enough to contain the final event.
   std::string m_tail = "\n";
+  SseBoundary m_boundary;
 };
 
 /// \class AssembledResponse
@@ -70,8 +91,10 @@
   bool m_done = false;
 };
 
-using EngineResponse =
-    std::variant<PassThroughResponse, StreamedResponse, AssembledResponse>;
+using EngineResponse = std::variant<PassThroughResponse,
+                                    EventStreamResponse,
+                                    StreamedResponse,
+                                    AssembledResponse>;
 
 }  // namespace cowslip
 
--- a/Source/Backend/gate_core_engine.cc
+++ b/Source/Backend/gate_core_engine.cc
@@ -23,9 +23,12 @@
                             const EngineResponseHead& head,
                             const GateOptions& options) {
   const bool stream = head.status == kStatusOk && IsEventStream(head.headers);
-  if (!stream || options.kind == BackendKind::kPlain) {
+  if (!stream) {
     return PassThroughResponse();
   }
+  if (options.kind == BackendKind::kPlain) {
+    return EventStreamResponse(head.ends_with_connection);
+  }
   if (exchange.assembled) {
     return AssembledResponse(exchange.resume_from, options.max_response_bytes);
   }
--- a/Source/Backend/gate_driver.cc
+++ b/Source/Backend/gate_driver.cc
@@ -230,7 +230,11 @@
   }
   const std::unique_ptr<HttpResponseStream> stream = std::move(opened.value());
   call->stream = stream.get();
-  Feed(EngineResponseHead{key, stream->status(), FromHttp(stream->headers())});
+  Feed(EngineResponseHead{
+      .key = key,
+      .status = stream->status(),
+      .headers = FromHttp(stream->headers()),
+      .ends_with_connection = stream->ends_with_connection()});
   co_await ReadBody(key, call, deadline);
   call->stream = nullptr;
 }
--- a/Source/Backend/gate_events.h
+++ b/Source/Backend/gate_events.h
@@ -34,6 +34,8 @@
   ExchangeKey key;
   int status = 0;
   std::vector<ForwardedHeader> headers;
+  /// The body has neither a length nor chunks.
+  bool ends_with_connection = false;
 };
 
 /// A chunk of the response body has arrived.
--- a/Tests/Backend/engine_response_test.cc
+++ b/Tests/Backend/engine_response_test.cc
@@ -48,6 +48,18 @@
   }
 }
 
+TEST_CASE("StreamedResponse rejects a stream truncated at any byte") {
+  const std::string whole = kStream;
+  for (size_t size = 0; size < whole.size(); ++size) {
+    StreamedResponse response;
+    REQUIRE(response.Feed(whole.substr(0, size)).has_value());
+    CHECK_FALSE(response.Finish().has_value());
+  }
+  StreamedResponse response;
+  REQUIRE(response.Feed(whole).has_value());
+  CHECK(response.Finish().has_value());
+}
+
 TEST_CASE("Response text that contains [DONE] does not complete a stream") {
   StreamedResponse response;
   REQUIRE(response.Feed("data: {\"content\":\"data: [DONE]\"}\n").has_value());
--- a/Tests/Backend/gate_core_test.cc
+++ b/Tests/Backend/gate_core_test.cc
@@ -108,6 +108,37 @@
   CHECK(gate.record(begun).terminal_replies() == 0);
 }
 
+TEST_CASE(
+    "A plain service's event stream that breaks off is not passed on as "
+    "complete") {
+  const auto finish = [](const std::string& body, bool ends_with_connection) {
+    GateOptions options = Options(1, HeadroomWithPreemption());
+    options.kind = BackendKind::kPlain;
+    GateHarness gate(options);
+    gate.Feed(GateHarness::Online(1));
+    gate.Feed(EngineResponseHead{
+        .key = kOne,
+        .status = 200,
+        .headers = {{.name = "Content-Type", .value = "text/event-stream"}},
+        .ends_with_connection = ends_with_connection});
+    if (!body.empty()) {
+      gate.Feed(EngineResponseChunk{kOne, body});
+    }
+    gate.Feed(EngineResponseEnd{kOne});
+    REQUIRE(gate.record(kOne).terminal_replies() == 1);
+    return gate.record(kOne).ends == 1;
+  };
+  const std::string whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+  CHECK(finish(whole, true));
+  CHECK(finish("", false));
+  CHECK_FALSE(finish("", true));
+  for (size_t size = 1; size < whole.size(); ++size) {
+    INFO("after " << size << " bytes");
+    const std::string sent = whole.substr(0, size);
+    CHECK(finish(sent, true) == sent.ends_with("a\n\n"));
+  }
+}
+
 TEST_CASE("A request that arrives at a full queue is refused on arrival") {
   GateHarness gate(Options(1, HeadroomWithPreemption()));
   for (uint64_t i = 1; i <= 6; ++i) {
