Gateway: log software versions and what a request resumes

Discovery entries are now read with their version, which the protocol requires, so an entry without one is unreadable; Resumes is read from requests; both are logged. Placement is unchanged.

--- a/Source/Fleet/backend_record.h
+++ b/Source/Fleet/backend_record.h
@@ -13,6 +13,10 @@
 /// Identifies one start of a backend server; chosen by the backend server.
 using BackendId = StrongId<struct BackendIdTag>;
 
+/// The version of a backend server's software. Versions can only be compared for
+/// equality.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
+
 /// \class BackendRecord
 /// \brief The registration of a backend server in service discovery.
 struct BackendRecord {
@@ -20,6 +24,8 @@
   ServiceId service;
   Endpoint address;
   ZoneId zone;
+  /// Streams of different versions cannot be joined.
+  SoftwareVersion version;
   /// Number of requests that it runs concurrently.
   uint32_t slots = 1;
   /// It completes its running requests and accepts no new ones.
--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -25,6 +25,9 @@
   /// Number of the last event that the caller received, if it resumes a stream;
   /// otherwise 0.
   uint64_t last_event = 0;
+  /// The attempt that received the first event of the stream that the caller
+  /// resumes; empty if it names none.
+  AttemptId resumes;
   /// Maximum time that a read of results waits for new results.
   Duration result_wait{0};
   /// Identifies the parts of the prompt that other requests share; empty if
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -14,11 +14,22 @@
 
 using boost::asio::awaitable;
 
+namespace {
+
+SoftwareVersion VersionOf(const PlacementCore& placement,
+                          const BackendId& backend) {
+  const BackendRecord* record = placement.Find(backend);
+  return record == nullptr ? SoftwareVersion() : record->version;
+}
+
+}  // namespace
+
 AttemptLease::AttemptLease(Dispatcher& dispatcher,
                            BackendId backend,
                            WorkClass work)
     : m_dispatcher(dispatcher),
       m_backend(std::move(backend)),
+      m_version(VersionOf(dispatcher.placement_core(), m_backend)),
       m_work_class(work),
       m_client(dispatcher.ClientFor(m_backend)) {
   m_dispatcher.HandleEvent(AttemptStarted{m_backend, m_work_class});
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -35,6 +35,8 @@
   AttemptLease& operator=(const AttemptLease&) = delete;
 
   const BackendId& backend() const { return m_backend; }
+  /// The software version of the backend server when the slot was acquired.
+  const SoftwareVersion& version() const { return m_version; }
   const std::shared_ptr<HttpClient>& client() const { return m_client; }
   /// Sets how the attempt ended. Without a call, it counts as kCancelled.
   void SetOutcome(AttemptOutcome outcome) { m_outcome = outcome; }
@@ -42,6 +44,7 @@
  private:
   Dispatcher& m_dispatcher;
   const BackendId m_backend;
+  const SoftwareVersion m_version;
   const WorkClass m_work_class;
   std::shared_ptr<HttpClient> m_client;
   AttemptOutcome m_outcome = AttemptOutcome::kCancelled;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -259,6 +259,7 @@
                          "backend_usable",
                          {{"backend", usable.backend.id.value()},
                           {"address", usable.backend.address.ToString()},
+                          {"version", usable.backend.version.value()},
                           {"draining", usable.backend.draining}});
                      m_dispatcher.HandleEvent(BackendAdded{usable.backend});
                    },
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -311,6 +311,7 @@
                                    JobItem item) {
   const JobRecord* record = m_scheduler.Find(key.first);
   const BackendId backend = lease->backend();
+  const SoftwareVersion version = lease->version();
   const uint64_t began_after = progress.last_event;
   const auto run = std::make_shared<ItemRun>(
       ItemRunRequest{.item = std::move(item),
@@ -328,6 +329,7 @@
                       {{"job", key.first.value()},
                        {"item", key.second.value()},
                        {"backend", backend.value()},
+                       {"version", version.value()},
                        {"end", NameOf(outcome)},
                        {"from_event", began_after},
                        {"last_event", run->progress().last_event},
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -248,6 +248,7 @@
   m_gateway.log.Write("attempt_in_doubt",
                       {{"id", m_request.caller.attempt.value()},
                        {"backend", lease.backend().value()},
+                       {"version", lease.version().value()},
                        {"why", why},
                        {"last_event", m_last_event_id},
                        {"attempts_in_doubt", m_in_doubt_attempts},
@@ -306,6 +307,7 @@
     AttemptLease& lease) {
   m_tried_backends.insert(lease.backend());
   m_last_backend = lease.backend();
+  m_last_version = lease.version();
   m_event_reader = SseReader();
   m_attempt_event_count = 0;
   m_attempt_start = MonotonicClock::now();
@@ -540,6 +542,9 @@
        {"organisation", m_request.organisation.value()},
        {"configuration", m_request.configuration->version().value()},
        {"backend", m_last_backend.value()},
+       {"version", m_last_version.value()},
+       {"resumes", m_request.caller.resumes.value()},
+       {"resumed_after", m_request.caller.last_event},
        {"in_doubt", m_in_doubt_attempts},
        {"not_run", m_not_run_attempts},
        {"why", m_last_failure},
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -130,6 +130,7 @@
   uint32_t m_not_run_attempts = 0;
   std::set<BackendId> m_tried_backends;
   BackendId m_last_backend;
+  SoftwareVersion m_last_version;
   // Computed on first use.
   std::optional<Fingerprint> m_fingerprint;
   std::string m_last_failure;
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -107,6 +107,7 @@
       {{"service", "s"},
        {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
        {"zone", "z"},
+       {"version", "v1"},
        {"slots", 8},
        {"state", "ready"},
        {"sequence", 1}});
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -201,6 +201,7 @@
             {{"service", "s"},
              {"address", "127.0.0.1:" + std::to_string(f.backend(0).port())},
              {"zone", "z"},
+             {"version", "v1"},
              {"slots", 8},
              {"state", "ready"}});
         f.store.Erase("servers", "i-0");
--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -33,6 +33,7 @@
   REQUIRE(backend.has_value());
   CHECK(backend->id == BackendId("i-1"));
   CHECK(backend->address.ToString() == "10.0.0.9:8080");
+  CHECK(backend->version == SoftwareVersion("v1"));
   CHECK(backend->slots == 8);
   CHECK(backend->started_at_ms == 1700000000000);
   CHECK_FALSE(backend->draining);
@@ -43,7 +44,8 @@
 
 TEST_CASE(
     "A service discovery entry with a missing or invalid field is rejected") {
-  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+  for (const char* field :
+       {"service", "address", "zone", "version", "slots", "state"}) {
     json missing = BackendEntry();
     missing.erase(field);
     CHECK_FALSE(platform::DecodeBackend(Entry(missing)).has_value());
@@ -51,8 +53,10 @@
                               json(1.5), json(true)}) {
       json invalid = BackendEntry();
       invalid[field] = other;
-      const bool is_text = other == "?" && (std::string(field) == "service" ||
-                                            std::string(field) == "zone");
+      const std::string name(field);
+      const bool is_text =
+          other == "?" &&
+          (name == "service" || name == "zone" || name == "version");
       CHECK(platform::DecodeBackend(Entry(invalid)).has_value() == is_text);
     }
   }
