Placement: what resumes a stream or an item goes to its software version

Placement chose among all backend servers of a service; it did not know versions.

PlacementQuery names the version that may run a request. RelaySession sets it as soon as the caller has events; with no backend server of the version left the stream is closed at once. ItemProgress holds the version of its output; an item whose version does not serve any more begins anew (ItemVersionGone), with its failed runs kept. The load that admission looks at is that of the backend servers that may run the request, without those that were tried already, so that a request none of them can run is rejected at once instead of waiting.

The case of jobs_test.cc that resumes saved progress now saves it with the version, as owners do; progress without one, from an earlier release, begins anew. The tests of placement, jobs and the gateway pass.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -60,10 +60,6 @@
 
 Dispatcher::~Dispatcher() = default;
 
-ServiceLoad Dispatcher::Load(const ServiceId& service) const {
-  return m_placement.Load(service, MonotonicClock::now());
-}
-
 void Dispatcher::HandleEvent(const PlacementEvent& event) {
   m_placement.Handle(event, MonotonicClock::now());
   std::visit(
@@ -108,7 +104,11 @@
     OnlinePlacementRequest placement,
     std::shared_ptr<const bool> cancelled) {
   const MonotonicTime now = MonotonicClock::now();
-  const ServiceLoad load = m_placement.Load(placement.service, now);
+  PlacementQuery query{.service = placement.service,
+                       .shared_prompt = placement.shared_prompt,
+                       .exclude = placement.exclude,
+                       .version = placement.version};
+  const ServiceLoad load = m_placement.Load(query, now);
   const AdmissionDecision decision = m_admission.Handle(AdmissionRequested{
       .load = load,
       .latency_target = placement.latency_target,
@@ -121,10 +121,7 @@
                                .load = load};
   }
   const AdmitRequest bounds = std::get<AdmitRequest>(decision);
-  PlacementQuery query{.service = placement.service,
-                       .shared_prompt = placement.shared_prompt,
-                       .exclude = placement.exclude,
-                       .queue_allowance = bounds.queue_allowance};
+  query.queue_allowance = bounds.queue_allowance;
   if (m_wait_queue.size() == 0) {
     const auto backend = m_placement.PlaceOnline(query, now);
     if (backend.has_value()) {
@@ -142,6 +139,7 @@
     AdmitRequest bounds,
     std::shared_ptr<const bool> cancelled) {
   const MonotonicTime now = MonotonicClock::now();
+  const PlacementQuery wanted = query;
   const TicketId ticket(++m_last_ticket);
   const auto pending = std::make_shared<PendingWait>(m_context);
   m_pending_waits[ticket] = pending;
@@ -166,7 +164,7 @@
   co_return PlacementRefused{
       .reason = *cancelled ? "the caller has gone" : "no slot became free",
       .retry_after = m_admission.RetryDelay(placement.remaining),
-      .load = m_placement.Load(placement.service, MonotonicClock::now())};
+      .load = m_placement.Load(wanted, MonotonicClock::now())};
 }
 
 std::unique_ptr<AttemptLease> Dispatcher::PlaceBatch(
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -56,6 +57,7 @@
   ServiceId service;
   std::string shared_prompt;
   std::set<BackendId> exclude;
+  std::optional<SoftwareVersion> version;
   int priority = 0;
   Duration latency_target{0};
   /// Time until the request's deadline.
@@ -66,7 +68,8 @@
 struct PlacementRefused {
   const char* reason = "";
   Duration retry_after{0};
-  /// The service's load at the time of the refusal.
+  /// The load at the time of the refusal of the backend servers that may run
+  /// the request.
   ServiceLoad load;
 };
 using PlacementResult =
@@ -125,7 +128,6 @@
 
   const PlacementCore& placement_core() const { return m_placement; }
   AdmissionCore& admission_core() { return m_admission; }
-  ServiceLoad Load(const ServiceId& service) const;
   size_t waiting_count() const { return m_wait_queue.size(); }
   std::shared_ptr<HttpClient> ClientFor(const BackendId& backend);
 
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -142,6 +142,7 @@
       progress.output += '\n';
     }
     progress.output += *event.data;
+    progress.version = m_request.version;
     progress.last_event = *event.id;
   }
   return true;
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -23,6 +23,8 @@
   JobItem item;
   std::string host;
   BackendCall call;
+  /// The software version of the backend server that is called.
+  SoftwareVersion version;
   ItemProgress progress;
 };
 
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -268,9 +268,27 @@
   return std::nullopt;
 }
 
+std::optional<SoftwareVersion> JobRunner::VersionToResume(
+    const RunnableItem& item,
+    const ServiceId& service) {
+  if (item.progress->last_event == 0) {
+    return std::nullopt;
+  }
+  const SoftwareVersion version = item.progress->version;
+  if (m_gateway.dispatcher.placement_core().Serves(service, version)) {
+    return version;
+  }
+  m_gateway.log.Write("item_begins_anew", {{"job", item.job.value()},
+                                           {"item", item.item.value()},
+                                           {"version", version.value()}});
+  HandleEvent(ItemVersionGone{item.job, item.item});
+  return std::nullopt;
+}
+
 void JobRunner::StartItems(ClockReadings now) {
   size_t started = 0;
-  std::set<ServiceId> full;
+  // Services, or single versions of them, without a free slot.
+  std::set<std::pair<ServiceId, std::optional<SoftwareVersion>>> full;
   for (const RunnableItem& runnable : m_scheduler.RunnableItems(now)) {
     if (started >= m_options.max_starts_per_pass) {
       break;
@@ -282,14 +300,19 @@
     }
     const auto service = ServiceOf(open->second, *record);
     const auto item = open->second.items.find(runnable.item);
-    if (!service.has_value() || full.contains(*service) ||
-        item == open->second.items.end()) {
+    if (!service.has_value() || item == open->second.items.end()) {
+      continue;
+    }
+    const std::optional<SoftwareVersion> version =
+        VersionToResume(runnable, *service);
+    if (full.contains({*service, std::nullopt}) ||
+        full.contains({*service, version})) {
       continue;
     }
-    std::unique_ptr<AttemptLease> lease =
-        m_gateway.dispatcher.PlaceBatch(PlacementQuery{.service = *service});
+    std::unique_ptr<AttemptLease> lease = m_gateway.dispatcher.PlaceBatch(
+        PlacementQuery{.service = *service, .version = version});
     if (lease == nullptr) {
-      full.insert(*service);
+      full.insert({*service, version});
       continue;
     }
     ++started;
@@ -319,6 +342,7 @@
                      .call = {.organisation = record->definition.organisation,
                               .backend = backend,
                               .deadline = kItemDeadline},
+                     .version = version,
                      .progress = std::move(progress)});
   m_runs[key] = run;
   const ItemRunOutcome outcome = co_await run->Run(*lease);
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -118,6 +118,10 @@
                                        JobItem item);
 
   void RunPass();
+  /// The software version that must resume the item; nullopt for an item that
+  /// has not begun. An item whose version no longer serves begins anew.
+  std::optional<SoftwareVersion> VersionToResume(const RunnableItem& item,
+                                                 const ServiceId& service);
   void StartItems(ClockReadings now);
   void PreemptItems(MonotonicTime now);
   /// The service that runs a job's items; nullopt while the job's route is
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -112,6 +112,7 @@
         .service = m_request.service,
         .shared_prompt = m_request.caller.shared_prompt,
         .exclude = m_tried_backends,
+        .version = m_stream_version,
         .priority = m_request.priority,
         .latency_target = m_request.route->target_latency,
         .remaining = RemainingTime()};
@@ -466,6 +467,7 @@
   if (whole.empty()) {
     co_return true;
   }
+  m_stream_version = lease.version();
   co_return co_await WriteToCaller(std::move(whole));
 }
 
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -121,6 +121,9 @@
   std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
   bool m_caller_disconnected = false;
   bool m_head_sent = false;
+  // The version that wrote the events that the caller has; only backend servers
+  // of this version may resume the stream.
+  std::optional<SoftwareVersion> m_stream_version;
   // Whether the bytes sent to the caller end with a whole, numbered event.
   bool m_can_resume = true;
   uint64_t m_last_event_id;
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -244,9 +244,7 @@
       break;
     case ItemRunOutcome::kFailed:
       ++item.progress.failed_runs;
-      // A failed item is restarted from the beginning.
-      item.progress.last_event = 0;
-      item.progress.output.clear();
+      BeginAnew(item);
       if (item.progress.failed_runs >= job->record.definition.max_attempts) {
         EndItem(*job, event.item, ItemState::kDeadLettered, now);
       } else {
@@ -272,6 +270,21 @@
   MaybeHandBack(*job);
 }
 
+void JobScheduler::BeginAnew(Item& item) {
+  item.progress = ItemProgress{.failed_runs = item.progress.failed_runs};
+}
+
+void JobScheduler::Apply(const ItemVersionGone& event, ClockReadings) {
+  Job* job = FindJob(event.job);
+  if (job == nullptr) {
+    return;
+  }
+  Item& item = job->items[event.item];
+  if (item.phase == ItemPhase::kPending) {
+    BeginAnew(item);
+  }
+}
+
 void JobScheduler::EndItem(Job& job,
                            const ItemId& id,
                            ItemState state,
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -89,6 +89,12 @@
   ItemId item;
   BackendId backend;
 };
+/// No backend server of the version that wrote the item's output serves any
+/// more, so the item begins anew.
+struct ItemVersionGone {
+  JobKey job;
+  ItemId item;
+};
 /// The outcome of a run of an item.
 enum class ItemRunOutcome {
   kCompleted,
@@ -140,6 +146,7 @@
                                        JobOpenFailed,
                                        ItemStarted,
                                        ItemRunEnded,
+                                       ItemVersionGone,
                                        ResultsWritten,
                                        ResultsNotWritten,
                                        ProgressSaved,
@@ -285,6 +292,7 @@
   void Apply(const JobOpenFailed& event, ClockReadings now);
   void Apply(const ItemStarted& event, ClockReadings now);
   void Apply(const ItemRunEnded& event, ClockReadings now);
+  void Apply(const ItemVersionGone& event, ClockReadings now);
   void Apply(const ResultsWritten& event, ClockReadings now);
   void Apply(const ResultsNotWritten& event, ClockReadings now);
   void Apply(const ProgressSaved& event, ClockReadings now);
@@ -296,6 +304,8 @@
   void Open(Job& job);
   void Close(Job& job);
   void StopItems(Job& job);
+  /// Discards the item's output; its failed runs still count.
+  static void BeginAnew(Item& item);
   void EndItem(Job& job, const ItemId& id, ItemState state, ClockReadings now);
   /// Dead-letters the pending items once the job's `give_up` time has passed.
   void DeadLetterExpired(Job& job, ClockReadings now);
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -8,6 +8,7 @@
 
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/backend_record.h"
 #include "Net/http_message.h"
 
 namespace cowslip {
@@ -32,6 +33,9 @@
   uint64_t last_event = 0;
   /// The data of all events up to `last_event`, joined by line feeds.
   std::string output;
+  /// The software version of the backend servers that wrote the events; no
+  /// other version can resume the item.
+  SoftwareVersion version;
   /// Number of runs that a backend server has failed.
   uint32_t failed_runs = 0;
 };
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -146,6 +146,23 @@
   }
 }
 
+bool PlacementCore::MayRun(const BackendRecord& record,
+                           const PlacementQuery& query) {
+  return record.service == query.service &&
+         !query.exclude.contains(record.id) &&
+         (!query.version.has_value() || record.version == *query.version);
+}
+
+bool PlacementCore::Serves(const ServiceId& service,
+                           const SoftwareVersion& version) const {
+  return std::any_of(m_backends.begin(), m_backends.end(),
+                     [&](const auto& entry) {
+                       const BackendRecord& record = entry.second.record;
+                       return record.service == service &&
+                              record.version == version && !record.draining;
+                     });
+}
+
 bool PlacementCore::IsUsable(const Backend& backend, MonotonicTime now) const {
   return !backend.record.draining && now >= backend.backoff_until;
 }
@@ -180,8 +197,8 @@
   const double median = MedianEventInterval(query.service);
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
-    if (record.service != query.service || !IsUsable(backend, now) ||
-        query.exclude.contains(id) || backend.Total() >= limit(backend)) {
+    if (!MayRun(record, query) || !IsUsable(backend, now) ||
+        backend.Total() >= limit(backend)) {
       continue;
     }
     const bool has_slot = backend.Total() < record.slots;
@@ -239,14 +256,14 @@
   return true;
 }
 
-ServiceLoad PlacementCore::Load(const ServiceId& service,
+ServiceLoad PlacementCore::Load(const PlacementQuery& query,
                                 MonotonicTime now) const {
   ServiceLoad load;
   double first_event = 0;
   double slot_time = 0;
   uint32_t samples = 0;
   for (const auto& [id, backend] : m_backends) {
-    if (backend.record.service != service || !IsUsable(backend, now)) {
+    if (!MayRun(backend.record, query) || !IsUsable(backend, now)) {
       continue;
     }
     ++load.backends;
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -117,12 +117,15 @@
   std::string shared_prompt;
   /// Backend servers that have already been tried with this request.
   std::set<BackendId> exclude;
+  /// The only software version that may run the request, because it resumes a
+  /// stream; nullopt for any.
+  std::optional<SoftwareVersion> version;
   /// Maximum number of requests queued at a backend server beyond its slots.
   uint32_t queue_allowance = 0;
 };
 
 /// \class ServiceLoad
-/// \brief The load of a service's usable backend servers.
+/// \brief The load of the usable backend servers that may run a request.
 struct ServiceLoad {
   uint32_t backends = 0;
   uint32_t slots = 0;
@@ -163,7 +166,10 @@
   /// items there, only the one with the lowest VM id preempts.
   bool ShouldPreemptBatch(const BackendId& backend) const;
 
-  ServiceLoad Load(const ServiceId& service, MonotonicTime now) const;
+  ServiceLoad Load(const PlacementQuery& query, MonotonicTime now) const;
+  /// Whether the service has a backend server of this version that is not
+  /// draining, however loaded it is.
+  bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
   const BackendRecord* Find(const BackendId& id) const;
   /// The requests in flight of this process, for reports to the others.
   std::vector<BackendUse> InFlight() const;
@@ -199,6 +205,7 @@
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
+  static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
   bool IsUsable(const Backend& backend, MonotonicTime now) const;
   bool IsSlow(const Backend& backend, double median) const;
   double MedianEventInterval(const ServiceId& service) const;
--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -324,11 +324,11 @@
     f.gateway(0).Shutdown();
     PutLostJob(f);
     // The owner had saved the progress of one of the items.
-    f.store.Put(
-        kProgressKind, "j2.mill",
-        EncodeProgress(
-            {{begun,
-              {.last_event = 2, .output = ExpectedOutput(begun.value(), 2)}}}));
+    f.store.Put(kProgressKind, "j2.mill",
+                EncodeProgress({{begun,
+                                 {.last_event = 2,
+                                  .output = ExpectedOutput(begun.value(), 2),
+                                  .version = SoftwareVersion("v1")}}}));
     const size_t next = f.AddGateway();
     HttpRequest request = f.Request("POST", "/stream/x", "a1");
     const auto response = co_await f.Send(next, std::move(request));
--- a/Tests/Jobs/job_documents_test.cc
+++ b/Tests/Jobs/job_documents_test.cc
@@ -37,8 +37,10 @@
 
 TEST_CASE("A job status with progress survives encoding and decoding") {
   JobStatus status{.owner = VmId("vm2"), .incarnation = Incarnation(3)};
-  status.progress[ItemId("a")] = {
-      .last_event = 12, .output = "x\ny", .failed_runs = 1};
+  status.progress[ItemId("a")] = {.last_event = 12,
+                                  .output = "x\ny",
+                                  .version = SoftwareVersion("v1"),
+                                  .failed_runs = 1};
   const Document document{.name = DocumentName("j1.mill"),
                           .content = EncodeDefinition(Definition()),
                           .status = EncodeStatus(status)};
@@ -47,9 +49,18 @@
   const ItemProgress& progress = record->status.progress.at(ItemId("a"));
   CHECK(progress.last_event == 12);
   CHECK(progress.output == "x\ny");
+  CHECK(progress.version == SoftwareVersion("v1"));
   CHECK(progress.failed_runs == 1);
 }
 
+TEST_CASE("Progress written by an earlier release has no version") {
+  const auto progress = DecodeProgress(
+      {{"progress", nlohmann::json::array({{"a", 12, "x\ny", 1}})}});
+  REQUIRE(progress.has_value());
+  CHECK(progress.value().at(ItemId("a")).last_event == 12);
+  CHECK(progress.value().at(ItemId("a")).version.empty());
+}
+
 TEST_CASE("Items survive being split into documents and decoded") {
   rc::check([](const std::vector<std::string>& bodies) {
     std::vector<JobItem> items;
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -255,6 +255,20 @@
   CHECK(runnable[0].progress->last_event == 7);
 }
 
+TEST_CASE("An item whose version is gone begins anew with its failed runs") {
+  Fixture f;
+  JobRecord record = Record("j", "vm1", 1);
+  record.status.progress[ItemId("a")] = {
+      .last_event = 7, .output = "seven", .failed_runs = 2};
+  f.Open(record);
+  f.Handle(ItemVersionGone{JobKey("j"), ItemId("a")}, 0s);
+  const auto runnable = f.scheduler.RunnableItems(At(0s));
+  REQUIRE(runnable.size() == 2);
+  CHECK(runnable[0].progress->last_event == 0);
+  CHECK(runnable[0].progress->output.empty());
+  CHECK(runnable[0].progress->failed_runs == 2);
+}
+
 TEST_CASE("The size of saved progress is limited") {
   Fixture f;
   f.Open(Record("j", "vm1", 1));
--- a/Tests/Placement/burst_replay_test.cc
+++ b/Tests/Placement/burst_replay_test.cc
@@ -217,7 +217,7 @@
   void Arrive(const Call& call, Duration now) override {
     Entry& entry = *m_entries[call.entry];
     const auto action = entry.admission.Handle(AdmissionRequested{
-        .load = entry.placement.Load(kService, At(now)),
+        .load = entry.placement.Load({.service = kService}, At(now)),
         .latency_target = kTarget,
         .remaining = 5s,
         .members = kEntries,
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -52,6 +52,27 @@
   CHECK(core.PlaceOnline(kQuery, At(0s)) == BackendId("far"));
 }
 
+TEST_CASE("A request that resumes a stream is placed only at its version") {
+  BackendRecord older = Record("a");
+  older.version = SoftwareVersion("v1");
+  BackendRecord newer = Record("b");
+  newer.version = SoftwareVersion("v2");
+  PlacementCore core = MakePlacement({older, newer});
+  PlacementQuery query = kQuery;
+  query.version = older.version;
+  CHECK(core.PlaceOnline(query, At(0s)) == BackendId("a"));
+  CHECK(core.PlaceBatch(query, At(0s)) == BackendId("a"));
+  CHECK(core.Load(query, At(0s)).slots == 4);
+  CHECK(core.Load(kQuery, At(0s)).slots == 8);
+  StartAttempts(core, "a", WorkClass::kOnline, 4);
+  CHECK_FALSE(core.PlaceOnline(query, At(0s)).has_value());
+  CHECK(core.Serves(kService, older.version));
+  older.draining = true;
+  core.Handle(BackendAdded{older}, At(0s));
+  CHECK_FALSE(core.Serves(kService, older.version));
+  CHECK(core.Load(query, At(0s)).backends == 0);
+}
+
 TEST_CASE("A draining, excluded or removed backend server is not selected") {
   PlacementCore core = MakePlacement({Record("a")});
   BackendRecord draining = Record("a");
