Gateway: a stream resumed at another gateway goes on at its version

Nothing but the memory of the lost gateway knew which version had begun a stream.

Before the first event of a resumable stream goes to its caller, the gateway sends the stream's origin, its service and version, to three others that rendezvous hashing of the attempt's id picks. A gateway at which a caller resumes looks the origin up by Resumes, in its memory and then at the same candidates, and places the request only at that version. Without an origin it goes on only at the service's sole version (SoleVersion, over 30 s); beside several it answers 503, not run, at once, because joining two versions cannot be undone.

--- a/Source/Fleet/backend_record.h
+++ b/Source/Fleet/backend_record.h
@@ -13,8 +13,8 @@
 /// Identifies one start of a backend server; chosen by the backend server.
 using BackendId = StrongId<struct BackendIdTag>;
 
-/// The version of a backend server's software. Versions can only be compared for
-/// equality.
+/// The version of a backend server's software. Versions can only be compared
+/// for equality.
 using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 
 /// \class BackendRecord
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_FLEET_FLEET_CONFIGURATION_H_
 #define SOURCE_FLEET_FLEET_CONFIGURATION_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -66,6 +67,12 @@
   /// items may be abandoned.
   Duration retention = std::chrono::seconds(600);
 
+  /// Whether the route sends requests to the service.
+  bool SplitsTo(const ServiceId& service) const {
+    return std::any_of(
+        split.begin(), split.end(),
+        [&](const TrafficShare& share) { return share.service == service; });
+  }
   /// Whether a request may run more than once.
   bool idempotent() const {
     return kind == RequestKind::kSafe ||
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -20,6 +20,7 @@
 class GatewayMetrics;
 class QuotaCore;
 class StartupGate;
+class StreamOriginDirectory;
 
 /// \class GatewayContext
 /// \brief State that the request handlers of one gateway share. The daemon owns
@@ -29,6 +30,7 @@
   Dispatcher& dispatcher;
   QuotaCore& quota;
   AbortedRunTracker& aborted_runs;
+  StreamOriginDirectory& stream_origins;
   EventLog& log;
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -64,10 +64,17 @@
                        .admission = {.seed = m_options.incarnation.value()}},
                    [this] { OnLoadChanged(); }),
       m_startup_gate(context),
+      m_stream_origins(context.get_executor(),
+                       StreamOriginOptions{.self = m_settings.vm},
+                       m_peer_table,
+                       [this](const Endpoint& to, const std::string& bytes) {
+                         m_gossip->SendTo(to, bytes);
+                       }),
       m_gateway{.io = context,
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
                 .aborted_runs = m_aborted_runs,
+                .stream_origins = m_stream_origins,
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
@@ -86,7 +93,10 @@
       context, PeerGossipOptions{.listen = listen},
       [this] { return ComposePeerMessage(); },
       [this] { return m_peer_table.Addresses(); },
-      [this](const PeerMessage& message) { HandlePeerMessage(message); });
+      [this](const PeerDatagram& datagram) {
+        std::visit([this](const auto& content) { ApplyDatagram(content); },
+                   datagram);
+      });
 }
 
 GatewayDaemon::~GatewayDaemon() = default;
@@ -141,7 +151,7 @@
   peers.max_body_bytes = kMaxPeerBodyBytes;
   m_peer_server = std::make_unique<HttpServer>(
       m_context, std::move(peers),
-      [this](HttpExchange& exchange) { return m_store.Serve(exchange); });
+      [this](HttpExchange& exchange) { return HandlePeerRequest(exchange); });
   for (HttpServer* server : {m_caller_server.get(), m_readiness_server.get(),
                              m_metrics_server.get(), m_peer_server.get()}) {
     const Result<void> started = server->Start();
@@ -213,7 +223,11 @@
   }
 }
 
-void GatewayDaemon::HandlePeerMessage(const PeerMessage& message) {
+void GatewayDaemon::ApplyDatagram(const StreamOrigin& origin) {
+  m_stream_origins.RecordReport(origin);
+}
+
+void GatewayDaemon::ApplyDatagram(const PeerMessage& message) {
   HandlePeerEvent(PeerMessageReceived{message});
   const MonotonicTime now = MonotonicClock::now();
   m_quota.Handle(PeerUsageReported{message.vm, message.incarnation,
@@ -305,6 +319,14 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
+awaitable<void> GatewayDaemon::HandlePeerRequest(HttpExchange& exchange) {
+  if (exchange.request().Path() == StreamOriginDirectory::kPath) {
+    co_await m_stream_origins.Serve(exchange);
+  } else {
+    co_await m_store.Serve(exchange);
+  }
+}
+
 awaitable<void> GatewayDaemon::HandleMetricsRequest(HttpExchange& exchange) {
   UpdateGauges();
   HttpResponse response{.body = m_metrics.Render()};
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -20,6 +20,7 @@
 #include "Gateway/job_runner.h"
 #include "Gateway/request_router.h"
 #include "Gateway/startup_gate.h"
+#include "Gateway/stream_origin_directory.h"
 #include "Jobs/job_scheduler.h"
 #include "Net/http_server.h"
 #include "Peers/divergence_detector.h"
@@ -99,13 +100,15 @@
   void ApplyAction(const PeerAppeared& appeared);
   void ApplyAction(const PeerFellSilent& silent);
   void ApplyAction(const RemovePeerRegistration& removal);
-  void HandlePeerMessage(const PeerMessage& message);
+  void ApplyDatagram(const PeerMessage& message);
+  void ApplyDatagram(const StreamOrigin& origin);
   PeerMessage ComposePeerMessage() const;
   boost::asio::awaitable<void> Register();
   boost::asio::awaitable<Result<void>> RegisterOnce();
   boost::asio::awaitable<void> RemovePeer(VmId vm);
   boost::asio::awaitable<void> HandleReadinessRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> HandleMetricsRequest(HttpExchange& exchange);
+  boost::asio::awaitable<void> HandlePeerRequest(HttpExchange& exchange);
   void UpdateGauges();
   void ScheduleTick();
   void ContinueShutdown();
@@ -127,6 +130,7 @@
   std::unique_ptr<PeerGossip> m_gossip;
   Dispatcher m_dispatcher;
   StartupGate m_startup_gate;
+  StreamOriginDirectory m_stream_origins;
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
   JobRunner m_job_runner;
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -11,6 +11,7 @@
 #include "Gateway/problem_response.h"
 #include "Gateway/response_classification.h"
 #include "Gateway/stream_end.h"
+#include "Gateway/stream_origin_directory.h"
 #include "Net/http_exchange.h"
 #include "Placement/aborted_run_tracker.h"
 #include "platform/request_headers.h"
@@ -102,8 +103,44 @@
              std::max<uint32_t>(m_request.route->max_attempts, 1);
 }
 
+awaitable<bool> RelaySession::ResolveStreamVersion() {
+  const bool resumes = m_request.route->kind == RequestKind::kStreaming &&
+                       m_request.caller.last_event > 0;
+  if (!resumes) {
+    co_return true;
+  }
+  if (!m_request.caller.resumes.empty()) {
+    const AttemptId attempt = m_request.caller.resumes;
+    const std::optional<StreamOrigin> origin =
+        co_await m_gateway.stream_origins.Find(attempt);
+    if (origin.has_value()) {
+      m_stream_version = origin->version;
+      m_request.service = origin->service;
+      co_return m_request.route->SplitsTo(origin->service);
+    }
+  }
+  if (m_request.route->split.size() == 1) {
+    m_stream_version = m_gateway.dispatcher.placement_core().SoleVersion(
+        m_request.service, MonotonicClock::now());
+  }
+  co_return m_stream_version.has_value();
+}
+
 awaitable<void> RelaySession::Run() {
   WatchCallerAndDeadline();
+  const bool resolved = co_await ResolveStreamVersion();
+  if (!resolved && !*m_stopped) {
+    m_last_failure = "the version that began the stream is not known";
+    Problem problem{
+        .kind = ProblemKind::kNoBackend,
+        .detail =
+            "The stream can't go on, because the version of the backend "
+            "server that began it is not known or the route no longer "
+            "leads to it. Start the stream again from its beginning.",
+        .not_run = true};
+    co_await RespondWithProblem(std::move(problem));
+    co_return;
+  }
   while (!*m_stopped) {
     if (IsBlocked()) {
       break;
@@ -467,10 +504,20 @@
   if (whole.empty()) {
     co_return true;
   }
-  m_stream_version = lease.version();
+  RecordStreamVersion(lease);
   co_return co_await WriteToCaller(std::move(whole));
 }
 
+void RelaySession::RecordStreamVersion(const AttemptLease& lease) {
+  const bool begins = !m_stream_version.has_value();
+  m_stream_version = lease.version();
+  if (begins && m_request.route->resumable) {
+    m_gateway.stream_origins.RecordStart({.attempt = m_request.caller.attempt,
+                                          .service = m_request.service,
+                                          .version = lease.version()});
+  }
+}
+
 awaitable<bool> RelaySession::WriteToCaller(std::string bytes) {
   if (*m_stopped) {
     co_return false;
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -68,6 +68,9 @@
     kStopped,
   };
 
+  /// Finds the software version that must go on with a stream that the caller
+  /// resumes. Returns false when it is not known.
+  boost::asio::awaitable<bool> ResolveStreamVersion();
   boost::asio::awaitable<AttemptResult> RunAttempt(AttemptLease& lease);
   boost::asio::awaitable<AttemptResult> ReadResponse(AttemptLease& lease);
   boost::asio::awaitable<AttemptResult> RelayFailure(AttemptLease& lease);
@@ -97,6 +100,9 @@
                                  const std::string& why);
   void WatchCallerAndDeadline();
   void Stop();
+  /// Keeps the version that wrote the stream's first event, for this gateway
+  /// and for those at which the caller may resume the stream.
+  void RecordStreamVersion(const AttemptLease& lease);
   void RecordFirstByte(AttemptLease& lease);
   void RecordCompletion(AttemptLease& lease);
   bool ResponseEndsWithConnection() const;
@@ -106,7 +112,7 @@
 
   GatewayContext& m_gateway;
   HttpExchange& m_exchange;
-  const RelayRequest m_request;
+  RelayRequest m_request;
   const MonotonicTime m_deadline;
   boost::asio::steady_timer m_deadline_timer;
 
--- a/Source/Peers/peer_gossip.cc
+++ b/Source/Peers/peer_gossip.cc
@@ -88,20 +88,32 @@
     message.sequence = ++m_sequence;
     const std::string bytes = EncodePeerMessage(message);
     for (const Endpoint& address : addresses) {
-      boost::system::error_code error;
-      const auto ip = asio::ip::make_address(address.address, error);
-      if (!error) {
-        m_socket.send_to(asio::buffer(bytes), udp::endpoint(ip, address.port),
-                         0, error);
-      }
       // The next datagram makes up for one that could not be sent.
-      LOG_IF_EVERY_N(WARNING, error, 1000)
-          << "peers: Cannot send to " << address << ": " << error.message();
+      SendTo(address, bytes);
     }
   }
   Schedule(m_options.heartbeat_interval);
 }
 
+void PeerGossip::SendTo(const Endpoint& to, const std::string& bytes) {
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(to.address, error);
+  if (!error) {
+    m_socket.send_to(asio::buffer(bytes), udp::endpoint(ip, to.port), 0, error);
+  }
+  LOG_IF_EVERY_N(WARNING, error, 1000)
+      << "peers: Cannot send to " << to << ": " << error.message();
+}
+
+void PeerGossip::HandleDatagram(std::string_view bytes) {
+  const Result<PeerDatagram> datagram = DecodePeerDatagram(bytes);
+  if (!datagram.has_value()) {
+    LOG_EVERY_N(WARNING, 100) << "peers: " << datagram.error();
+    return;
+  }
+  m_receive(datagram.value());
+}
+
 void PeerGossip::ReceiveNext() {
   m_socket.async_receive_from(
       asio::buffer(m_receive_buffer), m_sender,
@@ -110,13 +122,7 @@
           return;
         }
         if (!error) {
-          const Result<PeerMessage> message = DecodePeerMessage(
-              std::string_view(m_receive_buffer.data(), size));
-          if (message.has_value()) {
-            m_receive(message.value());
-          } else {
-            LOG_EVERY_N(WARNING, 100) << "peers: " << message.error();
-          }
+          HandleDatagram(std::string_view(m_receive_buffer.data(), size));
         }
         ReceiveNext();
       });
--- a/Source/Peers/peer_gossip.h
+++ b/Source/Peers/peer_gossip.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -16,7 +17,7 @@
 #include "Base/endpoint.h"
 #include "Base/result.h"
 #include "Base/time.h"
-#include "Peers/peer_message.h"
+#include "Peers/peer_datagram.h"
 
 namespace cowslip {
 
@@ -37,14 +38,14 @@
 
 /// \class PeerGossip
 /// \brief Sends this process's state to every peer in datagrams, soon after it
-/// has changed and as a heartbeat, and passes on the messages of the peers.
+/// has changed and as a heartbeat, and passes on the datagrams of the peers.
 class PeerGossip {
  public:
   /// Builds the message to send, without its sequence number.
   using Compose = std::function<PeerMessage()>;
   /// Returns the current addresses of the peers.
   using Addresses = std::function<std::vector<Endpoint>()>;
-  using Receive = std::function<void(const PeerMessage& message)>;
+  using Receive = std::function<void(const PeerDatagram& datagram)>;
 
   PeerGossip(boost::asio::io_context& context,
              PeerGossipOptions options,
@@ -57,11 +58,14 @@
   void Stop();
   /// Sends the changed state as soon as the minimum interval allows.
   void StateChanged();
+  /// Sends one datagram at once. It may be lost.
+  void SendTo(const Endpoint& to, const std::string& bytes);
 
   uint16_t port() const;
 
  private:
   void ReceiveNext();
+  void HandleDatagram(std::string_view bytes);
   void Schedule(Duration delay);
   void Send();
   Duration MinInterval() const;
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "Base/json.h"
-
 namespace cowslip {
 
 namespace {
@@ -13,10 +11,7 @@
 // Incremented when the layout below changes; messages of other layouts are
 // rejected.
 constexpr uint64_t kLayout = 4;
-// The largest payload of a UDP datagram over IPv4.
-constexpr JsonLimits kLimits{.max_bytes = 65507, .max_depth = 4};
-
-PeerMessage ReadMessage(const json& fields) {
+PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
   message.incarnation = Incarnation(fields.at(2).get<uint64_t>());
@@ -66,13 +61,17 @@
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
-  const Result<json> fields = ParseCbor(bytes, kLimits);
+  const Result<json> fields = ParseCbor(bytes, kPeerMessageLimits);
   if (!fields.has_value()) {
     return fields.error();
   }
+  return ReadPeerMessage(fields.value());
+}
+
+Result<PeerMessage> ReadPeerMessage(const json& fields) {
   try {
-    if (fields.value().at(0).get<uint64_t>() == kLayout) {
-      return ReadMessage(fields.value());
+    if (fields.at(0).get<uint64_t>() == kLayout) {
+      return ReadFields(fields);
     }
   } catch (const json::exception&) {
     // Falls through to the error below.
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -8,6 +8,7 @@
 
 #include "Base/fingerprint.h"
 #include "Base/ids.h"
+#include "Base/json.h"
 #include "Base/result.h"
 #include "Base/time.h"
 #include "Fleet/backend_record.h"
@@ -55,11 +56,17 @@
   std::vector<AbortedRuns> aborted_runs;
 };
 
+/// The largest payload of a UDP datagram over IPv4.
+inline constexpr JsonLimits kPeerMessageLimits{.max_bytes = 65507,
+                                               .max_depth = 4};
+
 /// Encodes to CBOR.
 std::string EncodePeerMessage(const PeerMessage& message);
 
 /// Errors: kMalformedMessage, kTooLarge.
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes);
+/// Reads a parsed message. Errors: kMalformedMessage.
+Result<PeerMessage> ReadPeerMessage(const nlohmann::json& fields);
 
 }  // namespace cowslip
 
--- a/Source/Peers/peer_table.cc
+++ b/Source/Peers/peer_table.cc
@@ -115,6 +115,12 @@
   return {live.begin(), live.end()};
 }
 
+std::optional<Endpoint> PeerTable::AddressOf(const VmId& vm) const {
+  const auto found = m_peers.find(vm);
+  return found == m_peers.end() ? std::nullopt
+                                : std::optional(found->second.address);
+}
+
 std::optional<Endpoint> PeerTable::PickPeerReachingStore(
     uint64_t random) const {
   std::vector<Endpoint> candidates;
--- a/Source/Peers/peer_table.h
+++ b/Source/Peers/peer_table.h
@@ -87,6 +87,8 @@
   /// The live processes that are not draining, including this one, sorted by
   /// name.
   std::vector<VmId> LiveProcesses() const;
+  /// Where a registered peer receives datagrams and calls.
+  std::optional<Endpoint> AddressOf(const VmId& vm) const;
   /// Addresses of all registered peers, to which datagrams are sent.
   std::vector<Endpoint> Addresses() const;
   /// The address of a live peer that reaches the store, selected by the random
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -39,6 +40,9 @@
   /// A backend server is slow when its average interval between events exceeds
   /// the median of its service by this factor.
   double slow_factor = 2.5;
+  /// How long a software version counts after its last backend server has gone:
+  /// longer than any stream that it began can be resumed.
+  Duration version_memory = std::chrono::seconds(30);
 };
 
 /// The outcome of an attempt to run a request at a backend server.
@@ -170,6 +174,10 @@
   /// Whether the service has a backend server of this version that is not
   /// draining, however loaded it is.
   bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
+  /// The software version of the service, if no backend server of another one
+  /// serves or has served within `version_memory`.
+  std::optional<SoftwareVersion> SoleVersion(const ServiceId& service,
+                                             MonotonicTime now) const;
   const BackendRecord* Find(const BackendId& id) const;
   /// The requests in flight of this process, for reports to the others.
   std::vector<BackendUse> InFlight() const;
@@ -204,6 +212,7 @@
   void Apply(const SlotTimeMeasured& event, MonotonicTime now);
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
+  void RememberVersion(const BackendRecord& record, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
   static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
   bool IsUsable(const Backend& backend, MonotonicTime now) const;
@@ -216,6 +225,9 @@
 
   const PlacementOptions m_options;
   std::map<BackendId, Backend> m_backends;
+  // When a backend server of the version was last removed or replaced.
+  std::map<std::pair<ServiceId, SoftwareVersion>, MonotonicTime>
+      m_former_versions;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/stream_version_test.cc
+++ b/Tests/Gateway/stream_version_test.cc
@@ -115,6 +115,42 @@
   });
 }
 
+TEST_CASE(
+    "A stream is resumed at its version by any gateway after the loss of its "
+    "own") {
+  constexpr size_t kBackends = 4;
+  constexpr size_t kGateways = 7;
+  GatewayFixture f(kBackends);
+  DeclareTwoVersions(f, kBackends);
+  for (size_t i = 0; i < kGateways; ++i) {
+    f.AddGateway();
+  }
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.Sleep(600ms);
+    std::vector<std::string> began;
+    for (size_t i = 0; i < 24; ++i) {
+      began.push_back("began" + std::to_string(i));
+      co_await BeginStream(f, 0, began.back());
+    }
+    co_await f.Sleep(300ms);
+    f.KillGateway(0);
+    for (size_t i = 0; i < began.size(); ++i) {
+      const std::string resumed = "resumed" + std::to_string(i);
+      HttpRequest request = Resumption(f, resumed, began[i]);
+      const auto response =
+          co_await f.Send(1 + i % (kGateways - 1), std::move(request));
+      REQUIRE(response.has_value());
+      CHECK(response.value().status == 200);
+      const std::set<size_t> first = AskedFor(f, kBackends, began[i], false);
+      const std::set<size_t> then = AskedFor(f, kBackends, resumed, true);
+      REQUIRE(first.size() == 1);
+      REQUIRE(then.size() == 1);
+      CHECK((*first.begin() < 2) == (*then.begin() < 2));
+    }
+  });
+}
+
 TEST_CASE(
     "A stream whose version is unknown is refused while several versions "
     "serve") {
