Batch: an item under which backend servers crashed is still owed

In the fleet's own path that can happen: RequestCore quarantined an item after a second crash while it ran alone, BatchDispatcher took the refusal for a failure for good, and crashes used up the item's four attempts.

RequestCore quarantines online requests only; items under suspicion run alone. Its terminal actions say whether the backend server was lost, which BatchDispatcher passes on as ItemBrokenOff. PartitionCore counts no attempt for it and repeats the item within 8 s. A malformed or overlong answer still counts.

The tests of batch, requests, routing, entry and the gateway pass.

--- a/Source/Batch/item_result.h
+++ b/Source/Batch/item_result.h
@@ -28,6 +28,13 @@
   std::string resume_token;
 };
 
+/// \class ItemBrokenOff
+/// \brief The backend server was lost while it ran the item, or broke off its
+/// response. No attempt is counted: crashes are no fault of the item.
+struct ItemBrokenOff {
+  std::string detail;
+};
+
 /// \class ItemFailed
 /// \brief The attempt ended without a complete response.
 struct ItemFailed {
@@ -36,8 +43,11 @@
 };
 
 /// How one dispatch of an item ended.
-using ItemResult =
-    std::variant<ItemCompleted, ItemNotRun, ItemPreempted, ItemFailed>;
+using ItemResult = std::variant<ItemCompleted,
+                                ItemNotRun,
+                                ItemPreempted,
+                                ItemBrokenOff,
+                                ItemFailed>;
 
 }  // namespace cowslip
 
--- a/Source/Batch/job_queue.h
+++ b/Source/Batch/job_queue.h
@@ -23,6 +23,8 @@
   /// Set while the item runs.
   std::optional<DispatchId> dispatch;
   uint32_t failed_attempts = 0;
+  /// Runs in a row that the backend server broke off.
+  uint32_t broken_runs = 0;
   std::string resume_token;
 };
 
@@ -47,6 +49,7 @@
   void Erase(uint32_t item);
 
   QueuedItem& at(uint32_t item) { return m_items.at(item); }
+  const QueuedItem& at(uint32_t item) const { return m_items.at(item); }
   bool Contains(uint32_t item) const { return m_items.count(item) != 0; }
   const std::map<uint32_t, QueuedItem>& items() const { return m_items; }
 
--- a/Source/Batch/partition_core.h
+++ b/Source/Batch/partition_core.h
@@ -52,6 +52,9 @@
   uint32_t max_attempts = 4;
   /// Delay before the second attempt; doubles for each further one.
   Duration attempt_backoff = std::chrono::seconds(1);
+  /// The longest delay before an item runs again whose run was broken off: what
+  /// crashed backend servers does not last long once it is over.
+  Duration max_broken_run_backoff = std::chrono::seconds(8);
   /// A job that is not done this long after its deadline ends as expired.
   Duration expire_after_deadline = std::chrono::hours(24);
   /// The most bytes of one result.
@@ -240,6 +243,11 @@
   // Items (partition_items.cc).
   void Dispatch(const JobId& job, uint32_t item);
   void RecordOutcome(const JobId& job, ItemOutcome outcome);
+  void EndInDoubt(const JobState& job,
+                  uint32_t item,
+                  const ItemId& custom_id,
+                  std::string detail);
+  void RequeueBrokenOff(JobQueue& queue, uint32_t item);
   void OnAttemptFailed(const JobState& job,
                        uint32_t item,
                        const ItemId& custom_id,
--- a/Source/Batch/partition_items.cc
+++ b/Source/Batch/partition_items.cc
@@ -108,14 +108,16 @@
         queue.at(item).resume_token = preempted.resume_token;
         queue.Requeue(item, m_now);
       },
+      [&](const ItemBrokenOff& broken) {
+        if (!job.header.idempotent) {
+          EndInDoubt(job, item, custom_id, broken.detail);
+          return;
+        }
+        RequeueBrokenOff(queue, item);
+      },
       [&](const ItemFailed& failed) {
         if (failed.may_have_run && !job.header.idempotent) {
-          RecordOutcome(job.header.job,
-                        {.item = item,
-                         .custom_id = custom_id,
-                         .kind = OutcomeKind::kMayHaveRun,
-                         .attempts = queue.at(item).failed_attempts + 1,
-                         .detail = failed.detail});
+          EndInDoubt(job, item, custom_id, failed.detail);
           return;
         }
         OnAttemptFailed(job, item, custom_id, 0, failed.detail);
@@ -123,6 +125,28 @@
   std::visit(visitor, result);
 }
 
+// Ends an item that must not run twice and may have run.
+void PartitionCore::EndInDoubt(const JobState& job,
+                               uint32_t item,
+                               const ItemId& custom_id,
+                               std::string detail) {
+  const JobQueue& queue = m_queues.at(job.header.job);
+  RecordOutcome(job.header.job, {.item = item,
+                                 .custom_id = custom_id,
+                                 .kind = OutcomeKind::kMayHaveRun,
+                                 .attempts = queue.at(item).failed_attempts + 1,
+                                 .detail = std::move(detail)});
+}
+
+void PartitionCore::RequeueBrokenOff(JobQueue& queue, uint32_t item) {
+  QueuedItem& queued = queue.at(item);
+  const uint32_t doublings = std::min(queued.broken_runs, kMaxBackoffDoublings);
+  ++queued.broken_runs;
+  queue.Requeue(
+      item, m_now + std::min(m_options.max_broken_run_backoff,
+                             m_options.attempt_backoff * (1U << doublings)));
+}
+
 void PartitionCore::OnItemCompleted(const JobState& job,
                                     uint32_t item,
                                     const ItemId& custom_id,
--- a/Source/Entry/batch_dispatcher.cc
+++ b/Source/Entry/batch_dispatcher.cc
@@ -24,16 +24,31 @@
 }
 
 // What a failed attempt means for the item: a problem that says "not run" does
-// not count as an attempt, unless waiting cannot mend it.
-ItemResult ResultOf(const Problem& problem) {
-  const bool permanent = problem.kind == ProblemKind::kQuarantined ||
-                         problem.kind == ProblemKind::kBadRequest;
+// not count as an attempt, unless waiting cannot mend it, and neither does the
+// loss of the backend server.
+ItemResult ResultOf(const RespondProblem& response) {
+  const Problem& problem = response.problem;
+  const bool permanent = problem.kind == ProblemKind::kBadRequest;
   if (problem.not_run && !permanent) {
     return ItemNotRun{.retry_after = problem.retry_after};
   }
+  if (response.backend_lost) {
+    return ItemBrokenOff{.detail = problem.detail};
+  }
   return ItemFailed{.may_have_run = !problem.not_run, .detail = problem.detail};
 }
 
+ItemResult ResultOf(const AbortResponse& aborted, bool too_large) {
+  if (too_large) {
+    return AnswerTooLarge();
+  }
+  const char* detail = "The answer was cut off.";
+  if (aborted.backend_lost) {
+    return ItemBrokenOff{.detail = detail};
+  }
+  return ItemFailed{.detail = detail};
+}
+
 }  // namespace
 
 struct BatchDispatcher::Running {
@@ -136,32 +151,29 @@
 void BatchDispatcher::OnResponse(const std::shared_ptr<Running>& running,
                                  const ResponseEvent& event) {
   std::visit(
-      Overloaded{
-          [&](const RespondHead& head) {
-            running->answer.status = head.status;
-          },
-          [&](const RespondChunk& chunk) {
-            Gather(running, chunk.data);
-            m_requests.Feed(
-                ResponseBytesConsumed{running->request, chunk.data.size()});
-          },
-          [&](const RespondEnd&) {
-            Finish(running, running->too_large
-                                ? ItemResult(AnswerTooLarge())
-                                : ItemResult(std::move(running->answer)));
-          },
-          [&](const RespondProblem& failed) {
-            Finish(running, ResultOf(failed.problem));
-          },
-          [&](const AbortResponse&) {
-            Finish(running,
-                   running->too_large
-                       ? AnswerTooLarge()
-                       : ItemFailed{.detail = "The answer was cut off."});
-          },
-          [&](const RespondPreempted& preempted) {
-            Finish(running, ItemPreempted{preempted.resume_token});
-          }},
+      Overloaded{[&](const RespondHead& head) {
+                   running->answer.status = head.status;
+                 },
+                 [&](const RespondChunk& chunk) {
+                   Gather(running, chunk.data);
+                   m_requests.Feed(ResponseBytesConsumed{running->request,
+                                                         chunk.data.size()});
+                 },
+                 [&](const RespondEnd&) {
+                   Finish(running,
+                          running->too_large
+                              ? ItemResult(AnswerTooLarge())
+                              : ItemResult(std::move(running->answer)));
+                 },
+                 [&](const RespondProblem& failed) {
+                   Finish(running, ResultOf(failed));
+                 },
+                 [&](const AbortResponse& aborted) {
+                   Finish(running, ResultOf(aborted, running->too_large));
+                 },
+                 [&](const RespondPreempted& preempted) {
+                   Finish(running, ItemPreempted{preempted.resume_token});
+                 }},
       event);
 }
 
--- a/Source/Requests/request_core.cc
+++ b/Source/Requests/request_core.cc
@@ -52,8 +52,10 @@
   request.fingerprint =
       FingerprintOf(event.organisation, event.route.value(), event.body);
   m_deadlines.insert({request.deadline, event.request});
-  if (m_crashes.Classify(request.fingerprint, m_now) ==
-      CrashRegistry::Status::kQuarantined) {
+  // Batch items stay owed: one under which backend servers crashed runs alone.
+  if (event.work == WorkClass::kOnline &&
+      m_crashes.Classify(request.fingerprint, m_now) ==
+          CrashRegistry::Status::kQuarantined) {
     Refuse(request,
            {.kind = ProblemKind::kQuarantined,
             .detail = "This request crashed backend servers and is held back. "
@@ -267,17 +269,19 @@
   Erase(request);
 }
 
-void RequestCore::FailRequest(Request& request, Problem problem) {
+void RequestCore::FailRequest(Request& request,
+                              Problem problem,
+                              bool backend_lost) {
   const RequestId id = request.arrival.request;
   if (request.claimed && !request.may_have_run) {
     Emit(ReleaseClaim{id});
   }
   if (request.responding) {
     ++m_counters.truncated;
-    Emit(AbortResponse{id});
+    Emit(AbortResponse{id, backend_lost});
   } else {
     ++m_counters.failed;
-    Emit(RespondProblem{id, std::move(problem)});
+    Emit(RespondProblem{id, std::move(problem), backend_lost});
   }
   Erase(request);
 }
--- a/Source/Requests/request_core.h
+++ b/Source/Requests/request_core.h
@@ -142,7 +142,9 @@
                      const ExchangeFailed& failure) const;
 
   void Refuse(Request& request, Problem problem);
-  void FailRequest(Request& request, Problem problem);
+  void FailRequest(Request& request,
+                   Problem problem,
+                   bool backend_lost = false);
   void Finish(Request& request);
   void Erase(Request& request);
   void Emit(RequestAction action);
--- a/Source/Requests/request_core_retry.cc
+++ b/Source/Requests/request_core_retry.cc
@@ -23,8 +23,8 @@
                  .retry_after = m_options.no_backend_retry_after});
     return;
   }
-  const bool suspect = m_crashes.Classify(request.fingerprint, m_now) ==
-                       CrashRegistry::Status::kSuspect;
+  const bool suspect = m_crashes.Classify(request.fingerprint, m_now) !=
+                       CrashRegistry::Status::kUnknown;
   if (request.attempts == 0 && arrival.work == WorkClass::kOnline) {
     m_retry_budget.RecordFirstAttempt();
   }
@@ -111,14 +111,17 @@
     }
     request.failed_on.insert(event.vm);
     EndAttempt(request);
-    AttemptFailed(request,
-                  {.detail = "The link to the backend server failed."});
+    AttemptFailed(
+        request,
+        {.suspect = true, .detail = "The link to the backend server failed."});
   }
 }
 
 void RequestCore::ReportCrash(Request& request) {
+  const bool quarantine =
+      request.attempt->alone && request.arrival.work == WorkClass::kOnline;
   const CrashReport report =
-      m_crashes.RecordCrash(request.fingerprint, request.attempt->alone, m_now);
+      m_crashes.RecordCrash(request.fingerprint, quarantine, m_now);
   Emit(BroadcastCrashReport{report});
 }
 
@@ -145,7 +148,7 @@
     StartAttempt(request);
     return;
   }
-  FailRequest(request, ProblemFor(request, failure));
+  FailRequest(request, ProblemFor(request, failure), failure.suspect);
 }
 
 bool RequestCore::MayRetry(const Request& request,
--- a/Source/Requests/request_events.h
+++ b/Source/Requests/request_events.h
@@ -163,11 +163,15 @@
 struct RespondProblem {
   RequestId request;
   Problem problem;
+  /// The backend server crashed or was lost while it ran the request.
+  bool backend_lost = false;
 };
 /// Abort a response that has been started, so that the caller can tell that it
 /// is incomplete. Ends the request.
 struct AbortResponse {
   RequestId request;
+  /// The backend server crashed or was lost while it ran the request.
+  bool backend_lost = false;
 };
 /// Report that a batch item was preempted; it is resumed with the token. Ends
 /// the request.
--- a/Source/Routing/crash_registry.cc
+++ b/Source/Routing/crash_registry.cc
@@ -17,10 +17,10 @@
 }
 
 CrashReport CrashRegistry::RecordCrash(const Fingerprint& fingerprint,
-                                       bool alone,
+                                       bool quarantine,
                                        MonotonicTime now) {
-  AddRecord(fingerprint, alone, now);
-  return {.fingerprint = fingerprint, .quarantined = alone};
+  AddRecord(fingerprint, quarantine, now);
+  return {.fingerprint = fingerprint, .quarantined = quarantine};
 }
 
 CrashReport CrashRegistry::RecordCleared(const Fingerprint& fingerprint) {
--- a/Source/Routing/crash_registry.h
+++ b/Source/Routing/crash_registry.h
@@ -47,8 +47,9 @@
 /// requests that merely ran at the same time.
 ///
 /// Every request in flight at a crash becomes a suspect and runs alone from
-/// then on. A suspect that completes is cleared; one that crashes a backend
-/// server while it runs alone is quarantined.
+/// then on. A suspect that completes is cleared; an online request that crashes
+/// a backend server while it runs alone is quarantined. Batch items are never
+/// quarantined: they are owed until their job's deadline.
 class CrashRegistry {
  public:
   explicit CrashRegistry(CrashRegistryOptions options);
@@ -56,10 +57,11 @@
   enum class Status { kUnknown, kSuspect, kQuarantined };
   Status Classify(const Fingerprint& fingerprint, MonotonicTime now) const;
 
-  /// A backend server crashed while that request ran; `alone` if it ran nothing
-  /// else. Returns the report for the other entries.
+  /// A backend server crashed while that request ran. `quarantine` if it ran
+  /// nothing else and the request is not owed. Returns the report for the other
+  /// entries.
   CrashReport RecordCrash(const Fingerprint& fingerprint,
-                          bool alone,
+                          bool quarantine,
                           MonotonicTime now);
   /// A suspect that ran alone has completed. Returns the report for the other
   /// entries.
--- a/Tests/Batch/partition_test.cc
+++ b/Tests/Batch/partition_test.cc
@@ -227,6 +227,25 @@
   CHECK(simulation.ReadState().Find(job.job)->succeeded == 47);
 }
 
+TEST_CASE("An item under which backend servers crashed is still owed") {
+  Simulation simulation(11);
+  int crashes = 0;
+  simulation.backend = [&](const DispatchItem& item) -> ItemResult {
+    CHECK(item.attempt == 1);
+    if (item.item == 3 && crashes < 12) {
+      ++crashes;
+      return ItemBrokenOff{.detail = "crash"};
+    }
+    return ItemCompleted{.status = 200, .body = "ok"};
+  };
+  const JobHeader job = MakeJob("a", 50);
+  REQUIRE(WaitForReply(simulation, simulation.Submit(0, job)));
+  simulation.Run(120s);
+  CHECK(crashes == 12);
+  CheckAllItemsEndedOnce(simulation, job);
+  CHECK(simulation.ReadState().Find(job.job)->succeeded == 50);
+}
+
 TEST_CASE("A preempted item resumes with its token and uses up no attempt") {
   Simulation simulation(8);
   int preempted = 0;
--- a/Tests/Gateway/jobs_test.cc
+++ b/Tests/Gateway/jobs_test.cc
@@ -173,6 +173,19 @@
   });
 }
 
+TEST_CASE("An item under which several backend servers crashed is run again") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.backend(0).behaviour().silent_closes = 3;
+  f.backend(1).behaviour().silent_closes = 3;
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    CHECK(co_await SubmitTo(f, 0, "j1", 1) == 202);
+    CheckComplete(co_await f.ReadAllResults(0, "j1"), 1, 4);
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) >= 4);
+  });
+}
+
 TEST_CASE("Ending a job stops its runs, and may be repeated at any gateway") {
   RunJobs([](GatewayFixture& f) -> awaitable<void> {
     for (size_t i = 0; i < 2; ++i) {
--- a/Tests/Requests/request_core_test.cc
+++ b/Tests/Requests/request_core_test.cc
@@ -47,6 +47,18 @@
     Track();
   }
 
+  void ArriveBatch() {
+    Feed(RequestArrived{.request = RequestId(1),
+                        .work = WorkClass::kBatch,
+                        .service = kService,
+                        .organisation = OrganisationId("studio"),
+                        .body = "{}",
+                        .idempotent = true,
+                        .has_rate_limit = false,
+                        .timeout = 10s});
+    Track();
+  }
+
   // Remembers the last dispatch.
   void Track() {
     for (const RequestAction& action : actions) {
@@ -181,6 +193,22 @@
   CHECK(fixture.Find<RespondProblem>()->problem.not_run);
 }
 
+TEST_CASE("A batch item under which backend servers crash is not quarantined") {
+  CoreFixture fixture;
+  for (int crash = 0; crash < 4; ++crash) {
+    fixture.ArriveBatch();
+    CHECK(fixture.dispatches == crash + 1);
+    // It runs alone, so that it takes no other request with it.
+    CHECK(fixture.dispatch.alone == (crash > 0));
+    fixture.Reply(ExchangeFailed{.suspect = true});
+    REQUIRE(fixture.Find<RespondProblem>() != nullptr);
+    CHECK(fixture.Find<RespondProblem>()->problem.kind ==
+          ProblemKind::kBackendFailed);
+    CHECK(fixture.Find<RespondProblem>()->backend_lost);
+    CHECK_FALSE(fixture.Find<BroadcastCrashReport>()->report.quarantined);
+  }
+}
+
 TEST_CASE("A suspect that runs alone without a crash is cleared") {
   CoreFixture fixture;
   fixture.Arrive(true);
