Placement: a backend server that says in an answer that it leaves gets no new work

Until now only service discovery told gateways; an answer said nothing.

platform/ decodes the header; RelaySession and ItemRun pass it to PlacementCore as BackendLeaving, for the incarnation that was called. It outlasts heartbeats that still say ready, and the removal and return of the entry.

--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -60,6 +60,9 @@
   /// The body has a content encoding. An intermediary applied it, so the body
   /// is not the one that the backend server sent.
   bool is_encoded = false;
+  /// The backend server is about to leave; requests that arrive much later may
+  /// be lost with it.
+  bool is_leaving = false;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -16,27 +16,26 @@
 
 namespace {
 
-SoftwareVersion VersionOf(const PlacementCore& placement,
-                          const BackendId& backend) {
+BackendRecord RecordOf(const PlacementCore& placement,
+                       const BackendId& backend) {
   const BackendRecord* record = placement.Find(backend);
-  return record == nullptr ? SoftwareVersion() : record->version;
+  return record == nullptr ? BackendRecord{.id = backend} : *record;
 }
 
 }  // namespace
 
 AttemptLease::AttemptLease(Dispatcher& dispatcher,
-                           BackendId backend,
+                           const BackendId& backend,
                            WorkClass work)
     : m_dispatcher(dispatcher),
-      m_backend(std::move(backend)),
-      m_version(VersionOf(dispatcher.placement_core(), m_backend)),
+      m_record(RecordOf(dispatcher.placement_core(), backend)),
       m_work_class(work),
-      m_client(dispatcher.ClientFor(m_backend)) {
-  m_dispatcher.HandleEvent(AttemptStarted{m_backend, m_work_class});
+      m_client(dispatcher.ClientFor(backend)) {
+  m_dispatcher.HandleEvent(AttemptStarted{backend, m_work_class});
 }
 
 AttemptLease::~AttemptLease() {
-  m_dispatcher.HandleEvent(AttemptEnded{m_backend, m_work_class, m_outcome});
+  m_dispatcher.HandleEvent(AttemptEnded{m_record.id, m_work_class, m_outcome});
 }
 
 // A waiting request. `decided` is cancelled when a decision is made; `lease` is
@@ -47,6 +46,10 @@
   std::unique_ptr<AttemptLease> lease;
 };
 
+void AttemptLease::MarkBackendLeaving() {
+  m_dispatcher.HandleEvent(BackendLeaving{m_record.id, m_record.started_at_ms});
+}
+
 Dispatcher::Dispatcher(boost::asio::io_context& context,
                        DispatcherOptions options,
                        std::function<void()> load_changed)
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -30,22 +30,26 @@
 /// attempt has ended.
 class AttemptLease {
  public:
-  AttemptLease(Dispatcher& dispatcher, BackendId backend, WorkClass work);
+  AttemptLease(Dispatcher& dispatcher,
+               const BackendId& backend,
+               WorkClass work);
   ~AttemptLease();
   AttemptLease(const AttemptLease&) = delete;
   AttemptLease& operator=(const AttemptLease&) = delete;
 
-  const BackendId& backend() const { return m_backend; }
+  const BackendId& backend() const { return m_record.id; }
   /// The software version of the backend server when the slot was acquired.
-  const SoftwareVersion& version() const { return m_version; }
+  const SoftwareVersion& version() const { return m_record.version; }
   const std::shared_ptr<HttpClient>& client() const { return m_client; }
+  /// Records that the backend server has said in a response that it leaves.
+  void MarkBackendLeaving();
   /// Sets how the attempt ended. Without a call, it counts as kCancelled.
   void SetOutcome(AttemptOutcome outcome) { m_outcome = outcome; }
 
  private:
   Dispatcher& m_dispatcher;
-  const BackendId m_backend;
-  const SoftwareVersion m_version;
+  // As registered when the slot was acquired.
+  const BackendRecord m_record;
   const WorkClass m_work_class;
   std::shared_ptr<HttpClient> m_client;
   AttemptOutcome m_outcome = AttemptOutcome::kCancelled;
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -74,7 +74,12 @@
   const AttemptId attempt(m_request.item.id.value());
   m_failure_reason =
       "the backend server answered status " + std::to_string(status);
-  switch (ClassifyResponse(*m_response, attempt)) {
+  const ResponseClassification classified =
+      ClassifyResponse(*m_response, attempt);
+  if (classified.is_leaving) {
+    lease.MarkBackendLeaving();
+  }
+  switch (classified.kind) {
     case ResponseKind::kOtherRequest:
       co_return EndInDoubt(lease, "the response belongs to another request");
     case ResponseKind::kNotRun:
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -370,7 +370,12 @@
 
 awaitable<RelaySession::AttemptResult> RelaySession::ReadResponse(
     AttemptLease& lease) {
-  switch (ClassifyResponse(*m_response, m_request.caller.attempt)) {
+  const ResponseClassification classified =
+      ClassifyResponse(*m_response, m_request.caller.attempt);
+  if (classified.is_leaving) {
+    lease.MarkBackendLeaving();
+  }
+  switch (classified.kind) {
     case ResponseKind::kOtherRequest:
       co_return EndAttemptInDoubt(lease,
                                   "the answer belongs to another request");
--- a/Source/Gateway/response_classification.cc
+++ b/Source/Gateway/response_classification.cc
@@ -4,11 +4,11 @@
 
 namespace cowslip {
 
-ResponseKind ClassifyResponse(const HttpResponseStream& response,
-                              const AttemptId& attempt) {
-  const int status = response.status();
-  const BackendResponse facts =
-      platform::DecodeBackendResponse(status, response.headers());
+namespace {
+
+ResponseKind KindOf(const BackendResponse& facts,
+                    const HttpResponseStream& response,
+                    const AttemptId& attempt) {
   // On a reused connection, a response that names no request may be a late
   // response to an earlier one.
   const bool may_be_for_other_request = facts.attempt.has_value()
@@ -23,8 +23,21 @@
   if (!facts.has_signature || facts.is_encoded) {
     return ResponseKind::kUnverified;
   }
-  return status >= 200 && status < 300 ? ResponseKind::kSuccess
-                                       : ResponseKind::kFailure;
+  return response.status() >= 200 && response.status() < 300
+             ? ResponseKind::kSuccess
+             : ResponseKind::kFailure;
+}
+
+}  // namespace
+
+ResponseClassification ClassifyResponse(const HttpResponseStream& response,
+                                        const AttemptId& attempt) {
+  const BackendResponse facts =
+      platform::DecodeBackendResponse(response.status(), response.headers());
+  const ResponseKind kind = KindOf(facts, response, attempt);
+  const bool from_backend =
+      kind != ResponseKind::kOtherRequest && kind != ResponseKind::kUnverified;
+  return {.kind = kind, .is_leaving = from_backend && facts.is_leaving};
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/response_classification.h
+++ b/Source/Gateway/response_classification.h
@@ -20,9 +20,17 @@
   kFailure,
 };
 
+/// \class ResponseClassification
+/// \brief What the head of a response says about its attempt and its sender.
+struct ResponseClassification {
+  ResponseKind kind = ResponseKind::kOtherRequest;
+  /// The backend server that was called is about to leave.
+  bool is_leaving = false;
+};
+
 /// Classifies the response to `attempt` by its status and headers.
-ResponseKind ClassifyResponse(const HttpResponseStream& response,
-                              const AttemptId& attempt);
+ResponseClassification ClassifyResponse(const HttpResponseStream& response,
+                                        const AttemptId& attempt);
 
 }  // namespace cowslip
 
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -63,6 +63,18 @@
   }
 }
 
+void PlacementCore::Apply(const BackendLeaving& event, MonotonicTime now) {
+  std::erase_if(m_leaving, [&](const auto& left) {
+    return now - left.second > m_options.leaving_memory;
+  });
+  m_leaving[{event.id, event.started_at_ms}] = now;
+}
+
+bool PlacementCore::AcceptsRequests(const BackendRecord& record) const {
+  return !record.draining &&
+         !m_leaving.contains({record.id, record.started_at_ms});
+}
+
 void PlacementCore::RememberVersion(const BackendRecord& record,
                                     MonotonicTime now) {
   std::erase_if(m_former_versions, [&](const auto& former) {
@@ -170,12 +182,12 @@
 
 bool PlacementCore::Serves(const ServiceId& service,
                            const SoftwareVersion& version) const {
-  return std::any_of(m_backends.begin(), m_backends.end(),
-                     [&](const auto& entry) {
-                       const BackendRecord& record = entry.second.record;
-                       return record.service == service &&
-                              record.version == version && !record.draining;
-                     });
+  return std::any_of(
+      m_backends.begin(), m_backends.end(), [&](const auto& entry) {
+        const BackendRecord& record = entry.second.record;
+        return record.service == service && record.version == version &&
+               AcceptsRequests(record);
+      });
 }
 
 std::optional<SoftwareVersion> PlacementCore::SoleVersion(
@@ -196,7 +208,7 @@
 }
 
 bool PlacementCore::IsUsable(const Backend& backend, MonotonicTime now) const {
-  return !backend.record.draining && now >= backend.backoff_until;
+  return AcceptsRequests(backend.record) && now >= backend.backoff_until;
 }
 
 double PlacementCore::MedianEventInterval(const ServiceId& service) const {
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -43,6 +43,9 @@
   /// How long a software version counts after its last backend server has gone:
   /// longer than any stream that it began can be resumed.
   Duration version_memory = std::chrono::seconds(30);
+  /// How long an incarnation that said that it leaves is remembered: longer
+  /// than any graceful shutdown takes.
+  Duration leaving_memory = std::chrono::minutes(10);
 };
 
 /// The outcome of an attempt to run a request at a backend server.
@@ -67,6 +70,12 @@
 struct BackendRemoved {
   BackendId id;
 };
+/// This incarnation of a backend server has said in a response that it leaves:
+/// it gets no new requests, whatever service discovery says.
+struct BackendLeaving {
+  BackendId id;
+  uint64_t started_at_ms = 0;
+};
 /// A request was sent to a backend server.
 struct AttemptStarted {
   BackendId backend;
@@ -104,6 +113,7 @@
 };
 using PlacementEvent = std::variant<BackendAdded,
                                     BackendRemoved,
+                                    BackendLeaving,
                                     AttemptStarted,
                                     AttemptEnded,
                                     FirstEventMeasured,
@@ -171,8 +181,8 @@
   bool ShouldPreemptBatch(const BackendId& backend) const;
 
   ServiceLoad Load(const PlacementQuery& query, MonotonicTime now) const;
-  /// Whether the service has a backend server of this version that is not
-  /// draining, however loaded it is.
+  /// Whether the service has a backend server of this version that accepts new
+  /// requests, however loaded it is.
   bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
   /// The software version of the service, if no backend server of another one
   /// serves or has served within `version_memory`.
@@ -205,6 +215,7 @@
 
   void Apply(const BackendAdded& event, MonotonicTime now);
   void Apply(const BackendRemoved& event, MonotonicTime now);
+  void Apply(const BackendLeaving& event, MonotonicTime now);
   void Apply(const AttemptStarted& event, MonotonicTime now);
   void Apply(const AttemptEnded& event, MonotonicTime now);
   void Apply(const FirstEventMeasured& event, MonotonicTime now);
@@ -215,6 +226,8 @@
   void RememberVersion(const BackendRecord& record, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
   static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
+  /// Whether the backend server accepts new requests, however loaded it is.
+  bool AcceptsRequests(const BackendRecord& record) const;
   bool IsUsable(const Backend& backend, MonotonicTime now) const;
   bool IsSlow(const Backend& backend, double median) const;
   double MedianEventInterval(const ServiceId& service) const;
@@ -225,6 +238,9 @@
 
   const PlacementOptions m_options;
   std::map<BackendId, Backend> m_backends;
+  // The incarnations that have said that they leave, and when. Kept beyond
+  // their removal, because entries of discovery may come back after an outage.
+  std::map<std::pair<BackendId, uint64_t>, MonotonicTime> m_leaving;
   // When a backend server of the version was last removed or replaced.
   std::map<std::pair<ServiceId, SoftwareVersion>, MonotonicTime>
       m_former_versions;
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -309,6 +309,69 @@
   });
 }
 
+// Registers an incarnation of backend server 0 that started at `born`.
+void RegisterIncarnation(GatewayFixture& f, uint64_t born) {
+  nlohmann::json entry = f.store.Find("servers", "i-1")->content;
+  entry["address"] = "127.0.0.1:" + std::to_string(f.backend(0).port());
+  entry["born"] = born;
+  f.store.Put("servers", "i-0", entry);
+}
+
+TEST_CASE(
+    "A backend server that says in an answer that it leaves gets no new "
+    "requests") {
+  for (const bool rejects : {false, true}) {
+    RunOnline([&](GatewayFixture& f) -> awaitable<void> {
+      const auto send = [&](int count) -> awaitable<void> {
+        for (int i = 0; i < count; ++i) {
+          HttpRequest request = f.Request("POST", "/stream/x", "a1");
+          request.headers.push_back(
+              {"Prompt-Prefix", std::to_string(i) + ":10,own:5"});
+          const auto response = co_await f.Send(0, std::move(request));
+          REQUIRE(response.has_value());
+          CHECK(response.value().status == 200);
+        }
+      };
+      f.backend(0).behaviour().leaving = true;
+      f.backend(0).behaviour().turn_away = rejects ? 1 : 0;
+      co_await send(8);
+      CHECK(f.RequestsAt(0) == 1);
+      // Neither a new heartbeat nor an entry that was lost and is back count.
+      RegisterIncarnation(f, 0);
+      co_await f.Sleep(100ms);
+      f.store.Erase("servers", "i-0");
+      co_await f.Sleep(100ms);
+      RegisterIncarnation(f, 0);
+      co_await f.Sleep(100ms);
+      co_await send(8);
+      HttpRequest submission = f.Submission("j", 20);
+      (void)co_await f.Send(0, std::move(submission));
+      CHECK((co_await f.ReadAllResults(0, "j")).size() == 20);
+      CHECK(f.RequestsAt(0) == 1);
+      f.backend(0).behaviour().leaving = false;
+      RegisterIncarnation(f, 1700000000000);
+      co_await f.Sleep(100ms);
+      co_await send(8);
+      CHECK(f.RequestsAt(0) > 1);
+    });
+  }
+}
+
+TEST_CASE("A run of an item says that its backend server leaves") {
+  RunOnline([](GatewayFixture& f) -> awaitable<void> {
+    f.backend(0).behaviour().leaving = true;
+    // One after another, so that none is sent before the first answer.
+    for (int i = 0; i < 4; ++i) {
+      const std::string job = "j" + std::to_string(i);
+      HttpRequest submission = f.Submission(job, 1);
+      (void)co_await f.Send(0, std::move(submission));
+      CHECK((co_await f.ReadAllResults(0, job)).size() == 1);
+    }
+    CHECK(f.RequestsAt(0) <= 1);
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) == 4);
+  });
+}
+
 TEST_CASE(
     "A request is aborted at the backend server when its caller disconnects") {
   RunOnline([](GatewayFixture& f) -> awaitable<void> {
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -73,6 +73,25 @@
   CHECK(core.Load(query, At(0s)).backends == 0);
 }
 
+TEST_CASE(
+    "An incarnation that leaves is not selected, also when it is listed") {
+  BackendRecord record = Record("a");
+  record.started_at_ms = 5;
+  PlacementCore core = MakePlacement({record});
+  core.Handle(BackendLeaving{BackendId("a"), 4}, At(0s));
+  CHECK(core.PlaceOnline(kQuery, At(0s)).has_value());
+  core.Handle(BackendLeaving{BackendId("a"), 5}, At(0s));
+  CHECK_FALSE(core.PlaceOnline(kQuery, At(0s)).has_value());
+  CHECK_FALSE(core.PlaceBatch(kQuery, At(0s)).has_value());
+  CHECK(core.Load(kQuery, At(0s)).backends == 0);
+  core.Handle(BackendRemoved{BackendId("a")}, At(1s));
+  core.Handle(BackendAdded{record}, At(2s));
+  CHECK_FALSE(core.PlaceOnline(kQuery, At(2s)).has_value());
+  record.started_at_ms = 6;
+  core.Handle(BackendAdded{record}, At(3s));
+  CHECK(core.PlaceOnline(kQuery, At(3s)).has_value());
+}
+
 TEST_CASE("A service has a sole version until another one has served lately") {
   BackendRecord older = Record("a");
   older.version = SoftwareVersion("v1");
--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -51,6 +51,9 @@
   HttpHeaders headers = {{"Attempt-Id", attempt},
                          {"Server-Load", "1,0,8"},
                          {"Content-Type", "text/event-stream"}};
+  if (m_behaviour.leaving) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
   if (!Take(m_behaviour.unsigned_answers)) {
     headers.push_back({"Response-Signature", "signed-by-" + m_id});
   }
@@ -86,6 +89,9 @@
     HttpResponse response{
         .status = 503,
         .headers = {{"Attempt-Id", attempt}, {"Not-Executed", "1"}}};
+    if (m_behaviour.leaving) {
+      response.headers.push_back({"Server-Leaving", "1"});
+    }
     (void)co_await exchange.Respond(std::move(response));
     co_return true;
   }
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -34,6 +34,8 @@
   int unsigned_answers = 0;
   /// Closes the connection before any answer.
   int silent_closes = 0;
+  /// Says in every answer that it leaves.
+  bool leaving = false;
 };
 
 /// \class ModelServer
