Gateway, Batch, Tests: comments, names and order after a second reading

A resumption without a known origin goes on at a service's sole version also when a route's split names that service twice. An item's version is looked up only while its service has free slots.

--- a/Source/Batch/item_result.h
+++ b/Source/Batch/item_result.h
@@ -29,8 +29,8 @@
 };
 
 /// \class ItemBrokenOff
-/// \brief The backend server was lost while it ran the item, or broke off its
-/// response. No attempt is counted: crashes are no fault of the item.
+/// \brief The backend server was lost while it ran the item. No attempt is
+/// counted, because crashes are not the item's fault.
 struct ItemBrokenOff {
   std::string detail;
 };
--- a/Source/Batch/job_queue.h
+++ b/Source/Batch/job_queue.h
@@ -23,7 +23,7 @@
   /// Set while the item runs.
   std::optional<DispatchId> dispatch;
   uint32_t failed_attempts = 0;
-  /// Runs in a row that the backend server broke off.
+  /// Runs that ended because the backend server was lost.
   uint32_t broken_runs = 0;
   std::string resume_token;
 };
--- a/Source/Batch/partition_core.h
+++ b/Source/Batch/partition_core.h
@@ -52,8 +52,8 @@
   uint32_t max_attempts = 4;
   /// Delay before the second attempt; doubles for each further one.
   Duration attempt_backoff = std::chrono::seconds(1);
-  /// The longest delay before an item runs again whose run was broken off: what
-  /// crashed backend servers does not last long once it is over.
+  /// The longest delay before an item runs again whose backend server was lost:
+  /// the item is most likely sound, and backend servers are soon back.
   Duration max_broken_run_backoff = std::chrono::seconds(8);
   /// A job that is not done this long after its deadline ends as expired.
   Duration expire_after_deadline = std::chrono::hours(24);
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -67,12 +67,18 @@
   /// items may be abandoned.
   Duration retention = std::chrono::seconds(600);
 
-  /// Whether the route sends requests to the service.
+  /// Whether the route sends some requests to the service.
   bool SplitsTo(const ServiceId& service) const {
     return std::any_of(
         split.begin(), split.end(),
         [&](const TrafficShare& share) { return share.service == service; });
   }
+  /// Whether the route sends all requests to the service.
+  bool SplitsOnlyTo(const ServiceId& service) const {
+    return std::all_of(
+        split.begin(), split.end(),
+        [&](const TrafficShare& share) { return share.service == service; });
+  }
   /// Whether a request may run more than once.
   bool idempotent() const {
     return kind == RequestKind::kSafe ||
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -300,13 +300,13 @@
     }
     const auto service = ServiceOf(open->second, *record);
     const auto item = open->second.items.find(runnable.item);
-    if (!service.has_value() || item == open->second.items.end()) {
+    if (!service.has_value() || full.contains({*service, std::nullopt}) ||
+        item == open->second.items.end()) {
       continue;
     }
     const std::optional<SoftwareVersion> version =
         VersionToResume(runnable, *service);
-    if (full.contains({*service, std::nullopt}) ||
-        full.contains({*service, version})) {
+    if (full.contains({*service, version})) {
       continue;
     }
     std::unique_ptr<AttemptLease> lease = m_gateway.dispatcher.PlaceBatch(
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -119,7 +119,7 @@
       co_return m_request.route->SplitsTo(origin->service);
     }
   }
-  if (m_request.route->split.size() == 1) {
+  if (m_request.route->SplitsOnlyTo(m_request.service)) {
     m_stream_version = m_gateway.dispatcher.placement_core().SoleVersion(
         m_request.service, MonotonicClock::now());
   }
@@ -135,8 +135,8 @@
         .kind = ProblemKind::kNoBackend,
         .detail =
             "The stream can't go on, because the version of the backend "
-            "server that began it is not known or the route no longer "
-            "leads to it. Start the stream again from its beginning.",
+            "server that began it is not known, or the route no longer "
+            "leads to its service. Start the stream again from its beginning.",
         .not_run = true};
     co_await RespondWithProblem(std::move(problem));
     co_return;
--- a/Tests/Gateway/stream_version_test.cc
+++ b/Tests/Gateway/stream_version_test.cc
@@ -78,6 +78,25 @@
   return request;
 }
 
+// Resumes a stream at a gateway and checks that it is whole, and that it went
+// on at the version that began it.
+awaitable<void> ResumeAndCheck(GatewayFixture& f,
+                               size_t gateway,
+                               size_t backends,
+                               const std::string& began) {
+  const std::string resumed = "resumed-" + began;
+  HttpRequest request = Resumption(f, resumed, began);
+  const auto response = co_await f.Send(gateway, std::move(request));
+  REQUIRE(response.has_value());
+  CHECK(response.value().status == 200);
+  CHECK(response.value().body == ModelServer::Body(resumed, 2, kEvents));
+  const std::set<size_t> first = AskedFor(f, backends, began, false);
+  const std::set<size_t> then = AskedFor(f, backends, resumed, true);
+  REQUIRE(first.size() == 1);
+  REQUIRE(then.size() == 1);
+  CHECK((*first.begin() < 2) == (*then.begin() < 2));
+}
+
 // Backend servers 0 and 1 are of version v1, the others of v2.
 void DeclareTwoVersions(GatewayFixture& f, size_t backends) {
   for (size_t i = 0; i < backends; ++i) {
@@ -99,18 +118,8 @@
     co_await f.Sleep(600ms);
     for (int i = 0; i < 16; ++i) {
       const std::string began = "began" + std::to_string(i);
-      const std::string resumed = "resumed" + std::to_string(i);
       co_await BeginStream(f, i % 2, began);
-      HttpRequest request = Resumption(f, resumed, began);
-      const auto response = co_await f.Send((i + 1) % 2, std::move(request));
-      REQUIRE(response.has_value());
-      CHECK(response.value().status == 200);
-      CHECK(response.value().body == ModelServer::Body(resumed, 2, kEvents));
-      const std::set<size_t> first = AskedFor(f, kBackends, began, false);
-      const std::set<size_t> then = AskedFor(f, kBackends, resumed, true);
-      REQUIRE(first.size() == 1);
-      REQUIRE(then.size() == 1);
-      CHECK((*first.begin() < 2) == (*then.begin() < 2));
+      co_await ResumeAndCheck(f, (i + 1) % 2, kBackends, began);
     }
   });
 }
@@ -136,17 +145,7 @@
     co_await f.Sleep(300ms);
     f.KillGateway(0);
     for (size_t i = 0; i < began.size(); ++i) {
-      const std::string resumed = "resumed" + std::to_string(i);
-      HttpRequest request = Resumption(f, resumed, began[i]);
-      const auto response =
-          co_await f.Send(1 + i % (kGateways - 1), std::move(request));
-      REQUIRE(response.has_value());
-      CHECK(response.value().status == 200);
-      const std::set<size_t> first = AskedFor(f, kBackends, began[i], false);
-      const std::set<size_t> then = AskedFor(f, kBackends, resumed, true);
-      REQUIRE(first.size() == 1);
-      REQUIRE(then.size() == 1);
-      CHECK((*first.begin() < 2) == (*then.begin() < 2));
+      co_await ResumeAndCheck(f, 1 + i % (kGateways - 1), kBackends, began[i]);
     }
   });
 }
--- a/Tests/Peers/stream_origin_test.cc
+++ b/Tests/Peers/stream_origin_test.cc
@@ -107,6 +107,12 @@
       DecodePeerDatagram(EncodePeerMessage({.vm = VmId("g1"), .sequence = 4}));
   REQUIRE(message.has_value());
   CHECK(std::get<PeerMessage>(message.value()).sequence == 4);
+  CHECK(rc::check([](const std::string& attempt) {
+    const StreamOrigin sent = Origin(attempt);
+    const auto received = DecodePeerDatagram(EncodeStreamOrigin(sent));
+    RC_ASSERT(received.has_value());
+    RC_ASSERT(std::get<StreamOrigin>(received.value()) == sent);
+  }));
   CHECK(rc::check([](const std::string& bytes) {
     RC_ASSERT(!DecodePeerDatagram(bytes).has_value());
     RC_ASSERT(!DecodeStreamOrigin(bytes).has_value());
