--- a/Source/Backend/engine_response.h
+++ b/Source/Backend/engine_response.h
@@ -35,7 +35,7 @@
       : m_ends_with_connection(ends_with_connection) {}
 
   Result<std::string> Feed(std::string data);
-  /// Errors: kMalformedMessage for a stream that was broken off.
+  /// Errors: kMalformedMessage for a truncated stream.
   Result<std::string> Finish();
   ResumeToken Progress() const { return {}; }
 
--- a/Source/Batch/item_result.h
+++ b/Source/Batch/item_result.h
@@ -28,10 +28,10 @@
   std::string resume_token;
 };
 
-/// \class ItemBrokenOff
+/// \class ItemBackendLost
 /// \brief The backend server was lost while it ran the item. No attempt is
 /// counted, because crashes are not the item's fault.
-struct ItemBrokenOff {
+struct ItemBackendLost {
   std::string detail;
 };
 
@@ -46,7 +46,7 @@
 using ItemResult = std::variant<ItemCompleted,
                                 ItemNotRun,
                                 ItemPreempted,
-                                ItemBrokenOff,
+                                ItemBackendLost,
                                 ItemFailed>;
 
 }  // namespace cowslip
--- a/Source/Batch/job_queue.h
+++ b/Source/Batch/job_queue.h
@@ -24,7 +24,7 @@
   std::optional<DispatchId> dispatch;
   uint32_t failed_attempts = 0;
   /// Runs that ended because the backend server was lost.
-  uint32_t broken_runs = 0;
+  uint32_t lost_runs = 0;
   std::string resume_token;
 };
 
--- a/Source/Batch/partition_core.h
+++ b/Source/Batch/partition_core.h
@@ -54,7 +54,7 @@
   Duration attempt_backoff = std::chrono::seconds(1);
   /// The longest delay before an item runs again whose backend server was lost:
   /// the item is most likely sound, and backend servers are soon back.
-  Duration max_broken_run_backoff = std::chrono::seconds(8);
+  Duration max_lost_run_backoff = std::chrono::seconds(8);
   /// A job that is not done this long after its deadline ends as expired.
   Duration expire_after_deadline = std::chrono::hours(24);
   /// The most bytes of one result.
@@ -247,7 +247,7 @@
                   uint32_t item,
                   const ItemId& custom_id,
                   std::string detail);
-  void RequeueBrokenOff(JobQueue& queue, uint32_t item);
+  void RequeueAfterLoss(JobQueue& queue, uint32_t item);
   void OnAttemptFailed(const JobState& job,
                        uint32_t item,
                        const ItemId& custom_id,
--- a/Source/Batch/partition_items.cc
+++ b/Source/Batch/partition_items.cc
@@ -108,12 +108,12 @@
         queue.at(item).resume_token = preempted.resume_token;
         queue.Requeue(item, m_now);
       },
-      [&](const ItemBrokenOff& broken) {
+      [&](const ItemBackendLost& lost) {
         if (!job.header.idempotent) {
-          EndInDoubt(job, item, custom_id, broken.detail);
+          EndInDoubt(job, item, custom_id, lost.detail);
           return;
         }
-        RequeueBrokenOff(queue, item);
+        RequeueAfterLoss(queue, item);
       },
       [&](const ItemFailed& failed) {
         if (failed.may_have_run && !job.header.idempotent) {
@@ -138,12 +138,12 @@
                                  .detail = std::move(detail)});
 }
 
-void PartitionCore::RequeueBrokenOff(JobQueue& queue, uint32_t item) {
+void PartitionCore::RequeueAfterLoss(JobQueue& queue, uint32_t item) {
   QueuedItem& queued = queue.at(item);
-  const uint32_t doublings = std::min(queued.broken_runs, kMaxBackoffDoublings);
-  ++queued.broken_runs;
+  const uint32_t doublings = std::min(queued.lost_runs, kMaxBackoffDoublings);
+  ++queued.lost_runs;
   queue.Requeue(
-      item, m_now + std::min(m_options.max_broken_run_backoff,
+      item, m_now + std::min(m_options.max_lost_run_backoff,
                              m_options.attempt_backoff * (1U << doublings)));
 }
 
--- a/Source/Entry/batch_dispatcher.cc
+++ b/Source/Entry/batch_dispatcher.cc
@@ -33,7 +33,7 @@
     return ItemNotRun{.retry_after = problem.retry_after};
   }
   if (response.backend_lost) {
-    return ItemBrokenOff{.detail = problem.detail};
+    return ItemBackendLost{.detail = problem.detail};
   }
   return ItemFailed{.may_have_run = !problem.not_run, .detail = problem.detail};
 }
@@ -44,7 +44,7 @@
   }
   const char* detail = "The answer was cut off.";
   if (aborted.backend_lost) {
-    return ItemBrokenOff{.detail = detail};
+    return ItemBackendLost{.detail = detail};
   }
   return ItemFailed{.detail = detail};
 }
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -278,9 +278,9 @@
   if (m_gateway.dispatcher.placement_core().Serves(service, version)) {
     return version;
   }
-  m_gateway.log.Write("item_begins_anew", {{"job", item.job.value()},
-                                           {"item", item.item.value()},
-                                           {"version", version.value()}});
+  m_gateway.log.Write("item_restarted", {{"job", item.job.value()},
+                                         {"item", item.item.value()},
+                                         {"version", version.value()}});
   HandleEvent(ItemVersionGone{item.job, item.item});
   return std::nullopt;
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -119,7 +119,8 @@
 
   void RunPass();
   /// The software version that must resume the item; nullopt for an item that
-  /// has not begun. An item whose version no longer serves begins anew.
+  /// has not begun. An item whose version no longer serves is
+  /// restarted from the beginning.
   std::optional<SoftwareVersion> VersionToResume(const RunnableItem& item,
                                                  const ServiceId& service);
   void StartItems(ClockReadings now);
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -244,7 +244,7 @@
       break;
     case ItemRunOutcome::kFailed:
       ++item.progress.failed_runs;
-      BeginAnew(item);
+      RestartItem(item);
       if (item.progress.failed_runs >= job->record.definition.max_attempts) {
         EndItem(*job, event.item, ItemState::kDeadLettered, now);
       } else {
@@ -270,7 +270,7 @@
   MaybeHandBack(*job);
 }
 
-void JobScheduler::BeginAnew(Item& item) {
+void JobScheduler::RestartItem(Item& item) {
   item.progress = ItemProgress{.failed_runs = item.progress.failed_runs};
 }
 
@@ -281,7 +281,7 @@
   }
   Item& item = job->items[event.item];
   if (item.phase == ItemPhase::kPending) {
-    BeginAnew(item);
+    RestartItem(item);
   }
 }
 
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -90,7 +90,7 @@
   BackendId backend;
 };
 /// No backend server of the version that wrote the item's output serves any
-/// more, so the item begins anew.
+/// more, so the item is restarted from the beginning.
 struct ItemVersionGone {
   JobKey job;
   ItemId item;
@@ -305,7 +305,7 @@
   void Close(Job& job);
   void StopItems(Job& job);
   /// Discards the item's output; its failed runs still count.
-  static void BeginAnew(Item& item);
+  static void RestartItem(Item& item);
   void EndItem(Job& job, const ItemId& id, ItemState state, ClockReadings now);
   /// Dead-letters the pending items once the job's `give_up` time has passed.
   void DeadLetterExpired(Job& job, ClockReadings now);
--- a/Tests/Backend/gate_core_test.cc
+++ b/Tests/Backend/gate_core_test.cc
@@ -109,7 +109,7 @@
 }
 
 TEST_CASE(
-    "A plain service's event stream that breaks off is not passed on as "
+    "A plain service's truncated event stream is not passed on as "
     "complete") {
   const auto finish = [](const std::string& body, bool ends_with_connection) {
     GateOptions options = Options(1, HeadroomWithPreemption());
--- a/Tests/Batch/partition_test.cc
+++ b/Tests/Batch/partition_test.cc
@@ -234,7 +234,7 @@
     CHECK(item.attempt == 1);
     if (item.item == 3 && crashes < 12) {
       ++crashes;
-      return ItemBrokenOff{.detail = "crash"};
+      return ItemBackendLost{.detail = "crash"};
     }
     return ItemCompleted{.status = 200, .body = "ok"};
   };
--- a/Tests/Gateway/raw_backend.h
+++ b/Tests/Gateway/raw_backend.h
@@ -25,7 +25,7 @@
 
 /// \class RawBackend
 /// \brief A backend server whose answers are written byte by byte by the test,
-/// so that they may be framed or broken off in any way.
+/// so that they may be framed or truncated in any way.
 class RawBackend {
  public:
   using Script = std::function<RawAnswer(const HttpRequest& request)>;
--- a/Tests/Gateway/stream_end_test.cc
+++ b/Tests/Gateway/stream_end_test.cc
@@ -14,8 +14,8 @@
 
 enum class Framing { kNone, kLength, kChunks };
 
-// An answer that is broken off after `size` bytes of its body.
-struct BrokenAnswer {
+// An answer that is truncated after `size` bytes of its body.
+struct TruncatedAnswer {
   Framing framing = Framing::kNone;
   ConnectionEnd end = ConnectionEnd::kClosed;
   size_t size = 0;
@@ -43,21 +43,21 @@
           .end = ConnectionEnd::kKeptOpen};
 }
 
-RawAnswer Break(const BrokenAnswer& broken,
-                const std::string& attempt,
-                const std::string& body) {
-  const std::string sent = body.substr(0, broken.size);
-  switch (broken.framing) {
+RawAnswer Truncate(const TruncatedAnswer& truncated,
+                   const std::string& attempt,
+                   const std::string& body) {
+  const std::string sent = body.substr(0, truncated.size);
+  switch (truncated.framing) {
     case Framing::kNone:
-      return {Head(attempt, "") + sent, broken.end};
+      return {Head(attempt, "") + sent, truncated.end};
     case Framing::kLength:
       return {Head(attempt,
                    "Content-Length: " + std::to_string(body.size()) + "\r\n") +
                   sent,
-              broken.end};
+              truncated.end};
     case Framing::kChunks:
       return {Head(attempt, "Transfer-Encoding: chunked\r\n") + Chunk(sent),
-              broken.end};
+              truncated.end};
   }
   return {};
 }
@@ -75,10 +75,10 @@
 }
 
 // Two backend servers of one service. The next stream that begins at either is
-// broken off as `broken` says; all other streams are whole.
-class BreakingBackends {
+// truncated as `truncated` says; all other streams are whole.
+class TruncatingBackends {
  public:
-  explicit BreakingBackends(GatewayFixture& f)
+  explicit TruncatingBackends(GatewayFixture& f)
       : m_backends{RawBackend(f.context, Script()),
                    RawBackend(f.context, Script())} {
     for (size_t i = 0; i < 2; ++i) {
@@ -93,7 +93,9 @@
     }
   }
 
-  void BreakNext(const BrokenAnswer& broken) { m_broken = broken; }
+  void TruncateNext(const TruncatedAnswer& truncated) {
+    m_truncated = truncated;
+  }
 
  private:
   RawBackend::Script Script() {
@@ -103,16 +105,16 @@
       const uint64_t last = std::stoull(
           FindHeader(request.headers, "Last-Event-Id").value_or("0"));
       const std::string body = ModelServer::Body(attempt, last + 1, kEvents);
-      if (!m_broken.has_value()) {
+      if (!m_truncated.has_value()) {
         return WholeAnswer(attempt, body);
       }
-      const BrokenAnswer broken = *m_broken;
-      m_broken.reset();
-      return Break(broken, attempt, body);
+      const TruncatedAnswer truncated = *m_truncated;
+      m_truncated.reset();
+      return Truncate(truncated, attempt, body);
     };
   }
 
-  std::optional<BrokenAnswer> m_broken;
+  std::optional<TruncatedAnswer> m_truncated;
   RawBackend m_backends[2];
 };
 
@@ -121,13 +123,13 @@
   return bytes.empty() || bytes.ends_with("\n\n");
 }
 
-// Sends one request for each byte after which an answer can be broken off, with
+// Sends one request for each byte after which an answer can be truncated, with
 // each framing and each end of the connection. Between two of them a whole
 // answer follows, so that the backend servers stay usable.
 template <class Check>
-void BreakEverywhere(const std::string& path, Check check) {
+void TruncateEverywhere(const std::string& path, Check check) {
   GatewayFixture f(0);
-  BreakingBackends backends(f);
+  TruncatingBackends backends(f);
   f.AddGateway();
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
@@ -138,8 +140,8 @@
       for (const ConnectionEnd end :
            {ConnectionEnd::kClosed, ConnectionEnd::kReset}) {
         for (size_t size = 0; size < whole; ++size) {
-          const BrokenAnswer broken{framing, end, size};
-          backends.BreakNext(broken);
+          const TruncatedAnswer truncated{framing, end, size};
+          backends.TruncateNext(truncated);
           const std::string id = "a" + std::to_string(100 + sent);
           HttpRequest request =
               f.Request("POST", path + std::to_string(sent++), id);
@@ -147,7 +149,7 @@
           INFO("framing " << static_cast<int>(framing) << ", end "
                           << static_cast<int>(end) << ", after " << size
                           << " bytes");
-          check(broken, ModelServer::Body(id, 1, kEvents), response);
+          check(truncated, ModelServer::Body(id, 1, kEvents), response);
           HttpRequest next =
               f.Request("POST", path + std::to_string(sent++), "next");
           const auto answered = co_await f.Send(0, std::move(next));
@@ -161,50 +163,50 @@
 
 // An answer without length and chunks that is closed between two events cannot
 // be told from a whole one.
-bool LooksWhole(const BrokenAnswer& broken, const std::string& body) {
-  return broken.framing == Framing::kNone &&
-         broken.end == ConnectionEnd::kClosed && broken.size > 0 &&
-         EndsBetweenEvents(body.substr(0, broken.size));
+bool LooksWhole(const TruncatedAnswer& truncated, const std::string& body) {
+  return truncated.framing == Framing::kNone &&
+         truncated.end == ConnectionEnd::kClosed && truncated.size > 0 &&
+         EndsBetweenEvents(body.substr(0, truncated.size));
 }
 
-TEST_CASE("A broken-off stream is never relayed as a complete one") {
-  BreakEverywhere(
-      "/once/", [](const BrokenAnswer& broken, const std::string& body,
+TEST_CASE("A truncated stream is never relayed as a complete one") {
+  TruncateEverywhere(
+      "/once/", [](const TruncatedAnswer& truncated, const std::string& body,
                    const Result<HttpResponse>& response) {
-        if (LooksWhole(broken, body)) {
+        if (LooksWhole(truncated, body)) {
           return;
         }
         CHECK_FALSE((response.has_value() && response.value().status == 200));
       });
 }
 
-TEST_CASE("A resumable stream that is broken off anywhere is resumed") {
-  BreakEverywhere("/stream/",
-                  [](const BrokenAnswer& broken, const std::string& body,
+TEST_CASE("A resumable stream that is truncated anywhere is resumed") {
+  TruncateEverywhere(
+      "/stream/", [](const TruncatedAnswer& truncated, const std::string& body,
                      const Result<HttpResponse>& response) {
-                    REQUIRE(response.has_value());
-                    CHECK(response.value().status == 200);
-                    if (!LooksWhole(broken, body)) {
-                      CHECK(response.value().body == body);
-                    }
-                  });
+        REQUIRE(response.has_value());
+        CHECK(response.value().status == 200);
+        if (!LooksWhole(truncated, body)) {
+          CHECK(response.value().body == body);
+        }
+      });
 }
 
-TEST_CASE("An item whose unframed stream is broken off is resumed") {
+TEST_CASE("An item whose unframed stream is truncated is resumed") {
   GatewayFixture f(0);
-  std::set<std::string> broken_items;
-  // The first run of item N is broken off after 6 * N bytes.
+  std::set<std::string> truncated_items;
+  // The first run of item N is truncated after 6 * N bytes.
   const auto script = [&](const HttpRequest& request) {
     const std::string item =
         FindHeader(request.headers, "Attempt-Id").value_or("");
     const uint64_t last =
         std::stoull(FindHeader(request.headers, "Last-Event-Id").value_or("0"));
     const std::string body = ModelServer::Body(item, last + 1, kEvents);
-    if (!broken_items.insert(item).second) {
+    if (!truncated_items.insert(item).second) {
       return WholeAnswer(item, body);
     }
     const size_t number = std::stoul(item.substr(item.find('-') + 1));
-    return Break({.size = 6 * number}, item, body);
+    return Truncate({.size = 6 * number}, item, body);
   };
   RawBackend backend(f.context, script);
   RegisterRawBackend(f, "raw-0", backend);
--- a/Tests/Gateway/stream_version_test.cc
+++ b/Tests/Gateway/stream_version_test.cc
@@ -237,7 +237,7 @@
   });
 }
 
-TEST_CASE("An item is resumed at its version or begins anew") {
+TEST_CASE("An item is resumed at its version or restarted") {
   constexpr size_t kBackends = 4;
   GatewayFixture f(kBackends);
   DeclareTwoVersions(f, kBackends);
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -255,7 +255,8 @@
   CHECK(runnable[0].progress->last_event == 7);
 }
 
-TEST_CASE("An item whose version is gone begins anew with its failed runs") {
+TEST_CASE(
+    "An item whose version is gone is restarted and keeps its failed runs") {
   Fixture f;
   JobRecord record = Record("j", "vm1", 1);
   record.status.progress[ItemId("a")] = {
