--- a/Tests/Gateway/stream_end_test.cc
+++ b/Tests/Gateway/stream_end_test.cc
@@ -82,14 +82,7 @@
       : m_backends{RawBackend(f.context, Script()),
                    RawBackend(f.context, Script())} {
     for (size_t i = 0; i < 2; ++i) {
-      f.store.Put(
-          "servers", "raw-" + std::to_string(i),
-          {{"service", "s"},
-           {"address", "127.0.0.1:" + std::to_string(m_backends[i].port())},
-           {"zone", "z"},
-           {"slots", 8},
-           {"state", "ready"},
-           {"version", "v1"}});
+      RegisterRawBackend(f, "raw-" + std::to_string(i), m_backends[i]);
     }
   }
 
