--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Base/ids.h"
 #include "Base/time.h"
@@ -14,6 +15,9 @@
 /// Identifies one attempt of a client; chosen by the client.
 using AttemptId = StrongId<struct AttemptIdTag>;
 
+/// Identifies one part of a prompt that several requests share.
+using PromptPartId = StrongId<struct PromptPartIdTag>;
+
 /// \class CallerRequest
 /// \brief The parsed headers of a caller's request.
 struct CallerRequest {
@@ -33,6 +37,8 @@
   /// Identifies the parts of the prompt that other requests share; empty if
   /// there are none.
   std::string shared_prompt;
+  /// The same parts one by one, in the order of the prompt.
+  std::vector<PromptPartId> shared_parts;
 };
 
 /// \class BackendCall
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -20,7 +20,9 @@
 
 }  // namespace
 
-ItemRun::ItemRun(ItemRunRequest request) : m_request(std::move(request)) {}
+ItemRun::ItemRun(ItemRunRequest request)
+    : m_request(std::move(request)),
+      m_shared_parts(platform::DecodeSharedParts(m_request.item.headers)) {}
 
 void ItemRun::Stop() {
   m_stopped = true;
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -41,6 +41,11 @@
   void Stop();
 
   const ItemProgress& progress() const { return m_request.progress; }
+  /// Whether the backend server has begun to answer.
+  bool answer_began() const { return m_response != nullptr; }
+  const std::vector<PromptPartId>& shared_parts() const {
+    return m_shared_parts;
+  }
   /// Why the run did not complete, for the log. Empty after a success.
   const std::string& failure_reason() const { return m_failure_reason; }
 
@@ -53,6 +58,7 @@
   ItemRunOutcome EndInDoubt(AttemptLease& lease, std::string failure_reason);
 
   ItemRunRequest m_request;
+  const std::vector<PromptPartId> m_shared_parts;
   std::shared_ptr<HttpAbort> m_abort;
   std::unique_ptr<HttpResponseStream> m_response;
   SseReader m_event_reader;
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -357,6 +357,8 @@
                        {"end", NameOf(outcome)},
                        {"from_event", began_after},
                        {"last_event", run->progress().last_event},
+                       {"answer_began", run->answer_began()},
+                       {"prompt_parts", run->shared_parts()},
                        {"why", run->failure_reason()}});
   HandleEvent(ItemRunEnded{key.first, key.second, outcome, run->progress()});
   SchedulePass();
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -290,6 +290,9 @@
                        {"why", why},
                        {"last_event", m_last_event_id},
                        {"attempts_in_doubt", m_in_doubt_attempts},
+                       {"answer_began", m_response != nullptr},
+                       {"attempt_events", m_attempt_event_count},
+                       {"prompt_parts", m_request.caller.shared_parts},
                        {"ends_with_connection", ResponseEndsWithConnection()},
                        {"partial_event_bytes", PartialEventBytes()}});
   return AttemptResult::kInDoubt;
@@ -606,6 +609,7 @@
         has_first ? ToMillis(m_first_byte_time - m_request.arrived) : -1},
        {"total_ms", ToMillis(took)},
        {"last_event", m_last_event_id},
+       {"prompt_parts", m_request.caller.shared_parts},
        {"ends_with_connection", ResponseEndsWithConnection()},
        {"partial_event_bytes", PartialEventBytes()}});
 }
--- a/Tests/PlatformAdapter/messages_test.cc
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -33,6 +33,8 @@
   CHECK(caller.value().key == "secret");
   // The last part is not shared with other requests.
   CHECK(caller.value().shared_prompt == "5c1:800,91b:410");
+  CHECK(caller.value().shared_parts ==
+        std::vector{PromptPartId("5c1"), PromptPartId("91b")});
 }
 
 TEST_CASE("Repeated or malformed request headers are rejected") {
