--- a/Tests/Gateway/stream_end_test.cc
+++ b/Tests/Gateway/stream_end_test.cc
@@ -1,8 +1,8 @@
 #include <set>
-#include <sstream>
 
 #include "gateway_fixture.h"
 #include "raw_backend.h"
+#include "raw_request.h"
 
 namespace cowslip {
 namespace {
@@ -21,25 +21,9 @@
   size_t size = 0;
 };
 
-std::string Head(const std::string& attempt, const std::string& framing) {
-  return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
-         "\r\nResponse-Signature: s\r\n"
-         "Content-Type: text/event-stream\r\n" +
-         framing + "\r\n";
-}
-
-std::string Chunk(const std::string& data) {
-  if (data.empty()) {
-    return "";
-  }
-  std::ostringstream size;
-  size << std::hex << data.size();
-  return size.str() + "\r\n" + data + "\r\n";
-}
-
 RawAnswer WholeAnswer(const std::string& attempt, const std::string& body) {
-  return {.bytes = Head(attempt, "Transfer-Encoding: chunked\r\n") +
-                   Chunk(body) + "0\r\n\r\n",
+  return {.bytes = RawStreamHead(attempt, "Transfer-Encoding: chunked\r\n") +
+                   RawChunk(body) + "0\r\n\r\n",
           .end = ConnectionEnd::kKeptOpen};
 }
 
@@ -49,14 +33,15 @@
   const std::string sent = body.substr(0, truncated.size);
   switch (truncated.framing) {
     case Framing::kNone:
-      return {Head(attempt, "") + sent, truncated.end};
+      return {RawStreamHead(attempt, "") + sent, truncated.end};
     case Framing::kLength:
-      return {Head(attempt,
-                   "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+      return {RawStreamHead(attempt, "Content-Length: " +
+                                         std::to_string(body.size()) + "\r\n") +
                   sent,
               truncated.end};
     case Framing::kChunks:
-      return {Head(attempt, "Transfer-Encoding: chunked\r\n") + Chunk(sent),
+      return {RawStreamHead(attempt, "Transfer-Encoding: chunked\r\n") +
+                  RawChunk(sent),
               truncated.end};
   }
   return {};
