Gateway: a prompt part that crashes backend servers is blocked

Cause: evidence was kept per whole request, by organisation, target and body, while what crashed was shared by requests that are never alike. It was also forgotten: own counts were reported for 5 s, so a gateway that started later knew nothing.

CrashSuspectCore keeps, for each crash, the shared prompt parts of the runs that it broke off, and clears a part when a run with it is completed at any gateway. A part is blocked after crashes of three backend servers; among several, the one with the fewest completed runs is blamed, and the crashes it accounts for count against no other part, so what sound requests share with the crashing ones is not blocked. A run whose answer ends with its connection proves nothing until the backend server has lived on for a second. Gateways relay the evidence, and one of them tries a request from time to time. The same check stands before online attempts, resumptions and items, which stay owed.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -14,6 +14,7 @@
 namespace cowslip {
 
 class AbortedRunTracker;
+class CrashSuspectCore;
 class Dispatcher;
 class EventLog;
 class FleetConfiguration;
@@ -30,6 +31,7 @@
   Dispatcher& dispatcher;
   QuotaCore& quota;
   AbortedRunTracker& aborted_runs;
+  CrashSuspectCore& crash_suspects;
   StreamOriginDirectory& stream_origins;
   EventLog& log;
   GatewayMetrics& metrics;
@@ -43,9 +45,9 @@
   /// Whether the watch on jobs works, so that a takeover of a job by another
   /// process would be noticed.
   bool jobs_are_current = false;
-  /// Called when an admission has changed the quota usage that this process
-  /// reports to the others.
-  std::function<void()> usage_changed;
+  /// Called when something has changed that this process reports to the others:
+  /// the quota usage, or what it knows of crashes.
+  std::function<void()> reported_state_changed;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -57,6 +57,8 @@
       m_quota(QuotaOptions{.failure_detection_time =
                                PeerTableOptions{}.silent_after}),
       m_peer_table(PeerTableOptions{.self = m_settings.vm}),
+      m_crash_suspects(CrashSuspectOptions{.self = m_settings.vm},
+                       m_peer_table),
       m_backend_directory(BackendDirectoryOptions{}),
       m_dispatcher(context,
                    DispatcherOptions{
@@ -74,11 +76,12 @@
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
                 .aborted_runs = m_aborted_runs,
+                .crash_suspects = m_crash_suspects,
                 .stream_origins = m_stream_origins,
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
-                .usage_changed = [this] { m_gossip->StateChanged(); }},
+                .reported_state_changed = [this] { m_gossip->StateChanged(); }},
       m_scheduler(JobSchedulerOptions{.self = m_settings.vm,
                                       .incarnation = m_options.incarnation},
                   m_peer_table),
@@ -235,6 +238,8 @@
                  now);
   m_aborted_runs.Handle(
       PeerAbortedRunsReported{message.vm, message.aborted_runs}, now);
+  m_crash_suspects.Handle(PeerCrashEvidenceReported{message.crash_evidence},
+                          now);
   m_dispatcher.HandleEvent(PeerInFlightReported{message.vm, message.in_flight});
   m_job_runner.SchedulePass();
   if (message.reaches_store) {
@@ -254,7 +259,9 @@
       .digests = OwnStoreDigests(),
       .usage = m_quota.Usage(),
       .in_flight = m_dispatcher.placement_core().InFlight(),
-      .aborted_runs = m_aborted_runs.RunsToReport(MonotonicClock::now())};
+      .aborted_runs = m_aborted_runs.RunsToReport(MonotonicClock::now()),
+      .crash_evidence =
+          m_crash_suspects.EvidenceToReport(MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
@@ -346,6 +353,9 @@
   m_metrics.SetGauge("cowslip_requests_waiting",
                      "Requests that wait for a slot.",
                      static_cast<double>(m_dispatcher.waiting_count()));
+  m_metrics.SetGauge("cowslip_prompt_parts_blocked",
+                     "Prompt parts that are taken to crash backend servers.",
+                     static_cast<double>(m_crash_suspects.blocked_parts()));
   m_metrics.SetGauge("cowslip_configuration_current",
                      "1 while newer configurations would be heard of.",
                      m_gateway.configuration_is_current ? 1 : 0);
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -28,6 +28,7 @@
 #include "Peers/peer_table.h"
 #include "Placement/aborted_run_tracker.h"
 #include "Placement/backend_directory.h"
+#include "Placement/crash_suspect_core.h"
 #include "Platform/document_watcher.h"
 #include "Platform/relayed_store.h"
 #include "Quota/quota_core.h"
@@ -125,6 +126,7 @@
   QuotaCore m_quota;
   AbortedRunTracker m_aborted_runs{AbortedRunTrackerOptions{}};
   PeerTable m_peer_table;
+  CrashSuspectCore m_crash_suspects;
   std::map<VmId, PeerRecord> m_peer_records;
   BackendDirectory m_backend_directory;
   std::unique_ptr<PeerGossip> m_gossip;
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -45,6 +45,12 @@
   return ItemRunOutcome::kInDoubt;
 }
 
+ItemRunOutcome ItemRun::EndAfterError(AttemptLease& lease, const Error& error) {
+  // A timeout has many causes.
+  m_broke_off = !m_stopped && error.kind() == ErrorKind::kInDoubt;
+  return EndInDoubt(lease, error.message);
+}
+
 awaitable<ItemRunOutcome> ItemRun::Run(AttemptLease& lease) {
   BackendCall call = m_request.call;
   call.last_event = m_request.progress.last_event;
@@ -65,7 +71,7 @@
       m_failure_reason = opened.error().message;
       co_return ItemRunOutcome::kNotRun;
     }
-    co_return EndInDoubt(lease, opened.error().message);
+    co_return EndAfterError(lease, opened.error());
   }
   m_response = std::move(opened.value());
   co_return co_await ReadResponse(lease);
@@ -119,7 +125,7 @@
     Result<std::optional<std::string>> chunk =
         co_await m_response->ReadSome(timeout);
     if (!chunk.has_value()) {
-      co_return EndInDoubt(lease, chunk.error().message);
+      co_return EndAfterError(lease, chunk.error());
     }
     if (!chunk.value().has_value()) {
       break;
@@ -132,7 +138,7 @@
   }
   const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
   if (!complete.has_value()) {
-    co_return EndInDoubt(lease, complete.error().message);
+    co_return EndAfterError(lease, complete.error());
   }
   lease.SetOutcome(AttemptOutcome::kCompleted);
   co_return ItemRunOutcome::kCompleted;
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -43,6 +43,13 @@
   const ItemProgress& progress() const { return m_request.progress; }
   /// Whether the backend server has begun to answer.
   bool answer_began() const { return m_response != nullptr; }
+  /// Whether the connection failed during the run, or the response is
+  /// malformed.
+  bool broke_off() const { return m_broke_off; }
+  /// Whether the body has neither a length nor chunks.
+  bool ends_with_connection() const {
+    return m_response != nullptr && m_response->ends_with_connection();
+  }
   const std::vector<PromptPartId>& shared_parts() const {
     return m_shared_parts;
   }
@@ -56,6 +63,7 @@
   /// Handles a response with a status other than 2xx.
   ItemRunOutcome HandleFailureStatus(AttemptLease& lease, int status);
   ItemRunOutcome EndInDoubt(AttemptLease& lease, std::string failure_reason);
+  ItemRunOutcome EndAfterError(AttemptLease& lease, const Error& error);
 
   ItemRunRequest m_request;
   const std::vector<PromptPartId> m_shared_parts;
@@ -64,6 +72,7 @@
   SseReader m_event_reader;
   std::string m_failure_reason;
   bool m_stopped = false;
+  bool m_broke_off = false;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -11,6 +11,8 @@
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
 #include "Jobs/job_documents.h"
+#include "Placement/crash_suspect_core.h"
+#include "platform/request_headers.h"
 
 namespace cowslip {
 
@@ -304,6 +306,9 @@
         item == open->second.items.end()) {
       continue;
     }
+    if (!MayRunPrompt(item->second)) {
+      continue;
+    }
     const std::optional<SoftwareVersion> version =
         VersionToResume(runnable, *service);
     if (full.contains({*service, version})) {
@@ -328,6 +333,41 @@
   }
 }
 
+bool JobRunner::MayRunPrompt(const JobItem& item) {
+  if (m_gateway.crash_suspects.blocked_parts() == 0) {
+    return true;
+  }
+  const CrashSuspectAction action = m_gateway.crash_suspects.Handle(
+      RunRequested{platform::DecodeSharedParts(item.headers)},
+      MonotonicClock::now());
+  return std::holds_alternative<RunAllowed>(action);
+}
+
+void JobRunner::RecordRunEnd(const ItemRun& run,
+                             ItemRunOutcome outcome,
+                             const BackendId& backend,
+                             uint64_t started_at_ms) {
+  CrashSuspectCore& suspects = m_gateway.crash_suspects;
+  const MonotonicTime now = MonotonicClock::now();
+  if (outcome == ItemRunOutcome::kNotRun && !run.answer_began()) {
+    suspects.Handle(BackendRefusedConnection{backend, started_at_ms}, now);
+  } else if (run.shared_parts().empty()) {
+    return;
+  } else if (run.broke_off()) {
+    suspects.Handle(RunBrokenOff{backend, started_at_ms, run.shared_parts()},
+                    now);
+    m_gateway.reported_state_changed();
+  } else if (outcome != ItemRunOutcome::kCompleted) {
+    return;
+  } else if (run.ends_with_connection()) {
+    suspects.Handle(
+        RunEndedWithConnection{backend, started_at_ms, run.shared_parts()},
+        now);
+  } else {
+    suspects.Handle(RunEndedWell{run.shared_parts()}, now);
+  }
+}
+
 awaitable<void> JobRunner::RunItem(RunKey key,
                                    ItemProgress progress,
                                    std::shared_ptr<AttemptLease> lease,
@@ -335,6 +375,7 @@
   const JobRecord* record = m_scheduler.Find(key.first);
   const BackendId backend = lease->backend();
   const SoftwareVersion version = lease->version();
+  const uint64_t started_at_ms = lease->started_at_ms();
   const uint64_t began_after = progress.last_event;
   const auto run = std::make_shared<ItemRun>(
       ItemRunRequest{.item = std::move(item),
@@ -360,6 +401,7 @@
                        {"answer_began", run->answer_began()},
                        {"prompt_parts", run->shared_parts()},
                        {"why", run->failure_reason()}});
+  RecordRunEnd(*run, outcome, backend, started_at_ms);
   HandleEvent(ItemRunEnded{key.first, key.second, outcome, run->progress()});
   SchedulePass();
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -124,6 +124,13 @@
   std::optional<SoftwareVersion> VersionToResume(const RunnableItem& item,
                                                  const ServiceId& service);
   void StartItems(ClockReadings now);
+  /// Whether an item with this prompt may be run; one that may not stays owed.
+  bool MayRunPrompt(const JobItem& item);
+  /// Records what the end of a run says about the prompt parts of its item.
+  void RecordRunEnd(const ItemRun& run,
+                    ItemRunOutcome outcome,
+                    const BackendId& backend,
+                    uint64_t started_at_ms);
   void PreemptItems(MonotonicTime now);
   /// The service that runs a job's items; nullopt while the job's route is
   /// missing.
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -142,7 +142,8 @@
     co_return;
   }
   while (!*m_stopped) {
-    if (IsBlocked()) {
+    m_is_trial = false;
+    if (IsBlocked() || !MaySendPrompt()) {
       break;
     }
     OnlinePlacementRequest placement{
@@ -183,6 +184,10 @@
     }
     const auto lease =
         std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
+    // Backend servers may have crashed while the request waited.
+    if (!m_is_trial && !MaySendPrompt()) {
+      break;
+    }
     const AttemptResult result = co_await RunAttempt(*lease);
     m_response.reset();
     m_abort.reset();
@@ -216,14 +221,9 @@
     m_exchange.Abort();
     co_return;
   }
-  if (m_in_doubt_attempts == 0 && IsBlocked()) {
-    Problem problem{.kind = ProblemKind::kHeldBack,
-                    .detail =
-                        "Backend servers broke off whenever they ran "
-                        "this request. Change it before sending it "
-                        "again.",
-                    .not_run = true,
-                    .retry_after = kBlockedRequestRetryAfter};
+  if (m_in_doubt_attempts == 0 &&
+      (m_blocked_prompt.has_value() || IsBlocked())) {
+    Problem problem = BlockedProblem();
     co_await RespondWithProblem(std::move(problem));
     co_return;
   }
@@ -248,6 +248,25 @@
   co_await RespondWithProblem(std::move(problem));
 }
 
+Problem RelaySession::BlockedProblem() const {
+  Problem problem{.kind = ProblemKind::kHeldBack,
+                  .detail =
+                      "Backend servers broke off whenever they ran this "
+                      "request. Change it before sending it again.",
+                  .not_run = true,
+                  .retry_after = kBlockedRequestRetryAfter};
+  if (m_blocked_prompt.has_value()) {
+    problem.detail =
+        "Backend servers crashed whenever they ran requests with "
+        "the prompt part " +
+        m_blocked_prompt->part.value() +
+        ". Change that part, or come back after the time in "
+        "Retry-After.";
+    problem.retry_after = m_blocked_prompt->retry_after;
+  }
+  return problem;
+}
+
 awaitable<void> RelaySession::RespondWithProblem(Problem problem) {
   m_deadline_timer.cancel();
   *m_stopped = true;
@@ -304,12 +323,66 @@
   // A timeout has many causes. A connection that is closed during the run
   // usually means that the backend server crashed.
   if (!*m_stopped && error.kind() == ErrorKind::kInDoubt) {
-    m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()},
-                                  MonotonicClock::now());
+    RecordBrokenRun(lease);
   }
   return EndAttemptInDoubt(lease, error.message);
 }
 
+void RelaySession::RecordBrokenRun(const AttemptLease& lease) {
+  const MonotonicTime now = MonotonicClock::now();
+  m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()}, now);
+  if (m_request.caller.shared_parts.empty()) {
+    return;
+  }
+  m_gateway.crash_suspects.Handle(
+      RunBrokenOff{.backend = lease.backend(),
+                   .started_at_ms = lease.started_at_ms(),
+                   .parts = m_request.caller.shared_parts},
+      now);
+  m_gateway.reported_state_changed();
+}
+
+void RelaySession::RecordWholeRun(const AttemptLease& lease) {
+  const MonotonicTime now = MonotonicClock::now();
+  if (!m_gateway.aborted_runs.empty()) {
+    m_gateway.aborted_runs.Handle(RunCompleted{RequestFingerprint()}, now);
+  }
+  const std::vector<PromptPartId>& parts = m_request.caller.shared_parts;
+  if (parts.empty()) {
+    return;
+  }
+  if (ResponseEndsWithConnection()) {
+    m_gateway.crash_suspects.Handle(
+        RunEndedWithConnection{.backend = lease.backend(),
+                               .started_at_ms = lease.started_at_ms(),
+                               .parts = parts},
+        now);
+  } else {
+    m_gateway.crash_suspects.Handle(RunEndedWell{.parts = parts}, now);
+  }
+  if (m_is_trial) {
+    m_gateway.reported_state_changed();
+  }
+}
+
+bool RelaySession::MaySendPrompt() {
+  const CrashSuspectAction action = m_gateway.crash_suspects.Handle(
+      RunRequested{m_request.caller.shared_parts}, MonotonicClock::now());
+  if (const auto* blocked = std::get_if<RunBlocked>(&action)) {
+    m_blocked_prompt = *blocked;
+    m_last_failure = "the prompt part " + blocked->part.value() +
+                     " is taken to crash backend servers";
+    m_gateway.log.Write("prompt_part_blocked",
+                        {{"id", m_request.caller.attempt.value()},
+                         {"part", blocked->part.value()},
+                         {"crashes", blocked->crashes},
+                         {"retry_after_ms", ToMillis(blocked->retry_after)}});
+    return false;
+  }
+  m_is_trial = std::get<RunAllowed>(action).is_trial;
+  return true;
+}
+
 const Fingerprint& RelaySession::RequestFingerprint() {
   if (!m_fingerprint.has_value()) {
     const HttpRequest& request = m_exchange.request();
@@ -363,6 +436,9 @@
   if (!opened.has_value()) {
     const Error& error = opened.error();
     if (error.kind() == ErrorKind::kUnavailable) {
+      m_gateway.crash_suspects.Handle(
+          BackendRefusedConnection{lease.backend(), lease.started_at_ms()},
+          MonotonicClock::now());
       co_return EndAttemptNotRun(lease, AttemptOutcome::kFailed, error.message);
     }
     co_return HandleResponseError(lease, error);
@@ -562,10 +638,7 @@
 void RelaySession::RecordCompletion(AttemptLease& lease) {
   lease.SetOutcome(AttemptOutcome::kCompleted);
   m_gateway.metrics.CountAttempt("completed");
-  if (!m_gateway.aborted_runs.empty()) {
-    m_gateway.aborted_runs.Handle(RunCompleted{RequestFingerprint()},
-                                  MonotonicClock::now());
-  }
+  RecordWholeRun(lease);
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.dispatcher.HandleEvent(
       SlotTimeMeasured{lease.backend(), now - m_attempt_start});
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -16,6 +16,7 @@
 #include "Gateway/gateway_context.h"
 #include "Net/http_client.h"
 #include "Net/sse_reader.h"
+#include "Placement/crash_suspect_core.h"
 #include "Placement/placement_core.h"
 #include "Requests/problem.h"
 
@@ -94,6 +95,12 @@
   /// Whether the request is held back because it is suspected of crashing
   /// backend servers.
   bool IsBlocked();
+  /// Whether a request with this prompt may be sent. If not, the reason is kept
+  /// in `m_blocked_prompt`.
+  bool MaySendPrompt();
+  void RecordBrokenRun(const AttemptLease& lease);
+  void RecordWholeRun(const AttemptLease& lease);
+  Problem BlockedProblem() const;
   const Fingerprint& RequestFingerprint();
   AttemptResult EndAttemptNotRun(AttemptLease& lease,
                                  AttemptOutcome outcome,
@@ -140,6 +147,9 @@
   std::set<BackendId> m_tried_backends;
   BackendId m_last_backend;
   SoftwareVersion m_last_version;
+  std::optional<RunBlocked> m_blocked_prompt;
+  // Whether the next attempt tries a prompt that is blocked.
+  bool m_is_trial = false;
   // Computed on first use.
   std::optional<Fingerprint> m_fingerprint;
   std::string m_last_failure;
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -176,7 +176,7 @@
                    .not_run = true,
                    .retry_after = exceeded->retry_after};
   }
-  m_gateway.usage_changed();
+  m_gateway.reported_state_changed();
   return std::nullopt;
 }
 
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -10,7 +10,33 @@
 
 // Incremented when the layout below changes; messages of other layouts are
 // rejected.
-constexpr uint64_t kLayout = 4;
+constexpr uint64_t kLayout = 5;
+
+// Each crash is the incarnation, its age and the suspects in one list.
+json EncodeCrashes(const std::vector<BackendCrash>& crashes) {
+  json encoded = json::array();
+  for (const BackendCrash& crash : crashes) {
+    json entry = {crash.backend.value(), crash.started_at_ms,
+                  ToMillis(crash.age)};
+    for (const PromptPartId& part : crash.parts) {
+      entry.push_back(part.value());
+    }
+    encoded.push_back(std::move(entry));
+  }
+  return encoded;
+}
+
+BackendCrash ReadCrash(const json& fields) {
+  BackendCrash crash{
+      .backend = fields.at(0).get<BackendId>(),
+      .started_at_ms = fields.at(1).get<uint64_t>(),
+      .age = std::chrono::milliseconds(fields.at(2).get<uint32_t>())};
+  for (size_t i = 3; i < fields.size(); ++i) {
+    crash.parts.push_back(fields.at(i).get<PromptPartId>());
+  }
+  return crash;
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -34,6 +60,14 @@
     message.aborted_runs.push_back({Fingerprint(runs.at(0).get<std::string>()),
                                     runs.at(1).get<uint32_t>()});
   }
+  for (const json& crash : fields.at(12)) {
+    message.crash_evidence.crashes.push_back(ReadCrash(crash));
+  }
+  for (const json& completed : fields.at(13)) {
+    message.crash_evidence.completed.push_back(
+        {completed.at(0).get<PromptPartId>(),
+         std::chrono::milliseconds(completed.at(1).get<uint32_t>())});
+  }
   return message;
 }
 
@@ -52,12 +86,17 @@
   for (const AbortedRuns& runs : message.aborted_runs) {
     aborted_runs.push_back({runs.fingerprint.value(), runs.count});
   }
-  return ToCbor(
-      json::array({kLayout, message.vm.value(), message.incarnation.value(),
-                   message.sequence, ToMillis(message.uptime),
-                   message.configuration.value(), message.draining,
-                   message.reaches_store, message.digests, std::move(usage),
-                   std::move(in_flight), std::move(aborted_runs)}));
+  json completed = json::array();
+  for (const CompletedPart& part : message.crash_evidence.completed) {
+    completed.push_back({part.part.value(), ToMillis(part.age)});
+  }
+  return ToCbor(json::array(
+      {kLayout, message.vm.value(), message.incarnation.value(),
+       message.sequence, ToMillis(message.uptime),
+       message.configuration.value(), message.draining, message.reaches_store,
+       message.digests, std::move(usage), std::move(in_flight),
+       std::move(aborted_runs), EncodeCrashes(message.crash_evidence.crashes),
+       std::move(completed)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -12,6 +12,7 @@
 #include "Base/result.h"
 #include "Base/time.h"
 #include "Fleet/backend_record.h"
+#include "Peers/crash_evidence.h"
 #include "Peers/divergence_detector.h"
 #include "Quota/quota_core.h"
 
@@ -54,6 +55,7 @@
   std::vector<OrganisationUsage> usage;
   std::vector<BackendUse> in_flight;
   std::vector<AbortedRuns> aborted_runs;
+  CrashEvidence crash_evidence;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- /dev/null
+++ b/Source/Placement/crash_suspect_core.h
@@ -0,0 +1,225 @@
+#ifndef SOURCE_PLACEMENT_CRASH_SUSPECT_CORE_H_
+#define SOURCE_PLACEMENT_CRASH_SUSPECT_CORE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "Base/ids.h"
+#include "Base/time.h"
+#include "Fleet/backend_record.h"
+#include "Fleet/caller_request.h"
+#include "Peers/crash_evidence.h"
+
+namespace cowslip {
+
+class PeerTable;
+
+/// \class CrashSuspectOptions
+/// \brief When a prompt part is blocked, and how long evidence counts.
+struct CrashSuspectOptions {
+  VmId self;
+  /// Crashes of different backend servers, without a completed run since the
+  /// first, after which a part is blocked.
+  uint32_t block_threshold = 3;
+  /// Crashes that a blocked part is charged with at most; more of them say
+  /// nothing new.
+  uint32_t max_crashes_per_part = 8;
+  /// Runs at one incarnation that break off within this time broke off in the
+  /// same crash.
+  Duration same_crash_time = std::chrono::seconds(1);
+  /// Backend servers that crash closer together than this were not crashed by
+  /// requests, which arrive one by one, but by a common cause.
+  Duration common_cause_time = std::chrono::milliseconds(20);
+  /// How long a crash counts: shorter than it takes to repair a backend server
+  /// or a prompt.
+  Duration lifetime = std::chrono::minutes(10);
+  /// After this time a request with a blocked part is tried, because the part
+  /// may be blocked without cause.
+  Duration first_trial_delay = std::chrono::seconds(1);
+  /// Each further crash multiplies that time.
+  uint32_t trial_delay_factor = 4;
+  /// The process that comes next in the order of a part's trials waits this
+  /// much longer, so that it knows how the trial of the one before has ended.
+  Duration trial_stagger = std::chrono::seconds(2);
+  /// How long a completed run is reported to the other processes.
+  Duration report_duration = std::chrono::seconds(5);
+  /// The period over which completed runs of a part are counted.
+  Duration count_period = std::chrono::seconds(10);
+  size_t max_crashes = 64;
+  size_t max_parts_per_crash = 64;
+  size_t max_counted_parts = 4096;
+  /// Bounds of a report, about 10 kB.
+  size_t max_reported_suspects = 512;
+  size_t max_reported_completions = 128;
+  /// Parts with longer ids are not tracked.
+  size_t max_part_bytes = 64;
+};
+
+/// A run broke off at a backend server that may have begun it: the connection
+/// was closed, or the response is malformed.
+struct RunBrokenOff {
+  BackendId backend;
+  uint64_t started_at_ms = 0;
+  std::vector<PromptPartId> parts;
+};
+/// A run was completed.
+struct RunEndedWell {
+  std::vector<PromptPartId> parts;
+};
+/// A run ended with its connection, which says that it is complete only if the
+/// backend server lives on.
+struct RunEndedWithConnection {
+  BackendId backend;
+  uint64_t started_at_ms = 0;
+  std::vector<PromptPartId> parts;
+};
+/// A backend server accepts no connection.
+struct BackendRefusedConnection {
+  BackendId backend;
+  uint64_t started_at_ms = 0;
+};
+/// Another process reported what it knows of crashes.
+struct PeerCrashEvidenceReported {
+  CrashEvidence evidence;
+};
+/// A request is about to be sent to a backend server.
+struct RunRequested {
+  std::vector<PromptPartId> parts;
+};
+using CrashSuspectEvent = std::variant<RunBrokenOff,
+                                       RunEndedWell,
+                                       RunEndedWithConnection,
+                                       BackendRefusedConnection,
+                                       PeerCrashEvidenceReported,
+                                       RunRequested>;
+
+/// The event requires no action.
+struct CrashSuspectNoAction {};
+/// Sends the request; `is_trial` if one of its parts is blocked.
+struct RunAllowed {
+  bool is_trial = false;
+};
+/// Rejects the request: `part` is taken to crash backend servers.
+struct RunBlocked {
+  PromptPartId part;
+  uint32_t crashes = 0;
+  /// Time until a request with the part may be tried.
+  Duration retry_after{0};
+};
+using CrashSuspectAction =
+    std::variant<CrashSuspectNoAction, RunAllowed, RunBlocked>;
+
+/// \class CrashSuspectCore
+/// \brief Finds the prompt part that crashes backend servers, among all parts
+/// of the requests that ran at the crashes, and blocks requests with it.
+///
+/// A crash breaks off all runs at a backend server, and which of them caused it
+/// is not visible. A part stays suspect of a crash until a run with it is
+/// completed anywhere. Of the parts that are suspect of enough crashes, the one
+/// with the fewest completed runs is blamed first, and the crashes that
+/// explains no longer count against other parts: what sound requests share with
+/// those that crash backend servers is not blocked with them.
+///
+/// The evidence consists of facts that all processes relay, so that they agree
+/// on it, and a process that starts learns it from the others.
+class CrashSuspectCore {
+ public:
+  CrashSuspectCore(CrashSuspectOptions options, const PeerTable& peers);
+
+  CrashSuspectAction Handle(const CrashSuspectEvent& event, MonotonicTime now);
+
+  /// Whether one of the parts is blocked, a trial being due or not.
+  bool IsBlocked(const std::vector<PromptPartId>& parts, MonotonicTime now);
+  /// The evidence to report to the other processes.
+  CrashEvidence EvidenceToReport(MonotonicTime now) const;
+  size_t blocked_parts() const { return m_blocked.size(); }
+
+ private:
+  /// The runs that broke off at one incarnation of a backend server.
+  struct Crash {
+    BackendId backend;
+    uint64_t started_at_ms = 0;
+    MonotonicTime time;
+    /// Those with which no run was completed since.
+    std::set<PromptPartId> suspects;
+  };
+  struct UnconfirmedRun {
+    RunEndedWithConnection run;
+    MonotonicTime end;
+  };
+  struct BlockedPart {
+    uint32_t crashes = 0;
+    MonotonicTime last_crash;
+  };
+  struct CompletedRuns {
+    uint32_t count = 0;
+    MonotonicTime last;
+  };
+  using RunCounts = std::unordered_map<PromptPartId, CompletedRuns>;
+
+  CrashSuspectAction Apply(const RunBrokenOff& event, MonotonicTime now);
+  CrashSuspectAction Apply(const RunEndedWell& event, MonotonicTime now);
+  CrashSuspectAction Apply(const RunEndedWithConnection& event,
+                           MonotonicTime now);
+  CrashSuspectAction Apply(const BackendRefusedConnection& event,
+                           MonotonicTime now);
+  CrashSuspectAction Apply(const PeerCrashEvidenceReported& event,
+                           MonotonicTime now);
+  CrashSuspectAction Apply(const RunRequested& event, MonotonicTime now);
+
+  void RecordCrash(const BackendId& backend,
+                   uint64_t started_at_ms,
+                   const std::vector<PromptPartId>& parts,
+                   MonotonicTime time);
+  /// Records that a run with the part was completed at `time`.
+  void RecordCompletion(const PromptPartId& part, MonotonicTime time);
+  /// Charges the crash of a backend server to the runs that have ended with
+  /// their connections there a moment before.
+  void ChargeUnconfirmedRuns(const BackendId& backend, uint64_t started_at_ms);
+  void ConfirmRuns(MonotonicTime now);
+  void CountRun(const PromptPartId& part, MonotonicTime time);
+  const CompletedRuns* FindRuns(const PromptPartId& part) const;
+  uint32_t CountOf(const PromptPartId& part) const;
+  /// Whether a blocked part accounts for the crash.
+  bool SupportsBlock(const Crash& crash) const;
+  bool IsExplained(const Crash& crash) const;
+  void ExpireCrashes(MonotonicTime now);
+  void EvictCrash();
+  /// Decides anew which parts are blocked, if the evidence has changed.
+  void UpdateBlockedParts();
+  /// The suspects of at least `block_threshold` crashes.
+  std::vector<PromptPartId> FrequentSuspects(
+      const std::vector<const Crash*>& crashes) const;
+  /// The crashes that count against a part. `crashes` are ordered by time.
+  BlockedPart Charge(const PromptPartId& part,
+                     const std::vector<const Crash*>& crashes) const;
+  /// When this process may try a request with the blocked part.
+  MonotonicTime NextTrial(const PromptPartId& part,
+                          const BlockedPart& blocked) const;
+
+  const CrashSuspectOptions m_options;
+  const PeerTable& m_peers;
+  std::vector<Crash> m_crashes;
+  // Whether `m_crashes` has changed since the blocked parts were decided on.
+  bool m_changed = false;
+  std::vector<UnconfirmedRun> m_unconfirmed;
+  // Completed runs by part in this count period and in the one before.
+  RunCounts m_runs;
+  RunCounts m_former_runs;
+  MonotonicTime m_period_start;
+  // Parts that were suspect of a crash, and when a run with them was last
+  // completed.
+  std::map<PromptPartId, MonotonicTime> m_cleared;
+  std::map<PromptPartId, MonotonicTime> m_last_trials;
+  std::map<PromptPartId, BlockedPart> m_blocked;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_PLACEMENT_CRASH_SUSPECT_CORE_H_
--- a/Tests/Gateway/prompt_part_crash_test.cc
+++ b/Tests/Gateway/prompt_part_crash_test.cc
@@ -176,10 +176,14 @@
     co_await fleet.SendCrashing(kCrashes);
     co_await fleet.f.Sleep(kExchangeTime);
     for (size_t old = 0; old < 2; ++old) {
-      fleet.f.KillGateway(old);
-      fleet.f.AddGateway();
-      co_await fleet.f.WaitUntilReady();
+      const size_t replacement = fleet.f.AddGateway();
+      while (!fleet.f.gateway(replacement).IsReady()) {
+        co_await fleet.f.Sleep(10ms);
+      }
       co_await fleet.f.Sleep(kExchangeTime);
+      fleet.f.gateway(old).Shutdown();
+      // Longer than an idle gateway takes to stop.
+      co_await fleet.f.Sleep(4s);
     }
     size_t reached = 0;
     for (const size_t gateway : {2, 3}) {
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -115,6 +115,14 @@
           {BackendId(std::to_string(count)), count, count / 2});
       message.aborted_runs.push_back(
           {Fingerprint(std::to_string(count)), count});
+      message.crash_evidence.crashes.push_back(
+          {.backend = BackendId(std::to_string(count)),
+           .started_at_ms = count,
+           .age = std::chrono::milliseconds(count),
+           .parts = {PromptPartId("p"), PromptPartId("q")}});
+      message.crash_evidence.completed.push_back(
+          {PromptPartId(std::to_string(count)),
+           std::chrono::milliseconds(count)});
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
@@ -123,6 +131,17 @@
     RC_ASSERT(decoded.value().usage.size() == counts.size());
     RC_ASSERT(decoded.value().in_flight.size() == counts.size());
     RC_ASSERT(decoded.value().aborted_runs.size() == counts.size());
+    const CrashEvidence& evidence = decoded.value().crash_evidence;
+    RC_ASSERT(evidence.crashes.size() == counts.size());
+    RC_ASSERT(evidence.completed.size() == counts.size());
+    for (size_t i = 0; i < counts.size(); ++i) {
+      RC_ASSERT(evidence.crashes[i].started_at_ms == counts[i]);
+      RC_ASSERT(evidence.crashes[i].age ==
+                std::chrono::milliseconds(counts[i]));
+      RC_ASSERT(evidence.crashes[i].parts.size() == 2U);
+      RC_ASSERT(evidence.completed[i].age ==
+                std::chrono::milliseconds(counts[i]));
+    }
   });
 }
 
