Gateway: log the limits that backend servers name

The logs of backend servers that got more requests than they had named as their limit (docs/incidents/backend-server-limits.md) did not hold the limits. Server-Limit is now read from answers that come from the backend server itself, and logged as backend_limit_named. Placement is unchanged.

--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -9,6 +9,7 @@
 #include "Base/ids.h"
 #include "Base/time.h"
 #include "Fleet/backend_record.h"
+#include "Fleet/request_rate.h"
 
 namespace cowslip {
 
@@ -69,6 +70,9 @@
   /// The backend server is about to leave; requests that arrive much later may
   /// be lost with it.
   bool is_leaving = false;
+  /// How many requests the backend server takes from all callers together;
+  /// nullopt if it names no limit.
+  std::optional<RequestRate> limit;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -454,6 +454,11 @@
   if (classified.is_leaving) {
     lease.MarkBackendLeaving();
   }
+  if (classified.limit.has_value()) {
+    m_gateway.log.Write("backend_limit_named",
+                        {{"backend", lease.backend().value()},
+                         {"per_second", classified.limit->per_second}});
+  }
   switch (classified.kind) {
     case ResponseKind::kOtherRequest:
       co_return EndAttemptInDoubt(lease,
--- a/Source/Gateway/response_classification.cc
+++ b/Source/Gateway/response_classification.cc
@@ -35,9 +35,14 @@
   const BackendResponse facts =
       platform::DecodeBackendResponse(response.status(), response.headers());
   const ResponseKind kind = KindOf(facts, response, attempt);
-  const bool from_backend =
-      kind != ResponseKind::kOtherRequest && kind != ResponseKind::kUnverified;
-  return {.kind = kind, .is_leaving = from_backend && facts.is_leaving};
+  // Status 421 comes from another incarnation at the address.
+  const bool from_backend = kind != ResponseKind::kOtherRequest &&
+                            kind != ResponseKind::kUnverified &&
+                            response.status() != 421;
+  return {.kind = kind,
+          .is_leaving = from_backend && facts.is_leaving,
+          .from_backend = from_backend,
+          .limit = from_backend ? facts.limit : std::nullopt};
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/response_classification.h
+++ b/Source/Gateway/response_classification.h
@@ -1,6 +1,8 @@
 #ifndef SOURCE_GATEWAY_RESPONSE_CLASSIFICATION_H_
 #define SOURCE_GATEWAY_RESPONSE_CLASSIFICATION_H_
 
+#include <optional>
+
 #include "Fleet/caller_request.h"
 #include "Net/http_client.h"
 
@@ -26,6 +28,10 @@
   ResponseKind kind = ResponseKind::kOtherRequest;
   /// The backend server that was called is about to leave.
   bool is_leaving = false;
+  /// Whether the backend server that was called has written the response.
+  bool from_backend = false;
+  /// The limit that it names.
+  std::optional<RequestRate> limit;
 };
 
 /// Classifies the response to `attempt` by its status and headers.
--- a/Tests/PlatformAdapter/messages_test.cc
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -48,6 +48,19 @@
   CHECK_FALSE(platform::DecodeCallerRequest(request).has_value());
 }
 
+TEST_CASE("The limit of a backend server is a decimal number") {
+  const auto limit = [](const char* text) {
+    return platform::DecodeBackendResponse(200, {{"Server-Limit", text}}).limit;
+  };
+  CHECK(limit("2.5") == RequestRate{2.5});
+  CHECK(limit("12") == RequestRate{12});
+  CHECK(limit("0") == RequestRate{0});
+  for (const char* text : {"", "-1", "nan", "inf", "2.5x", "1e400", " 3"}) {
+    CHECK_FALSE(limit(text).has_value());
+  }
+  CHECK_FALSE(platform::DecodeBackendResponse(200, {}).limit.has_value());
+}
+
 TEST_CASE("A backend server receives neither the API key nor forged headers") {
   const BackendCall call{.organisation = OrganisationId("mill"),
                          .backend = BackendId("i-1"),
