--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -54,6 +54,9 @@
   if (m_behaviour.leaving) {
     headers.push_back({"Server-Leaving", "1"});
   }
+  if (m_behaviour.limit > 0) {
+    headers.push_back({"Server-Limit", std::to_string(m_behaviour.limit)});
+  }
   if (!Take(m_behaviour.unsigned_answers)) {
     headers.push_back({"Response-Signature", "signed-by-" + m_id});
   }
@@ -62,6 +65,7 @@
 
 awaitable<void> ModelServer::Handle(HttpExchange& exchange) {
   m_received.push_back(exchange.request());
+  m_arrivals.push_back(MonotonicClock::now());
   const HttpHeaders& headers = exchange.request().headers;
   const std::string attempt = FindHeader(headers, "Attempt-Id").value_or("");
   const bool misbehaved = co_await Misbehave(exchange);
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -36,6 +36,9 @@
   int silent_closes = 0;
   /// Says in every answer that it leaves.
   bool leaving = false;
+  /// The requests per second that it names as its limit in every answer; 0 for
+  /// none.
+  double limit = 0;
 };
 
 /// \class ModelServer
@@ -50,6 +53,8 @@
   ModelBehaviour& behaviour() { return m_behaviour; }
   /// Every request that reached this server, in order.
   const std::vector<HttpRequest>& received() const { return m_received; }
+  /// When each of them arrived.
+  const std::vector<MonotonicTime>& arrivals() const { return m_arrivals; }
   size_t active() const { return m_server.active_requests(); }
   /// What a whole answer to an attempt looks like.
   static std::string Body(const std::string& attempt,
@@ -68,6 +73,7 @@
   HttpServer m_server;
   ModelBehaviour m_behaviour;
   std::vector<HttpRequest> m_received;
+  std::vector<MonotonicTime> m_arrivals;
 };
 
 }  // namespace cowslip
