Placement: a backend server that names a limit gets no more requests than that

Cause: no line read Server-Limit, so placement knew slots only.

A limit is divided among the gateways that share the backend server: at most 2 R + 3, which rendezvous hashing picks from all registered ones. Items need two intervals, so they take only what online requests leave. All sends are placed by PlacementCore: online attempts, retries, resumptions, items. Gateways relay the limits with their age; an answer without one ends it. Limits survive the removal of a discovery entry, as leaving does.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -50,6 +50,17 @@
   m_dispatcher.HandleEvent(BackendLeaving{m_record.id, m_record.started_at_ms});
 }
 
+void AttemptLease::RecordLimit(const std::optional<RequestRate>& limit) {
+  const bool was_limited = m_dispatcher.placement_core().IsLimited(
+      m_record.id, m_record.started_at_ms);
+  if (limit.has_value() || was_limited) {
+    m_dispatcher.HandleEvent(
+        BackendLimitHeard{{.backend = m_record.id,
+                           .started_at_ms = m_record.started_at_ms,
+                           .limit = limit}});
+  }
+}
+
 Dispatcher::Dispatcher(boost::asio::io_context& context,
                        DispatcherOptions options,
                        std::function<void()> load_changed)
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -45,6 +45,8 @@
   const std::shared_ptr<HttpClient>& client() const { return m_client; }
   /// Records that the backend server has said in a response that it leaves.
   void MarkBackendLeaving();
+  /// Records whether the backend server has named a limit in a response.
+  void RecordLimit(const std::optional<RequestRate>& limit);
   /// Sets how the attempt ended. Without a call, it counts as kCancelled.
   void SetOutcome(AttemptOutcome outcome) { m_outcome = outcome; }
 
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -176,6 +176,13 @@
     listed.peers.push_back(record);
   }
   HandlePeerEvent(listed);
+  FleetMembersChanged members{.members = {m_settings.vm}};
+  for (const auto& [vm, record] : m_peer_records) {
+    if (vm != m_settings.vm) {
+      members.members.push_back(vm);
+    }
+  }
+  m_dispatcher.HandleEvent(members);
 }
 
 void GatewayDaemon::HandlePeerEvent(const PeerEvent& event) {
@@ -241,6 +248,11 @@
   m_crash_suspects.Handle(PeerCrashEvidenceReported{message.crash_evidence},
                           now);
   m_dispatcher.HandleEvent(PeerInFlightReported{message.vm, message.in_flight});
+  for (BackendLimit limit : message.backend_limits) {
+    // What is relayed is not as new as this process's own responses.
+    limit.age = std::max<Duration>(limit.age, std::chrono::milliseconds(1));
+    m_dispatcher.HandleEvent(BackendLimitHeard{std::move(limit)});
+  }
   m_job_runner.SchedulePass();
   if (message.reaches_store) {
     HandleDivergenceEvent(PeerDigestsReceived{message.vm, message.digests});
@@ -261,7 +273,9 @@
       .in_flight = m_dispatcher.placement_core().InFlight(),
       .aborted_runs = m_aborted_runs.RunsToReport(MonotonicClock::now()),
       .crash_evidence =
-          m_crash_suspects.EvidenceToReport(MonotonicClock::now())};
+          m_crash_suspects.EvidenceToReport(MonotonicClock::now()),
+      .backend_limits =
+          m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -87,6 +87,9 @@
   if (classified.is_leaving) {
     lease.MarkBackendLeaving();
   }
+  if (classified.from_backend) {
+    lease.RecordLimit(classified.limit);
+  }
   switch (classified.kind) {
     case ResponseKind::kOtherRequest:
       co_return EndInDoubt(lease, "the response belongs to another request");
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -454,6 +454,9 @@
   if (classified.is_leaving) {
     lease.MarkBackendLeaving();
   }
+  if (classified.from_backend) {
+    lease.RecordLimit(classified.limit);
+  }
   if (classified.limit.has_value()) {
     m_gateway.log.Write("backend_limit_named",
                         {{"backend", lease.backend().value()},
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -10,7 +10,7 @@
 
 // Incremented when the layout below changes; messages of other layouts are
 // rejected.
-constexpr uint64_t kLayout = 5;
+constexpr uint64_t kLayout = 6;
 
 // Each crash is the incarnation, its age and the suspects in one list.
 json EncodeCrashes(const std::vector<BackendCrash>& crashes) {
@@ -37,6 +37,30 @@
   return crash;
 }
 
+json EncodeLimits(const std::vector<BackendLimit>& limits) {
+  json encoded = json::array();
+  for (const BackendLimit& limit : limits) {
+    json rate;
+    if (limit.limit.has_value()) {
+      rate = limit.limit->per_second;
+    }
+    encoded.push_back({limit.backend.value(), limit.started_at_ms,
+                       std::move(rate), ToMillis(limit.age)});
+  }
+  return encoded;
+}
+
+BackendLimit ReadLimit(const json& fields) {
+  BackendLimit limit{
+      .backend = fields.at(0).get<BackendId>(),
+      .started_at_ms = fields.at(1).get<uint64_t>(),
+      .age = std::chrono::milliseconds(fields.at(3).get<uint32_t>())};
+  if (!fields.at(2).is_null()) {
+    limit.limit = RequestRate{fields.at(2).get<double>()};
+  }
+  return limit;
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -68,6 +92,9 @@
         {completed.at(0).get<PromptPartId>(),
          std::chrono::milliseconds(completed.at(1).get<uint32_t>())});
   }
+  for (const json& limit : fields.at(14)) {
+    message.backend_limits.push_back(ReadLimit(limit));
+  }
   return message;
 }
 
@@ -96,7 +123,7 @@
        message.configuration.value(), message.draining, message.reaches_store,
        message.digests, std::move(usage), std::move(in_flight),
        std::move(aborted_runs), EncodeCrashes(message.crash_evidence.crashes),
-       std::move(completed)}));
+       std::move(completed), EncodeLimits(message.backend_limits)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -2,6 +2,7 @@
 #define SOURCE_PEERS_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "Base/result.h"
 #include "Base/time.h"
 #include "Fleet/backend_record.h"
+#include "Fleet/request_rate.h"
 #include "Peers/crash_evidence.h"
 #include "Peers/divergence_detector.h"
 #include "Quota/quota_core.h"
@@ -26,6 +28,18 @@
   uint32_t batch = 0;
 };
 
+/// \class BackendLimit
+/// \brief What an incarnation of a backend server last said about its limit.
+struct BackendLimit {
+  BackendId backend;
+  uint64_t started_at_ms = 0;
+  /// The requests that it takes from all processes together; nullopt when it no
+  /// longer names a limit.
+  std::optional<RequestRate> limit;
+  /// How long ago it said so.
+  Duration age{0};
+};
+
 /// \class AbortedRuns
 /// \brief Number of aborted runs of one request that one process has seen.
 struct AbortedRuns {
@@ -56,6 +70,7 @@
   std::vector<BackendUse> in_flight;
   std::vector<AbortedRuns> aborted_runs;
   CrashEvidence crash_evidence;
+  std::vector<BackendLimit> backend_limits;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -38,7 +38,7 @@
 }
 
 PlacementCore::PlacementCore(PlacementOptions options)
-    : m_options(std::move(options)) {}
+    : m_options(std::move(options)), m_members{m_options.self} {}
 
 void PlacementCore::Handle(const PlacementEvent& event, MonotonicTime now) {
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
@@ -70,6 +70,99 @@
   m_leaving[{event.id, event.started_at_ms}] = now;
 }
 
+void PlacementCore::Apply(const BackendLimitHeard& event, MonotonicTime now) {
+  std::erase_if(m_limits, [&](const auto& known) {
+    return now - known.second.heard > m_options.limit_memory;
+  });
+  const BackendLimit& said = event.limit;
+  const MonotonicTime heard = now - said.age;
+  const auto found = m_limits.find({said.backend, said.started_at_ms});
+  if (found == m_limits.end()) {
+    if (said.limit.has_value() && said.age <= m_options.limit_memory) {
+      m_limits[{said.backend, said.started_at_ms}] = {
+          .limit = said.limit,
+          .heard = heard,
+          .interval = AttemptInterval(said.backend, *said.limit),
+          .last_attempt = now};
+    }
+    return;
+  }
+  LimitState& state = found->second;
+  // What is relayed seems newer with each process that it passes, so only news
+  // counts from there.
+  const bool is_relayed = said.age > Duration::zero();
+  if (heard <= state.heard || (is_relayed && state.limit == said.limit)) {
+    return;
+  }
+  if (!state.limit.has_value()) {
+    state.last_attempt = now;
+  }
+  if (said.limit.has_value() && state.limit != said.limit) {
+    state.interval = AttemptInterval(said.backend, *said.limit);
+  }
+  state.limit = said.limit;
+  state.heard = heard;
+}
+
+void PlacementCore::Apply(const FleetMembersChanged& event, MonotonicTime) {
+  m_members = event.members;
+  for (auto& [incarnation, state] : m_limits) {
+    if (state.limit.has_value()) {
+      state.interval = AttemptInterval(incarnation.first, *state.limit);
+    }
+  }
+}
+
+bool PlacementCore::IsLimited(const BackendId& id,
+                              uint64_t started_at_ms) const {
+  const auto found = m_limits.find({id, started_at_ms});
+  return found != m_limits.end() && found->second.limit.has_value();
+}
+
+std::vector<BackendLimit> PlacementCore::LimitsToReport(
+    MonotonicTime now) const {
+  std::vector<BackendLimit> limits;
+  for (const auto& [incarnation, state] : m_limits) {
+    const Duration age = now - state.heard;
+    if (state.limit.has_value() || age <= m_options.limit_end_report) {
+      limits.push_back({.backend = incarnation.first,
+                        .started_at_ms = incarnation.second,
+                        .limit = state.limit,
+                        .age = age});
+    }
+  }
+  return limits;
+}
+
+std::optional<Duration> PlacementCore::AttemptInterval(
+    const BackendId& id,
+    RequestRate limit) const {
+  const double rate = std::max(limit, m_options.min_limit).per_second;
+  const auto sharers =
+      static_cast<size_t>(std::min(2 * rate + m_options.limit_sharers,
+                                   static_cast<double>(m_members.size())));
+  const std::vector<VmId> picked =
+      RendezvousPick(id.value(), m_members, sharers);
+  if (std::find(picked.begin(), picked.end(), m_options.self) == picked.end()) {
+    return std::nullopt;
+  }
+  return FromSeconds(static_cast<double>(picked.size()) / rate);
+}
+
+bool PlacementCore::IsWithinLimit(const BackendRecord& record,
+                                  WorkClass work,
+                                  MonotonicTime now) const {
+  const auto found = m_limits.find({record.id, record.started_at_ms});
+  if (found == m_limits.end() || !found->second.limit.has_value()) {
+    return true;
+  }
+  // A batch item takes only what online requests have left unused.
+  const int intervals = work == WorkClass::kOnline ? 1 : 2;
+  const LimitState& state = found->second;
+  return state.interval.has_value() &&
+         now - state.last_attempt >= *state.interval * intervals;
+}
+
 bool PlacementCore::AcceptsRequests(const BackendRecord& record) const {
   return !record.draining &&
          !m_leaving.contains({record.id, record.started_at_ms});
@@ -85,11 +178,16 @@
   }
 }
 
-void PlacementCore::Apply(const AttemptStarted& event, MonotonicTime) {
+void PlacementCore::Apply(const AttemptStarted& event, MonotonicTime now) {
   const auto found = m_backends.find(event.backend);
   if (found != m_backends.end()) {
     InFlightCounts& own = found->second.own;
     ++(event.work == WorkClass::kOnline ? own.online : own.batch);
+    const BackendRecord& record = found->second.record;
+    const auto limit = m_limits.find({record.id, record.started_at_ms});
+    if (limit != m_limits.end()) {
+      limit->second.last_attempt = now;
+    }
   }
 }
 
@@ -207,8 +305,11 @@
   return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-bool PlacementCore::IsUsable(const Backend& backend, MonotonicTime now) const {
-  return AcceptsRequests(backend.record) && now >= backend.backoff_until;
+bool PlacementCore::IsUsable(const Backend& backend,
+                             WorkClass work,
+                             MonotonicTime now) const {
+  return AcceptsRequests(backend.record) && now >= backend.backoff_until &&
+         IsWithinLimit(backend.record, work, now);
 }
 
 double PlacementCore::MedianEventInterval(const ServiceId& service) const {
@@ -230,19 +331,20 @@
   return median > 0 && backend.event_interval > median * m_options.slow_factor;
 }
 
-template <class Limit>
-std::optional<BackendId> PlacementCore::PlaceBelowLimit(
+template <class MaxLoad>
+std::optional<BackendId> PlacementCore::PlaceBelowLoad(
     const PlacementQuery& query,
+    WorkClass work,
     MonotonicTime now,
-    const Limit& limit) const {
+    const MaxLoad& max_load) const {
   // Compared lexicographically; lower is better.
   using Order = std::tuple<bool, bool, bool, double, uint64_t>;
   std::optional<std::pair<Order, BackendId>> best;
   const double median = MedianEventInterval(query.service);
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
-    if (!MayRun(record, query) || !IsUsable(backend, now) ||
-        backend.Total() >= limit(backend)) {
+    if (!MayRun(record, query) || backend.Total() >= max_load(backend) ||
+        !IsUsable(backend, work, now)) {
       continue;
     }
     const bool has_slot = backend.Total() < record.slots;
@@ -266,21 +368,23 @@
 
 std::optional<BackendId> PlacementCore::PlaceOnline(const PlacementQuery& query,
                                                     MonotonicTime now) const {
-  return PlaceBelowLimit(query, now, [&](const Backend& backend) {
+  const auto max_load = [&](const Backend& backend) {
     // Batch items there can be preempted to free their slots.
     const uint32_t preemptible =
         std::min(backend.Batch(), backend.record.slots);
     return backend.record.slots + std::max(query.queue_allowance, preemptible);
-  });
+  };
+  return PlaceBelowLoad(query, WorkClass::kOnline, now, max_load);
 }
 
 std::optional<BackendId> PlacementCore::PlaceBatch(const PlacementQuery& query,
                                                    MonotonicTime now) const {
-  return PlaceBelowLimit(query, now, [&](const Backend& backend) {
+  const auto max_load = [&](const Backend& backend) {
     const uint32_t slots = backend.record.slots;
     return slots > m_options.batch_headroom ? slots - m_options.batch_headroom
                                             : 1;
-  });
+  };
+  return PlaceBelowLoad(query, WorkClass::kBatch, now, max_load);
 }
 
 bool PlacementCore::ShouldPreemptBatch(const BackendId& id) const {
@@ -307,7 +411,8 @@
   double slot_time = 0;
   uint32_t samples = 0;
   for (const auto& [id, backend] : m_backends) {
-    if (!MayRun(backend.record, query) || !IsUsable(backend, now)) {
+    if (!MayRun(backend.record, query) ||
+        !IsUsable(backend, WorkClass::kOnline, now)) {
       continue;
     }
     ++load.backends;
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -46,6 +46,16 @@
   /// How long an incarnation that said that it leaves is remembered: longer
   /// than any graceful shutdown takes.
   Duration leaving_memory = std::chrono::minutes(10);
+  /// The number of processes that share a backend server which names a limit of
+  /// R requests per second is at most 2 * R plus this.
+  uint32_t limit_sharers = 3;
+  /// The lowest limit that is kept: with fewer requests, it would take long to
+  /// learn that a limit has ended.
+  RequestRate min_limit{0.1};
+  /// How long a limit counts after it was last heard of.
+  Duration limit_memory = std::chrono::minutes(10);
+  /// How long the end of a limit is reported to the other processes.
+  Duration limit_end_report = std::chrono::seconds(5);
 };
 
 /// The outcome of an attempt to run a request at a backend server.
@@ -76,6 +86,15 @@
   BackendId id;
   uint64_t started_at_ms = 0;
 };
+/// A response of a backend server, or another process, says whether the backend
+/// server takes only so many requests.
+struct BackendLimitHeard {
+  BackendLimit limit;
+};
+/// The processes that share the backend servers, this one included.
+struct FleetMembersChanged {
+  std::vector<VmId> members;
+};
 /// A request was sent to a backend server.
 struct AttemptStarted {
   BackendId backend;
@@ -114,6 +133,8 @@
 using PlacementEvent = std::variant<BackendAdded,
                                     BackendRemoved,
                                     BackendLeaving,
+                                    BackendLimitHeard,
+                                    FleetMembersChanged,
                                     AttemptStarted,
                                     AttemptEnded,
                                     FirstEventMeasured,
@@ -158,9 +179,15 @@
 /// and those that the other processes reported. Reports are a fraction of a
 /// second old, so several processes may see the same slot as free: rendezvous
 /// hashing breaks ties, which spreads their choices, and a request beyond the
-/// slots waits briefly in the backend server's own queue. Order of preference:
-/// a free slot, the same availability zone, a backend server that is not slow,
-/// the least load, the rendezvous hash that keeps prompt caches warm.
+/// slots waits briefly in the backend server's own queue.
+///
+/// A backend server that names a limit gets requests only from some processes,
+/// which rendezvous hashing picks from all registered ones. Each of them sends
+/// at most its equal part of the limit, one request at a time, so that all
+/// together stay within it whatever they know of each other. Order of
+/// preference: a free slot, the same availability zone, a backend server that
+/// is not slow, the least load, the rendezvous hash that keeps prompt caches
+/// warm.
 class PlacementCore {
  public:
   explicit PlacementCore(PlacementOptions options);
@@ -189,6 +216,10 @@
   std::optional<SoftwareVersion> SoleVersion(const ServiceId& service,
                                              MonotonicTime now) const;
   const BackendRecord* Find(const BackendId& id) const;
+  /// Whether the incarnation is known to name a limit.
+  bool IsLimited(const BackendId& id, uint64_t started_at_ms) const;
+  /// What is known of limits, for reports to the other processes.
+  std::vector<BackendLimit> LimitsToReport(MonotonicTime now) const;
   /// The requests in flight of this process, for reports to the others.
   std::vector<BackendUse> InFlight() const;
 
@@ -197,6 +228,15 @@
     uint32_t online = 0;
     uint32_t batch = 0;
   };
+  struct LimitState {
+    /// nullopt after the limit has ended.
+    std::optional<RequestRate> limit;
+    MonotonicTime heard;
+    /// See AttemptInterval().
+    std::optional<Duration> interval;
+    MonotonicTime last_attempt;
+  };
+  using IncarnationKey = std::pair<BackendId, uint64_t>;
   struct Backend {
     BackendRecord record;
     InFlightCounts own;
@@ -216,6 +256,8 @@
   void Apply(const BackendAdded& event, MonotonicTime now);
   void Apply(const BackendRemoved& event, MonotonicTime now);
   void Apply(const BackendLeaving& event, MonotonicTime now);
+  void Apply(const BackendLimitHeard& event, MonotonicTime now);
+  void Apply(const FleetMembersChanged& event, MonotonicTime now);
   void Apply(const AttemptStarted& event, MonotonicTime now);
   void Apply(const AttemptEnded& event, MonotonicTime now);
   void Apply(const FirstEventMeasured& event, MonotonicTime now);
@@ -228,19 +270,34 @@
   static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
   /// Whether the backend server accepts new requests, however loaded it is.
   bool AcceptsRequests(const BackendRecord& record) const;
-  bool IsUsable(const Backend& backend, MonotonicTime now) const;
+  bool IsUsable(const Backend& backend,
+                WorkClass work,
+                MonotonicTime now) const;
+  /// Whether the backend server names no limit, or this process may use its
+  /// part of the limit now.
+  bool IsWithinLimit(const BackendRecord& record,
+                     WorkClass work,
+                     MonotonicTime now) const;
+  /// The time between two requests of this process to a backend server with
+  /// this limit; nullopt if it gets none from this process.
+  std::optional<Duration> AttemptInterval(const BackendId& id,
+                                          RequestRate limit) const;
   bool IsSlow(const Backend& backend, double median) const;
   double MedianEventInterval(const ServiceId& service) const;
-  template <class Limit>
-  std::optional<BackendId> PlaceBelowLimit(const PlacementQuery& query,
-                                           MonotonicTime now,
-                                           const Limit& limit) const;
+  template <class MaxLoad>
+  std::optional<BackendId> PlaceBelowLoad(const PlacementQuery& query,
+                                          WorkClass work,
+                                          MonotonicTime now,
+                                          const MaxLoad& max_load) const;
 
   const PlacementOptions m_options;
   std::map<BackendId, Backend> m_backends;
   // The incarnations that have said that they leave, and when. Kept beyond
   // their removal, because entries of discovery may come back after an outage.
-  std::map<std::pair<BackendId, uint64_t>, MonotonicTime> m_leaving;
+  std::map<IncarnationKey, MonotonicTime> m_leaving;
+  // Kept beyond the removal of an entry for the same reason.
+  std::map<IncarnationKey, LimitState> m_limits;
+  std::vector<VmId> m_members;
   // When a backend server of the version was last removed or replaced.
   std::map<std::pair<ServiceId, SoftwareVersion>, MonotonicTime>
       m_former_versions;
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -120,6 +120,12 @@
            .started_at_ms = count,
            .age = std::chrono::milliseconds(count),
            .parts = {PromptPartId("p"), PromptPartId("q")}});
+      message.backend_limits.push_back(
+          {.backend = BackendId(std::to_string(count)),
+           .started_at_ms = count,
+           .limit = count % 2 == 0 ? std::optional(RequestRate{count / 8.0})
+                                   : std::nullopt,
+           .age = std::chrono::milliseconds(count)});
       message.crash_evidence.completed.push_back(
           {PromptPartId(std::to_string(count)),
            std::chrono::milliseconds(count)});
@@ -134,6 +140,12 @@
     const CrashEvidence& evidence = decoded.value().crash_evidence;
     RC_ASSERT(evidence.crashes.size() == counts.size());
     RC_ASSERT(evidence.completed.size() == counts.size());
+    const auto& limits = decoded.value().backend_limits;
+    RC_ASSERT(limits.size() == counts.size());
+    for (size_t i = 0; i < counts.size(); ++i) {
+      RC_ASSERT(limits[i].limit == message.backend_limits[i].limit);
+      RC_ASSERT(limits[i].started_at_ms == counts[i]);
+    }
     for (size_t i = 0; i < counts.size(); ++i) {
       RC_ASSERT(evidence.crashes[i].started_at_ms == counts[i]);
       RC_ASSERT(evidence.crashes[i].age ==
