Net, Gateway: answers without end fill no memory

The client's buffer is limited now, an item's output and the time of its run are, and so is what is read from the store and from other gateways.

--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -1,5 +1,6 @@
 #include "Gateway/item_run.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Gateway/dispatcher.h"
@@ -18,6 +19,9 @@
 // waits for the next event.
 constexpr Duration kStallTimeout = std::chrono::milliseconds(2500);
 
+// The largest output of an item: one read of results returns no more.
+constexpr size_t kMaxOutputBytes = 1 << 20;
+
 }  // namespace
 
 ItemRun::ItemRun(ItemRunRequest request)
@@ -123,8 +127,14 @@
 }
 
 awaitable<ItemRunOutcome> ItemRun::ReadEvents(AttemptLease& lease) {
+  const MonotonicTime deadline =
+      MonotonicClock::now() + m_request.call.deadline;
   while (true) {
-    const Duration timeout = kStallTimeout;
+    const Duration timeout =
+        std::min(kStallTimeout, deadline - MonotonicClock::now());
+    if (timeout <= Duration::zero()) {
+      co_return EndInDoubt(lease, "the run did not end by its deadline");
+    }
     Result<std::optional<std::string>> chunk =
         co_await m_response->ReadSome(timeout);
     if (!chunk.has_value()) {
@@ -136,7 +146,8 @@
     const Result<std::vector<SseEvent>> events =
         m_event_reader.FeedEvents(*chunk.value());
     if (!events.has_value() || !AppendEvents(events.value())) {
-      co_return EndInDoubt(lease, "the events are malformed or out of order");
+      co_return EndInDoubt(
+          lease, "the events are malformed, out of order or too long");
     }
   }
   const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
@@ -151,7 +162,8 @@
   ItemProgress& progress = m_request.progress;
   for (const SseEvent& event : events) {
     if (!event.id.has_value() || !event.data.has_value() ||
-        *event.id != progress.last_event + 1) {
+        *event.id != progress.last_event + 1 ||
+        progress.output.size() + event.data->size() >= kMaxOutputBytes) {
       return false;
     }
     if (progress.last_event > 0) {
--- a/Source/Gateway/stream_origin_directory.cc
+++ b/Source/Gateway/stream_origin_directory.cc
@@ -21,6 +21,9 @@
 // does not respond must not use up the time of the others.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(100);
 
+// An origin holds three short ids.
+constexpr size_t kMaxOriginBytes = 4096;
+
 }  // namespace
 
 StreamOriginDirectory::StreamOriginDirectory(
@@ -80,7 +83,9 @@
   std::shared_ptr<HttpClient>& known = m_clients[peer];
   if (known == nullptr) {
     known = std::make_shared<HttpClient>(
-        m_executor, peer, HttpClientOptions{.connect_timeout = kAskTimeout});
+        m_executor, peer,
+        HttpClientOptions{.max_response_bytes = kMaxOriginBytes,
+                          .connect_timeout = kAskTimeout});
   }
   const std::shared_ptr<HttpClient> client = known;
   HttpRequest request{.target = std::string(kPath) + "?" + kAttemptField + "=" +
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -17,9 +17,13 @@
 
 constexpr size_t kReadBytes = 16 * 1024;
 
+// Bounds what is buffered before the parser can consume it. The parser limits
+// heads itself, but neither chunk extensions nor trailers.
+constexpr size_t kMaxBufferedBytes = 128 * 1024;
+
 struct ClientConnection {
   explicit ClientConnection(const asio::any_io_executor& executor)
-      : stream(executor) {}
+      : stream(executor), buffer(kMaxBufferedBytes) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   /// True when it was idle before and has carried an earlier response.
--- a/Source/Platform/relayed_store.cc
+++ b/Source/Platform/relayed_store.cc
@@ -15,6 +15,9 @@
 // A peer in the same region accepts a connection within a few milliseconds.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
+// A relayed response of the store: a page of documents, in CBOR.
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+
 bool IsWrite(const StoreRequest& request) {
   return !std::holds_alternative<GetDocument>(request) &&
          !std::holds_alternative<ListDocuments>(request) &&
@@ -134,7 +137,8 @@
   if (known == nullptr) {
     known = std::make_shared<HttpClient>(
         m_executor, peer,
-        HttpClientOptions{.connect_timeout = kConnectTimeout,
+        HttpClientOptions{.max_response_bytes = kMaxAnswerBytes,
+                          .connect_timeout = kConnectTimeout,
                           .dead_peer_timeout = m_options.call_timeout});
   }
   const std::shared_ptr<HttpClient> client = known;
--- a/Tests/Gateway/raw_backend.cc
+++ b/Tests/Gateway/raw_backend.cc
@@ -46,6 +46,16 @@
     }
     const RawAnswer answer = m_script(*request);
     const bool written = co_await WriteRaw(socket, answer.bytes);
+    if (answer.endless != nullptr) {
+      ++m_endless_answers;
+      bool open = written;
+      for (uint64_t number = 0; open; ++number) {
+        std::string bytes = answer.endless(number);
+        open = co_await WriteRaw(socket, std::move(bytes));
+      }
+      --m_endless_answers;
+      co_return;
+    }
     if (answer.end == ConnectionEnd::kKeptOpen && written) {
       continue;
     }
--- a/Tests/Gateway/raw_backend.h
+++ b/Tests/Gateway/raw_backend.h
@@ -21,6 +21,9 @@
 struct RawAnswer {
   std::string bytes;
   ConnectionEnd end = ConnectionEnd::kClosed;
+  /// When set, what it returns for 0, 1, 2, ... follows `bytes` without end,
+  /// until the caller closes the connection.
+  std::function<std::string(uint64_t number)> endless;
 };
 
 /// \class RawBackend
@@ -33,6 +36,8 @@
   RawBackend(boost::asio::io_context& context, Script script);
 
   uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  /// The endless answers that are being written.
+  size_t endless_answers() const { return m_endless_answers; }
 
  private:
   boost::asio::awaitable<void> Accept();
@@ -40,6 +45,7 @@
 
   boost::asio::io_context& m_context;
   const Script m_script;
+  size_t m_endless_answers = 0;
   boost::asio::ip::tcp::acceptor m_acceptor;
 };
 
