Placement: a report holds the 256 limits heard last

With thousands of limited backend servers a report would not fit into a datagram and the gateways would hear nothing of each other. Found in a reading of the change; no run has shown it.

--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -131,6 +131,11 @@
                         .age = age});
     }
   }
+  std::sort(limits.begin(), limits.end(),
+            [](const auto& a, const auto& b) { return a.age < b.age; });
+  if (limits.size() > m_options.max_reported_limits) {
+    limits.resize(m_options.max_reported_limits);
+  }
   return limits;
 }
 
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -56,6 +56,8 @@
   Duration limit_memory = std::chrono::minutes(10);
   /// How long the end of a limit is reported to the other processes.
   Duration limit_end_report = std::chrono::seconds(5);
+  /// Bounds a report to about 10 kB; the limits heard last are reported.
+  size_t max_reported_limits = 256;
 };
 
 /// The outcome of an attempt to run a request at a backend server.
--- a/Tests/Placement/backend_limit_test.cc
+++ b/Tests/Placement/backend_limit_test.cc
@@ -128,6 +128,19 @@
   CHECK(Sends(*core, WorkClass::kOnline, 10s));
 }
 
+TEST_CASE("Only the limits heard last are reported") {
+  const auto core = MakeCore(0, 1);
+  for (int i = 0; i < 1000; ++i) {
+    core->Handle(BackendLimitHeard{{.backend = BackendId(std::to_string(i)),
+                                    .started_at_ms = 1,
+                                    .limit = RequestRate{1}}},
+                 At(i * 1ms));
+  }
+  const auto reported = core->LimitsToReport(At(1s));
+  REQUIRE(reported.size() == 256);
+  CHECK(reported[0].backend == BackendId("999"));
+}
+
 // Processes that all want to send far more than the limit of one backend
 // server. Each learns the limit from its own responses or from reports.
 size_t MostWithinWindow(int members, double limit, uint64_t seed) {
