Placement: report only what one has seen of crashes, and what blocks

Cause: every report held all evidence, also what was heard from others, so each gateway decoded and merged the same crashes from all others, several times a second, long after they mattered.

A gateway now reports for 3 s what it has seen itself. What blocks a part is still relayed by all as long as it counts, so that gateways which start later hear of it. placement.crash_suspects and gateway.prompt_part_crashes pass as before.

--- a/Source/Placement/crash_suspect_core.cc
+++ b/Source/Placement/crash_suspect_core.cc
@@ -1,6 +1,7 @@
 #include "Placement/crash_suspect_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -33,7 +34,7 @@
 
 CrashSuspectAction CrashSuspectCore::Apply(const RunBrokenOff& event,
                                            MonotonicTime now) {
-  RecordCrash(event.backend, event.started_at_ms, event.parts, now);
+  RecordOwnCrash(event.backend, event.started_at_ms, event.parts, now);
   ChargeUnconfirmedRuns(event.backend, event.started_at_ms);
   UpdateBlockedParts();
   return CrashSuspectNoAction{};
@@ -42,8 +43,7 @@
 CrashSuspectAction CrashSuspectCore::Apply(const RunEndedWell& event,
                                            MonotonicTime now) {
   for (const PromptPartId& part : event.parts) {
-    CountRun(part, now);
-    RecordCompletion(part, now);
+    RecordOwnCompletion(part, now);
   }
   return CrashSuspectNoAction{};
 }
@@ -118,10 +118,11 @@
   });
 }
 
-void CrashSuspectCore::RecordCrash(const BackendId& backend,
-                                   uint64_t started_at_ms,
-                                   const std::vector<PromptPartId>& parts,
-                                   MonotonicTime time) {
+CrashSuspectCore::Crash* CrashSuspectCore::RecordCrash(
+    const BackendId& backend,
+    uint64_t started_at_ms,
+    const std::vector<PromptPartId>& parts,
+    MonotonicTime time) {
   auto known =
       std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
         return crash.backend == backend &&
@@ -137,8 +138,10 @@
   for (const PromptPartId& part : parts) {
     const CompletedRuns* runs = FindRuns(part);
     if (runs != nullptr && runs->last > crash.time) {
-      // Those that still suspect the part have to learn of the run.
-      m_cleared[part] = runs->last;
+      if (runs->own_last > crash.time) {
+        // Those that still suspect the part have to learn of the run.
+        m_cleared[part] = runs->own_last;
+      }
     } else if (part.value().size() <= m_options.max_part_bytes &&
                crash.suspects.size() < m_options.max_parts_per_crash) {
       changed |= crash.suspects.insert(part).second;
@@ -147,16 +150,31 @@
   if (known != m_crashes.end()) {
     m_changed |= changed;
     *known = std::move(crash);
-    return;
+    return &*known;
   }
   if (crash.suspects.empty() || IsExplained(crash)) {
-    return;
+    return nullptr;
   }
   if (m_crashes.size() >= m_options.max_crashes) {
     EvictCrash();
   }
   m_crashes.push_back(std::move(crash));
   m_changed = true;
+  return &m_crashes.back();
+}
+
+void CrashSuspectCore::RecordOwnCrash(const BackendId& backend,
+                                      uint64_t started_at_ms,
+                                      const std::vector<PromptPartId>& parts,
+                                      MonotonicTime time) {
+  Crash* crash = RecordCrash(backend, started_at_ms, parts, time);
+  if (crash != nullptr) {
+    std::copy_if(
+        parts.begin(), parts.end(),
+        std::inserter(crash->own_suspects, crash->own_suspects.end()),
+        [&](const auto& part) { return crash->suspects.contains(part); });
+    crash->own_time = time;
+  }
 }
 
 bool CrashSuspectCore::SupportsBlock(const Crash& crash) const {
@@ -185,23 +203,14 @@
       [&](const Crash& a, const Crash& b) { return rank(a) < rank(b); }));
 }
 
-void CrashSuspectCore::RecordCompletion(const PromptPartId& part,
+bool CrashSuspectCore::RecordCompletion(const PromptPartId& part,
                                         MonotonicTime time) {
-  if (m_crashes.empty()) {
-    return;
-  }
   bool was_suspect = false;
   for (Crash& crash : m_crashes) {
     was_suspect |= crash.time < time && crash.suspects.erase(part) > 0;
   }
-  const auto cleared = m_cleared.find(part);
-  if (cleared != m_cleared.end()) {
-    cleared->second = std::max(cleared->second, time);
-  } else if (was_suspect) {
-    m_cleared.emplace(part, time);
-  }
   if (!was_suspect) {
-    return;
+    return false;
   }
   CompletedRuns& runs = m_runs[part];
   runs.last = std::max(runs.last, time);
@@ -210,6 +219,15 @@
   // That a part which is not blocked is cleared blocks no other one.
   m_changed |= m_blocked.contains(part);
   UpdateBlockedParts();
+  return true;
+}
+
+void CrashSuspectCore::RecordOwnCompletion(const PromptPartId& part,
+                                           MonotonicTime time) {
+  CountRun(part, time);
+  if (RecordCompletion(part, time) || m_cleared.contains(part)) {
+    m_cleared[part] = time;
+  }
 }
 
 void CrashSuspectCore::ChargeUnconfirmedRuns(const BackendId& backend,
@@ -217,7 +235,7 @@
   for (const UnconfirmedRun& ended : m_unconfirmed) {
     if (ended.run.backend == backend &&
         ended.run.started_at_ms == started_at_ms) {
-      RecordCrash(backend, started_at_ms, ended.run.parts, ended.end);
+      RecordOwnCrash(backend, started_at_ms, ended.run.parts, ended.end);
     }
   }
   std::erase_if(m_unconfirmed, [&](const UnconfirmedRun& ended) {
@@ -233,8 +251,7 @@
   for (const UnconfirmedRun& ended : m_unconfirmed) {
     if (confirmed(ended)) {
       for (const PromptPartId& part : ended.run.parts) {
-        CountRun(part, ended.end);
-        RecordCompletion(part, ended.end);
+        RecordOwnCompletion(part, ended.end);
       }
     }
   }
@@ -250,6 +267,7 @@
   CompletedRuns& runs = m_runs[part];
   ++runs.count;
   runs.last = std::max(runs.last, time);
+  runs.own_last = runs.last;
 }
 
 const CrashSuspectCore::CompletedRuns* CrashSuspectCore::FindRuns(
@@ -391,15 +409,23 @@
             });
   size_t suspects = 0;
   for (const Crash* crash : crashes) {
-    suspects += crash->suspects.size();
+    BackendCrash reported{.backend = crash->backend,
+                          .started_at_ms = crash->started_at_ms,
+                          .age = now - crash->time};
+    const bool is_recent = now - crash->own_time <= m_options.report_duration;
+    for (const PromptPartId& part : crash->suspects) {
+      if (m_blocked.contains(part) ||
+          (is_recent && crash->own_suspects.contains(part))) {
+        reported.parts.push_back(part);
+      }
+    }
+    suspects += reported.parts.size();
     if (suspects > m_options.max_reported_suspects) {
       break;
     }
-    evidence.crashes.push_back(
-        {.backend = crash->backend,
-         .started_at_ms = crash->started_at_ms,
-         .age = now - crash->time,
-         .parts = {crash->suspects.begin(), crash->suspects.end()}});
+    if (!reported.parts.empty()) {
+      evidence.crashes.push_back(std::move(reported));
+    }
   }
   for (const auto& [part, time] : m_cleared) {
     if (now - time <= m_options.report_duration &&
--- a/Source/Placement/crash_suspect_core.h
+++ b/Source/Placement/crash_suspect_core.h
@@ -47,8 +47,10 @@
   /// The process that comes next in the order of a part's trials waits this
   /// much longer, so that it knows how the trial of the one before has ended.
   Duration trial_stagger = std::chrono::seconds(2);
-  /// How long a completed run is reported to the other processes.
-  Duration report_duration = std::chrono::seconds(5);
+  /// How long a process reports the crashes and completed runs that it has
+  /// seen itself. Reports are repeated, so a lost one is made up for. What
+  /// blocks a part is reported by all processes as long as it counts.
+  Duration report_duration = std::chrono::seconds(3);
   /// The period over which completed runs of a part are counted.
   Duration count_period = std::chrono::seconds(10);
   size_t max_crashes = 64;
@@ -126,8 +128,8 @@
 /// explains no longer count against other parts: what sound requests share with
 /// those that crash backend servers is not blocked with them.
 ///
-/// The evidence consists of facts that all processes relay, so that they agree
-/// on it, and a process that starts learns it from the others.
+/// The evidence consists of facts on which all processes agree. Those that
+/// block a part are relayed, so that a process that starts learns them.
 class CrashSuspectCore {
  public:
   CrashSuspectCore(CrashSuspectOptions options, const PeerTable& peers);
@@ -136,7 +138,8 @@
 
   /// Whether one of the parts is blocked, a trial being due or not.
   bool IsBlocked(const std::vector<PromptPartId>& parts, MonotonicTime now);
-  /// The evidence to report to the other processes.
+  /// The evidence to report to the other processes: what this process has seen
+  /// lately, and what blocks a part, whoever has seen it.
   CrashEvidence EvidenceToReport(MonotonicTime now) const;
   size_t blocked_parts() const { return m_blocked.size(); }
 
@@ -148,6 +151,10 @@
     MonotonicTime time;
     /// Those with which no run was completed since.
     std::set<PromptPartId> suspects;
+    /// The suspects whose runs this process has relayed, and when the last of
+    /// them broke off.
+    std::set<PromptPartId> own_suspects;
+    MonotonicTime own_time;
   };
   struct UnconfirmedRun {
     RunEndedWithConnection run;
@@ -160,6 +167,8 @@
   struct CompletedRuns {
     uint32_t count = 0;
     MonotonicTime last;
+    /// The last one that this process has relayed.
+    MonotonicTime own_last;
   };
   using RunCounts = std::unordered_map<PromptPartId, CompletedRuns>;
 
@@ -173,12 +182,22 @@
                            MonotonicTime now);
   CrashSuspectAction Apply(const RunRequested& event, MonotonicTime now);
 
-  void RecordCrash(const BackendId& backend,
-                   uint64_t started_at_ms,
-                   const std::vector<PromptPartId>& parts,
-                   MonotonicTime time);
-  /// Records that a run with the part was completed at `time`.
-  void RecordCompletion(const PromptPartId& part, MonotonicTime time);
+  /// Records that runs broke off. Returns the crash, or null if it says nothing
+  /// new.
+  Crash* RecordCrash(const BackendId& backend,
+                     uint64_t started_at_ms,
+                     const std::vector<PromptPartId>& parts,
+                     MonotonicTime time);
+  /// The same for runs that this process has relayed.
+  void RecordOwnCrash(const BackendId& backend,
+                      uint64_t started_at_ms,
+                      const std::vector<PromptPartId>& parts,
+                      MonotonicTime time);
+  /// Records that a run with the part was completed at `time`. Returns whether
+  /// the part was suspect of a crash.
+  bool RecordCompletion(const PromptPartId& part, MonotonicTime time);
+  /// The same for a run that this process has relayed.
+  void RecordOwnCompletion(const PromptPartId& part, MonotonicTime time);
   /// Charges the crash of a backend server to the runs that have ended with
   /// their connections there a moment before.
   void ChargeUnconfirmedRuns(const BackendId& backend, uint64_t started_at_ms);
@@ -213,8 +232,8 @@
   RunCounts m_runs;
   RunCounts m_former_runs;
   MonotonicTime m_period_start;
-  // Parts that were suspect of a crash, and when a run with them was last
-  // completed.
+  // Parts that were suspect of a crash, and when this process last relayed a
+  // whole run with them.
   std::map<PromptPartId, MonotonicTime> m_cleared;
   std::map<PromptPartId, MonotonicTime> m_last_trials;
   std::map<PromptPartId, BlockedPart> m_blocked;
