--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -306,7 +306,7 @@
         item == open->second.items.end()) {
       continue;
     }
-    if (!MayRunPrompt(item->second)) {
+    if (!MayRunPrompt(runnable.job, item->second)) {
       continue;
     }
     const std::optional<SoftwareVersion> version =
@@ -333,14 +333,36 @@
   }
 }
 
-bool JobRunner::MayRunPrompt(const JobItem& item) {
+bool JobRunner::MayRunPrompt(const JobKey& job, const JobItem& item) {
   if (m_gateway.crash_suspects.blocked_parts() == 0) {
+    m_blocked_logged.clear();
     return true;
   }
   const CrashSuspectAction action = m_gateway.crash_suspects.Handle(
       RunRequested{platform::DecodeSharedParts(item.headers)},
       MonotonicClock::now());
-  return std::holds_alternative<RunAllowed>(action);
+  if (const auto* blocked = std::get_if<RunBlocked>(&action)) {
+    LogBlockedItem(job, item, *blocked);
+    return false;
+  }
+  return true;
+}
+
+void JobRunner::LogBlockedItem(const JobKey& job,
+                               const JobItem& item,
+                               const RunBlocked& blocked) {
+  const MonotonicTime now = MonotonicClock::now();
+  const auto [logged, is_new] = m_blocked_logged.emplace(blocked.part, now);
+  if (!is_new && now - logged->second < m_options.blocked_log_interval) {
+    return;
+  }
+  logged->second = now;
+  m_gateway.log.Write("prompt_part_blocked",
+                      {{"job", job.value()},
+                       {"item", item.id.value()},
+                       {"part", blocked.part.value()},
+                       {"crashes", blocked.crashes},
+                       {"retry_after_ms", ToMillis(blocked.retry_after)}});
 }
 
 void JobRunner::RecordRunEnd(const ItemRun& run,
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -21,6 +21,7 @@
 namespace cowslip {
 
 class AttemptLease;
+struct RunBlocked;
 
 /// \class JobRunnerOptions
 /// \brief Limits and intervals for running the items of jobs.
@@ -38,6 +39,8 @@
   /// How long a job's route may be missing before its items are given up. A
   /// configuration without the route may be replaced by the next one at once.
   Duration missing_route_timeout = std::chrono::seconds(3);
+  /// How often a blocked prompt part is logged.
+  Duration blocked_log_interval = std::chrono::seconds(1);
 };
 
 /// \class JobRunner
@@ -125,7 +128,12 @@
                                                  const ServiceId& service);
   void StartItems(ClockReadings now);
   /// Whether an item with this prompt may be run; one that may not stays owed.
-  bool MayRunPrompt(const JobItem& item);
+  bool MayRunPrompt(const JobKey& job, const JobItem& item);
+  /// Logs that an item is held back, at most once per `blocked_log_interval`
+  /// for a prompt part.
+  void LogBlockedItem(const JobKey& job,
+                      const JobItem& item,
+                      const RunBlocked& blocked);
   /// Records what the end of a run says about the prompt parts of its item.
   void RecordRunEnd(const ItemRun& run,
                     ItemRunOutcome outcome,
@@ -143,6 +151,8 @@
   std::map<JobKey, OpenedJob> m_open_jobs;
   std::map<RunKey, std::shared_ptr<ItemRun>> m_runs;
   std::map<BackendId, MonotonicTime> m_last_preemption;
+  /// When items with a blocked prompt part were last logged.
+  std::map<PromptPartId, MonotonicTime> m_blocked_logged;
   boost::asio::steady_timer m_pass_timer;
   bool m_pass_scheduled = false;
   MonotonicTime m_last_pass_time;
