Tests: items are left lying after waves of crashes

Backend servers that crash in waves leave sound items without a run: 24 of 24 items of a job were idle for 13 s after the last wave, where 5 s are allowed, and the core did not try their prompt part.

--- a/Tests/Gateway/crashing_backends.cc
+++ b/Tests/Gateway/crashing_backends.cc
@@ -31,6 +31,14 @@
   }
 }
 
+Duration CrashingBackends::IdleTime(const std::string& attempt) const {
+  const auto found = m_runs.find(attempt);
+  const AttemptRuns runs =
+      found == m_runs.end() ? AttemptRuns() : found->second;
+  return runs.running > 0 ? Duration::zero()
+                          : MonotonicClock::now() - runs.last_end;
+}
+
 size_t CrashingBackends::running() const {
   return static_cast<size_t>(
       std::count_if(m_backends.begin(), m_backends.end(),
@@ -89,7 +97,12 @@
       break;
     }
     HttpRequest answered = *request;
+    AttemptRuns& runs =
+        m_runs[FindHeader(request->headers, "Attempt-Id").value_or("")];
+    ++runs.running;
     const bool kept = co_await Answer(index, socket, std::move(answered));
+    --runs.running;
+    runs.last_end = MonotonicClock::now();
     if (!kept) {
       break;
     }
--- a/Tests/Gateway/crashing_backends.h
+++ b/Tests/Gateway/crashing_backends.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -45,6 +46,8 @@
   /// The requests with the crashing part that reached a backend server.
   size_t crashing_requests() const { return m_crashing_requests; }
   size_t crashes() const { return m_crashes; }
+  /// How long no backend server has run a request with this attempt id.
+  Duration IdleTime(const std::string& attempt) const;
   /// The backend servers that are up.
   size_t running() const;
   /// Crashes one backend server, whatever it runs.
@@ -60,6 +63,11 @@
     std::set<Socket> connections;
   };
 
+  struct AttemptRuns {
+    size_t running = 0;
+    MonotonicTime last_end;
+  };
+
   void Start(size_t index);
   std::string IdOf(size_t index) const;
   boost::asio::awaitable<void> Accept(size_t index);
@@ -76,6 +84,7 @@
   FakeDocumentStore& m_store;
   const CrashingBackendsOptions m_options;
   std::vector<Backend> m_backends;
+  std::map<std::string, AttemptRuns> m_runs;
   size_t m_crashing_requests = 0;
   size_t m_crashes = 0;
 };
