Placement: what a trial proves does not change with later crashes

Whether a trial crashed together with other backend servers was computed anew from the newest 128 crashes, so that in long waves a trial that had proved nothing counted as failed later and the next one waited 16 s and more: items with the part were left lying again. It is decided once now. Reports of what other processes hold back are kept only while a part is blocked.

--- a/Source/Placement/crash_suspect_core.cc
+++ b/Source/Placement/crash_suspect_core.cc
@@ -87,9 +87,13 @@
     const PeerCrashEvidenceReported& event,
     MonotonicTime now) {
   const CrashEvidence& evidence = event.evidence;
-  const std::vector<PromptPartId>& held_back = evidence.held_back;
-  m_held_back_by_others[event.vm] = {
-      .time = now, .parts = {held_back.begin(), held_back.end()}};
+  if (m_blocked.empty()) {
+    m_held_back_by_others.clear();
+  } else {
+    const std::vector<PromptPartId>& held_back = evidence.held_back;
+    m_held_back_by_others[event.vm] = {
+        .time = now, .parts = {held_back.begin(), held_back.end()}};
+  }
   if (evidence.crashes.empty() && evidence.cleared.empty()) {
     return CrashSuspectNoAction{};
   }
@@ -260,14 +264,23 @@
          events >= uint64_t{suspicion.events} + m_options.event_margin;
 }
 
-bool CrashSuspectCore::HasCommonCause(const Crash& crash) const {
-  const auto others = std::count_if(m_crash_times.begin(), m_crash_times.end(),
-                                    [&](const CrashTime& other) {
-                                      return other.backend != crash.backend &&
-                                             Distance(other.time, crash.time) <=
-                                                 m_options.common_cause_window;
-                                    });
-  return others >= m_options.common_cause_crashes;
+void CrashSuspectCore::FindCommonCauses() {
+  for (Crash& crash : m_crashes) {
+    const bool ended_trial = std::any_of(
+        crash.suspects.begin(), crash.suspects.end(),
+        [](const auto& suspect) { return suspect.second.is_trial; });
+    if (!ended_trial || crash.has_common_cause) {
+      continue;
+    }
+    const auto others =
+        std::count_if(m_crash_times.begin(), m_crash_times.end(),
+                      [&](const CrashTime& other) {
+                        return other.backend != crash.backend &&
+                               Distance(other.time, crash.time) <=
+                                   m_options.common_cause_window;
+                      });
+    crash.has_common_cause = others >= m_options.common_cause_crashes;
+  }
 }
 
 bool CrashSuspectCore::SupportsBlock(const Crash& crash) const {
@@ -455,6 +468,7 @@
     return;
   }
   m_changed = false;
+  FindCommonCauses();
   m_blocked.clear();
   std::vector<const Crash*> unexplained;
   for (const Crash& crash : m_crashes) {
@@ -496,7 +510,7 @@
       m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
         const auto suspicion = crash.suspects.find(part);
         return suspicion != crash.suspects.end() &&
-               suspicion->second.is_trial && !HasCommonCause(crash);
+               suspicion->second.is_trial && !crash.has_common_cause;
       });
   return static_cast<uint32_t>(failed);
 }
--- a/Source/Placement/crash_suspect_core.h
+++ b/Source/Placement/crash_suspect_core.h
@@ -202,6 +202,9 @@
     /// them broke off.
     std::set<PromptPartId> own_suspects;
     MonotonicTime own_time;
+    /// Whether so many other backend servers crashed at the same time that none
+    /// of the runs is likely to be the cause.
+    bool has_common_cause = false;
   };
   struct UnconfirmedRun {
     RunEndedWithConnection run;
@@ -284,9 +287,8 @@
   uint32_t CountOf(const PromptPartId& part) const;
   /// Whether a run with `events` has gone on past the suspected crash.
   bool Disproves(uint32_t events, const Suspicion& suspicion) const;
-  /// Whether so many other backend servers crashed at the same time that none
-  /// of their runs is likely to be the cause.
-  bool HasCommonCause(const Crash& crash) const;
+  /// Sets `has_common_cause` of the crashes that ended a trial.
+  void FindCommonCauses();
   /// Whether a blocked part accounts for the crash.
   bool SupportsBlock(const Crash& crash) const;
   bool IsExplained(const Crash& crash) const;
--- a/Tests/Placement/crash_wave_test.cc
+++ b/Tests/Placement/crash_wave_test.cc
@@ -108,6 +108,28 @@
   CHECK(process.MayRun(now + kMaxIdleTime));
 }
 
+TEST_CASE("Many later crashes do not fail a trial that proved nothing") {
+  Process process;
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3; ++i) {
+    now += 100ms;
+    process.Crash(now);
+  }
+  for (int trial = 0; trial < 3; ++trial) {
+    now += 2s;
+    REQUIRE(process.MayRun(now));
+    process.Crash(now);
+    for (int i = 0; i < 4; ++i) {
+      process.CrashElsewhere(now + 10ms);
+    }
+  }
+  for (int i = 0; i < 200; ++i) {
+    now += 100ms;
+    process.CrashElsewhere(now);
+  }
+  CHECK(process.MayRun(now + kMaxIdleTime));
+}
+
 TEST_CASE("A trial that crashes a backend server by itself delays the next") {
   Process process;
   MonotonicTime now(100s);
