Net, Gateway: log what a shutdown finds at the close of the listener

A request that is cut at a shutdown leaves no line: the log cannot tell a request that was never read from one that never came. `listener_closes` and `stopped` now count the open connections, the requests that are being read, handled or wait for a slot, the idle connections with unread bytes, and the requests lost to the close of an idle connection.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -430,6 +430,10 @@
   if (since < kBalancerRemovalTime) {
     return;
   }
+  if (!m_listener_closed) {
+    m_listener_closed = true;
+    LogConnections("listener_closes");
+  }
   m_caller_server->Drain();
   const bool out_of_time = since >= m_settings.stop_grace - kExitMargin;
   const bool busy =
@@ -438,8 +442,7 @@
     return;
   }
   m_stopped = true;
-  m_log.Write("stopped",
-              {{"active_requests", m_caller_server->active_requests()}});
+  LogConnections("stopped");
   m_log.Flush();
   for (const auto& watcher : {m_configuration_watcher, m_backend_watcher,
                               m_peer_watcher, m_job_watcher}) {
@@ -452,6 +455,16 @@
   }
 }
 
+void GatewayDaemon::LogConnections(const char* event) {
+  const HttpConnectionCounts counts = m_caller_server->CountConnections();
+  m_log.Write(event, {{"active_requests", m_caller_server->active_requests()},
+                      {"connections", counts.open},
+                      {"reading", counts.reading},
+                      {"unread", counts.unread},
+                      {"requests_cut", m_caller_server->requests_cut()},
+                      {"waiting", m_dispatcher.waiting_count()}});
+}
+
 void GatewayDaemon::Reload(const GatewaySettings& settings) {
   m_log.Write("settings_reloaded", {{"changed", !(settings == m_settings)}});
   m_settings.stop_grace = settings.stop_grace;
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -113,6 +113,8 @@
   void UpdateGauges();
   void ScheduleTick();
   void ContinueShutdown();
+  /// Logs the caller connections and requests at a step of the shutdown.
+  void LogConnections(const char* event);
   void CheckForProcessPause();
 
   boost::asio::io_context& m_context;
@@ -157,6 +159,7 @@
   bool m_jobs_known = false;
   bool m_registered = false;
   bool m_shutting_down = false;
+  bool m_listener_closed = false;
   bool m_stopped = false;
 };
 
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -69,6 +69,7 @@
   tcp::acceptor m_acceptor;
   std::set<Connection*> m_connections;
   size_t m_active = 0;
+  size_t m_cut = 0;
   bool m_draining = false;
 
  private:
@@ -89,9 +90,15 @@
   asio::awaitable<void> Run();
   void CloseIfIdle() {
     if (!m_busy) {
+      m_server->m_cut += HasUnreadBytes() ? 1 : 0;
       Abort();
     }
   }
+  void AddTo(HttpConnectionCounts& counts) const {
+    ++counts.open;
+    counts.reading += m_busy && !m_handling ? 1 : 0;
+    counts.unread += !m_busy && HasUnreadBytes() ? 1 : 0;
+  }
 
   const HttpRequest& request() const override { return m_request; }
   const std::string& client_address() const override { return m_address; }
@@ -122,6 +129,10 @@
   asio::awaitable<void> RejectRequest(boost::system::error_code error);
   asio::awaitable<void> RunHandler();
   void WatchForDisconnect();
+  bool HasUnreadBytes() const {
+    boost::system::error_code error;
+    return m_stream.socket().available(error) > 0 && !error;
+  }
   // Returns the result of a write, and marks the connection as broken when the
   // write failed.
   Result<void> CheckWrite(const boost::system::error_code& error);
@@ -141,6 +152,7 @@
   State m_state = State::kOpen;
   bool m_keep_alive = true;
   bool m_busy = false;
+  bool m_handling = false;
   size_t m_body_limit = 0;
   uint64_t m_requests = 0;
 };
@@ -176,6 +188,9 @@
     const auto space = m_buffer.prepare(4096);
     const size_t got = co_await m_stream.async_read_some(space, token);
     m_buffer.commit(got);
+    if (got > 0 && !m_stream.socket().is_open()) {
+      ++m_server->m_cut;
+    }
     if (error) {
       co_return false;
     }
@@ -248,6 +263,7 @@
   m_on_disconnect = nullptr;
   ++m_requests;
   ++m_server->m_active;
+  m_handling = true;
   m_stream.expires_never();
   WatchForDisconnect();
   try {
@@ -258,6 +274,7 @@
     m_state = State::kBroken;
   }
   --m_server->m_active;
+  m_handling = false;
   m_on_disconnect = nullptr;
   boost::system::error_code ignored;
   m_stream.socket().cancel(ignored);
@@ -489,4 +506,16 @@
   return m_impl->m_connections.size();
 }
 
+HttpConnectionCounts HttpServer::CountConnections() const {
+  HttpConnectionCounts counts;
+  for (const Impl::Connection* connection : m_impl->m_connections) {
+    connection->AddTo(counts);
+  }
+  return counts;
+}
+
+size_t HttpServer::requests_cut() const {
+  return m_impl->m_cut;
+}
+
 }  // namespace cowslip
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -53,6 +53,16 @@
   size_t max_connections = 20000;
 };
 
+/// \class HttpConnectionCounts
+/// \brief The open connections of a server, by what they are used for.
+struct HttpConnectionCounts {
+  size_t open = 0;
+  /// A request has begun to arrive, and its handler has not been called.
+  size_t reading = 0;
+  /// No request is being read or handled, and bytes lie in the socket's buffer.
+  size_t unread = 0;
+};
+
 /// \class HttpServer
 /// \brief Accepts HTTP/1.1 connections and runs one handler per request.
 class HttpServer {
@@ -84,6 +94,11 @@
   size_t active_requests() const;
   /// Number of open connections.
   size_t connections() const;
+  /// Asks the kernel about each idle connection.
+  HttpConnectionCounts CountConnections() const;
+  /// Connections that were closed as idle with bytes of a request unread, or
+  /// whose request was read only after that.
+  size_t requests_cut() const;
 
  private:
   class Impl;
