Net: a request that meets the drain or the idle timeout is answered

Callers saw a request cut with no answer when a gateway shut down. Drain() closed, from outside, each connection that looked idle: also one with a request in its socket's buffer, or whose read had completed while its coroutine had not run yet. Connections in the accept queue were reset with the listener. The idle timeout of Beast's tcp_stream closes the socket in the same way, and the read timeout closed it before the 408 could be written.

Now only the connection's own coroutine closes it. Drain() and the timeouts cancel the wait for bytes, which consumes none, and the coroutine reads the request if bytes are there. The drain accepts what is queued before it closes the listener; a connection that has had no request yet keeps 300 ms for its first one. One timer a connection replaces those that Beast starts for each read, so a request costs no further system call.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -457,12 +457,13 @@
 
 void GatewayDaemon::LogConnections(const char* event) {
   const HttpConnectionCounts counts = m_caller_server->CountConnections();
-  m_log.Write(event, {{"active_requests", m_caller_server->active_requests()},
-                      {"connections", counts.open},
-                      {"reading", counts.reading},
-                      {"unread", counts.unread},
-                      {"requests_cut", m_caller_server->requests_cut()},
-                      {"waiting", m_dispatcher.waiting_count()}});
+  m_log.Write(
+      event, {{"active_requests", m_caller_server->active_requests()},
+              {"connections", counts.open},
+              {"reading", counts.reading},
+              {"unread", counts.unread},
+              {"requests_after_drain", m_caller_server->requests_after_drain()},
+              {"waiting", m_dispatcher.waiting_count()}});
 }
 
 void GatewayDaemon::Reload(const GatewaySettings& settings) {
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -14,6 +14,14 @@
 
 namespace {
 
+// How long a connection without a request may still send its first one once
+// the server drains: its client has most likely just connected to send it.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(300);
+
+// A cancelled read may be about to start its next step, which the
+// cancellation does not reach, so it is cancelled again after this interval.
+constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
+
 constexpr char kProblemType[] = "application/problem+json";
 
 // Builds the response to a request that could not be read. The connection is
@@ -60,6 +68,7 @@
   Result<void> Start();
   void Drain();
   void Close();
+  void Serve(tcp::socket socket);
 
   class Connection;
 
@@ -69,11 +78,15 @@
   tcp::acceptor m_acceptor;
   std::set<Connection*> m_connections;
   size_t m_active = 0;
-  size_t m_cut = 0;
+  size_t m_requests_after_drain = 0;
+  // Responses carry `Connection: close`.
   bool m_draining = false;
+  // Drain() was called.
+  bool m_drained = false;
 
  private:
   asio::awaitable<void> Accept();
+  void AcceptQueuedConnections();
 };
 
 // One connection and its current exchange.
@@ -82,22 +95,21 @@
       public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<Impl> server, tcp::socket socket)
-      : m_server(std::move(server)), m_stream(std::move(socket)) {
+      : m_server(std::move(server)),
+        m_stream(std::move(socket)),
+        m_timer(m_stream.get_executor()) {
     m_server->m_connections.insert(this);
   }
   ~Connection() override { m_server->m_connections.erase(this); }
 
   asio::awaitable<void> Run();
-  void CloseIfIdle() {
-    if (!m_busy) {
-      m_server->m_cut += HasUnreadBytes() ? 1 : 0;
-      Abort();
-    }
-  }
+  // Ends the wait for the next request. The connection's coroutine closes the
+  // connection if no bytes have arrived.
+  void EndIdleWait();
   void AddTo(HttpConnectionCounts& counts) const {
     ++counts.open;
-    counts.reading += m_busy && !m_handling ? 1 : 0;
-    counts.unread += !m_busy && HasUnreadBytes() ? 1 : 0;
+    counts.reading += m_phase == Phase::kReading ? 1 : 0;
+    counts.unread += m_phase == Phase::kIdle && HasUnreadBytes() ? 1 : 0;
   }
 
   const HttpRequest& request() const override { return m_request; }
@@ -119,8 +131,20 @@
   }
 
  private:
+  enum class Phase { kIdle, kReading, kHandling };
   enum class State { kOpen, kStreaming, kFinished, kBroken };
 
+  // Waits for the first bytes of a request. Returns false when the connection
+  // must be closed.
+  asio::awaitable<bool> WaitForRequest();
+  // Limits the current phase. Only reads are cancelled: closing the connection
+  // would lose a request that has just arrived.
+  void StartTimer(Duration limit);
+  void HandleTimer();
+  void CancelReads() {
+    boost::system::error_code ignored;
+    m_stream.socket().cancel(ignored);
+  }
   // Reads the next request. Returns false when the connection must be closed.
   asio::awaitable<bool> ReadRequest();
   // Copies the request's head and sets the limit on its body.
@@ -145,14 +169,15 @@
 
   const std::shared_ptr<Impl> m_server;
   beast::tcp_stream m_stream;
+  asio::steady_timer m_timer;
   beast::flat_buffer m_buffer;
   HttpRequest m_request;
   std::string m_address;
   std::function<void()> m_on_disconnect;
   State m_state = State::kOpen;
   bool m_keep_alive = true;
-  bool m_busy = false;
-  bool m_handling = false;
+  Phase m_phase = Phase::kIdle;
+  bool m_read_timed_out = false;
   size_t m_body_limit = 0;
   uint64_t m_requests = 0;
 };
@@ -176,30 +201,73 @@
   m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
 }
 
+void HttpServer::Impl::Connection::StartTimer(Duration limit) {
+  m_timer.expires_after(limit);
+  m_timer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+          self->HandleTimer();
+        }
+      });
+}
+
+void HttpServer::Impl::Connection::HandleTimer() {
+  const bool restarted = std::chrono::steady_clock::now() < m_timer.expiry();
+  if (restarted || m_phase == Phase::kHandling) {
+    return;
+  }
+  m_read_timed_out = m_phase == Phase::kReading;
+  CancelReads();
+  StartTimer(kCancelInterval);
+}
+
+void HttpServer::Impl::Connection::EndIdleWait() {
+  if (m_phase != Phase::kIdle) {
+    return;
+  }
+  if (m_requests == 0) {
+    StartTimer(kFirstRequestTime);
+  } else {
+    CancelReads();
+  }
+}
+
+asio::awaitable<bool> HttpServer::Impl::Connection::WaitForRequest() {
+  const Duration idle = m_server->m_options.idle_timeout;
+  StartTimer(m_server->m_drained ? std::min(idle, kFirstRequestTime) : idle);
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  const auto space = m_buffer.prepare(4096);
+  size_t got = co_await m_stream.socket().async_read_some(space, token);
+  if (error == asio::error::operation_aborted && HasUnreadBytes()) {
+    m_phase = Phase::kReading;
+    got = co_await m_stream.socket().async_read_some(space, token);
+  }
+  m_buffer.commit(got);
+  co_return !error;
+}
+
 asio::awaitable<bool> HttpServer::Impl::Connection::ReadRequest() {
-  m_busy = false;
+  m_phase = Phase::kIdle;
+  m_read_timed_out = false;
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   http::request_parser<http::string_body> parser;
   parser.header_limit(
       static_cast<uint32_t>(m_server->m_options.max_header_bytes));
   if (m_buffer.size() == 0) {
-    m_stream.expires_after(m_server->m_options.idle_timeout);
-    const auto space = m_buffer.prepare(4096);
-    const size_t got = co_await m_stream.async_read_some(space, token);
-    m_buffer.commit(got);
-    if (got > 0 && !m_stream.socket().is_open()) {
-      ++m_server->m_cut;
-    }
-    if (error) {
+    const bool arrived = co_await WaitForRequest();
+    if (!arrived) {
       co_return false;
     }
   }
-  m_busy = true;
-  m_stream.expires_after(m_server->m_options.read_timeout);
+  m_phase = Phase::kReading;
+  StartTimer(m_server->m_options.read_timeout);
+  tcp::socket& socket = m_stream.socket();
   // ApplyRequestHead sets the limit on the body, which depends on the head.
   parser.body_limit(std::numeric_limits<uint64_t>::max());
-  co_await http::async_read_header(m_stream, m_buffer, parser, token);
+  co_await http::async_read_header(socket, m_buffer, parser, token);
   if (!error) {
     error = ApplyRequestHead(parser);
   }
@@ -207,16 +275,20 @@
       FindHeader(m_request.headers, "Expect").value_or("") == "100-continue";
   if (!error && expects_continue) {
     const std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-    co_await asio::async_write(m_stream, asio::buffer(continue_response),
-                               token);
+    co_await asio::async_write(socket, asio::buffer(continue_response), token);
   }
   if (!error) {
-    co_await http::async_read(m_stream, m_buffer, parser, token);
+    co_await http::async_read(socket, m_buffer, parser, token);
   }
+  m_phase = Phase::kHandling;
   if (error) {
+    if (m_read_timed_out && error == asio::error::operation_aborted) {
+      error = beast::error::timeout;
+    }
     co_await RejectRequest(error);
     co_return false;
   }
+  m_server->m_requests_after_drain += m_server->m_drained ? 1 : 0;
   m_request.body = std::move(parser.get().body());
   co_return true;
 }
@@ -263,7 +335,6 @@
   m_on_disconnect = nullptr;
   ++m_requests;
   ++m_server->m_active;
-  m_handling = true;
   m_stream.expires_never();
   WatchForDisconnect();
   try {
@@ -274,7 +345,6 @@
     m_state = State::kBroken;
   }
   --m_server->m_active;
-  m_handling = false;
   m_on_disconnect = nullptr;
   boost::system::error_code ignored;
   m_stream.socket().cancel(ignored);
@@ -290,7 +360,8 @@
       [weak = weak_from_this(), request](boost::system::error_code error) {
         const auto self = weak.lock();
         const bool stale = self == nullptr || error ||
-                           self->m_requests != request || !self->m_busy;
+                           self->m_requests != request ||
+                           self->m_phase != Phase::kHandling;
         if (stale || !self->m_stream.socket().is_open() ||
             !PeerHasClosed(self->m_stream.socket())) {
           return;
@@ -436,20 +507,42 @@
                                    "was reached.";
       continue;
     }
-    const auto connection =
-        std::make_shared<Connection>(self, std::move(socket));
-    asio::co_spawn(
-        m_context, [connection] { return connection->Run(); }, asio::detached);
+    Serve(std::move(socket));
+  }
+}
+
+void HttpServer::Impl::Serve(tcp::socket socket) {
+  const auto connection =
+      std::make_shared<Connection>(shared_from_this(), std::move(socket));
+  asio::co_spawn(
+      m_context, [connection] { return connection->Run(); }, asio::detached);
+}
+
+// The close of the listener would reset the connections that wait to be
+// accepted, and their clients may have sent requests.
+void HttpServer::Impl::AcceptQueuedConnections() {
+  boost::system::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error && m_connections.size() < m_options.max_connections) {
+    tcp::socket socket(m_context);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket));
+    }
   }
 }
 
 void HttpServer::Impl::Drain() {
   m_draining = true;
+  if (m_drained) {
+    return;
+  }
+  m_drained = true;
+  AcceptQueuedConnections();
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
-  const std::set<Connection*> connections = m_connections;
-  for (Connection* connection : connections) {
-    connection->CloseIfIdle();
+  for (Connection* connection : m_connections) {
+    connection->EndIdleWait();
   }
 }
 
@@ -514,8 +607,8 @@
   return counts;
 }
 
-size_t HttpServer::requests_cut() const {
-  return m_impl->m_cut;
+size_t HttpServer::requests_after_drain() const {
+  return m_impl->m_requests_after_drain;
 }
 
 }  // namespace cowslip
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -82,8 +82,11 @@
   /// The port that the server listens on, after Start().
   uint16_t port() const;
 
-  /// Stops accepting, closes idle connections and lets running requests
-  /// finish; responses from now on carry `Connection: close`.
+  /// Serves the connections that wait to be accepted, stops listening, closes
+  /// idle connections, and lets requests that have begun to arrive finish;
+  /// responses from now on carry `Connection: close`. No connection is closed
+  /// while bytes of a request are unread. The drain is complete when
+  /// connections() is 0.
   void Drain();
   /// Disables keep-alive: responses from now on carry `Connection: close`. New
   /// connections are still accepted.
@@ -96,9 +99,8 @@
   size_t connections() const;
   /// Asks the kernel about each idle connection.
   HttpConnectionCounts CountConnections() const;
-  /// Connections that were closed as idle with bytes of a request unread, or
-  /// whose request was read only after that.
-  size_t requests_cut() const;
+  /// Number of requests that were read after Drain().
+  size_t requests_after_drain() const;
 
  private:
   class Impl;
--- /dev/null
+++ b/Tests/Net/http_drain_test.cc
@@ -0,0 +1,206 @@
+// Requests that meet the drain of a server or the idle timeout. The client
+// blocks on its own context, so each step of the server's context is forced.
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "Net/http_exchange.h"
+#include "Net/http_server.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+awaitable<void> Answer(HttpExchange& exchange) {
+  HttpResponse response{.body = "answer"};
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+class Client {
+ public:
+  explicit Client(uint16_t port) : m_socket(m_context) {
+    m_socket.connect(
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+  }
+  void Send(const std::string& bytes) {
+    boost::asio::write(m_socket, boost::asio::buffer(bytes));
+  }
+  // Runs the server until the client has an answer or the connection ends, for
+  // at most 2 s. Returns the status line; empty when there is none.
+  std::string Read(boost::asio::io_context& server) {
+    std::string received;
+    m_socket.non_blocking(true);
+    const auto give_up = std::chrono::steady_clock::now() + 2s;
+    while (std::chrono::steady_clock::now() < give_up) {
+      server.restart();
+      server.run_for(1ms);
+      char bytes[4096];
+      boost::system::error_code error;
+      const size_t got = m_socket.read_some(boost::asio::buffer(bytes), error);
+      received.append(bytes, got);
+      const size_t line_end = received.find("\r\n");
+      if (line_end != std::string::npos) {
+        return received.substr(0, line_end);
+      }
+      if (error && error != boost::asio::error::would_block) {
+        return "";
+      }
+    }
+    return "";
+  }
+
+ private:
+  boost::asio::io_context m_context;
+  tcp::socket m_socket;
+};
+
+struct Server {
+  explicit Server(HttpServerOptions options = {})
+      : http(context, std::move(options), Answer) {
+    REQUIRE(http.Start().has_value());
+    context.poll();
+  }
+  void RunSteps(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      context.restart();
+      context.poll_one();
+    }
+  }
+  boost::asio::io_context context;
+  HttpServer http;
+};
+
+TEST_CASE("A request in the socket's buffer at the drain is answered") {
+  Server server;
+  Client client(server.http.port());
+  server.context.poll();
+  client.Send(kRequest);
+  server.http.Drain();
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A second request on a connection that meets the drain is answered") {
+  Server server;
+  Client client(server.http.port());
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+  server.context.restart();
+  server.context.poll();
+  client.Send(kRequest);
+  server.http.Drain();
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A connection in the accept queue at the drain is served") {
+  Server server;
+  Client client(server.http.port());
+  client.Send(kRequest);
+  server.http.Drain();
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A connection made just before the drain may send its request") {
+  Server server;
+  Client client(server.http.port());
+  server.http.Drain();
+  server.RunSteps(20);
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A drain at any step of a request loses no answer") {
+  const int steps = GENERATE(range(0, 24));
+  CAPTURE(steps);
+  Server server;
+  Client client(server.http.port());
+  client.Send(kRequest);
+  server.RunSteps(steps);
+  server.http.Drain();
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A drain closes idle connections and the listener") {
+  Server server;
+  Client used(server.http.port());
+  used.Send(kRequest);
+  CHECK(used.Read(server.context) == "HTTP/1.1 200 OK");
+  Client unused(server.http.port());
+  server.context.restart();
+  server.context.poll();
+  CHECK(server.http.connections() == 2);
+  const uint16_t port = server.http.port();
+  server.http.Drain();
+  server.context.restart();
+  server.context.run_for(1s);
+  CHECK(server.http.connections() == 0);
+  CHECK_THROWS(Client(port));
+}
+
+TEST_CASE("A request that arrives as the idle timeout expires is answered") {
+  Server server({.idle_timeout = 60ms});
+  Client client(server.http.port());
+  server.context.poll();
+  boost::asio::steady_timer earlier(server.context, 30ms);
+  earlier.async_wait([&](boost::system::error_code) { client.Send(kRequest); });
+  // Both timers have expired when the server runs next.
+  std::this_thread::sleep_for(120ms);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A connection is closed when its idle timeout expires") {
+  Server server({.idle_timeout = 60ms});
+  Client client(server.http.port());
+  server.context.poll();
+  CHECK(server.http.connections() == 1);
+  server.context.restart();
+  server.context.run_for(300ms);
+  CHECK(server.http.connections() == 0);
+}
+
+TEST_CASE("A request that stops half way gets 408") {
+  Server server({.read_timeout = 60ms});
+  Client client(server.http.port());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+  CHECK(client.Read(server.context) == "HTTP/1.1 408 Request Timeout");
+}
+
+TEST_CASE("Limits that shrink while a body is read do not refuse it") {
+  Server server;
+  Client client(server.http.port());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+  server.context.restart();
+  server.context.poll();
+  server.http.SetLimits({.max_header_bytes = 8,
+                         .max_body_bytes = 1,
+                         .read_timeout = 1ms,
+                         .idle_timeout = 1ms});
+  std::this_thread::sleep_for(20ms);
+  client.Send("-whole");
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("An idle timeout that shrinks does not close an idle connection") {
+  Server server;
+  Client client(server.http.port());
+  server.context.poll();
+  server.http.SetLimits({.idle_timeout = 1ms});
+  std::this_thread::sleep_for(20ms);
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+}  // namespace
+}  // namespace cowslip
