Gateway: a shutdown waits for requests that are still being read

Callers saw a request cut with no answer 2.5 s after a gateway was told to stop. The step of the shutdown that closed the listener also ended the process if no handler ran: requests whose body was still arriving, or whose connection had just been taken over, were not counted. The process now stays while a connection is open, which since the drain holds a request or is about to be closed, up to the grace time, and looks for the first time one tick after the listener was closed.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -427,17 +427,19 @@
 
 void GatewayDaemon::ContinueShutdown() {
   const Duration since = MonotonicClock::now() - m_shutdown_start;
-  if (since < kBalancerRemovalTime) {
+  const Duration exit_after = m_settings.stop_grace - kExitMargin;
+  if (since < std::min(kBalancerRemovalTime, exit_after)) {
     return;
   }
   if (!m_listener_closed) {
+    // Connections that the drain takes over are counted from the next tick on.
     m_listener_closed = true;
     LogConnections("listener_closes");
+    m_caller_server->Drain();
+    return;
   }
-  m_caller_server->Drain();
-  const bool out_of_time = since >= m_settings.stop_grace - kExitMargin;
-  const bool busy =
-      m_caller_server->active_requests() > 0 || !m_scheduler.IsIdle();
+  const bool out_of_time = since >= exit_after;
+  const bool busy = m_caller_server->connections() > 0 || !m_scheduler.IsIdle();
   if (busy && !out_of_time) {
     return;
   }
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -124,10 +124,12 @@
                            .address = "127.0.0.1",
                            .store = Endpoint{.port = store_port}};
   settings.first_internal_port = FreePort(context);
+  settings.stop_grace = stop_grace;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       context, GatewayDaemonOptions{.settings = settings,
                                     .incarnation = Incarnation(100 + index),
-                                    .log_descriptor = m_log}));
+                                    .log_descriptor = m_log,
+                                    .on_stopped = on_stopped}));
   REQUIRE(m_gateways.back()->Start().has_value());
   m_clients.push_back(std::make_unique<HttpClient>(
       context.get_executor(),
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 #define TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -70,6 +71,11 @@
   /// The configuration; call Publish() to write it to the store after a change.
   nlohmann::json configuration;
   void Publish();
+  /// The grace time of gateways that are added from now on.
+  Duration stop_grace = GatewaySettings().stop_grace;
+  /// Called when the shutdown of a gateway that is added from now on is
+  /// complete: its process would exit.
+  std::function<void()> on_stopped;
 
   GatewayDaemon& gateway(size_t index) { return *m_gateways[index]; }
   ModelServer& backend(size_t index) { return *m_backends[index]; }
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -7,7 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
