Gateway: the end of the grace time leaves no request without an answer

Callers saw a request cut with no answer when a gateway reached the end of its grace time: it exited with requests that waited for a slot or were between attempts, that ran, were still being read, or waited for results or the store.

One second before the end of the grace time (0.4 s of it for the exit, as before) the shutdown now ends what is left. ShutdownNotice limits the deadline of each request, of a job's submission and of a wait for results, from the start of the shutdown on, so admission and new attempts know of it. When the time is up it stops the sessions, and the dispatcher ends their waits: what has not run gets 503 with Retry-After and not_run, what runs 504, and a stream that has begun is ended. Requests that are still being read get 503. At the exit the server writes a general answer to requests that still have none, such as a call that the store holds up. No attempt starts once a request's time is up.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -41,8 +41,11 @@
 // A waiting request. `decided` is cancelled when a decision is made; `lease` is
 // set when the request was placed.
 struct Dispatcher::PendingWait {
-  explicit PendingWait(boost::asio::io_context& context) : decided(context) {}
+  PendingWait(boost::asio::io_context& context,
+              std::shared_ptr<const bool> is_cancelled)
+      : decided(context), cancelled(std::move(is_cancelled)) {}
   boost::asio::steady_timer decided;
+  const std::shared_ptr<const bool> cancelled;
   std::unique_ptr<AttemptLease> lease;
 };
 
@@ -155,7 +158,7 @@
   const MonotonicTime now = MonotonicClock::now();
   const PlacementQuery wanted = query;
   const TicketId ticket(++m_last_ticket);
-  const auto pending = std::make_shared<PendingWait>(m_context);
+  const auto pending = std::make_shared<PendingWait>(m_context, cancelled);
   m_pending_waits[ticket] = pending;
   const WaitQueueEvent enqueued =
       RequestEnqueued{WaitingRequest{.ticket = ticket,
@@ -181,6 +184,14 @@
       .load = m_placement.Load(wanted, MonotonicClock::now())};
 }
 
+void Dispatcher::EndCancelledWaits() {
+  for (const auto& [ticket, pending] : m_pending_waits) {
+    if (*pending->cancelled) {
+      pending->decided.cancel();
+    }
+  }
+}
+
 std::unique_ptr<AttemptLease> Dispatcher::PlaceBatch(
     const PlacementQuery& query) {
   const auto backend = m_placement.PlaceBatch(query, MonotonicClock::now());
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -121,6 +121,8 @@
   boost::asio::awaitable<PlacementResult> PlaceOnline(
       OnlinePlacementRequest placement,
       std::shared_ptr<const bool> cancelled);
+  /// Ends the waits of requests that were cancelled meanwhile.
+  void EndCancelledWaits();
   /// Acquires a slot for a batch item; null when none is free.
   std::unique_ptr<AttemptLease> PlaceBatch(const PlacementQuery& query);
 
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -20,6 +20,7 @@
 class FleetConfiguration;
 class GatewayMetrics;
 class QuotaCore;
+class ShutdownNotice;
 class StartupGate;
 class StreamOriginDirectory;
 
@@ -36,6 +37,7 @@
   EventLog& log;
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
+  ShutdownNotice& shutdown_notice;
   /// The configuration in force; null until the first one has been read.
   std::shared_ptr<const FleetConfiguration> configuration;
   /// Whether the watch on the configuration works, so that newer versions would
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -30,6 +30,10 @@
 // The part of the grace time that is reserved for writing the log and exiting.
 constexpr Duration kExitMargin = std::chrono::milliseconds(400);
 
+// The time before the exit that is reserved for writing the answers of requests
+// that can't be completed.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(600);
+
 // The body of a relayed store call: the largest document, in CBOR.
 constexpr size_t kMaxPeerBodyBytes = 4 << 20;
 
@@ -81,6 +85,7 @@
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
+                .shutdown_notice = m_shutdown_notice,
                 .reported_state_changed = [this] { m_gossip->StateChanged(); }},
       m_scheduler(JobSchedulerOptions{.self = m_settings.vm,
                                       .incarnation = m_options.incarnation},
@@ -421,11 +426,30 @@
   m_log.Write("shutdown_began",
               {{"active_requests", m_caller_server->active_requests()}});
   m_caller_server->DisableKeepAlive();
+  m_shutdown_notice.SetDue(AnswersDue());
   m_job_runner.HandleEvent(SchedulerStopping{});
   m_gossip->StateChanged();
 }
 
+MonotonicTime GatewayDaemon::AnswersDue() const {
+  return m_shutdown_start + m_settings.stop_grace - kExitMargin - kAnswerMargin;
+}
+
+void GatewayDaemon::EndRequests() {
+  if (!m_shutdown_notice.expired()) {
+    LogConnections("requests_end");
+    m_shutdown_notice.Expire();
+    m_dispatcher.EndCancelledWaits();
+  }
+  m_caller_server->RefuseUnfinishedRequests();
+}
+
 void GatewayDaemon::ContinueShutdown() {
+  // A reload may have changed the grace time.
+  m_shutdown_notice.SetDue(AnswersDue());
+  if (MonotonicClock::now() >= AnswersDue()) {
+    EndRequests();
+  }
   const Duration since = MonotonicClock::now() - m_shutdown_start;
   const Duration exit_after = m_settings.stop_grace - kExitMargin;
   if (since < std::min(kBalancerRemovalTime, exit_after)) {
@@ -445,6 +469,10 @@
   }
   m_stopped = true;
   LogConnections("stopped");
+  const size_t answers = m_caller_server->AnswerOpenRequests();
+  if (answers > 0) {
+    m_log.Write("requests_answered_at_exit", {{"requests", answers}});
+  }
   m_log.Flush();
   for (const auto& watcher : {m_configuration_watcher, m_backend_watcher,
                               m_peer_watcher, m_job_watcher}) {
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -19,6 +19,7 @@
 #include "Gateway/job_handler.h"
 #include "Gateway/job_runner.h"
 #include "Gateway/request_router.h"
+#include "Gateway/shutdown_notice.h"
 #include "Gateway/startup_gate.h"
 #include "Gateway/stream_origin_directory.h"
 #include "Jobs/job_scheduler.h"
@@ -113,6 +114,11 @@
   void UpdateGauges();
   void ScheduleTick();
   void ContinueShutdown();
+  /// When the requests in progress need to have been answered during a
+  /// shutdown.
+  MonotonicTime AnswersDue() const;
+  /// Ends the requests that can't be completed before the exit with an answer.
+  void EndRequests();
   /// Logs the caller connections and requests at a step of the shutdown.
   void LogConnections(const char* event);
   void CheckForProcessPause();
@@ -134,6 +140,7 @@
   std::unique_ptr<PeerGossip> m_gossip;
   Dispatcher m_dispatcher;
   StartupGate m_startup_gate;
+  ShutdownNotice m_shutdown_notice;
   StreamOriginDirectory m_stream_origins;
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -12,6 +12,7 @@
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/job_runner.h"
 #include "Gateway/problem_response.h"
+#include "Gateway/shutdown_notice.h"
 #include "Jobs/job_documents.h"
 #include "Net/http_exchange.h"
 #include "Net/json_response.h"
@@ -195,7 +196,8 @@
                                         .detail = error.message,
                                         .not_run = true});
     }
-    if (MonotonicClock::now() + kSubmitRetryInterval >= give_up) {
+    if (MonotonicClock::now() + kSubmitRetryInterval >=
+        m_gateway.shutdown_notice.Limit(give_up)) {
       co_return NotAcceptedResponse(in_doubt, error);
     }
     co_await SleepFor(kSubmitRetryInterval);
@@ -357,7 +359,8 @@
       }
       results = &reader->log.results();
     }
-    const bool has_time = MonotonicClock::now() + kResultPollInterval < until;
+    const bool has_time = MonotonicClock::now() + kResultPollInterval <
+                          m_gateway.shutdown_notice.Limit(until);
     const JobRecord* known = m_scheduler.Find(record.key);
     const bool ended = known != nullptr && known->status.ended;
     if (results->size() > from || all_results_read || ended || !has_time) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -11,6 +11,7 @@
 #include "Gateway/problem_response.h"
 #include "Gateway/prompt_trial.h"
 #include "Gateway/response_classification.h"
+#include "Gateway/shutdown_notice.h"
 #include "Gateway/stream_end.h"
 #include "Gateway/stream_origin_directory.h"
 #include "Net/http_exchange.h"
@@ -63,7 +64,13 @@
 RelaySession::~RelaySession() = default;
 
 Duration RelaySession::RemainingTime() const {
-  return m_deadline - MonotonicClock::now();
+  return m_gateway.shutdown_notice.Limit(m_deadline) - MonotonicClock::now();
+}
+
+// The end of this process does not shorten the time that the caller has.
+Duration RelaySession::RetryDelay() const {
+  return m_gateway.dispatcher.admission_core().RetryDelay(
+      std::max<Duration>(m_deadline - MonotonicClock::now(), Duration::zero()));
 }
 
 Duration RelaySession::ReadTimeout() const {
@@ -131,6 +138,10 @@
 
 awaitable<void> RelaySession::Run() {
   WatchCallerAndDeadline();
+  const auto registration = m_gateway.shutdown_notice.OnExpired([this] {
+    m_last_failure = "this gateway shuts down";
+    Stop();
+  });
   const bool resolved = co_await ResolveStreamVersion();
   if (!resolved && !*m_stopped) {
     m_last_failure = "the version that began the stream is not known";
@@ -145,6 +156,11 @@
     co_return;
   }
   while (!*m_stopped) {
+    if (RemainingTime() <= Duration::zero()) {
+      m_last_failure = "its time is up";
+      Stop();
+      break;
+    }
     m_trial.reset();
     if (IsBlocked() || !MaySendPrompt()) {
       break;
@@ -181,7 +197,9 @@
                       .detail = "Come back after the time in Retry-After: " +
                                 m_last_failure + ".",
                       .not_run = true,
-                      .retry_after = refused->retry_after};
+                      .retry_after = refused->retry_after > Duration::zero()
+                                         ? refused->retry_after
+                                         : RetryDelay()};
       co_await RespondWithProblem(std::move(problem));
       co_return;
     }
@@ -235,9 +253,7 @@
     co_return;
   }
   if (m_in_doubt_attempts == 0) {
-    const Duration retry_after =
-        m_gateway.dispatcher.admission_core().RetryDelay(
-            std::max(RemainingTime(), Duration::zero()));
+    const Duration retry_after = RetryDelay();
     Problem problem{.kind = ProblemKind::kOverloaded,
                     .detail = "The request has not run: " + m_last_failure +
                               ". Send it again.",
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -88,6 +88,8 @@
   bool AdvanceEventSequence(const std::vector<SseEvent>& events);
   bool MayRetry() const;
   Duration RemainingTime() const;
+  /// What this request's caller is told to wait before the next attempt.
+  Duration RetryDelay() const;
   Duration ReadTimeout() const;
   AttemptResult EndAttemptInDoubt(AttemptLease& lease, const std::string& why);
   /// Ends an attempt whose response failed or ended early. Records an aborted
--- /dev/null
+++ b/Source/Gateway/shutdown_notice.cc
@@ -0,0 +1,26 @@
+#include "Gateway/shutdown_notice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslip {
+
+void ShutdownNotice::Expire() {
+  m_expired = true;
+  const auto callbacks = std::exchange(*m_callbacks, {});
+  for (const auto& [number, callback] : callbacks) {
+    callback();
+  }
+}
+
+MonotonicTime ShutdownNotice::Limit(MonotonicTime deadline) const {
+  return m_due.has_value() ? std::min(deadline, *m_due) : deadline;
+}
+
+ShutdownNotice::Registration ShutdownNotice::OnExpired(
+    std::function<void()> callback) {
+  m_callbacks->emplace(++m_last_number, std::move(callback));
+  return Registration(m_callbacks, m_last_number);
+}
+
+}  // namespace cowslip
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -22,37 +22,58 @@
 // cancellation does not reach, so it is cancelled again after this interval.
 constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
 
+// Seconds until the next attempt of a request that a shutdown refuses. Other
+// gateways take it at once.
+constexpr char kRefusalRetryAfter[] = "0.30";
+
 constexpr char kProblemType[] = "application/problem+json";
 
+HttpResponse MakeProblem(int status,
+                         const std::string& type,
+                         const std::string& detail,
+                         bool not_run) {
+  HttpResponse response{.status = status};
+  response.headers.push_back({"Content-Type", kProblemType});
+  response.body = R"({"type":"urn:cowslip:)" + type + R"(","title":")" + type +
+                  R"(","status":)" + std::to_string(status) + R"(,"detail":")" +
+                  detail + R"(.")" + (not_run ? R"(,"not_run":true})" : "}");
+  return response;
+}
+
+// Builds the response to a request that a shutdown ends before it was read.
+HttpResponse ShutdownRefusal() {
+  HttpResponse response = MakeProblem(
+      503, "draining", "Send the request again: this gateway shuts down", true);
+  response.headers.push_back({"Retry-After", kRefusalRetryAfter});
+  return response;
+}
+
 // Builds the response to a request that could not be read. The connection is
 // closed after it.
 HttpResponse ErrorResponseFor(const boost::system::error_code& error,
                               size_t max_body_bytes,
                               size_t max_header_bytes) {
-  HttpResponse response;
-  response.status = 400;
-  std::string type = "malformed-request";
-  std::string detail = "Send a valid HTTP/1.1 request: " + error.message();
   if (error == http::error::body_limit) {
-    response.status = 413;
-    type = "body-too-large";
-    detail =
-        "Send a body of at most " + std::to_string(max_body_bytes) + " bytes";
-  } else if (error == http::error::header_limit) {
-    response.status = 431;
-    type = "header-too-large";
-    detail = "Send header fields of at most " +
-             std::to_string(max_header_bytes) + " bytes in all";
-  } else if (error == beast::error::timeout) {
-    response.status = 408;
-    type = "request-timeout";
-    detail = "Send the whole request sooner";
+    return MakeProblem(
+        413, "body-too-large",
+        "Send a body of at most " + std::to_string(max_body_bytes) + " bytes",
+        true);
   }
-  response.headers.push_back({"Content-Type", kProblemType});
-  response.body = R"({"type":"urn:cowslip:)" + type + R"(","title":")" + type +
-                  R"(","status":)" + std::to_string(response.status) +
-                  R"(,"detail":")" + detail + R"(.","not_run":true})";
-  return response;
+  if (error == http::error::header_limit) {
+    return MakeProblem(431, "header-too-large",
+                       "Send header fields of at most " +
+                           std::to_string(max_header_bytes) + " bytes in all",
+                       true);
+  }
+  if (error == beast::error::timeout) {
+    return MakeProblem(408, "request-timeout", "Send the whole request sooner",
+                       true);
+  }
+  if (error == asio::error::shut_down) {
+    return ShutdownRefusal();
+  }
+  return MakeProblem(400, "malformed-request",
+                     "Send a valid HTTP/1.1 request: " + error.message(), true);
 }
 
 }  // namespace
@@ -106,6 +127,10 @@
   // Ends the wait for the next request. The connection's coroutine closes the
   // connection if no bytes have arrived.
   void EndIdleWait();
+  void RefuseIfUnfinished();
+  // Answers a request that has not got the head of an answer, without waiting.
+  // Returns whether there was one.
+  bool AnswerIfOpen();
   void AddTo(HttpConnectionCounts& counts) const {
     ++counts.open;
     counts.reading += m_phase == Phase::kReading ? 1 : 0;
@@ -132,7 +157,7 @@
 
  private:
   enum class Phase { kIdle, kReading, kHandling };
-  enum class State { kOpen, kStreaming, kFinished, kBroken };
+  enum class State { kOpen, kResponding, kStreaming, kFinished, kBroken };
 
   // Waits for the first bytes of a request. Returns false when the connection
   // must be closed.
@@ -178,6 +203,7 @@
   bool m_keep_alive = true;
   Phase m_phase = Phase::kIdle;
   bool m_read_timed_out = false;
+  bool m_read_refused = false;
   size_t m_body_limit = 0;
   uint64_t m_requests = 0;
 };
@@ -233,6 +259,43 @@
   }
 }
 
+void HttpServer::Impl::Connection::RefuseIfUnfinished() {
+  if (m_phase == Phase::kReading) {
+    m_read_refused = true;
+    CancelReads();
+  }
+}
+
+bool HttpServer::Impl::Connection::AnswerIfOpen() {
+  const bool has_request =
+      (m_phase == Phase::kHandling && m_state == State::kOpen) ||
+      m_phase == Phase::kReading ||
+      (m_phase == Phase::kIdle && HasUnreadBytes());
+  if (!has_request || m_state == State::kBroken) {
+    return false;
+  }
+  const HttpResponse answer =
+      m_phase == Phase::kHandling
+          ? MakeProblem(504, "deadline-passed",
+                        "The request may have run, and this gateway shuts down",
+                        false)
+          : ShutdownRefusal();
+  http::response<http::string_body> message(
+      static_cast<http::status>(answer.status), 11);
+  m_keep_alive = false;
+  SetFields(message, answer.headers);
+  message.body() = answer.body;
+  message.prepare_payload();
+  std::ostringstream bytes;
+  bytes << message;
+  boost::system::error_code ignored;
+  m_stream.socket().non_blocking(true, ignored);
+  m_stream.socket().send(asio::buffer(bytes.str()), 0, ignored);
+  m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  m_state = State::kBroken;
+  return true;
+}
+
 asio::awaitable<bool> HttpServer::Impl::Connection::WaitForRequest() {
   const Duration idle = m_server->m_options.idle_timeout;
   StartTimer(m_server->m_drained ? std::min(idle, kFirstRequestTime) : idle);
@@ -282,7 +345,9 @@
   }
   m_phase = Phase::kHandling;
   if (error) {
-    if (m_read_timed_out && error == asio::error::operation_aborted) {
+    if (m_read_refused && error == asio::error::operation_aborted) {
+      error = asio::error::shut_down;
+    } else if (m_read_timed_out && error == asio::error::operation_aborted) {
       error = beast::error::timeout;
     }
     co_await RejectRequest(error);
@@ -402,6 +467,7 @@
   message.prepare_payload();
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
+  m_state = State::kResponding;
   m_stream.expires_after(m_server->m_options.write_timeout);
   http::response_serializer<http::string_body> serializer(message);
   co_await http::async_write(m_stream, serializer, token);
@@ -570,6 +636,20 @@
   return m_impl->Start();
 }
 
+void HttpServer::RefuseUnfinishedRequests() {
+  for (Impl::Connection* connection : m_impl->m_connections) {
+    connection->RefuseIfUnfinished();
+  }
+}
+
+size_t HttpServer::AnswerOpenRequests() {
+  size_t answers = 0;
+  for (Impl::Connection* connection : m_impl->m_connections) {
+    answers += connection->AnswerIfOpen() ? 1 : 0;
+  }
+  return answers;
+}
+
 void HttpServer::DisableKeepAlive() {
   m_impl->m_draining = true;
 }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -88,6 +88,13 @@
   /// while bytes of a request are unread. The drain is complete when
   /// connections() is 0.
   void Drain();
+  /// Refuses with 503 the requests that are still being read. A read that is
+  /// about to start its next step is missed: call it again until none is left.
+  void RefuseUnfinishedRequests();
+  /// Writes an answer to each request that has none: 504 while its handler
+  /// runs, 503 otherwise. The last call before the process exits; it waits for
+  /// nothing. Returns the number of answers.
+  size_t AnswerOpenRequests();
   /// Disables keep-alive: responses from now on carry `Connection: close`. New
   /// connections are still accepted.
   void DisableKeepAlive();
--- a/Tests/Gateway/shutdown_test.cc
+++ b/Tests/Gateway/shutdown_test.cc
@@ -145,5 +145,102 @@
   }
 }
 
+TEST_CASE("A request that never arrives whole gets 503 before the exit") {
+  StoppingGateway gateway(1, 4s);
+  std::unique_ptr<Client> client;
+  const std::string request =
+      RawRequest("POST", "/safe/x", "a1", std::string(1000, 'x'));
+  gateway.Run([&]() -> awaitable<void> {
+    client = std::make_unique<Client>(gateway.port());
+    client->Send(request.substr(0, request.size() / 2));
+    co_return;
+  });
+  CHECK(client->Status() == "HTTP/1.1 503 Service Unavailable");
+  CHECK_THAT(client->Received(), Catch::Contains("Retry-After: "));
+  CHECK_THAT(client->Received(), Catch::Contains("\"not_run\":true"));
+}
+
+TEST_CASE("A request that waits for a slot gets 503 before the exit") {
+  StoppingGateway gateway(1, 4s);
+  gateway.f.backend(0).behaviour().pause = 20s;
+  std::vector<std::unique_ptr<Client>> clients;
+  gateway.Run([&]() -> awaitable<void> {
+    // More than the backend server has slots.
+    for (size_t i = 0; i < 12; ++i) {
+      clients.push_back(std::make_unique<Client>(gateway.port()));
+      const std::string attempt = "a" + std::to_string(i);
+      clients.back()->Send(RawRequest("POST", "/once/" + attempt, attempt));
+      co_await gateway.f.Sleep(50ms);
+    }
+  });
+  const size_t sent = gateway.f.RequestsAt(0);
+  REQUIRE(sent < clients.size());
+  for (size_t i = sent; i < clients.size(); ++i) {
+    CHECK(clients[i]->Status() == "HTTP/1.1 503 Service Unavailable");
+    CHECK_THAT(clients[i]->Received(), Catch::Contains("Retry-After: "));
+    CHECK_THAT(clients[i]->Received(), Catch::Contains("\"not_run\":true"));
+  }
+}
+
+TEST_CASE("A request that still runs gets 504 before the exit") {
+  StoppingGateway gateway(0, 4s);
+  // A backend server that takes requests and never answers.
+  const tcp::acceptor silent(
+      gateway.f.context,
+      tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  gateway.f.store.Put(
+      "servers", "i-9",
+      {{"service", "s"},
+       {"address",
+        "127.0.0.1:" + std::to_string(silent.local_endpoint().port())},
+       {"zone", "z"},
+       {"version", "v1"},
+       {"slots", 8},
+       {"state", "ready"},
+       {"sequence", 1}});
+  std::unique_ptr<Client> client;
+  gateway.Run([&]() -> awaitable<void> {
+    client = std::make_unique<Client>(gateway.port());
+    client->Send(RawRequest("POST", "/unsafe/x", "a1"));
+    co_await gateway.f.Sleep(50ms);
+  });
+  CHECK(client->Status() == "HTTP/1.1 504 Gateway Timeout");
+  CHECK_THAT(client->Received(), !Catch::Contains("\"not_run\":true"));
+}
+
+TEST_CASE(
+    "A submission that the store refuses gets its answer before the exit") {
+  StoppingGateway gateway(1, 3700ms);
+  std::unique_ptr<Client> client;
+  gateway.Run([&]() -> awaitable<void> {
+    client = std::make_unique<Client>(gateway.port());
+    const HttpRequest job = GatewayFixture::Submission("job1", 1);
+    gateway.At(2400ms, [&gateway, &client, job] {
+      gateway.f.server.SetFault(ServerFault::kBusy);
+      client->Send(RawRequest("POST", "/job/submit", "job1", job.body));
+    });
+    co_return;
+  });
+  CHECK_FALSE(client->Status().empty());
+}
+
+TEST_CASE("A call that waits for results gets an answer before the exit") {
+  StoppingGateway gateway(1, 4s);
+  gateway.f.backend(0).behaviour().pause = 20s;
+  std::unique_ptr<Client> client;
+  gateway.Run([&]() -> awaitable<void> {
+    HttpRequest job = GatewayFixture::Submission("job1", 1);
+    const auto accepted = co_await gateway.f.Send(0, std::move(job));
+    REQUIRE(accepted.has_value());
+    REQUIRE(accepted.value().status == 202);
+    client = std::make_unique<Client>(gateway.port());
+    client->Send(
+        "GET /lots/job1?after=0 HTTP/1.1\r\nHost: h.example\r\n"
+        "Key: key1\r\nAttempt-Id: r1\r\nWait-Ms: 30000\r\n\r\n");
+    co_await gateway.f.Sleep(50ms);
+  });
+  CHECK(client->Status() == "HTTP/1.1 200 OK");
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -28,6 +30,12 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
+awaitable<void> Hang(HttpExchange&) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                  60s);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 class Client {
  public:
   explicit Client(uint16_t port) : m_socket(m_context) {
@@ -67,8 +75,9 @@
 };
 
 struct Server {
-  explicit Server(HttpServerOptions options = {})
-      : http(context, std::move(options), Answer) {
+  explicit Server(HttpServerOptions options = {},
+                  HttpServer::Handler handler = Answer)
+      : http(context, std::move(options), std::move(handler)) {
     REQUIRE(http.Start().has_value());
     context.poll();
   }
@@ -176,6 +185,36 @@
   CHECK(client.Read(server.context) == "HTTP/1.1 408 Request Timeout");
 }
 
+TEST_CASE("A request that a drain refuses while it is read gets 503") {
+  Server server;
+  Client client(server.http.port());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf");
+  server.context.restart();
+  server.context.poll();
+  server.http.Drain();
+  server.http.RefuseUnfinishedRequests();
+  CHECK(client.Read(server.context) == "HTTP/1.1 503 Service Unavailable");
+}
+
+TEST_CASE("Requests without an answer at the exit get one") {
+  Server server({}, Hang);
+  Client running(server.http.port());
+  running.Send(kRequest);
+  Client half(server.http.port());
+  half.Send("GET / HTTP/1.1\r\n");
+  server.context.restart();
+  server.context.poll();
+  Client queued(server.http.port());
+  queued.Send(kRequest);
+  server.http.Drain();
+  CHECK(server.http.AnswerOpenRequests() == 3);
+  boost::asio::io_context none;
+  CHECK(running.Read(none) == "HTTP/1.1 504 Gateway Timeout");
+  CHECK(half.Read(none) == "HTTP/1.1 503 Service Unavailable");
+  CHECK(queued.Read(none) == "HTTP/1.1 503 Service Unavailable");
+  CHECK(server.http.AnswerOpenRequests() == 0);
+}
+
 TEST_CASE("Limits that shrink while a body is read do not refuse it") {
   Server server;
   Client client(server.http.port());
