--- a/Source/Gateway/gateway_metrics.cc
+++ b/Source/Gateway/gateway_metrics.cc
@@ -41,6 +41,12 @@
       "Attempts at backend servers for online requests by outcome.", outcome);
 }
 
+void GatewayMetrics::CountStall(const std::string& outcome) {
+  IncrementCounter("cowslip_stalls_total",
+                   "Silences of backend servers during attempts by outcome.",
+                   outcome);
+}
+
 void GatewayMetrics::CountItemRun(const std::string& outcome) {
   IncrementCounter("cowslip_items_total",
                    "Attempts at backend servers for batch items by outcome.",
--- a/Source/Gateway/gateway_metrics.h
+++ b/Source/Gateway/gateway_metrics.h
@@ -22,6 +22,8 @@
   void CountRequest(const std::string& outcome);
   /// Counts an attempt at a backend server that has ended.
   void CountAttempt(const std::string& outcome);
+  /// Counts a stall of an attempt, by what was done about it.
+  void CountStall(const std::string& outcome);
   /// Counts a run of a batch item that has ended.
   void CountItemRun(const std::string& outcome);
   void RecordFirstByte(Duration after);
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -343,6 +343,9 @@
 RelaySession::AttemptResult RelaySession::HandleResponseError(
     AttemptLease& lease,
     const Error& error) {
+  if (!*m_stopped && error.kind() == ErrorKind::kTimeout) {
+    LogStall(lease, "given_up");
+  }
   // A timeout has many causes. A connection that is closed during the run
   // usually means that the backend server crashed.
   if (!*m_stopped && error.kind() == ErrorKind::kInDoubt) {
@@ -351,6 +354,20 @@
   return EndAttemptInDoubt(lease, error.message);
 }
 
+void RelaySession::LogStall(const AttemptLease& lease, const char* outcome) {
+  m_gateway.metrics.CountStall(outcome);
+  m_gateway.log.Write(
+      "attempt_stalled",
+      {{"id", m_request.caller.attempt.value()},
+       {"backend", lease.backend().value()},
+       {"version", lease.version().value()},
+       {"then", outcome},
+       {"silent_ms", ToMillis(MonotonicClock::now() - m_silent_since)},
+       {"attempts_in_doubt", m_in_doubt_attempts},
+       {"answer_began", m_response != nullptr},
+       {"last_event", m_last_event_id}});
+}
+
 void RelaySession::RecordBrokenRun(const AttemptLease& lease) {
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()}, now);
@@ -455,6 +472,7 @@
   ++m_in_doubt_attempts;
   HttpRequest request = MakeBackendRequest(lease.backend());
   const Duration timeout = ReadTimeout();
+  m_silent_since = m_attempt_start;
   const auto client = lease.client();
   Result<std::unique_ptr<HttpResponseStream>> opened =
       co_await client->Open(std::move(request), timeout, m_abort);
@@ -545,6 +563,7 @@
     AttemptLease& lease) {
   while (true) {
     const Duration timeout = ReadTimeout();
+    m_silent_since = MonotonicClock::now();
     Result<std::optional<std::string>> chunk =
         co_await m_response->ReadSome(timeout);
     if (!chunk.has_value()) {
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -96,6 +96,8 @@
   /// run of the request unless a read timed out or this process stopped the
   /// attempt.
   AttemptResult HandleResponseError(AttemptLease& lease, const Error& error);
+  /// Logs and counts a silence of the backend server that is longer than usual.
+  void LogStall(const AttemptLease& lease, const char* outcome);
   /// Whether the request is held back because it is suspected of crashing
   /// backend servers.
   bool IsBlocked();
@@ -135,6 +137,8 @@
   SseReader m_event_reader;
   MonotonicTime m_attempt_start;
   MonotonicTime m_first_byte_time;
+  // Since when the session waits for data of the backend server.
+  MonotonicTime m_silent_since;
   uint32_t m_attempt_event_count = 0;
 
   std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
