Gateway: a silence of a backend server does not end a stream

Callers of resumable streams got a response cut short, or 502 before the head, when two backend servers in turn sent nothing for 1.2 s, or when one did and no other of its version was left: each silence aborted a sound attempt and counted as one in doubt.

A read of a stream now has no limit but the deadline. StallWatch calls back while a silence lasts, and the request moves only if max_attempts allows another attempt and a slot at another backend server that can go on with the stream has been acquired; the silent attempt is aborted then, before the other request is sent, so at most one is open. A request that is turned away after a move may go back to where it was. A lost connection, also one that TCP keep-alive finds dead, ends an attempt as before.

gateway.silent_backends: 8 of 10 cases failed before (a cut stream or 502), all pass now; the two others guard a hung backend server and the kinds of request that can't be resumed. The stand-in backend server can fall silent.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -192,6 +192,15 @@
   }
 }
 
+std::unique_ptr<AttemptLease> Dispatcher::TryPlaceOnline(
+    const PlacementQuery& query) {
+  const auto backend = m_placement.PlaceOnline(query, MonotonicClock::now());
+  if (!backend.has_value()) {
+    return nullptr;
+  }
+  return std::make_unique<AttemptLease>(*this, *backend, WorkClass::kOnline);
+}
+
 std::unique_ptr<AttemptLease> Dispatcher::PlaceBatch(
     const PlacementQuery& query) {
   const auto backend = m_placement.PlaceBatch(query, MonotonicClock::now());
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -123,6 +123,8 @@
       std::shared_ptr<const bool> cancelled);
   /// Ends the waits of requests that were cancelled meanwhile.
   void EndCancelledWaits();
+  /// Acquires a slot that is free now for an online request; null when none is.
+  std::unique_ptr<AttemptLease> TryPlaceOnline(const PlacementQuery& query);
   /// Acquires a slot for a batch item; null when none is free.
   std::unique_ptr<AttemptLease> PlaceBatch(const PlacementQuery& query);
 
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -28,10 +28,11 @@
 // attempt ends it: each takes a round trip out of the latency target.
 constexpr uint32_t kMaxNotRunAttempts = 3;
 
-// A resumable stream without data for this time is resumed at another backend
-// server. Pauses between events normally stay below half a second; callers give
-// up after two seconds.
-constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
+// A resumable stream without data for the limit moves to another backend server
+// if one has a free slot. Pauses between events normally stay below half a
+// second; callers give up after two seconds.
+constexpr StallWatchOptions kStall{.limit = std::chrono::milliseconds(1200),
+                                   .repeat = std::chrono::milliseconds(200)};
 
 // Retry-After of a request that is held back because it crashes backend
 // servers: the time for which AbortedRunTracker blocks it.
@@ -73,14 +74,12 @@
       std::max<Duration>(m_deadline - MonotonicClock::now(), Duration::zero()));
 }
 
-Duration RelaySession::ReadTimeout() const {
-  const bool may_move = m_request.route->kind == RequestKind::kStreaming &&
-                        m_request.route->resumable && m_can_resume;
-  return may_move ? std::min(RemainingTime(), kStallTimeout) : RemainingTime();
-}
-
 void RelaySession::Stop() {
   *m_stopped = true;
+  AbortAttempt();
+}
+
+void RelaySession::AbortAttempt() {
   if (m_abort != nullptr) {
     m_abort->Abort();
   }
@@ -113,6 +112,49 @@
              std::max<uint32_t>(m_request.route->max_attempts, 1);
 }
 
+bool RelaySession::MayMove() const {
+  return m_request.route->kind == RequestKind::kStreaming &&
+         m_request.route->resumable && m_can_resume && MayRetry();
+}
+
+bool RelaySession::CanGoOnAt(const AttemptLease& lease) const {
+  return (!m_head_sent || m_can_resume) &&
+         (!m_stream_version.has_value() ||
+          *m_stream_version == lease.version());
+}
+
+void RelaySession::HandleStall(const AttemptLease& lease, Duration silent) {
+  // Responses of other kinds may take this long without being stalled.
+  if (*m_stopped || m_next_lease != nullptr ||
+      m_request.route->kind != RequestKind::kStreaming) {
+    return;
+  }
+  if (MayMove() && !m_move_blocked && !IsBlocked()) {
+    m_next_lease = m_gateway.dispatcher.TryPlaceOnline(
+        PlacementQuery{.service = m_request.service,
+                       .shared_prompt = m_request.caller.shared_prompt,
+                       .exclude = m_tried_backends,
+                       .version = m_stream_version});
+  }
+  if (m_next_lease != nullptr && !MaySendPrompt()) {
+    m_next_lease.reset();
+    m_blocked_prompt.reset();
+    m_move_blocked = true;
+  }
+  if (m_next_lease != nullptr) {
+    LogStall(lease, "moved", silent);
+    AbortAttempt();
+  } else if (!m_stall_logged) {
+    m_stall_logged = true;
+    LogStall(lease, "kept", silent);
+  }
+}
+
+bool RelaySession::ReadmitSilentBackend() {
+  const BackendId backend = std::exchange(m_silent_backend, BackendId());
+  return MayRetry() && m_tried_backends.erase(backend) > 0;
+}
+
 awaitable<bool> RelaySession::ResolveStreamVersion() {
   const bool resumes = m_request.route->kind == RequestKind::kStreaming &&
                        m_request.caller.last_event > 0;
@@ -188,6 +230,9 @@
                            {"online", refused->load.online},
                            {"batch", refused->load.batch},
                            {"waiting", m_gateway.dispatcher.waiting_count()}});
+      if (ReadmitSilentBackend()) {
+        continue;
+      }
       if (m_in_doubt_attempts > 0) {
         break;
       }
@@ -203,15 +248,12 @@
       co_await RespondWithProblem(std::move(problem));
       co_return;
     }
-    const auto lease =
-        std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
+    auto lease = std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
     // Backend servers may have crashed while the request waited.
     if (m_trial == nullptr && !MaySendPrompt()) {
       break;
     }
-    const AttemptResult result = co_await RunAttempt(*lease);
-    m_response.reset();
-    m_abort.reset();
+    const AttemptResult result = co_await RunAttempts(std::move(lease));
     if (m_trial != nullptr && result != AttemptResult::kNotRun) {
       m_trial->MarkRun();
     }
@@ -343,8 +385,8 @@
 RelaySession::AttemptResult RelaySession::HandleResponseError(
     AttemptLease& lease,
     const Error& error) {
-  if (!*m_stopped && error.kind() == ErrorKind::kTimeout) {
-    LogStall(lease, "given_up");
+  if (m_next_lease != nullptr) {
+    return EndAttemptInDoubt(lease, "the backend server was silent");
   }
   // A timeout has many causes. A connection that is closed during the run
   // usually means that the backend server crashed.
@@ -354,18 +396,27 @@
   return EndAttemptInDoubt(lease, error.message);
 }
 
-void RelaySession::LogStall(const AttemptLease& lease, const char* outcome) {
+void RelaySession::EndSilence(const AttemptLease& lease, bool went_on) {
+  const std::optional<Duration> silent = m_stall_watch->EndRead();
+  if (silent.has_value() && m_stall_logged && went_on) {
+    LogStall(lease, "went_on", *silent);
+  }
+  m_stall_logged = false;
+}
+
+void RelaySession::LogStall(const AttemptLease& lease,
+                            const char* outcome,
+                            Duration silent) {
   m_gateway.metrics.CountStall(outcome);
-  m_gateway.log.Write(
-      "attempt_stalled",
-      {{"id", m_request.caller.attempt.value()},
-       {"backend", lease.backend().value()},
-       {"version", lease.version().value()},
-       {"then", outcome},
-       {"silent_ms", ToMillis(MonotonicClock::now() - m_silent_since)},
-       {"attempts_in_doubt", m_in_doubt_attempts},
-       {"answer_began", m_response != nullptr},
-       {"last_event", m_last_event_id}});
+  m_gateway.log.Write("attempt_stalled",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"backend", lease.backend().value()},
+                       {"version", lease.version().value()},
+                       {"then", outcome},
+                       {"silent_ms", ToMillis(silent)},
+                       {"attempts_in_doubt", m_in_doubt_attempts},
+                       {"answer_began", m_response != nullptr},
+                       {"last_event", m_last_event_id}});
 }
 
 void RelaySession::RecordBrokenRun(const AttemptLease& lease) {
@@ -459,6 +510,30 @@
   return AttemptResult::kNotRun;
 }
 
+awaitable<RelaySession::AttemptResult> RelaySession::RunAttempts(
+    std::unique_ptr<AttemptLease> lease) {
+  while (true) {
+    m_stall_watch = std::make_unique<StallWatch>(
+        m_gateway.io, kStall, [this, &current = *lease](Duration silent) {
+          HandleStall(current, silent);
+        });
+    const AttemptResult result = co_await RunAttempt(*lease);
+    m_stall_watch.reset();
+    m_response.reset();
+    m_abort.reset();
+    std::unique_ptr<AttemptLease> next = std::move(m_next_lease);
+    const bool has_ended = result == AttemptResult::kCompleted ||
+                           result == AttemptResult::kStopped;
+    // Data that came as the attempt was aborted may have changed where the
+    // request can go on.
+    if (has_ended || next == nullptr || !CanGoOnAt(*next)) {
+      co_return result;
+    }
+    m_silent_backend = lease->backend();
+    lease = std::move(next);
+  }
+}
+
 awaitable<RelaySession::AttemptResult> RelaySession::RunAttempt(
     AttemptLease& lease) {
   m_tried_backends.insert(lease.backend());
@@ -471,11 +546,13 @@
   // Count the attempt as possibly run until it is known not to have run.
   ++m_in_doubt_attempts;
   HttpRequest request = MakeBackendRequest(lease.backend());
-  const Duration timeout = ReadTimeout();
-  m_silent_since = m_attempt_start;
+  m_move_blocked = false;
+  const Duration timeout = RemainingTime();
   const auto client = lease.client();
+  m_stall_watch->BeginRead();
   Result<std::unique_ptr<HttpResponseStream>> opened =
       co_await client->Open(std::move(request), timeout, m_abort);
+  EndSilence(lease, opened.has_value());
   if (!opened.has_value()) {
     const Error& error = opened.error();
     if (error.kind() == ErrorKind::kUnavailable) {
@@ -562,10 +639,11 @@
 awaitable<RelaySession::AttemptResult> RelaySession::RelayBody(
     AttemptLease& lease) {
   while (true) {
-    const Duration timeout = ReadTimeout();
-    m_silent_since = MonotonicClock::now();
+    const Duration timeout = RemainingTime();
+    m_stall_watch->BeginRead();
     Result<std::optional<std::string>> chunk =
         co_await m_response->ReadSome(timeout);
+    EndSilence(lease, chunk.has_value());
     if (!chunk.has_value()) {
       co_return HandleResponseError(lease, chunk.error());
     }
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -14,6 +14,7 @@
 #include "Fleet/caller_request.h"
 #include "Fleet/fleet_configuration.h"
 #include "Gateway/gateway_context.h"
+#include "Gateway/stall_watch.h"
 #include "Net/http_client.h"
 #include "Net/sse_reader.h"
 #include "Placement/crash_suspect_core.h"
@@ -49,6 +50,8 @@
 /// has not run may be sent to another backend server. An idempotent request may
 /// also be retried after a failure, as long as the head was not sent, and a
 /// resumable stream is resumed after the last whole event that the caller has.
+/// A silence of the backend server does not end an attempt: the request moves
+/// only if another backend server has a free slot for it.
 class RelaySession {
  public:
   RelaySession(GatewayContext& gateway,
@@ -74,6 +77,9 @@
   /// Finds the software version that must go on with a stream that the caller
   /// resumes. Returns false when it is not known.
   boost::asio::awaitable<bool> ResolveStreamVersion();
+  /// Runs an attempt, and those to which it moves when it stalls.
+  boost::asio::awaitable<AttemptResult> RunAttempts(
+      std::unique_ptr<AttemptLease> lease);
   boost::asio::awaitable<AttemptResult> RunAttempt(AttemptLease& lease);
   boost::asio::awaitable<AttemptResult> ReadResponse(AttemptLease& lease);
   boost::asio::awaitable<AttemptResult> RelayFailure(AttemptLease& lease);
@@ -90,14 +96,27 @@
   Duration RemainingTime() const;
   /// What this request's caller is told to wait before the next attempt.
   Duration RetryDelay() const;
-  Duration ReadTimeout() const;
+  /// Whether the request may go on elsewhere while an attempt is under way.
+  bool MayMove() const;
+  /// Whether the caller's stream can go on at the backend server.
+  bool CanGoOnAt(const AttemptLease& lease) const;
+  /// Moves a stalled attempt if it may move and there is a slot elsewhere.
+  void HandleStall(const AttemptLease& lease, Duration silent);
+  void AbortAttempt();
+  /// Lets the request go back to a backend server that it left for its silence.
+  /// Returns false when there is none.
+  bool ReadmitSilentBackend();
   AttemptResult EndAttemptInDoubt(AttemptLease& lease, const std::string& why);
   /// Ends an attempt whose response failed or ended early. Records an aborted
-  /// run of the request unless a read timed out or this process stopped the
-  /// attempt.
+  /// run of the request unless a read timed out, the attempt moves or this
+  /// process stopped it.
   AttemptResult HandleResponseError(AttemptLease& lease, const Error& error);
+  /// The read under way has ended, with data or not.
+  void EndSilence(const AttemptLease& lease, bool went_on);
   /// Logs and counts a silence of the backend server that is longer than usual.
-  void LogStall(const AttemptLease& lease, const char* outcome);
+  void LogStall(const AttemptLease& lease,
+                const char* outcome,
+                Duration silent);
   /// Whether the request is held back because it is suspected of crashing
   /// backend servers.
   bool IsBlocked();
@@ -137,8 +156,12 @@
   SseReader m_event_reader;
   MonotonicTime m_attempt_start;
   MonotonicTime m_first_byte_time;
-  // Since when the session waits for data of the backend server.
-  MonotonicTime m_silent_since;
+  std::unique_ptr<StallWatch> m_stall_watch;
+  bool m_stall_logged = false;
+  // Whether the prompt of the current attempt may not be sent elsewhere.
+  bool m_move_blocked = false;
+  // Where the attempt moves, once it has been aborted for its stall.
+  std::unique_ptr<AttemptLease> m_next_lease;
   uint32_t m_attempt_event_count = 0;
 
   std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
@@ -155,6 +178,8 @@
   uint32_t m_in_doubt_attempts = 0;
   uint32_t m_not_run_attempts = 0;
   std::set<BackendId> m_tried_backends;
+  // The backend server that the request left last for its silence.
+  BackendId m_silent_backend;
   BackendId m_last_backend;
   SoftwareVersion m_last_version;
   std::optional<RunBlocked> m_blocked_prompt;
--- /dev/null
+++ b/Tests/Gateway/silent_backend_test.cc
@@ -0,0 +1,253 @@
+#include <set>
+
+#include "gateway_fixture.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+constexpr uint64_t kEvents = 6;
+
+// A backend server may work on a request that goes on elsewhere for no longer.
+constexpr Duration kMaxOverlap = 400ms;
+
+// Longer than any test.
+constexpr Duration kForGood = 60s;
+
+// Silences before some events, see ModelBehaviour.
+using Silences = std::map<uint64_t, Duration>;
+
+void SetEntryField(GatewayFixture& f,
+                   size_t backend,
+                   const std::string& field,
+                   const std::string& value) {
+  const std::string id = "i-" + std::to_string(backend);
+  nlohmann::json entry = f.store.Find("servers", id)->content;
+  entry[field] = value;
+  f.store.Put("servers", id, entry);
+}
+
+/// \class SilentBackends
+/// \brief A gateway with backend servers that fall silent, and routes whose
+/// timeout is far longer than the silences.
+class SilentBackends : public GatewayFixture {
+ public:
+  SilentBackends(size_t backends, const Silences& silences)
+      : GatewayFixture(backends), m_count(backends) {
+    for (size_t i = 0; i < backends; ++i) {
+      backend(i).behaviour().events = kEvents;
+      backend(i).behaviour().silences = silences;
+    }
+    for (auto& route : configuration["routes"]) {
+      route["timeout_ms"] = 9000;
+    }
+    Publish();
+    AddGateway();
+  }
+
+  static HttpRequest SlowRequest(const std::string& target,
+                                 const std::string& attempt) {
+    HttpRequest request = Request("POST", target, attempt);
+    SetHeader(request.headers, "Deadline-Ms", "9000");
+    return request;
+  }
+
+  // Checks that the caller gets the whole answer.
+  awaitable<void> CheckServed(const std::string& target,
+                              const std::string& attempt) {
+    HttpRequest request = SlowRequest(target, attempt);
+    const auto response = co_await Send(0, std::move(request));
+    INFO(target);
+    if (!response.has_value()) {
+      FAIL_CHECK(response.error().message);
+      co_return;
+    }
+    CHECK(response.value().status == 200);
+    CHECK(response.value().body == ModelServer::Body(attempt, 1, kEvents));
+  }
+
+  // The backend servers that the request reached.
+  std::set<size_t> Asked() {
+    std::set<size_t> asked;
+    for (size_t i = 0; i < m_count; ++i) {
+      if (RequestsAt(i) > 0) {
+        asked.insert(i);
+      }
+    }
+    return asked;
+  }
+
+  // The backend servers that are at work now.
+  std::set<size_t> AtWork() {
+    std::set<size_t> at_work;
+    for (size_t i = 0; i < m_count; ++i) {
+      if (backend(i).active() > 0) {
+        at_work.insert(i);
+      }
+    }
+    return at_work;
+  }
+
+ private:
+  static void SetHeader(HttpHeaders& headers,
+                        const std::string& name,
+                        const std::string& value) {
+    for (HttpHeader& header : headers) {
+      if (header.name == name) {
+        header.value = value;
+      }
+    }
+  }
+
+  const size_t m_count;
+};
+
+TEST_CASE("A stream is whole although each backend server falls silent twice") {
+  const Duration silence = GENERATE(1300ms, 2000ms);
+  SilentBackends f(4, {{2, silence}, {4, silence}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.Asked().size() <= 2);
+  });
+}
+
+TEST_CASE("A stream is whole although its version was replaced meanwhile") {
+  SilentBackends f(2, {{2, 1300ms}, {4, 1300ms}});
+  SetEntryField(f, 0, "version", "v1");
+  SetEntryField(f, 1, "version", "v2");
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.Asked().size() == 1);
+  });
+}
+
+TEST_CASE("A stream is whole although its version is replaced in a silence") {
+  SilentBackends f(3, {{2, 2000ms}, {4, 1300ms}});
+  SetEntryField(f, 2, "version", "v2");
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          co_await f.Sleep(600ms);
+          SetEntryField(f, 0, "state", "draining");
+          SetEntryField(f, 1, "state", "draining");
+        },
+        boost::asio::detached);
+    for (const char* attempt : {"a"}) {
+      co_await f.CheckServed("/stream/x", attempt);
+    }
+  });
+}
+
+TEST_CASE("A stream is served although each backend server is silent first") {
+  const Duration silence = GENERATE(1300ms, 2000ms);
+  SilentBackends f(4, {{0, silence}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.Asked().size() <= 2);
+  });
+}
+
+TEST_CASE("A stream at the only backend server goes on after its silences") {
+  SilentBackends f(1, {{0, 1300ms}, {2, 1300ms}, {4, 1300ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.RequestsAt(0) == 1);
+  });
+}
+
+TEST_CASE("A backend server that hangs for good is left for another one") {
+  const uint64_t hangs_before = GENERATE(0, 3);
+  SilentBackends f(2, {});
+  f.backend(0).behaviour().silences = {{hangs_before, kForGood}};
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    for (int i = 0; i < 4; ++i) {
+      const MonotonicTime began = MonotonicClock::now();
+      const std::string attempt = "a" + std::to_string(i);
+      co_await f.CheckServed("/stream/x", attempt);
+      CHECK(MonotonicClock::now() - began < 2s);
+      co_await f.Sleep(kMaxOverlap);
+      CHECK(f.AtWork().empty());
+    }
+  });
+}
+
+TEST_CASE("A stream that moves does not leave its first run at work") {
+  SilentBackends f(3, {{2, 2000ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    size_t most = 0;
+    bool done = false;
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          Duration overlap{0};
+          while (!done) {
+            co_await f.Sleep(10ms);
+            overlap = f.AtWork().size() > 1 ? overlap + 10ms : 0ms;
+            most = std::max(most, static_cast<size_t>(ToMillis(overlap)));
+          }
+        },
+        boost::asio::detached);
+    co_await f.CheckServed("/stream/x", "a");
+    done = true;
+    co_await f.Sleep(20ms);
+    CHECK(most < static_cast<size_t>(ToMillis(kMaxOverlap)));
+  });
+}
+
+TEST_CASE("A stream whose move is turned away goes on where it was") {
+  SilentBackends f(2, {{2, 1300ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          co_await f.Sleep(600ms);
+          for (size_t i = 0; i < 2; ++i) {
+            if (!f.Asked().contains(i)) {
+              f.backend(i).behaviour().turn_away = 100;
+            }
+          }
+        },
+        boost::asio::detached);
+    co_await f.CheckServed("/stream/x", "a");
+  });
+}
+
+TEST_CASE("A stream is whole although its gateway stops during a silence") {
+  SilentBackends f(2, {{2, 1300ms}, {4, 1300ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          co_await f.Sleep(300ms);
+          f.gateway(0).Shutdown();
+        },
+        boost::asio::detached);
+    co_await f.CheckServed("/stream/x", "a");
+  });
+}
+
+TEST_CASE("Requests that can't be resumed wait for silent backend servers") {
+  SilentBackends f(2, {{0, 1300ms}, {2, 2600ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    for (const std::string kind : {"once", "safe", "unsafe"}) {
+      co_await f.CheckServed("/" + kind + "/x", kind);
+    }
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) == 3);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -109,10 +109,25 @@
   co_return false;
 }
 
+awaitable<void> ModelServer::FallSilent(HttpExchange& exchange,
+                                        uint64_t number) {
+  const auto found = m_behaviour.silences.find(number);
+  if (found == m_behaviour.silences.end()) {
+    co_return;
+  }
+  boost::asio::steady_timer timer(m_context, found->second);
+  exchange.OnClientDisconnected([&timer] { timer.cancel(); });
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  exchange.OnClientDisconnected(nullptr);
+}
+
 awaitable<void> ModelServer::StreamEvents(HttpExchange& exchange,
                                           std::string attempt) {
   const bool other = Take(m_behaviour.wrong_ids);
   const bool breaks = m_behaviour.break_after > 0 && Take(m_behaviour.breaks);
+  co_await FallSilent(exchange, 0);
   HttpHeaders headers = Headers(other ? "another" : attempt);
   (void)co_await exchange.StartStream(200, std::move(headers));
   const std::string resumed =
@@ -125,6 +140,7 @@
       exchange.Abort();
       co_return;
     }
+    co_await FallSilent(exchange, number);
     std::string event = Event(attempt, number);
     const Result<void> written = co_await exchange.WriteChunk(std::move(event));
     if (!written.has_value()) {
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -34,6 +34,9 @@
   int unsigned_answers = 0;
   /// Closes the connection before any answer.
   int silent_closes = 0;
+  /// How long it falls silent before the event of this number; 0 is the head of
+  /// an answer.
+  std::map<uint64_t, Duration> silences;
   /// Says in every answer that it leaves.
   bool leaving = false;
   /// The requests per second that it names as its limit in every answer; 0 for
@@ -66,6 +69,9 @@
   boost::asio::awaitable<bool> Misbehave(HttpExchange& exchange);
   boost::asio::awaitable<void> StreamEvents(HttpExchange& exchange,
                                             std::string attempt);
+  /// Waits if ModelBehaviour::silences says so, until the client leaves.
+  boost::asio::awaitable<void> FallSilent(HttpExchange& exchange,
+                                          uint64_t number);
   HttpHeaders Headers(const std::string& attempt);
 
   const std::string m_id;
