Placement: relay what blocks a request as long as it counts

Callers saw that a request which three backend servers in a row had broken off was sent again by a gateway that started more than 5 s after the third: aborted runs were reported for 5 s only, by the gateway that had seen them. A completed run cleared the count only at its own gateway, and the next report of another one brought the count back.

What blocks a request is now relayed as long as it counts. A relayed count names the process that has seen the runs, with its incarnation, and its age: counts are kept by observer, so none is added twice, and a count that is heard again keeps its earlier time, so the block ends 10 minutes after the last run however often it is relayed. A completed run is reported as well and ends the block everywhere; whoever completed it answers stale reports with it. Bounds: two processes on average relay in one round of reports, whatever the size of the fleet, at most 8 requests each, about 2 kB, and only counts up to the threshold. Expired records are removed once a second.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -61,6 +61,10 @@
       m_quota(QuotaOptions{.failure_detection_time =
                                PeerTableOptions{}.silent_after}),
       m_peer_table(PeerTableOptions{.self = m_settings.vm}),
+      m_aborted_runs(
+          AbortedRunTrackerOptions{.self = m_settings.vm,
+                                   .incarnation = m_options.incarnation},
+          &m_peer_table),
       m_crash_suspects(CrashSuspectOptions{.self = m_settings.vm},
                        m_peer_table),
       m_backend_directory(BackendDirectoryOptions{}),
@@ -249,7 +253,11 @@
                                    message.uptime, message.usage},
                  now);
   m_aborted_runs.Handle(
-      PeerAbortedRunsReported{message.vm, message.aborted_runs}, now);
+      PeerAbortedRunsReported{.vm = message.vm,
+                              .runs = message.aborted_runs,
+                              .incarnation = message.incarnation,
+                              .completed = message.completed_requests},
+      now);
   m_crash_suspects.Handle(
       PeerCrashEvidenceReported{message.vm, message.crash_evidence}, now);
   m_dispatcher.HandleEvent(PeerInFlightReported{message.vm, message.in_flight});
@@ -277,6 +285,8 @@
       .usage = m_quota.Usage(),
       .in_flight = m_dispatcher.placement_core().InFlight(),
       .aborted_runs = m_aborted_runs.RunsToReport(MonotonicClock::now()),
+      .completed_requests =
+          m_aborted_runs.CompletionsToReport(MonotonicClock::now()),
       .crash_evidence =
           m_crash_suspects.EvidenceToReport(MonotonicClock::now()),
       .backend_limits =
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -132,8 +132,8 @@
   RelayedStore m_store;
   std::mt19937_64 m_random;
   QuotaCore m_quota;
-  AbortedRunTracker m_aborted_runs{AbortedRunTrackerOptions{}};
   PeerTable m_peer_table;
+  AbortedRunTracker m_aborted_runs;
   CrashSuspectCore m_crash_suspects;
   std::map<VmId, PeerRecord> m_peer_records;
   BackendDirectory m_backend_directory;
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -40,6 +40,32 @@
   return crash;
 }
 
+// The observer follows unless it is the sender.
+json EncodeAbortedRuns(const std::vector<AbortedRuns>& aborted_runs) {
+  json encoded = json::array();
+  for (const AbortedRuns& runs : aborted_runs) {
+    json entry = {runs.fingerprint.value(), runs.count, ToMillis(runs.age)};
+    if (!runs.vm.empty()) {
+      entry.push_back(runs.vm.value());
+      entry.push_back(runs.incarnation.value());
+    }
+    encoded.push_back(std::move(entry));
+  }
+  return encoded;
+}
+
+AbortedRuns ReadAbortedRuns(const json& fields) {
+  AbortedRuns runs{
+      .fingerprint = fields.at(0).get<Fingerprint>(),
+      .count = fields.at(1).get<uint32_t>(),
+      .age = std::chrono::milliseconds(fields.at(2).get<uint32_t>())};
+  if (fields.size() > 3) {
+    runs.vm = fields.at(3).get<VmId>();
+    runs.incarnation = Incarnation(fields.at(4).get<uint64_t>());
+  }
+  return runs;
+}
+
 json EncodeLimits(const std::vector<BackendLimit>& limits) {
   json encoded = json::array();
   for (const BackendLimit& limit : limits) {
@@ -84,8 +110,7 @@
                                  use.at(2).get<uint32_t>()});
   }
   for (const json& runs : fields.at(11)) {
-    message.aborted_runs.push_back({Fingerprint(runs.at(0).get<std::string>()),
-                                    runs.at(1).get<uint32_t>()});
+    message.aborted_runs.push_back(ReadAbortedRuns(runs));
   }
   for (const json& crash : fields.at(12)) {
     message.crash_evidence.crashes.push_back(ReadCrash(crash));
@@ -102,6 +127,11 @@
   for (const json& part : fields.at(15)) {
     message.crash_evidence.held_back.push_back(part.get<PromptPartId>());
   }
+  for (const json& completed : fields.at(16)) {
+    message.completed_requests.push_back(
+        {completed.at(0).get<Fingerprint>(),
+         std::chrono::milliseconds(completed.at(1).get<uint32_t>())});
+  }
   return message;
 }
 
@@ -116,10 +146,6 @@
   for (const BackendUse& use : message.in_flight) {
     in_flight.push_back({use.backend.value(), use.online, use.batch});
   }
-  json aborted_runs = json::array();
-  for (const AbortedRuns& runs : message.aborted_runs) {
-    aborted_runs.push_back({runs.fingerprint.value(), runs.count});
-  }
   json cleared = json::array();
   for (const ClearedPart& part : message.crash_evidence.cleared) {
     cleared.push_back({part.part.value(), ToMillis(part.age), part.events});
@@ -128,14 +154,20 @@
   for (const PromptPartId& part : message.crash_evidence.held_back) {
     held_back.push_back(part.value());
   }
+  json completed_requests = json::array();
+  for (const CompletedRequest& request : message.completed_requests) {
+    completed_requests.push_back(
+        {request.fingerprint.value(), ToMillis(request.age)});
+  }
   return ToCbor(json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
        message.sequence, ToMillis(message.uptime),
        message.configuration.value(), message.draining, message.reaches_store,
        message.digests, std::move(usage), std::move(in_flight),
-       std::move(aborted_runs), EncodeCrashes(message.crash_evidence.crashes),
-       std::move(cleared), EncodeLimits(message.backend_limits),
-       std::move(held_back)}));
+       EncodeAbortedRuns(message.aborted_runs),
+       EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
+       EncodeLimits(message.backend_limits), std::move(held_back),
+       std::move(completed_requests)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -45,6 +45,19 @@
 struct AbortedRuns {
   Fingerprint fingerprint;
   uint32_t count = 0;
+  /// Time since the last of them.
+  Duration age{0};
+  /// The process that has seen them; empty for the sender.
+  VmId vm{};
+  Incarnation incarnation{};
+};
+
+/// \class CompletedRequest
+/// \brief A request that the sender has run to completion after aborted runs.
+struct CompletedRequest {
+  Fingerprint fingerprint;
+  /// How long ago.
+  Duration age{0};
 };
 
 /// \class PeerMessage
@@ -69,6 +82,7 @@
   std::vector<OrganisationUsage> usage;
   std::vector<BackendUse> in_flight;
   std::vector<AbortedRuns> aborted_runs;
+  std::vector<CompletedRequest> completed_requests;
   CrashEvidence crash_evidence;
   std::vector<BackendLimit> backend_limits;
 };
--- a/Source/Placement/aborted_run_tracker.cc
+++ b/Source/Placement/aborted_run_tracker.cc
@@ -1,63 +1,152 @@
 #include "Placement/aborted_run_tracker.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
+#include "Base/rendezvous.h"
+#include "Peers/peer_table.h"
+
 namespace cowslip {
 
-AbortedRunTracker::AbortedRunTracker(AbortedRunTrackerOptions options)
-    : m_options(options) {}
+namespace {
+
+// How often expired records are removed.
+constexpr Duration kRemovalInterval = std::chrono::seconds(1);
+
+}  // namespace
+
+AbortedRunTracker::AbortedRunTracker(AbortedRunTrackerOptions options,
+                                     const PeerTable* peers)
+    : m_options(std::move(options)), m_peers(peers) {}
 
 void AbortedRunTracker::Handle(const AbortedRunEvent& event,
                                MonotonicTime now) {
+  RemoveExpired(now);
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
-  EvictExcess(now);
+  EvictExcess();
 }
 
 void AbortedRunTracker::Apply(const RunAborted& event, MonotonicTime now) {
   Record& record = m_records[event.fingerprint];
-  ++record.own;
-  record.own_last_abort = now;
+  Observed& own = record.observed[{m_options.self, m_options.incarnation}];
+  ++own.count;
+  own.last = now;
   record.last_abort = now;
 }
 
-void AbortedRunTracker::Apply(const RunCompleted& event, MonotonicTime) {
-  m_records.erase(event.fingerprint);
+void AbortedRunTracker::Apply(const RunCompleted& event, MonotonicTime now) {
+  const auto found = m_records.find(event.fingerprint);
+  if (found == m_records.end()) {
+    return;
+  }
+  Record& record = found->second;
+  if (CountOf(record) > 0) {
+    record.report_completed_until = now + m_options.report_duration;
+  }
+  record.own_completed = now;
+  RecordCompletion(record, now);
 }
 
 void AbortedRunTracker::Apply(const PeerAbortedRunsReported& event,
                               MonotonicTime now) {
   for (const AbortedRuns& runs : event.runs) {
-    Record& record = m_records[runs.fingerprint];
-    uint32_t& known = record.peers[event.vm];
-    if (runs.count > known) {
-      known = runs.count;
-      record.last_abort = now;
+    const Observer observer = runs.vm.empty()
+                                  ? Observer(event.vm, event.incarnation)
+                                  : Observer(runs.vm, runs.incarnation);
+    RecordAbortedRuns(observer, runs, now);
+  }
+  for (const CompletedRequest& completed : event.completed) {
+    const auto found = m_records.find(completed.fingerprint);
+    if (found != m_records.end()) {
+      RecordCompletion(found->second, now - completed.age);
+    }
+  }
+}
+
+void AbortedRunTracker::RecordAbortedRuns(const Observer& observer,
+                                          const AbortedRuns& runs,
+                                          MonotonicTime now) {
+  const bool is_own =
+      observer == Observer(m_options.self, m_options.incarnation);
+  if (is_own || runs.count == 0 || runs.age > m_options.lifetime) {
+    return;
+  }
+  const MonotonicTime last = now - runs.age;
+  Record& record = m_records[runs.fingerprint];
+  Observed& known = record.observed[observer];
+  if (runs.count > known.count) {
+    known.count = runs.count;
+    known.last = last;
+  } else if (runs.count == known.count) {
+    // A relayed report is late by the time that it took.
+    known.last = std::min(known.last, last);
+  }
+  record.last_abort = std::max(record.last_abort, known.last);
+  if (known.last > record.completed) {
+    return;
+  }
+  known.cleared = known.count;
+  if (record.own_completed >= known.last) {
+    // Those that still report the runs have to learn of the completed one.
+    record.report_completed_until = now + m_options.report_duration;
+  }
+}
+
+void AbortedRunTracker::RecordCompletion(Record& record, MonotonicTime time) {
+  record.completed = std::max(record.completed, time);
+  for (auto& [observer, observed] : record.observed) {
+    if (observed.last <= record.completed) {
+      observed.cleared = observed.count;
     }
   }
 }
 
+uint32_t AbortedRunTracker::CountOf(const Record& record) {
+  uint32_t count = 0;
+  for (const auto& [observer, observed] : record.observed) {
+    count += observed.count - observed.cleared;
+  }
+  return count;
+}
+
+bool AbortedRunTracker::IsBlocked(const Record& record,
+                                  MonotonicTime now) const {
+  return now - record.last_abort <= m_options.lifetime &&
+         CountOf(record) >= m_options.block_threshold;
+}
+
 bool AbortedRunTracker::IsBlocked(const Fingerprint& fingerprint,
                                   MonotonicTime now) const {
   const auto found = m_records.find(fingerprint);
-  if (found == m_records.end() ||
-      now - found->second.last_abort > m_options.lifetime) {
-    return false;
-  }
-  uint32_t count = found->second.own;
-  for (const auto& [vm, seen] : found->second.peers) {
-    count += seen;
-  }
-  return count >= m_options.block_threshold;
+  return found != m_records.end() && IsBlocked(found->second, now);
+}
+
+bool AbortedRunTracker::IsRelaying(MonotonicTime now) const {
+  const size_t live = m_peers == nullptr ? 1 : m_peers->LiveProcesses().size();
+  const std::string turn = std::to_string(now.time_since_epoch().count());
+  return RendezvousScore(turn, m_options.self.value()) % live <
+         m_options.relaying_processes;
 }
 
 std::vector<AbortedRuns> AbortedRunTracker::RunsToReport(
     MonotonicTime now) const {
+  using Entry = std::pair<MonotonicTime, const Record*>;
+  const Observer self(m_options.self, m_options.incarnation);
   std::vector<std::pair<MonotonicTime, AbortedRuns>> recent;
+  std::vector<std::pair<Entry, Fingerprint>> blocked;
   for (const auto& [fingerprint, record] : m_records) {
-    if (record.own > 0 &&
-        now - record.own_last_abort <= m_options.report_duration) {
-      recent.push_back({record.own_last_abort, {fingerprint, record.own}});
+    if (IsBlocked(record, now)) {
+      blocked.push_back({{record.last_abort, &record}, fingerprint});
+    }
+    const auto own = record.observed.find(self);
+    if (own != record.observed.end() &&
+        own->second.count > own->second.cleared &&
+        now - own->second.last <= m_options.report_duration) {
+      recent.push_back({own->second.last,
+                        {.fingerprint = fingerprint,
+                         .count = own->second.count,
+                         .age = now - own->second.last}});
     }
   }
   std::sort(recent.begin(), recent.end(),
@@ -69,16 +158,56 @@
     }
     reported.push_back(std::move(runs));
   }
+  if (blocked.empty() || !IsRelaying(now)) {
+    return reported;
+  }
+  std::sort(blocked.begin(), blocked.end(), [](const auto& a, const auto& b) {
+    return a.first.first > b.first.first;
+  });
+  blocked.resize(std::min(blocked.size(), m_options.max_relayed));
+  for (const auto& [entry, fingerprint] : blocked) {
+    uint32_t count = 0;
+    for (const auto& [observer, observed] : entry.second->observed) {
+      // More than what blocks the request says nothing new.
+      if (observed.count > observed.cleared &&
+          count < m_options.block_threshold) {
+        count += observed.count - observed.cleared;
+        reported.push_back({.fingerprint = fingerprint,
+                            .count = observed.count,
+                            .age = now - observed.last,
+                            .vm = observer.first,
+                            .incarnation = observer.second});
+      }
+    }
+  }
   return reported;
 }
 
-void AbortedRunTracker::EvictExcess(MonotonicTime now) {
-  if (m_records.size() <= m_options.max_records) {
+std::vector<CompletedRequest> AbortedRunTracker::CompletionsToReport(
+    MonotonicTime now) const {
+  std::vector<CompletedRequest> completed;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (now <= record.report_completed_until &&
+        completed.size() < m_options.max_reported) {
+      completed.push_back({fingerprint, now - record.own_completed});
+    }
+  }
+  return completed;
+}
+
+void AbortedRunTracker::RemoveExpired(MonotonicTime now) {
+  if (now - m_last_removal < kRemovalInterval) {
     return;
   }
-  std::erase_if(m_records, [&](const auto& record) {
-    return now - record.second.last_abort > m_options.lifetime;
+  m_last_removal = now;
+  std::erase_if(m_records, [&](const auto& entry) {
+    const Record& record = entry.second;
+    const MonotonicTime last = std::max(record.last_abort, record.completed);
+    return now - last > m_options.lifetime;
   });
+}
+
+void AbortedRunTracker::EvictExcess() {
   while (m_records.size() > m_options.max_records) {
     const auto oldest = std::min_element(
         m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
--- a/Source/Placement/aborted_run_tracker.h
+++ b/Source/Placement/aborted_run_tracker.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -15,9 +16,14 @@
 
 namespace cowslip {
 
+class PeerTable;
+
 /// \class AbortedRunTrackerOptions
 /// \brief When a request is blocked because runs of it were aborted.
 struct AbortedRunTrackerOptions {
+  /// This process.
+  VmId self;
+  Incarnation incarnation{};
   /// Aborted runs of one request, summed over all processes, after which it is
   /// not sent again. A harmless request reaches this number in a row only while
   /// most backend servers fail.
@@ -26,12 +32,19 @@
   /// request, shorter than it takes to repair a backend server that failed on
   /// it.
   Duration lifetime = std::chrono::minutes(10);
-  /// How long an aborted run is reported to the other processes. Reports are
-  /// repeated, so lost datagrams are made up for within a fraction of this.
+  /// How long a process reports the aborted and completed runs that it has
+  /// seen. Reports are repeated, so lost datagrams are made up for within a
+  /// fraction of this.
   Duration report_duration = std::chrono::seconds(5);
   /// Maximum number of requests per report, the newest first: about 3 kB of a
-  /// datagram.
+  /// datagram. The same number of completed requests.
   size_t max_reported = 64;
+  /// How many processes relay what blocks requests in one round of reports, on
+  /// average, however many there are.
+  uint32_t relaying_processes = 2;
+  /// Maximum number of blocked requests that are relayed, the newest first:
+  /// about 2 kB of a datagram.
+  size_t max_relayed = 8;
   /// Maximum number of tracked requests; the oldest are evicted first.
   size_t max_records = 4000;
 };
@@ -45,10 +58,12 @@
 struct RunCompleted {
   Fingerprint fingerprint;
 };
-/// Another process reported the aborted runs that it has observed.
+/// Another process reported aborted and completed runs.
 struct PeerAbortedRunsReported {
   VmId vm;
   std::vector<AbortedRuns> runs;
+  Incarnation incarnation{};
+  std::vector<CompletedRequest> completed{};
 };
 using AbortedRunEvent =
     std::variant<RunAborted, RunCompleted, PeerAbortedRunsReported>;
@@ -58,37 +73,68 @@
 /// when callers keep retrying such a request through any VM.
 ///
 /// Each process counts the aborted runs that it observes and reports them to
-/// the other processes, so that the count covers the fleet. A request that
-/// caused a crash cannot be distinguished from those that ran at the same time,
-/// so only consecutive aborted runs without a completed one in between count.
+/// the other processes, so that the count covers the fleet. What blocks a
+/// request is relayed as long as it counts, so that a process that starts
+/// learns it. Counts are kept by the process that has observed the runs, so
+/// none is added twice. A request that caused a crash cannot be distinguished
+/// from those that ran at the same time, so only consecutive aborted runs
+/// without a completed one in between count.
 class AbortedRunTracker {
  public:
-  explicit AbortedRunTracker(AbortedRunTrackerOptions options);
+  /// Without `peers`, this process takes itself to be the only one.
+  explicit AbortedRunTracker(AbortedRunTrackerOptions options,
+                             const PeerTable* peers = nullptr);
 
   void Handle(const AbortedRunEvent& event, MonotonicTime now);
 
   bool empty() const { return m_records.empty(); }
   /// Whether too many runs of the request were aborted for it to be sent again.
   bool IsBlocked(const Fingerprint& fingerprint, MonotonicTime now) const;
-  /// The recently aborted runs to report to the other processes.
+  /// The aborted runs to report to the other processes: those that this process
+  /// has observed lately, and in its turn those that block a request.
   std::vector<AbortedRuns> RunsToReport(MonotonicTime now) const;
+  /// The requests with aborted runs that this process has run to completion
+  /// lately.
+  std::vector<CompletedRequest> CompletionsToReport(MonotonicTime now) const;
 
  private:
+  /// A process that observes runs.
+  using Observer = std::pair<VmId, Incarnation>;
+  /// The aborted runs that one process has observed.
+  struct Observed {
+    uint32_t count = 0;
+    /// How many of them came before a completed run.
+    uint32_t cleared = 0;
+    MonotonicTime last;
+  };
   struct Record {
-    uint32_t own = 0;
-    std::map<VmId, uint32_t> peers;
-    // When this process, and when any process, last recorded an aborted run.
-    MonotonicTime own_last_abort;
+    std::map<Observer, Observed> observed;
     MonotonicTime last_abort;
+    /// When the last known run was completed.
+    MonotonicTime completed;
+    /// When this process last completed a run, and until when it reports that.
+    MonotonicTime own_completed;
+    MonotonicTime report_completed_until;
   };
 
   void Apply(const RunAborted& event, MonotonicTime now);
   void Apply(const RunCompleted& event, MonotonicTime now);
   void Apply(const PeerAbortedRunsReported& event, MonotonicTime now);
-  void EvictExcess(MonotonicTime now);
+  void RecordAbortedRuns(const Observer& observer,
+                         const AbortedRuns& runs,
+                         MonotonicTime now);
+  static void RecordCompletion(Record& record, MonotonicTime time);
+  static uint32_t CountOf(const Record& record);
+  bool IsBlocked(const Record& record, MonotonicTime now) const;
+  /// Whether it is this process's turn to relay.
+  bool IsRelaying(MonotonicTime now) const;
+  void RemoveExpired(MonotonicTime now);
+  void EvictExcess();
 
   const AbortedRunTrackerOptions m_options;
+  const PeerTable* const m_peers;
   std::map<Fingerprint, Record> m_records;
+  MonotonicTime m_last_removal;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -525,5 +525,33 @@
   });
 }
 
+TEST_CASE(
+    "A request that crashes backend servers is blocked at a gateway that "
+    "starts later") {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    ForEachBackend(f, [](ModelBehaviour& b) { b.silent_closes = 100; });
+    for (int i = 0; i < 3; ++i) {
+      const std::string id = "a" + std::to_string(i);
+      HttpRequest request = f.Request("POST", "/unsafe/x", id, "poison");
+      (void)co_await f.Send(i % 2, std::move(request));
+      // The gateways hear of it before the next one.
+      co_await f.Sleep(400ms);
+    }
+    co_await f.Sleep(8s);
+    const size_t later = f.AddGateway();
+    co_await f.WaitUntilReady();
+    co_await f.Sleep(2s);
+    HttpRequest request = f.Request("POST", "/unsafe/x", "a9", "poison");
+    const auto response = co_await f.Send(later, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 503);
+    CHECK(TotalRequests(f) == 3);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -114,7 +114,13 @@
       message.in_flight.push_back(
           {BackendId(std::to_string(count)), count, count / 2});
       message.aborted_runs.push_back(
-          {Fingerprint(std::to_string(count)), count});
+          {.fingerprint = Fingerprint(std::to_string(count)),
+           .count = count,
+           .age = std::chrono::milliseconds(count),
+           .vm = VmId(count % 2 == 0 ? "" : "other"),
+           .incarnation = Incarnation(count % 2)});
+      message.completed_requests.push_back({Fingerprint(std::to_string(count)),
+                                            std::chrono::milliseconds(count)});
       message.crash_evidence.crashes.push_back(
           {.backend = BackendId(std::to_string(count)),
            .started_at_ms = count,
@@ -141,6 +147,15 @@
     RC_ASSERT(decoded.value().usage.size() == counts.size());
     RC_ASSERT(decoded.value().in_flight.size() == counts.size());
     RC_ASSERT(decoded.value().aborted_runs.size() == counts.size());
+    RC_ASSERT(decoded.value().completed_requests.size() == counts.size());
+    for (size_t i = 0; i < counts.size(); ++i) {
+      const AbortedRuns& sent = message.aborted_runs[i];
+      const AbortedRuns& runs = decoded.value().aborted_runs[i];
+      RC_ASSERT(runs.count == sent.count);
+      RC_ASSERT(runs.age == sent.age);
+      RC_ASSERT(runs.vm == sent.vm);
+      RC_ASSERT(runs.incarnation == sent.incarnation);
+    }
     const CrashEvidence& evidence = decoded.value().crash_evidence;
     RC_ASSERT(evidence.crashes.size() == counts.size());
     RC_ASSERT(evidence.cleared.size() == counts.size());
