Net: judge a request on an idle connection by the header limit in force

A caller whose connection was idle when a configuration raised max_header_bytes got 431 for its next request, however long after the change: the parser took its limit when the server began to wait for the request, not when the request came. It takes it now with the first byte, as it did for the limit on the body and the time for reading.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -317,8 +317,6 @@
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   http::request_parser<http::string_body> parser;
-  parser.header_limit(
-      static_cast<uint32_t>(m_server->m_options.max_header_bytes));
   if (m_buffer.size() == 0) {
     const bool arrived = co_await WaitForRequest();
     if (!arrived) {
@@ -328,6 +326,8 @@
   m_phase = Phase::kReading;
   StartTimer(m_server->m_options.read_timeout);
   tcp::socket& socket = m_stream.socket();
+  parser.header_limit(
+      static_cast<uint32_t>(m_server->m_options.max_header_bytes));
   // ApplyRequestHead sets the limit on the body, which depends on the head.
   parser.body_limit(std::numeric_limits<uint64_t>::max());
   co_await http::async_read_header(socket, m_buffer, parser, token);
