Placement: try a blocked request again, three times in the whole fleet

A caller whose sound request broke off at three backend servers that crashed in a row, for reasons of their own, got 503 for the next 10 minutes at every gateway: what is blocked isn't sent, so no run could clear it. Retry-After said 10 minutes.

A blocked request is now tried 2 s after the last run that broke off, 8 s after that trial and 32 s after the next, then no more until the block ends. A trial counts as an aborted run from its start, and the counts of all processes are added up, so there are three trials in the fleet however they end. Processes take turns in the order of rendezvous hashing, 2 s apart, as CrashSuspectCore does, so they hear of each other's trials. A run that is completed ends the block everywhere. That keeps to three sends after the third crash. A trial that the backend server rejects without running it is spent as well. Retry-After names the time until the next trial; held-back requests and trials are logged (request_blocked, blocked_request_tried).

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -34,11 +34,6 @@
 constexpr StallWatchOptions kStall{.limit = std::chrono::milliseconds(1200),
                                    .repeat = std::chrono::milliseconds(200)};
 
-// Retry-After of a request that is held back because it crashes backend
-// servers: the time for which AbortedRunTracker blocks it.
-constexpr Duration kBlockedRequestRetryAfter =
-    AbortedRunTrackerOptions{}.lifetime;
-
 // The largest body of an unsuccessful response that is passed on.
 constexpr size_t kMaxFailureBytes = 1 << 20;
 
@@ -204,7 +199,7 @@
       break;
     }
     m_trial.reset();
-    if (IsBlocked() || !MaySendPrompt()) {
+    if (!MaySendRequest() || !MaySendPrompt()) {
       break;
     }
     OnlinePlacementRequest placement{
@@ -250,7 +245,7 @@
     }
     auto lease = std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
     // Backend servers may have crashed while the request waited.
-    if (m_trial == nullptr && !MaySendPrompt()) {
+    if ((m_trial == nullptr && !MaySendPrompt()) || !BeginTrial()) {
       break;
     }
     const AttemptResult result = co_await RunAttempts(std::move(lease));
@@ -289,7 +284,7 @@
     co_return;
   }
   if (m_in_doubt_attempts == 0 &&
-      (m_blocked_prompt.has_value() || IsBlocked())) {
+      (m_blocked_prompt.has_value() || m_blocked_for.has_value())) {
     Problem problem = BlockedProblem();
     co_await RespondWithProblem(std::move(problem));
     co_return;
@@ -317,9 +312,10 @@
   Problem problem{.kind = ProblemKind::kHeldBack,
                   .detail =
                       "Backend servers broke off whenever they ran this "
-                      "request. Change it before sending it again.",
+                      "request. Change it, or come back after the time in "
+                      "Retry-After.",
                   .not_run = true,
-                  .retry_after = kBlockedRequestRetryAfter};
+                  .retry_after = m_blocked_for.value_or(Duration::zero())};
   if (m_blocked_prompt.has_value()) {
     problem.detail =
         "Backend servers crashed whenever they ran requests with "
@@ -421,7 +417,9 @@
 
 void RelaySession::RecordBrokenRun(const AttemptLease& lease) {
   const MonotonicTime now = MonotonicClock::now();
-  m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()}, now);
+  if (!m_is_request_trial) {
+    m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()}, now);
+  }
   m_gateway.crash_suspects.Handle(
       RunBrokenOff{.backend = lease.backend(),
                    .started_at_ms = lease.started_at_ms(),
@@ -491,6 +489,43 @@
                                           MonotonicClock::now());
 }
 
+bool RelaySession::MaySendRequest() {
+  m_blocked_for.reset();
+  m_is_request_trial = false;
+  if (m_gateway.aborted_runs.empty()) {
+    return true;
+  }
+  const std::optional<Duration> wait = m_gateway.aborted_runs.TimeUntilTrial(
+      RequestFingerprint(), MonotonicClock::now());
+  if (!wait.has_value()) {
+    return true;
+  }
+  if (*wait == Duration::zero()) {
+    m_is_request_trial = true;
+    return true;
+  }
+  m_blocked_for = wait;
+  m_gateway.log.Write("request_blocked",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"retry_after_ms", ToMillis(*wait)}});
+  return false;
+}
+
+bool RelaySession::BeginTrial() {
+  // Backend servers may have crashed while the request waited.
+  if (!MaySendRequest()) {
+    return false;
+  }
+  if (m_is_request_trial) {
+    m_gateway.aborted_runs.Handle(TrialBegun{RequestFingerprint()},
+                                  MonotonicClock::now());
+    m_gateway.reported_state_changed();
+    m_gateway.log.Write("blocked_request_tried",
+                        {{"id", m_request.caller.attempt.value()}});
+  }
+  return true;
+}
+
 RelaySession::AttemptResult RelaySession::EndAttemptNotRun(
     AttemptLease& lease,
     AttemptOutcome outcome,
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -117,9 +117,15 @@
   void LogStall(const AttemptLease& lease,
                 const char* outcome,
                 Duration silent);
-  /// Whether the request is held back because it is suspected of crashing
-  /// backend servers.
+  /// Whether the request is suspected of crashing backend servers.
   bool IsBlocked();
+  /// Whether the request may be sent, or is held back because it is suspected
+  /// of crashing backend servers. If it is held back, the time until it may be
+  /// tried is kept in `m_blocked_for`.
+  bool MaySendRequest();
+  /// Counts the next attempt as a trial, if it is one. Returns false when
+  /// another trial has begun in the meantime.
+  bool BeginTrial();
   /// Whether a request with this prompt may be sent. If not, the reason is kept
   /// in `m_blocked_prompt`.
   bool MaySendPrompt();
@@ -183,6 +189,9 @@
   BackendId m_last_backend;
   SoftwareVersion m_last_version;
   std::optional<RunBlocked> m_blocked_prompt;
+  std::optional<Duration> m_blocked_for;
+  // Whether the next attempt tries a request that is blocked.
+  bool m_is_request_trial = false;
   // Set while the next or current attempt tries a prompt that is blocked.
   std::unique_ptr<PromptTrial> m_trial;
   // Computed on first use.
--- a/Source/Placement/aborted_run_tracker.cc
+++ b/Source/Placement/aborted_run_tracker.cc
@@ -28,7 +28,16 @@
 }
 
 void AbortedRunTracker::Apply(const RunAborted& event, MonotonicTime now) {
-  Record& record = m_records[event.fingerprint];
+  RecordOwnRun(event.fingerprint, now);
+}
+
+void AbortedRunTracker::Apply(const TrialBegun& event, MonotonicTime now) {
+  RecordOwnRun(event.fingerprint, now);
+}
+
+void AbortedRunTracker::RecordOwnRun(const Fingerprint& fingerprint,
+                                     MonotonicTime now) {
+  Record& record = m_records[fingerprint];
   Observed& own = record.observed[{m_options.self, m_options.incarnation}];
   ++own.count;
   own.last = now;
@@ -122,6 +131,38 @@
   return found != m_records.end() && IsBlocked(found->second, now);
 }
 
+int64_t AbortedRunTracker::ProcessesBefore(
+    const Fingerprint& fingerprint) const {
+  if (m_peers == nullptr) {
+    return 0;
+  }
+  const std::vector<VmId> live = m_peers->LiveProcesses();
+  const std::vector<VmId> order =
+      RendezvousPick(fingerprint.value(), live, live.size());
+  const auto self = std::find(order.begin(), order.end(), m_options.self);
+  return std::distance(order.begin(), self);
+}
+
+std::optional<Duration> AbortedRunTracker::TimeUntilTrial(
+    const Fingerprint& fingerprint,
+    MonotonicTime now) const {
+  const auto found = m_records.find(fingerprint);
+  if (found == m_records.end() || !IsBlocked(found->second, now)) {
+    return std::nullopt;
+  }
+  const Record& record = found->second;
+  const uint32_t trials = CountOf(record) - m_options.block_threshold;
+  if (trials >= m_options.max_trials) {
+    return record.last_abort + m_options.lifetime - now;
+  }
+  Duration delay = m_options.first_trial_delay;
+  for (uint32_t trial = 0; trial < trials; ++trial) {
+    delay *= m_options.trial_delay_factor;
+  }
+  delay += m_options.trial_stagger * ProcessesBefore(fingerprint);
+  return std::max(record.last_abort + delay - now, Duration::zero());
+}
+
 bool AbortedRunTracker::IsRelaying(MonotonicTime now) const {
   const size_t live = m_peers == nullptr ? 1 : m_peers->LiveProcesses().size();
   const std::string turn = std::to_string(now.time_since_epoch().count());
@@ -168,9 +209,9 @@
   for (const auto& [entry, fingerprint] : blocked) {
     uint32_t count = 0;
     for (const auto& [observer, observed] : entry.second->observed) {
-      // More than what blocks the request says nothing new.
+      // More than what rules out further trials says nothing new.
       if (observed.count > observed.cleared &&
-          count < m_options.block_threshold) {
+          count < m_options.block_threshold + m_options.max_trials) {
         count += observed.count - observed.cleared;
         reported.push_back({.fingerprint = fingerprint,
                             .count = observed.count,
--- a/Source/Placement/aborted_run_tracker.h
+++ b/Source/Placement/aborted_run_tracker.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,6 +33,16 @@
   /// request, shorter than it takes to repair a backend server that failed on
   /// it.
   Duration lifetime = std::chrono::minutes(10);
+  /// After this time a blocked request is tried once, because it may have run
+  /// beside those that crashed the backend servers.
+  Duration first_trial_delay = std::chrono::seconds(2);
+  /// Each trial multiplies that time.
+  uint32_t trial_delay_factor = 4;
+  /// The process that comes next in the order of a request's trials waits this
+  /// much longer, so that it knows of the trial of the one before.
+  Duration trial_stagger = std::chrono::seconds(2);
+  /// Trials of a blocked request at all processes together.
+  uint32_t max_trials = 3;
   /// How long a process reports the aborted and completed runs that it has
   /// seen. Reports are repeated, so lost datagrams are made up for within a
   /// fraction of this.
@@ -43,7 +54,7 @@
   /// average, however many there are.
   uint32_t relaying_processes = 2;
   /// Maximum number of blocked requests that are relayed, the newest first:
-  /// about 2 kB of a datagram.
+  /// about 3 kB of a datagram.
   size_t max_relayed = 8;
   /// Maximum number of tracked requests; the oldest are evicted first.
   size_t max_records = 4000;
@@ -54,6 +65,11 @@
 struct RunAborted {
   Fingerprint fingerprint;
 };
+/// A blocked request is sent to a backend server. The trial counts as an
+/// aborted run until a run is completed, so RunAborted doesn't follow.
+struct TrialBegun {
+  Fingerprint fingerprint;
+};
 /// The request was run to completion.
 struct RunCompleted {
   Fingerprint fingerprint;
@@ -66,7 +82,7 @@
   std::vector<CompletedRequest> completed{};
 };
 using AbortedRunEvent =
-    std::variant<RunAborted, RunCompleted, PeerAbortedRunsReported>;
+    std::variant<RunAborted, TrialBegun, RunCompleted, PeerAbortedRunsReported>;
 
 /// \class AbortedRunTracker
 /// \brief Detects requests that crash the backend servers that run them, also
@@ -78,7 +94,9 @@
 /// learns it. Counts are kept by the process that has observed the runs, so
 /// none is added twice. A request that caused a crash cannot be distinguished
 /// from those that ran at the same time, so only consecutive aborted runs
-/// without a completed one in between count.
+/// without a completed one in between count. A harmless request may reach the
+/// threshold while many backend servers crash, so a blocked one is tried a few
+/// times, at one process after the other.
 class AbortedRunTracker {
  public:
   /// Without `peers`, this process takes itself to be the only one.
@@ -90,6 +108,11 @@
   bool empty() const { return m_records.empty(); }
   /// Whether too many runs of the request were aborted for it to be sent again.
   bool IsBlocked(const Fingerprint& fingerprint, MonotonicTime now) const;
+  /// Time until this process may try the request; zero when a trial is due, the
+  /// time until the block ends when there are no more trials. Nullopt for a
+  /// request that is not blocked.
+  std::optional<Duration> TimeUntilTrial(const Fingerprint& fingerprint,
+                                         MonotonicTime now) const;
   /// The aborted runs to report to the other processes: those that this process
   /// has observed lately, and in its turn those that block a request.
   std::vector<AbortedRuns> RunsToReport(MonotonicTime now) const;
@@ -118,14 +141,18 @@
   };
 
   void Apply(const RunAborted& event, MonotonicTime now);
+  void Apply(const TrialBegun& event, MonotonicTime now);
   void Apply(const RunCompleted& event, MonotonicTime now);
   void Apply(const PeerAbortedRunsReported& event, MonotonicTime now);
+  void RecordOwnRun(const Fingerprint& fingerprint, MonotonicTime now);
   void RecordAbortedRuns(const Observer& observer,
                          const AbortedRuns& runs,
                          MonotonicTime now);
   static void RecordCompletion(Record& record, MonotonicTime time);
   static uint32_t CountOf(const Record& record);
   bool IsBlocked(const Record& record, MonotonicTime now) const;
+  /// How many other processes try the request before this one.
+  int64_t ProcessesBefore(const Fingerprint& fingerprint) const;
   /// Whether it is this process's turn to relay.
   bool IsRelaying(MonotonicTime now) const;
   void RemoveExpired(MonotonicTime now);
--- a/Tests/Placement/aborted_run_report_test.cc
+++ b/Tests/Placement/aborted_run_report_test.cc
@@ -197,5 +197,69 @@
   CHECK(relaying <= 4 * kRounds);
 }
 
+// Whether the process may run the request; begins the trial if it is one.
+bool Try(Process& process, Duration at) {
+  const auto wait = process.tracker.TimeUntilTrial(kRequest, At(at));
+  if (wait == Duration::zero()) {
+    process.tracker.Handle(TrialBegun{kRequest}, At(at));
+  }
+  return wait.value_or(Duration::zero()) == Duration::zero();
+}
+
+TEST_CASE("A request that crashes backend servers is tried three times") {
+  Fleet fleet = MakeFleet(5);
+  for (int i = 0; i < 3; ++i) {
+    fleet[i]->Abort(0s);
+  }
+  Exchange(fleet, 0s);
+  std::vector<Duration> trials;
+  for (Duration at = 0s; at < 9min; at += 250ms) {
+    Exchange(fleet, at, 50ms);
+    // Callers try everywhere at the same time.
+    for (const auto& process : fleet) {
+      if (Try(*process, at + 100ms)) {
+        trials.push_back(at);
+      }
+    }
+  }
+  REQUIRE(trials.size() == 3);
+  CHECK(trials[0] <= 3s);
+  CHECK(trials[1] <= 12s);
+}
+
+TEST_CASE("A sound request is served again after its first trial") {
+  Fleet fleet = MakeFleet(5);
+  for (int i = 0; i < 3; ++i) {
+    fleet[i]->Abort(0s);
+  }
+  Exchange(fleet, 0s);
+  Duration at = 0s;
+  for (bool tried = false; !tried && at < 1min; at += 250ms) {
+    Exchange(fleet, at);
+    for (const auto& process : fleet) {
+      if (!tried && Try(*process, at)) {
+        tried = true;
+        process->Complete(at + 100ms);
+      }
+    }
+  }
+  CHECK(at <= 3s);
+  Exchange(fleet, at);
+  for (const auto& process : fleet) {
+    CHECK_FALSE(process->Blocks(at + 1s));
+  }
+}
+
+TEST_CASE(
+    "After the last trial, callers are told to wait for the block's end") {
+  Process process(0, 1);
+  for (int i = 0; i < 6; ++i) {
+    process.Abort(0s);
+  }
+  const auto wait = process.tracker.TimeUntilTrial(kRequest, At(1min));
+  REQUIRE(wait.has_value());
+  CHECK(*wait == 9min);
+}
+
 }  // namespace
 }  // namespace cowslip
