Jobs: an item whose runs were in doubt waits at most 2.5 s

After five runs in doubt the delay before the next one was 4.8 s, after six 5 s; with a pass and a placement after it, an item that waves of crashes had hit lay longer than that. The delay is bounded by half of the five seconds, which leaves the other half for a change of the owner and for the wait for a slot.

The new case failed before: 4 of its 8 checks.

--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -34,7 +34,9 @@
   /// The delay before an item is run again after a failed run, or after a run
   /// whose outcome is in doubt; it doubles with each run in doubt.
   Duration retry_backoff = std::chrono::milliseconds(300);
-  Duration max_retry_backoff = std::chrono::seconds(5);
+  /// Half of the five seconds that an accepted item may be without a run: a
+  /// change of the owner and the wait for a free slot take time too.
+  Duration max_retry_backoff = std::chrono::milliseconds(2500);
   /// Results are collected for this long before they are written together.
   Duration result_flush_delay = std::chrono::milliseconds(250);
   /// The time that an item typically takes. Jobs with less time left until they
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -326,6 +326,19 @@
   CHECK(f.scheduler.RunnableItems(At(2600ms)).size() == 2);
 }
 
+TEST_CASE("An item is not left lying after many runs in doubt") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  Duration at = 1s;
+  for (int run = 0; run < 8; ++run) {
+    f.RunItem("a", ItemRunOutcome::kInDoubt, at);
+    // An item may be without a run for five seconds. The other half is for a
+    // change of its owner and for a free slot.
+    at += 2500ms;
+    CHECK(f.scheduler.RunnableItems(At(at)).size() == 2);
+  }
+}
+
 TEST_CASE("Items are dead-lettered at the end of their retention, not before") {
   Fixture f;
   f.Open(Record("j", "vm1", 1));
