Gateway: log when the end of a job is known, and what a run rests on

Items of a job reached backend servers seconds after its end was acknowledged. The logs could not tell which gateway knew of the end when, nor which version of the job's record a run rested on, nor that listings took seconds: now they say so (job_end_known, item_run_began, store_listed).

--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -45,6 +45,14 @@
       regained();
     }
   };
+  events.read_ended = [this, name](const StoreReadEnded& read) {
+    if (read.listing) {
+      m_log.Write("store_listed", {{"kind", name},
+                                   {"documents", read.documents},
+                                   {"as_of", read.as_of.value()},
+                                   {"ms", ToMillis(read.took)}});
+    }
+  };
   auto watcher = std::make_shared<DocumentWatcher>(
       m_context.get_executor(), m_store,
       DocumentWatcherOptions{.kind = DocumentKind(name),
@@ -147,7 +155,7 @@
              if (change.removed) {
                m_job_runner.RemoveJob(JobKey(change.document.name.value()));
              } else {
-               m_job_runner.HandleJobDocument(change.document);
+               m_job_runner.HandleJobDocument(change.document, "watch");
              }
            },
        .lost = [this](const Error&) { m_gateway.jobs_are_current = false; },
@@ -156,7 +164,7 @@
 
 void GatewayDaemon::ApplyJobList(const std::vector<Document>& documents) {
   for (const Document& document : documents) {
-    m_job_runner.HandleJobDocument(document);
+    m_job_runner.HandleJobDocument(document, "list");
   }
   m_jobs_known = true;
   MaybeActivateJobs();
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -267,7 +267,7 @@
     co_return Error(ErrorKind::kUnavailable,
                     "The job's record is of another version.");
   }
-  m_job_runner.HandleJobDocument(document.value());
+  m_job_runner.HandleJobDocument(document.value(), "read");
   co_return std::move(*decoded);
 }
 
@@ -458,7 +458,7 @@
     const Result<Document> written =
         co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
     if (written.has_value()) {
-      m_job_runner.HandleJobDocument(written.value());
+      m_job_runner.HandleJobDocument(written.value(), "write");
       co_return HttpResponse{.status = 200};
     }
     if (written.error().kind() == ErrorKind::kUnavailable) {
@@ -471,7 +471,7 @@
           ? NoSuchJobResponse()
           : UnavailableResponse(now.error());
     }
-    m_job_runner.HandleJobDocument(now.value());
+    m_job_runner.HandleJobDocument(now.value(), "read");
     record = co_await FindJob(key);
   }
   co_return UnavailableResponse(
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -92,12 +92,19 @@
   HandleEvent(JobUpdated{std::move(record)});
 }
 
-void JobRunner::HandleJobDocument(const Document& document) {
+void JobRunner::HandleJobDocument(const Document& document,
+                                  const char* source) {
   std::optional<JobRecord> record = DecodeJob(document);
   if (!record.has_value()) {
     m_gateway.log.Write("job_unreadable", {{"job", document.name.value()}});
     return;
   }
+  const JobRecord* known = m_scheduler.Find(record->key);
+  if (record->status.ended && (known == nullptr || !known->status.ended)) {
+    m_gateway.log.Write("job_end_known", {{"job", record->key.value()},
+                                          {"version", record->version.value()},
+                                          {"source", source}});
+  }
   HandleEvent(JobUpdated{std::move(*record)});
 }
 
@@ -455,6 +462,11 @@
         RecordEvents(parts, before, events);
       }});
   m_runs[key] = run;
+  m_gateway.log.Write("item_run_began",
+                      {{"job", key.first.value()},
+                       {"item", key.second.value()},
+                       {"backend", backend.value()},
+                       {"job_version", record->version.value()}});
   const ItemRunOutcome outcome = co_await run->Run(*lease);
   m_runs.erase(key);
   lease.reset();
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -57,8 +57,8 @@
   /// Adds a job that this process has just accepted, with its items.
   void AddAcceptedJob(JobRecord record, std::vector<JobItem> items);
   /// Decodes a job's document that was read or written, and passes the record
-  /// to the scheduler.
-  void HandleJobDocument(const Document& document);
+  /// to the scheduler. `source` is the call that returned it, for the log.
+  void HandleJobDocument(const Document& document, const char* source);
   void RemoveJob(const JobKey& job);
   /// Passes an event to the scheduler and applies the actions it returns.
   void HandleEvent(const JobSchedulerEvent& event);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -40,7 +40,7 @@
       co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
   bool won = claimed.has_value();
   if (won) {
-    HandleJobDocument(claimed.value());
+    HandleJobDocument(claimed.value(), "claim");
   } else {
     m_gateway.log.Write("job_claim_failed", {{"job", job.value()},
                                              {"why", claimed.error().message}});
@@ -48,7 +48,7 @@
     // find out.
     const Result<Document> now = co_await m_store.Get(kind, name);
     if (now.has_value()) {
-      HandleJobDocument(now.value());
+      HandleJobDocument(now.value(), "read");
       const JobRecord* record = m_scheduler.Find(job);
       won = record != nullptr && m_scheduler.Owns(*record);
     }
@@ -62,7 +62,7 @@
   const DocumentName name = JobName(job);
   const Result<Document> document = co_await m_store.Get(kind, name);
   if (document.has_value()) {
-    HandleJobDocument(document.value());
+    HandleJobDocument(document.value(), "read");
   }
 }
 
@@ -252,7 +252,7 @@
   const Result<Document> written =
       co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
   if (written.has_value()) {
-    HandleJobDocument(written.value());
+    HandleJobDocument(written.value(), "write");
     co_return;
   }
   // A failed write does not affect the results: the next owner derives the same
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -122,6 +122,7 @@
 
 awaitable<Result<void>> DocumentWatcher::ListAll() {
   const uint32_t read_epoch = m_read_epoch;
+  const MonotonicTime began = MonotonicClock::now();
   std::vector<Document> documents;
   DocumentName after;
   ObjectVersion as_of;
@@ -147,6 +148,10 @@
   if (m_stopped) {
     co_return Ok();
   }
+  ReportRead({.listing = true,
+              .documents = documents.size(),
+              .as_of = as_of,
+              .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
   m_as_of = std::max(m_as_of, as_of);
   m_must_list = false;
@@ -158,6 +163,7 @@
 awaitable<Result<void>> DocumentWatcher::WatchOnce(Duration wait) {
   const uint32_t read_epoch = m_read_epoch;
   const ObjectVersion since = m_as_of;
+  const MonotonicTime began = MonotonicClock::now();
   const Result<DocumentChanges> changes =
       co_await m_store.Watch(m_options.kind, since, wait);
   if (m_stopped) {
@@ -171,6 +177,9 @@
     }
     co_return changes.error();
   }
+  ReportRead({.documents = changes.value().changes.size(),
+              .as_of = changes.value().as_of,
+              .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
   m_as_of = std::max(m_as_of, changes.value().as_of);
   for (const DocumentChange& change : changes.value().changes) {
@@ -221,6 +230,12 @@
   }
 }
 
+void DocumentWatcher::ReportRead(const StoreReadEnded& read) {
+  if (m_events.read_ended) {
+    m_events.read_ended(read);
+  }
+}
+
 void DocumentWatcher::HandleFailure(const Error& error) {
   ++m_failures;
   ReportError(error);
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -32,6 +32,16 @@
   uint64_t seed = 1;
 };
 
+/// \class StoreReadEnded
+/// \brief A listing, or a watch, has got its response.
+struct StoreReadEnded {
+  bool listing = false;
+  /// Documents of the listing, or changes that the watch reports.
+  size_t documents = 0;
+  ObjectVersion as_of;
+  Duration took{0};
+};
+
 /// \class DocumentWatcherEvents
 /// \brief Callbacks of a watcher; all run on the watcher's executor.
 struct DocumentWatcherEvents {
@@ -47,6 +57,8 @@
   /// The store has been read for the first time, or again after `lost`; called
   /// before the callback that delivers the result of that read.
   std::function<void()> regained;
+  /// A call has succeeded; called before the callbacks that deliver its result.
+  std::function<void(const StoreReadEnded& read)> read_ended;
 };
 
 /// \class DocumentWatcher
@@ -85,6 +97,7 @@
   void ApplyListing(const std::vector<Document>& documents);
   /// Returns false for a change that is older than the known version.
   bool ApplyChange(const DocumentChange& change);
+  void ReportRead(const StoreReadEnded& read);
   void HandleFailure(const Error& error);
   void ReportError(const Error& error);
 
