Gateway: tell the other gateways of the end of a job

Callers ended a job, and its items were still sent to backend servers up to 8.2 s after the acknowledgement (the bound is 3 s). The end reached the job's owner by its watch of the platform's store only, and on a small VM under load a watch was 6.1 s late and a listing 4.2 s.

The gateway that acknowledges an end now names the job in the datagrams that it sends to every gateway, for 12 s. A gateway that hears of an end stops the job, and neither runs, opens nor claims it by a record that it reads later and that may be older. The field is the last of the datagram, which older processes ignore. No call to the store is added.

The two new cases of jobs.scheduler cover older records, reports that come before the job, and claims on their way.

--- a/Source/Base/ids.h
+++ b/Source/Base/ids.h
@@ -22,6 +22,8 @@
 using RouteId = StrongId<struct RouteIdTag>;
 /// A batch job.
 using JobId = StrongId<struct JobIdTag>;
+/// The key of a job in the store, composed of its id and its organisation.
+using JobKey = StrongId<struct JobKeyTag>;
 /// A caller's name for one item of a batch job (`custom_id`).
 using ItemId = StrongId<struct ItemIdTag>;
 /// The lower-case hexadecimal SHA-256 digest of some bytes.
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -266,6 +266,7 @@
     limit.age = std::max<Duration>(limit.age, std::chrono::milliseconds(1));
     m_dispatcher.HandleEvent(BackendLimitHeard{std::move(limit)});
   }
+  m_job_runner.HandleReportedEnds(message.ended_jobs);
   m_job_runner.SchedulePass();
   if (message.reaches_store) {
     HandleDivergenceEvent(PeerDigestsReceived{message.vm, message.digests});
@@ -290,7 +291,8 @@
       .crash_evidence =
           m_crash_suspects.EvidenceToReport(MonotonicClock::now()),
       .backend_limits =
-          m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now())};
+          m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now()),
+      .ended_jobs = m_scheduler.EndsToReport(MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -434,6 +434,13 @@
       Error(ErrorKind::kNotFound, "the item is missing"));
 }
 
+// The job's owner may read the record seconds later, so it is told directly.
+HttpResponse JobHandler::AcknowledgeEnd(const JobKey& job) {
+  m_job_runner.HandleEvent(JobEndAcknowledged{job});
+  m_gateway.reported_state_changed();
+  return HttpResponse{.status = 200};
+}
+
 awaitable<HttpResponse> JobHandler::Respond(EndJobCall call,
                                             CallerRequest,
                                             OrganisationId organisation) {
@@ -448,7 +455,7 @@
           : UnavailableResponse(record.error());
     }
     if (record.value().status.ended) {
-      co_return HttpResponse{.status = 200};
+      co_return AcknowledgeEnd(key);
     }
     JobStatus status = record.value().status;
     status.ended = true;
@@ -459,7 +466,7 @@
         co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
     if (written.has_value()) {
       m_job_runner.HandleJobDocument(written.value(), "write");
-      co_return HttpResponse{.status = 200};
+      co_return AcknowledgeEnd(key);
     }
     if (written.error().kind() == ErrorKind::kUnavailable) {
       co_return UnavailableResponse(written.error());
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -81,6 +81,7 @@
   /// memory, but never `in_use`, whose results are about to be read.
   void EvictResultReaders(const ResultReader& in_use);
   HttpResponse UnavailableResponse(const Error& error) const;
+  HttpResponse AcknowledgeEnd(const JobKey& job);
 
   GatewayContext& m_gateway;
   DocumentStore& m_store;
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -113,6 +113,16 @@
   m_open_jobs.erase(job);
 }
 
+void JobRunner::HandleReportedEnds(const std::vector<JobKey>& jobs) {
+  for (const JobKey& job : jobs) {
+    if (!m_scheduler.IsEnded(job)) {
+      m_gateway.log.Write("job_end_known",
+                          {{"job", job.value()}, {"source", "peer"}});
+      HandleEvent(JobEndReported{job});
+    }
+  }
+}
+
 void JobRunner::HandleEvent(const JobSchedulerEvent& event) {
   const std::vector<JobSchedulerAction> actions =
       m_scheduler.Handle(event, Now());
@@ -190,7 +200,7 @@
   const JobRecord* record = m_scheduler.Find(action.job);
   m_gateway.log.Write("job_closed", {{"job", action.job.value()},
                                      {"owner", record->status.owner.value()},
-                                     {"ended", record->status.ended},
+                                     {"ended", m_scheduler.IsEnded(action.job)},
                                      {"finished", record->status.finished}});
   m_open_jobs.erase(action.job);
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -60,6 +60,8 @@
   /// to the scheduler. `source` is the call that returned it, for the log.
   void HandleJobDocument(const Document& document, const char* source);
   void RemoveJob(const JobKey& job);
+  /// Stops jobs whose end another process has acknowledged.
+  void HandleReportedEnds(const std::vector<JobKey>& jobs);
   /// Passes an event to the scheduler and applies the actions it returns.
   void HandleEvent(const JobSchedulerEvent& event);
   /// Schedules a pass, because a change of the load may allow items to start or
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -54,7 +54,29 @@
 }
 
 bool JobScheduler::IsOver(const Job& job) const {
-  return job.record.status.ended || job.record.status.finished;
+  return job.record.status.ended || job.record.status.finished ||
+         m_ends.contains(job.record.key);
+}
+
+bool JobScheduler::IsEnded(const JobKey& job) const {
+  const JobRecord* record = Find(job);
+  return m_ends.contains(job) || (record != nullptr && record->status.ended);
+}
+
+std::vector<JobKey> JobScheduler::EndsToReport(MonotonicTime now) const {
+  std::vector<std::pair<MonotonicTime, JobKey>> ends;
+  for (const auto& [job, since] : m_acknowledged_ends) {
+    if (now - since < m_options.end_report_time) {
+      ends.emplace_back(since, job);
+    }
+  }
+  std::sort(ends.rbegin(), ends.rend());
+  ends.resize(std::min(ends.size(), m_options.max_reported_ends));
+  std::vector<JobKey> jobs;
+  for (auto& [since, job] : ends) {
+    jobs.push_back(std::move(job));
+  }
+  return jobs;
 }
 
 bool JobScheduler::AllRecorded(const Job& job) const {
@@ -104,6 +126,34 @@
   }
 }
 
+void JobScheduler::Apply(const JobEndAcknowledged& event, ClockReadings now) {
+  m_acknowledged_ends.emplace(event.job, now.monotonic);
+  RememberEnd(event.job, now);
+}
+
+void JobScheduler::Apply(const JobEndReported& event, ClockReadings now) {
+  RememberEnd(event.job, now);
+}
+
+void JobScheduler::RememberEnd(const JobKey& key, ClockReadings now) {
+  const bool is_new = m_ends.emplace(key, now.monotonic).second;
+  Job* job = FindJob(key);
+  if (is_new && job != nullptr) {
+    Close(*job);
+  }
+}
+
+// By the end of the retention every process has read the record, which says
+// that the job has ended.
+void JobScheduler::ForgetOldEnds(MonotonicTime now) {
+  std::erase_if(m_ends, [&](const auto& end) {
+    return now - end.second >= m_options.retention;
+  });
+  std::erase_if(m_acknowledged_ends, [&](const auto& end) {
+    return now - end.second >= m_options.end_report_time;
+  });
+}
+
 void JobScheduler::Apply(const SchedulerActivated&, ClockReadings now) {
   if (!m_active_since.has_value()) {
     m_active_since = now.monotonic;
@@ -461,6 +511,7 @@
 }
 
 void JobScheduler::Apply(const SchedulerTick&, ClockReadings now) {
+  ForgetOldEnds(now.monotonic);
   for (auto& [key, job] : m_jobs) {
     MaybeTakeOver(job, now);
     DeadLetterExpired(job, now);
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -51,6 +51,10 @@
   /// Maximum bytes of output in one save, a fraction of the maximum size of a
   /// document; progress beyond it is not saved.
   size_t max_saved_bytes = 256 * 1024;
+  /// How long the other processes are told of an acknowledged end: longer than
+  /// a watch waits, and at most `max_reported_ends` at a time.
+  Duration end_report_time = std::chrono::seconds(12);
+  size_t max_reported_ends = 128;
   /// Finished jobs are deleted this long after they were submitted.
   Duration retention = std::chrono::seconds(180);
 };
@@ -63,6 +67,14 @@
 struct JobRemoved {
   JobKey job;
 };
+/// This process acknowledges the end of a job to a client; its record says so.
+struct JobEndAcknowledged {
+  JobKey job;
+};
+/// Another process has acknowledged the end of a job.
+struct JobEndReported {
+  JobKey job;
+};
 /// This process is registered, and has read the list of the other ones.
 struct SchedulerActivated {};
 /// This process is shutting down: it starts no more items and hands its jobs
@@ -141,6 +153,8 @@
 struct SchedulerTick {};
 using JobSchedulerEvent = std::variant<JobUpdated,
                                        JobRemoved,
+                                       JobEndAcknowledged,
+                                       JobEndReported,
                                        SchedulerActivated,
                                        SchedulerStopping,
                                        ClaimEnded,
@@ -244,6 +258,10 @@
   void SetOwner(JobStatus& status) const;
   /// Whether this process is the owner.
   bool Owns(const JobRecord& record) const;
+  /// Whether this process knows that the client has ended the job.
+  bool IsEnded(const JobKey& job) const;
+  /// The ends that the other processes have to be told of.
+  std::vector<JobKey> EndsToReport(MonotonicTime now) const;
   /// Whether this process owns the job and has read all its results.
   bool IsOpen(const JobKey& job) const;
   /// Items that run at that backend server, the best one to preempt first: the
@@ -287,6 +305,8 @@
 
   void Apply(const JobUpdated& event, ClockReadings now);
   void Apply(const JobRemoved& event, ClockReadings now);
+  void Apply(const JobEndAcknowledged& event, ClockReadings now);
+  void Apply(const JobEndReported& event, ClockReadings now);
   void Apply(const SchedulerActivated&, ClockReadings now);
   void Apply(const SchedulerStopping&, ClockReadings now);
   void Apply(const ClaimEnded& event, ClockReadings now);
@@ -303,6 +323,8 @@
 
   bool IsOwner(const Job& job) const { return Owns(job.record); }
   bool IsOver(const Job& job) const;
+  void RememberEnd(const JobKey& key, ClockReadings now);
+  void ForgetOldEnds(MonotonicTime now);
   void Open(Job& job);
   void Close(Job& job);
   void StopItems(Job& job);
@@ -333,6 +355,11 @@
   const JobSchedulerOptions m_options;
   const PeerTable& m_peers;
   std::map<JobKey, Job> m_jobs;
+  /// Ends that this process knows of other than from the job's record, and
+  /// since when. Records and listings that arrive later may be older.
+  std::map<JobKey, MonotonicTime> m_ends;
+  /// When this process has acknowledged ends.
+  std::map<JobKey, MonotonicTime> m_acknowledged_ends;
   std::optional<MonotonicTime> m_active_since;
   bool m_stopping = false;
   std::vector<JobSchedulerAction> m_actions;
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -13,9 +13,6 @@
 
 namespace cowslip {
 
-/// The key of a job in the store, composed of its id and its organisation.
-using JobKey = StrongId<struct JobKeyTag>;
-
 /// \class JobItem
 /// \brief One request of a batch job, as it was submitted.
 struct JobItem {
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -132,6 +132,9 @@
         {completed.at(0).get<Fingerprint>(),
          std::chrono::milliseconds(completed.at(1).get<uint32_t>())});
   }
+  for (const json& job : fields.at(17)) {
+    message.ended_jobs.push_back(job.get<JobKey>());
+  }
   return message;
 }
 
@@ -167,7 +170,7 @@
        EncodeAbortedRuns(message.aborted_runs),
        EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
        EncodeLimits(message.backend_limits), std::move(held_back),
-       std::move(completed_requests)}));
+       std::move(completed_requests), message.ended_jobs}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -85,6 +85,8 @@
   std::vector<CompletedRequest> completed_requests;
   CrashEvidence crash_evidence;
   std::vector<BackendLimit> backend_limits;
+  /// Jobs whose end the sender has acknowledged to a client lately.
+  std::vector<JobKey> ended_jobs;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -187,6 +187,45 @@
   CHECK(f.scheduler.RunnableItems(At(2s)).empty());
 }
 
+TEST_CASE("A job whose end a peer reports is run by no older record") {
+  Fixture f;
+  f.Handle(SchedulerActivated{}, 0s);
+  f.Open(Record("j", "vm1", 1));
+  f.Handle(ItemStarted{JobKey("j"), ItemId("a"), BackendId("x")}, 1s);
+  const auto actions = f.Handle(JobEndReported{JobKey("j")}, 2s);
+  CHECK(Find<StopItem>(actions) != nullptr);
+  CHECK(Find<CloseJob>(actions) != nullptr);
+  JobRecord older = Record("j", "vm1", 1);
+  older.version = ObjectVersion(2);
+  CHECK(Find<OpenJob>(f.Handle(JobUpdated{older}, 3s)) == nullptr);
+  CHECK(f.scheduler.RunnableItems(At(3s)).empty());
+  // The report may come before the job itself, which is then not claimed.
+  f.Handle(JobEndReported{JobKey("k")}, 4s);
+  f.MakePeerSilent(5s);
+  CHECK(Find<ClaimJob>(f.Handle(JobUpdated{Record("k", "vm2", 2)}, 6s)) ==
+        nullptr);
+  CHECK(Find<ClaimJob>(f.Handle(SchedulerTick{}, 9s)) == nullptr);
+  // A claim that was on its way opens nothing.
+  CHECK(Find<ClaimJob>(f.Handle(JobUpdated{Record("l", "vm2", 2)}, 9s)) !=
+        nullptr);
+  f.Handle(JobEndReported{JobKey("l")}, 11s);
+  JobRecord claimed = Record("l", "vm1", 1);
+  claimed.version = ObjectVersion(2);
+  f.Handle(JobUpdated{claimed}, 12s);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("l"), true}, 12s)) == nullptr);
+}
+
+TEST_CASE("The end of a job is reported for a while after it is acknowledged") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  CHECK(f.scheduler.EndsToReport(At(1s).monotonic).empty());
+  f.Handle(JobEndAcknowledged{JobKey("j")}, 1s);
+  CHECK(f.scheduler.RunnableItems(At(1s)).empty());
+  CHECK(f.scheduler.EndsToReport(At(9s).monotonic) ==
+        std::vector<JobKey>{JobKey("j")});
+  CHECK(f.scheduler.EndsToReport(At(13s).monotonic).empty());
+}
+
 TEST_CASE("A stopping process hands its jobs back with their progress") {
   Fixture f;
   f.Open(Record("j", "vm1", 1));
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -139,6 +139,7 @@
            .events = count});
       message.crash_evidence.held_back.push_back(
           PromptPartId(std::to_string(count)));
+      message.ended_jobs.push_back(JobKey(std::to_string(count)));
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
@@ -162,6 +163,7 @@
     RC_ASSERT(evidence.held_back == message.crash_evidence.held_back);
     const auto& limits = decoded.value().backend_limits;
     RC_ASSERT(limits.size() == counts.size());
+    RC_ASSERT(decoded.value().ended_jobs == message.ended_jobs);
     for (size_t i = 0; i < counts.size(); ++i) {
       RC_ASSERT(limits[i].limit == message.backend_limits[i].limit);
       RC_ASSERT(limits[i].started_at_ms == counts[i]);
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -99,10 +99,13 @@
     co_return;
   }
   HttpResponse response{.status = 503};
-  if (FaultFor(request) != ServerFault::kBusy) {
+  const bool is_write = request.method != "GET";
+  const bool is_busy =
+      FaultFor(request) == ServerFault::kBusy ||
+      (FaultFor(request) == ServerFault::kReadsBusy && !is_write);
+  if (!is_busy) {
     response = co_await Answer(request);
   }
-  const bool is_write = request.method != "GET";
   const ServerFault fault = FaultFor(request);
   if (fault == ServerFault::kReset ||
       (fault == ServerFault::kLoseAnswers && is_write)) {
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -25,6 +25,8 @@
   kDeafWatches,
   /// Answers after kSlowAnswer.
   kSlow,
+  /// Status 503 to reads; writes are carried out and answered.
+  kReadsBusy,
 };
 
 /// How long a slow server takes.
