Gateway: a hand-back does not undo the end of its job

A gateway that hands a job back, or finishes it, wrote the status that it had derived with the version known at the time of the write. An end that was read in between was undone with a write that the store accepted: the job was open again, was claimed and ran on after its client had ended it. The write now carries the version that the status was derived from, so the store refuses it after an end.

The new case of gateway.job_records failed before: the record was not ended.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -169,7 +169,9 @@
   status.progress.clear();
   boost::asio::co_spawn(
       m_gateway.io,
-      [this, job = action.job, status] { return WriteStatus(job, status); },
+      [this, job = action.job, status, version = record->version] {
+        return WriteStatus(job, status, version);
+      },
       boost::asio::detached);
 }
 
@@ -183,7 +185,9 @@
       {{"job", action.job.value()}, {"items_begun", action.progress.size()}});
   boost::asio::co_spawn(
       m_gateway.io,
-      [this, job = action.job, status] { return WriteStatus(job, status); },
+      [this, job = action.job, status, version = record->version] {
+        return WriteStatus(job, status, version);
+      },
       boost::asio::detached);
 }
 
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -110,7 +110,11 @@
   boost::asio::awaitable<void> ReadRecord(JobKey job);
   boost::asio::awaitable<void> AppendResults(JobKey job,
                                              std::vector<ItemResult> results);
-  boost::asio::awaitable<void> WriteStatus(JobKey job, JobStatus status);
+  /// Writes a status that was derived from the record at version `based_on`. A
+  /// newer record stays as it is: its client may have ended the job.
+  boost::asio::awaitable<void> WriteStatus(JobKey job,
+                                           JobStatus status,
+                                           ObjectVersion based_on);
   boost::asio::awaitable<void> WriteProgress(
       JobKey job,
       std::map<ItemId, ItemProgress> progress);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -240,17 +240,14 @@
   HandleEvent(ResultsWritten{job, IdsOf(log->results())});
 }
 
-awaitable<void> JobRunner::WriteStatus(JobKey job, JobStatus status) {
+awaitable<void> JobRunner::WriteStatus(JobKey job,
+                                       JobStatus status,
+                                       ObjectVersion based_on) {
   const DocumentKind kind(kJobKind);
   const DocumentName name = JobName(job);
-  const JobRecord* record = m_scheduler.Find(job);
-  if (record == nullptr) {
-    co_return;
-  }
-  const ObjectVersion version = record->version;
   nlohmann::json encoded = EncodeStatus(status);
   const Result<Document> written =
-      co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
+      co_await m_store.ReplaceStatus(kind, name, std::move(encoded), based_on);
   if (written.has_value()) {
     HandleJobDocument(written.value(), "write");
     co_return;
--- /dev/null
+++ b/Tests/Gateway/job_record_test.cc
@@ -0,0 +1,126 @@
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "Base/event_log.h"
+#include "Gateway/dispatcher.h"
+#include "Gateway/gateway_context.h"
+#include "Gateway/gateway_metrics.h"
+#include "Gateway/job_runner.h"
+#include "Gateway/startup_gate.h"
+#include "Gateway/stream_origin_directory.h"
+#include "Jobs/job_documents.h"
+#include "Peers/peer_table.h"
+#include "Placement/aborted_run_tracker.h"
+#include "Placement/crash_suspect_core.h"
+#include "Quota/quota_core.h"
+#include "Utilities/StandIns/MetadataStore/fake_document_store.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+const VmId kSelf("vm1");
+const JobKey kJob("j.mill");
+
+/// One job runner without backend servers, in front of a store in memory.
+struct Fixture {
+  boost::asio::io_context io;
+  FakeDocumentStore store;
+  int null = ::open("/dev/null", O_WRONLY);
+  PeerTable peers{PeerTableOptions{.self = kSelf}};
+  Dispatcher dispatcher{io, DispatcherOptions{.placement = {.self = kSelf}},
+                        [] {}};
+  QuotaCore quota{QuotaOptions{}};
+  AbortedRunTracker aborted_runs{AbortedRunTrackerOptions{}};
+  CrashSuspectCore crash_suspects{CrashSuspectOptions{.self = kSelf}, peers};
+  StreamOriginDirectory stream_origins{
+      io.get_executor(), StreamOriginOptions{.self = kSelf}, peers,
+      [](const Endpoint&, const auto&) {}};
+  EventLog log{EventLogOptions{.descriptor = null}};
+  GatewayMetrics metrics;
+  StartupGate startup_gate{io};
+  GatewayContext gateway{.io = io,
+                         .dispatcher = dispatcher,
+                         .quota = quota,
+                         .aborted_runs = aborted_runs,
+                         .crash_suspects = crash_suspects,
+                         .stream_origins = stream_origins,
+                         .log = log,
+                         .metrics = metrics,
+                         .startup_gate = startup_gate,
+                         .reported_state_changed = [] {}};
+  JobScheduler scheduler{
+      JobSchedulerOptions{.self = kSelf, .incarnation = Incarnation(1)}, peers};
+  JobRunner runner{gateway, store, scheduler, JobRunnerOptions{}};
+
+  ~Fixture() { ::close(null); }
+
+  // Handles everything that is due.
+  void Poll() {
+    io.restart();
+    io.poll();
+  }
+  const Document& Job() { return *store.Find(kJobKind, kJob.value()); }
+  JobStatus Status() { return DecodeJob(Job())->status; }
+  void PutStatus(const JobStatus& status) {
+    bool done = false;
+    boost::asio::co_spawn(
+        io,
+        [&]() -> boost::asio::awaitable<void> {
+          const DocumentKind kind(kJobKind);
+          const DocumentName name(kJob.value());
+          nlohmann::json encoded = EncodeStatus(status);
+          const ObjectVersion version = Job().version;
+          const auto put = co_await store.ReplaceStatus(
+              kind, name, std::move(encoded), version);
+          done = put.has_value();
+        },
+        boost::asio::detached);
+    Poll();
+    REQUIRE(done);
+  }
+  // Opens a job of two items that this process owns.
+  void OpenJob() {
+    const std::vector<JobItem> items = {{.id = ItemId("a")},
+                                        {.id = ItemId("b")}};
+    const JobDefinition definition{.id = JobId("j"),
+                                   .organisation = OrganisationId("mill"),
+                                   .digest = Digest("0123456789abcdef"),
+                                   .submitted = WallNow(),
+                                   .due = WallNow() + 18s,
+                                   .give_up = WallNow() + 60s,
+                                   .input_segments = 1,
+                                   .items = {ItemId("a"), ItemId("b")}};
+    store.Put(kInputKind, InputName(kJob, definition.digest, 0).value(),
+              EncodeInputs(items).front());
+    store.Put(kJobKind, kJob.value(), EncodeDefinition(definition));
+    JobStatus status;
+    scheduler.SetOwner(status);
+    PutStatus(status);
+    runner.HandleJobDocument(Job(), "list");
+    Poll();
+    REQUIRE(scheduler.IsOpen(kJob));
+  }
+};
+
+TEST_CASE("A hand-back does not undo the end of its job") {
+  Fixture f;
+  f.OpenJob();
+  JobStatus ended = f.Status();
+  ended.ended = true;
+  f.PutStatus(ended);
+  // The end is read after the hand-back was decided and before it is written.
+  f.runner.HandleEvent(SchedulerStopping{});
+  f.runner.HandleJobDocument(f.Job(), "watch");
+  f.Poll();
+  CHECK(f.Status().ended);
+}
+
+}  // namespace
+}  // namespace cowslip
