Gateway: a hand-back keeps the output of items out of the job's record

A hand-back put the output of all items that had begun into the job's record. Every gateway reads the record in each watch and each listing of jobs, so a restart of gateways under load made both large: a watch took 6.1 s and a listing 4.2 s on a small VM, and claims and ends were known seconds late. The progress goes into the progress document now, which the next owner reads when it opens the job, in any case. It costs one write for each hand-back of a job with items begun. Where that write fails, the progress stays in the record as before.

A process that stops now also waits, within its grace time, for hand-backs on their way to the store and for claims. The check in "A stopping process hands its jobs back with their progress" that it is idle once the hand-back has begun was wrong: the process could end before the write. It now has to be busy until the write has ended, and idle after it.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -179,14 +179,15 @@
   const JobRecord* record = m_scheduler.Find(action.job);
   JobStatus status = record->status;
   status.owner = VmId();
-  status.progress = action.progress;
+  status.progress.clear();
   m_gateway.log.Write(
       "job_handed_back",
       {{"job", action.job.value()}, {"items_begun", action.progress.size()}});
   boost::asio::co_spawn(
       m_gateway.io,
-      [this, job = action.job, status, version = record->version] {
-        return WriteStatus(job, status, version);
+      [this, job = action.job, status, version = record->version,
+       progress = action.progress] {
+        return HandBack(job, status, version, progress);
       },
       boost::asio::detached);
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -115,9 +115,17 @@
   boost::asio::awaitable<void> WriteStatus(JobKey job,
                                            JobStatus status,
                                            ObjectVersion based_on);
+  boost::asio::awaitable<void> HandBack(
+      JobKey job,
+      JobStatus status,
+      ObjectVersion based_on,
+      std::map<ItemId, ItemProgress> progress);
   boost::asio::awaitable<void> WriteProgress(
       JobKey job,
       std::map<ItemId, ItemProgress> progress);
+  boost::asio::awaitable<Result<void>> StoreProgress(
+      JobKey job,
+      std::map<ItemId, ItemProgress> progress);
   /// Reads the progress that an earlier owner has saved for the job's items.
   boost::asio::awaitable<Result<void>> ReadSavedProgress(JobKey job,
                                                          OpenedJob& opened);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -174,9 +174,33 @@
   co_return Ok();
 }
 
+// The output of items is kept out of the record, which every gateway reads in
+// each listing of jobs; only the next owner reads the progress.
+awaitable<void> JobRunner::HandBack(JobKey job,
+                                    JobStatus status,
+                                    ObjectVersion based_on,
+                                    std::map<ItemId, ItemProgress> progress) {
+  if (!progress.empty()) {
+    std::map<ItemId, ItemProgress> copy = progress;
+    const Result<void> saved = co_await StoreProgress(job, std::move(copy));
+    if (!saved.has_value() && saved.error().kind() != ErrorKind::kTooLarge) {
+      status.progress = std::move(progress);
+    }
+  }
+  co_await WriteStatus(job, std::move(status), based_on);
+  HandleEvent(HandBackEnded{job});
+}
+
 awaitable<void> JobRunner::WriteProgress(
     JobKey job,
     std::map<ItemId, ItemProgress> progress) {
+  const Result<void> saved = co_await StoreProgress(job, std::move(progress));
+  HandleEvent(ProgressSaved{job, saved.has_value()});
+}
+
+awaitable<Result<void>> JobRunner::StoreProgress(
+    JobKey job,
+    std::map<ItemId, ItemProgress> progress) {
   const DocumentKind kind(kProgressKind);
   const DocumentName name = ProgressName(job);
   const auto before = m_open_jobs.find(job);
@@ -208,7 +232,10 @@
       }
     }
   }
-  HandleEvent(ProgressSaved{job, saved.has_value()});
+  if (!saved.has_value()) {
+    co_return saved.error();
+  }
+  co_return Ok();
 }
 
 awaitable<void> JobRunner::AppendResults(JobKey job,
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -87,8 +87,7 @@
 
 bool JobScheduler::IsIdle() const {
   return std::none_of(m_jobs.begin(), m_jobs.end(), [](const auto& job) {
-    return job.second.ownership == Ownership::kOpen ||
-           job.second.ownership == Ownership::kOpening;
+    return job.second.ownership != Ownership::kNone || job.second.handing_back;
   });
 }
 
@@ -421,6 +420,7 @@
   job.ownership = Ownership::kNone;
   job.handed_back = true;
   if (!AllRecorded(job)) {
+    job.handing_back = true;
     m_actions.push_back(
         HandBackJob{.job = job.record.key, .progress = CollectProgress(job)});
   }
@@ -483,6 +483,13 @@
   }
 }
 
+void JobScheduler::Apply(const HandBackEnded& event, ClockReadings) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr) {
+    job->handing_back = false;
+  }
+}
+
 void JobScheduler::DeadLetterExpired(Job& job, ClockReadings now) {
   if (job.ownership == Ownership::kOpen &&
       now.wall >= job.record.definition.give_up) {
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -145,6 +145,10 @@
   JobKey job;
   bool saved = false;
 };
+/// The hand-back of a job has been written, or could not be.
+struct HandBackEnded {
+  JobKey job;
+};
 /// The job's route was removed from the current configuration.
 struct JobRouteRemoved {
   JobKey job;
@@ -166,6 +170,7 @@
                                        ResultsWritten,
                                        ResultsNotWritten,
                                        ProgressSaved,
+                                       HandBackEnded,
                                        JobRouteRemoved,
                                        SchedulerTick>;
 
@@ -193,8 +198,8 @@
 struct FinishJob {
   JobKey job;
 };
-/// Release ownership of the job and store the progress of its items in its
-/// status.
+/// Store the progress of the job's items and release its ownership;
+/// HandBackEnded follows.
 struct HandBackJob {
   JobKey job;
   std::map<ItemId, ItemProgress> progress;
@@ -268,7 +273,8 @@
   /// one whose job is due last.
   std::vector<std::pair<JobKey, ItemId>> RunningItemsAt(
       const BackendId& backend) const;
-  /// Whether this process has no open jobs that it still has to hand back.
+  /// Whether this process has no jobs that it still has to hand back, neither
+  /// open ones nor ones that it is claiming.
   bool IsIdle() const;
   size_t jobs() const { return m_jobs.size(); }
 
@@ -292,6 +298,7 @@
     bool writing = false;
     bool finish_requested = false;
     bool handed_back = false;
+    bool handing_back = false;
     bool delete_requested = false;
     /// Events received by interrupted items since the last save, the earliest
     /// time of the next save, and whether a save is in progress.
@@ -318,6 +325,7 @@
   void Apply(const ResultsWritten& event, ClockReadings now);
   void Apply(const ResultsNotWritten& event, ClockReadings now);
   void Apply(const ProgressSaved& event, ClockReadings now);
+  void Apply(const HandBackEnded& event, ClockReadings now);
   void Apply(const JobRouteRemoved& event, ClockReadings now);
   void Apply(const SchedulerTick&, ClockReadings now);
 
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -27,6 +27,8 @@
 
 const VmId kSelf("vm1");
 const JobKey kJob("j.mill");
+// More than a record without the output of items holds.
+constexpr size_t kOutputBytes = 50'000;
 
 /// One job runner without backend servers, in front of a store in memory.
 struct Fixture {
@@ -107,6 +109,15 @@
     Poll();
     REQUIRE(scheduler.IsOpen(kJob));
   }
+  void RunItem(const char* item) {
+    runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
+    runner.HandleEvent(ItemRunEnded{kJob,
+                                    ItemId(item),
+                                    ItemRunOutcome::kInterrupted,
+                                    {.last_event = 9,
+                                     .output = std::string(kOutputBytes, 'o'),
+                                     .version = SoftwareVersion("v1")}});
+  }
 };
 
 TEST_CASE("A hand-back does not undo the end of its job") {
@@ -122,5 +133,31 @@
   CHECK(f.Status().ended);
 }
 
+TEST_CASE("A hand-back keeps the output of items out of the job's record") {
+  Fixture f;
+  f.OpenJob();
+  f.RunItem("a");
+  f.runner.HandleEvent(SchedulerStopping{});
+  f.Poll();
+  // Every gateway reads the record in each listing of jobs.
+  CHECK(f.Status().owner.empty());
+  CHECK(f.Job().status.dump().size() < kOutputBytes);
+  const Document* saved =
+      f.store.Find(kProgressKind, ProgressName(kJob).value());
+  REQUIRE(saved != nullptr);
+  CHECK(DecodeProgress(saved->content).value().at(ItemId("a")).last_event == 9);
+}
+
+TEST_CASE("A hand-back whose progress cannot be saved keeps it in the record") {
+  Fixture f;
+  f.OpenJob();
+  f.RunItem("a");
+  f.store.FailNext(StoreFault::kRefuse);
+  f.runner.HandleEvent(SchedulerStopping{});
+  f.Poll();
+  CHECK(f.Status().owner.empty());
+  CHECK(f.Status().progress.at(ItemId("a")).last_event == 9);
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -243,10 +243,33 @@
   const auto* back = Find<HandBackJob>(ended);
   REQUIRE(back != nullptr);
   CHECK(back->progress.at(ItemId("a")).last_event == 7);
+  // The process must not end before the hand-back is written.
+  CHECK_FALSE(f.scheduler.IsIdle());
+  f.Handle(HandBackEnded{JobKey("j")}, 2200ms);
   CHECK(f.scheduler.IsIdle());
   CHECK(f.scheduler.RunnableItems(At(3s)).empty());
 }
 
+TEST_CASE("A job that is being claimed at the stop is handed back") {
+  Fixture f;
+  f.Handle(SchedulerActivated{}, 0s);
+  f.MakePeerSilent(3s);
+  CHECK(Find<ClaimJob>(f.Handle(JobUpdated{Record("j", "vm2", 2)}, 3s)) !=
+        nullptr);
+  f.Handle(SchedulerStopping{}, 3100ms);
+  CHECK_FALSE(f.scheduler.IsIdle());
+  JobRecord claimed = Record("j", "vm1", 1);
+  claimed.version = ObjectVersion(2);
+  f.Handle(JobUpdated{claimed}, 3200ms);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j"), true}, 3200ms)) !=
+        nullptr);
+  const auto opened = f.Handle(JobOpened{JobKey("j"), {}}, 3300ms);
+  CHECK(Find<HandBackJob>(opened) != nullptr);
+  CHECK_FALSE(f.scheduler.IsIdle());
+  f.Handle(HandBackEnded{JobKey("j")}, 3400ms);
+  CHECK(f.scheduler.IsIdle());
+}
+
 // Interrupts a run of an item after some events.
 void Interrupt(Fixture& f, const char* item, uint64_t events, Duration at) {
   f.Handle(ItemStarted{JobKey("j"), ItemId(item), BackendId("x")}, at);
