Gateway: a reload during the start doesn't end the process

SIGHUP before the process had installed its handlers, that is while it read its settings, opened its ports and started, ended it by the default action; connections that it had accepted by then were cut. SIGHUP is ignored now until the handlers are there. So that no change is missed, SettingsWatcher compares with the text that the process has read, not with the file when the watch begins; it finds a change without a signal.

--- a/Source/Gateway/settings_watcher.cc
+++ b/Source/Gateway/settings_watcher.cc
@@ -15,7 +15,9 @@
 
 void SettingsWatcher::Start() {
   const Result<std::string> text = platform::ReadSettingsText(m_options.path);
-  if (text.has_value()) {
+  if (m_options.known_text.has_value()) {
+    m_last_text = *m_options.known_text;
+  } else if (text.has_value()) {
     m_last_text = text.value();
   }
   ScheduleCheck();
--- a/Source/Gateway/settings_watcher.h
+++ b/Source/Gateway/settings_watcher.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,8 @@
 /// \brief The settings file to watch, and how often it is read.
 struct SettingsWatcherOptions {
   std::string path;
+  /// The text that is in force; nullopt for the file's at the start.
+  std::optional<std::string> known_text{};
   /// The interval between checks for changes without a signal. No setting is
   /// urgent, and every check costs a few system calls.
   Duration interval = std::chrono::seconds(2);
--- a/Source/Programs/Gateway/main.cc
+++ b/Source/Programs/Gateway/main.cc
@@ -1,11 +1,13 @@
 #include <popt.h>
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -103,7 +105,9 @@
 };
 
 template <class Daemon, class Options>
-int RunDaemon(const Arguments& arguments, GatewaySettings settings) {
+int RunDaemon(const Arguments& arguments,
+              std::string settings_text,
+              GatewaySettings settings) {
   boost::asio::io_context context(1);
   std::random_device random;
   const uint64_t incarnation =
@@ -118,7 +122,8 @@
     return cowslip::kExitFailure;
   }
   cowslip::SettingsWatcher watcher(
-      context, {.path = arguments.settings_path},
+      context,
+      {.path = arguments.settings_path, .known_text = std::move(settings_text)},
       {.changed =
            [&](const GatewaySettings& changed) { daemon.Reload(changed); },
        .rejected =
@@ -144,8 +149,14 @@
     return cowslip::kExitSuccess;
   }
   cowslip::StartLogging(argv[0]);
+  // Until the daemon runs, a request to reload the settings must not end the
+  // process. A change in that time is found by SettingsWatcher.
+  std::signal(SIGHUP, SIG_IGN);
+  const Result<std::string> text =
+      cowslip::platform::ReadSettingsText(arguments.value().settings_path);
   Result<GatewaySettings> settings =
-      cowslip::platform::ReadSettingsFile(arguments.value().settings_path);
+      text.has_value() ? cowslip::platform::ParseSettings(text.value())
+                       : text.error();
   if (!settings.has_value()) {
     LOG(ERROR) << "gateway: " << settings.error();
     return cowslip::kExitUsage;
@@ -156,8 +167,8 @@
   }
   if (arguments.value().role == "storage") {
     return RunDaemon<cowslip::StorageDaemon, cowslip::StorageDaemonOptions>(
-        arguments.value(), std::move(settings.value()));
+        arguments.value(), text.value(), std::move(settings.value()));
   }
   return RunDaemon<cowslip::GatewayDaemon, cowslip::GatewayDaemonOptions>(
-      arguments.value(), std::move(settings.value()));
+      arguments.value(), text.value(), std::move(settings.value()));
 }
--- a/Tests/Gateway/settings_watcher_test.cc
+++ b/Tests/Gateway/settings_watcher_test.cc
@@ -32,6 +32,7 @@
   void Write(const std::string& text) {
     std::ofstream(m_path, std::ios::trunc) << text;
   }
+  const std::string& path() const { return m_path; }
   void RunFor(Duration time) {
     context.run_for(time);
     context.restart();
@@ -83,5 +84,20 @@
   CHECK(f.changed.size() == 1);
 }
 
+TEST_CASE("A change of the settings file before the watch began is reported") {
+  SettingsFixture f;
+  SettingsWatcher watcher(
+      f.context,
+      {.path = f.path(),
+       .known_text = SettingsFixture::SettingsText(4),
+       .interval = 10ms},
+      {.changed = [&](const GatewaySettings& s) { f.changed.push_back(s); },
+       .rejected = [&](const Error& why) { f.rejected.push_back(why); }});
+  watcher.Start();
+  f.RunFor(100ms);
+  REQUIRE(f.changed.size() == 1);
+  CHECK(f.changed[0].stop_grace == Duration(8s));
+}
+
 }  // namespace
 }  // namespace cowslip
