--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -11,6 +11,7 @@
 #include "Gateway/gateway_context.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/job_runner.h"
+#include "Gateway/shutdown_notice.h"
 #include "Gateway/startup_gate.h"
 #include "Gateway/stream_origin_directory.h"
 #include "Jobs/job_documents.h"
@@ -47,6 +48,7 @@
   EventLog log{EventLogOptions{.descriptor = null}};
   GatewayMetrics metrics;
   StartupGate startup_gate{io};
+  ShutdownNotice shutdown_notice;
   GatewayContext gateway{.io = io,
                          .dispatcher = dispatcher,
                          .quota = quota,
@@ -56,6 +58,7 @@
                          .log = log,
                          .metrics = metrics,
                          .startup_gate = startup_gate,
+                         .shutdown_notice = shutdown_notice,
                          .reported_state_changed = [] {}};
   JobScheduler scheduler{
       JobSchedulerOptions{.self = kSelf, .incarnation = Incarnation(1)}, peers};
