Gateway: a trial at a silent backend server does not hold its prompt part

A request that was sent as the trial of a blocked part and met a backend server that hangs kept the part's trial until its deadline, so that this gateway held back all items and requests with the part. It gives the trial back at the first stall, after 1.2 s, and stays where it is; the next trial follows a second later.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -124,6 +124,12 @@
       m_request.route->kind != RequestKind::kStreaming) {
     return;
   }
+  if (m_trial != nullptr) {
+    // Other requests with the prompt part need not wait for this one.
+    m_trial->MarkRun();
+    m_trial.reset();
+    m_move_blocked = true;
+  }
   if (MayMove() && !m_move_blocked && !IsBlocked()) {
     m_next_lease = m_gateway.dispatcher.TryPlaceOnline(
         PlacementQuery{.service = m_request.service,
