Placement: evidence of a trial is the trial's own, and stays known

Found in a review of the trials of blocked prompt parts, each shown by a new case of placement.crash_waves that fails without its part of the change: - A part cleared by a run that went on past the crashes was blocked again by the next report of a process that had not heard of it. Progress is remembered as completed runs are. - A run from before the block that broke off counted as the trial's failure, and ended the trial while it ran. RunBrokenOff says whether the run was the trial. - Trials of several parts that crash backend servers together excused each other, so that they were repeated every second. Only crashes that ended no trial count as a common cause. Failed trials are evicted last, since they determine when a part is tried again.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -428,7 +428,8 @@
 void JobRunner::RecordRunEnd(const ItemRun& run,
                              ItemRunOutcome outcome,
                              const BackendId& backend,
-                             uint64_t started_at_ms) {
+                             uint64_t started_at_ms,
+                             bool is_trial) {
   CrashSuspectCore& suspects = m_gateway.crash_suspects;
   const MonotonicTime now = MonotonicClock::now();
   if (outcome == ItemRunOutcome::kNotRun && !run.answer_began()) {
@@ -437,7 +438,8 @@
     suspects.Handle(RunBrokenOff{.backend = backend,
                                  .started_at_ms = started_at_ms,
                                  .parts = run.shared_parts(),
-                                 .events = run.events()},
+                                 .events = run.events(),
+                                 .is_trial = is_trial},
                     now);
     m_gateway.reported_state_changed();
   } else if (outcome != ItemRunOutcome::kCompleted &&
@@ -497,7 +499,7 @@
                        {"answer_began", run->answer_began()},
                        {"prompt_parts", run->shared_parts()},
                        {"why", run->failure_reason()}});
-  RecordRunEnd(*run, outcome, backend, started_at_ms);
+  RecordRunEnd(*run, outcome, backend, started_at_ms, trial != nullptr);
   if (trial != nullptr && outcome != ItemRunOutcome::kNotRun) {
     trial->MarkRun();
   }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -161,7 +161,8 @@
   void RecordRunEnd(const ItemRun& run,
                     ItemRunOutcome outcome,
                     const BackendId& backend,
-                    uint64_t started_at_ms);
+                    uint64_t started_at_ms,
+                    bool is_trial);
   void PreemptItems(MonotonicTime now);
   /// The service that runs a job's items; nullopt while the job's route is
   /// missing.
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -430,7 +430,8 @@
       RunBrokenOff{.backend = lease.backend(),
                    .started_at_ms = lease.started_at_ms(),
                    .parts = m_request.caller.shared_parts,
-                   .events = m_attempt_event_count},
+                   .events = m_attempt_event_count,
+                   .is_trial = m_trial != nullptr},
       now);
   m_gateway.reported_state_changed();
 }
--- a/Source/Placement/crash_suspect_core.cc
+++ b/Source/Placement/crash_suspect_core.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -40,13 +39,18 @@
                                            MonotonicTime now) {
   // A run that went on past an earlier crash speaks against its parts, so that
   // its own crash does not fail a trial.
+  std::vector<SuspectPart> suspects;
   for (const PromptPartId& part : event.parts) {
-    if (RecordOwnProgress(part, event.events, now)) {
+    const bool passed_crash = RecordOwnProgress(part, event.events, now);
+    suspects.push_back({.part = part,
+                        .events = event.events,
+                        .is_trial = event.is_trial && !passed_crash &&
+                                    m_blocked.contains(part)});
+    if (event.is_trial) {
       EndTrial(part, now);
     }
   }
-  RecordOwnCrash(event.backend, event.started_at_ms, event.parts, event.events,
-                 now);
+  RecordOwnCrash(event.backend, event.started_at_ms, suspects, now);
   ChargeUnconfirmedRuns(event.backend, event.started_at_ms);
   UpdateBlockedParts();
   return CrashSuspectNoAction{};
@@ -169,7 +173,10 @@
     uint64_t started_at_ms,
     const std::vector<SuspectPart>& parts,
     MonotonicTime time) {
-  RecordCrashTime(backend, started_at_ms, time);
+  const bool has_trial =
+      std::any_of(parts.begin(), parts.end(),
+                  [](const SuspectPart& suspect) { return suspect.is_trial; });
+  RecordCrashTime(backend, started_at_ms, has_trial, time);
   auto known =
       std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
         return crash.backend == backend &&
@@ -182,7 +189,6 @@
     crash.time = std::min(crash.time, time);
   }
   bool changed = false;
-  bool has_trial = false;
   for (const SuspectPart& suspect : parts) {
     const PromptPartId& part = suspect.part;
     const CompletedRuns* runs = FindRuns(part);
@@ -191,14 +197,14 @@
         // Those that still suspect the part have to learn of the run.
         m_cleared[{part, kAllEvents}] = runs->own_last;
       }
-    } else if (part.value().size() <= m_options.max_part_bytes &&
+    } else if (!IsDisproved(suspect, crash.time) &&
+               part.value().size() <= m_options.max_part_bytes &&
                crash.suspects.size() < m_options.max_parts_per_crash) {
       const auto [suspicion, is_new] = crash.suspects.try_emplace(part);
       changed |= is_new || (suspect.is_trial && !suspicion->second.is_trial);
       suspicion->second.events =
           std::max(suspicion->second.events, suspect.events);
       suspicion->second.is_trial |= suspect.is_trial;
-      has_trial |= suspect.is_trial;
     }
   }
   if (known != m_crashes.end()) {
@@ -219,39 +225,32 @@
 
 void CrashSuspectCore::RecordOwnCrash(const BackendId& backend,
                                       uint64_t started_at_ms,
-                                      const std::vector<PromptPartId>& parts,
-                                      uint32_t events,
+                                      const std::vector<SuspectPart>& parts,
                                       MonotonicTime time) {
-  std::vector<SuspectPart> suspects;
-  for (const PromptPartId& part : parts) {
-    const auto trial = m_trials.find(part);
-    const bool is_trial = trial != m_trials.end() && trial->second.is_running;
-    suspects.push_back({.part = part, .events = events, .is_trial = is_trial});
-    if (is_trial) {
-      trial->second.is_running = false;
-    }
-  }
-  Crash* crash = RecordCrash(backend, started_at_ms, suspects, time);
+  Crash* crash = RecordCrash(backend, started_at_ms, parts, time);
   if (crash != nullptr) {
-    std::copy_if(
-        parts.begin(), parts.end(),
-        std::inserter(crash->own_suspects, crash->own_suspects.end()),
-        [&](const auto& part) { return crash->suspects.contains(part); });
+    for (const SuspectPart& suspect : parts) {
+      if (crash->suspects.contains(suspect.part)) {
+        crash->own_suspects.insert(suspect.part);
+      }
+    }
     crash->own_time = time;
   }
 }
 
 void CrashSuspectCore::RecordCrashTime(const BackendId& backend,
                                        uint64_t started_at_ms,
+                                       bool ended_trial,
                                        MonotonicTime time) {
-  const bool is_known = std::any_of(
+  const auto known = std::find_if(
       m_crash_times.begin(), m_crash_times.end(), [&](const CrashTime& crash) {
         return crash.backend == backend && crash.started_at_ms == started_at_ms;
       });
-  if (is_known) {
+  if (known != m_crash_times.end()) {
+    known->ended_trial |= ended_trial;
     return;
   }
-  m_crash_times.push_back({backend, started_at_ms, time});
+  m_crash_times.push_back({backend, started_at_ms, time, ended_trial});
   if (m_crash_times.size() > m_options.max_crash_times) {
     m_crash_times.pop_front();
   }
@@ -264,21 +263,24 @@
          events >= uint64_t{suspicion.events} + m_options.event_margin;
 }
 
+bool CrashSuspectCore::EndedTrial(const Crash& crash) {
+  return std::any_of(
+      crash.suspects.begin(), crash.suspects.end(),
+      [](const auto& suspect) { return suspect.second.is_trial; });
+}
+
 void CrashSuspectCore::FindCommonCauses() {
   for (Crash& crash : m_crashes) {
-    const bool ended_trial = std::any_of(
-        crash.suspects.begin(), crash.suspects.end(),
-        [](const auto& suspect) { return suspect.second.is_trial; });
-    if (!ended_trial || crash.has_common_cause) {
+    if (!EndedTrial(crash) || crash.has_common_cause) {
       continue;
     }
-    const auto others =
-        std::count_if(m_crash_times.begin(), m_crash_times.end(),
-                      [&](const CrashTime& other) {
-                        return other.backend != crash.backend &&
-                               Distance(other.time, crash.time) <=
-                                   m_options.common_cause_window;
-                      });
+    const auto others = std::count_if(
+        m_crash_times.begin(), m_crash_times.end(),
+        [&](const CrashTime& other) {
+          return other.backend != crash.backend && !other.ended_trial &&
+                 Distance(other.time, crash.time) <=
+                     m_options.common_cause_window;
+        });
     crash.has_common_cause = others >= m_options.common_cause_crashes;
   }
 }
@@ -298,10 +300,11 @@
       });
 }
 
-// Evicts the oldest crash, but one on which no block rests before the others.
+// Evicts the oldest crash, but one on which no block rests before the others,
+// and failed trials last: they determine when a part is tried again.
 void CrashSuspectCore::EvictCrash() {
   const auto rank = [&](const Crash& crash) {
-    return std::pair(SupportsBlock(crash), crash.time);
+    return std::tuple(EndedTrial(crash), SupportsBlock(crash), crash.time);
   };
   m_crashes.erase(std::min_element(
       m_crashes.begin(), m_crashes.end(),
@@ -323,6 +326,7 @@
   if (!clears) {
     return false;
   }
+  RememberProgress(part, events, time);
   if (events == kAllEvents) {
     CompletedRuns& runs = m_runs[part];
     runs.last = std::max(runs.last, time);
@@ -346,6 +350,25 @@
   return clears;
 }
 
+void CrashSuspectCore::RememberProgress(const PromptPartId& part,
+                                        uint32_t events,
+                                        MonotonicTime time) {
+  std::erase_if(m_progress, [&](const auto& known) {
+    return time - known.second.time > m_options.lifetime;
+  });
+  const auto known = m_progress.find(part);
+  if (known == m_progress.end() || events >= known->second.events) {
+    m_progress[part] = {.events = events, .time = time};
+  }
+}
+
+bool CrashSuspectCore::IsDisproved(const SuspectPart& suspect,
+                                   MonotonicTime crash) const {
+  const auto known = m_progress.find(suspect.part);
+  return known != m_progress.end() && known->second.time > crash &&
+         Disproves(known->second.events, Suspicion{.events = suspect.events});
+}
+
 void CrashSuspectCore::EndTrial(const PromptPartId& part, MonotonicTime time) {
   const auto trial = m_trials.find(part);
   if (trial != m_trials.end() && trial->second.is_running) {
@@ -359,8 +382,11 @@
   for (const UnconfirmedRun& ended : m_unconfirmed) {
     if (ended.run.backend == backend &&
         ended.run.started_at_ms == started_at_ms) {
-      RecordOwnCrash(backend, started_at_ms, ended.run.parts, kAllEvents,
-                     ended.end);
+      std::vector<SuspectPart> suspects;
+      for (const PromptPartId& part : ended.run.parts) {
+        suspects.push_back({.part = part});
+      }
+      RecordOwnCrash(backend, started_at_ms, suspects, ended.end);
     }
   }
   std::erase_if(m_unconfirmed, [&](const UnconfirmedRun& ended) {
--- a/Source/Placement/crash_suspect_core.h
+++ b/Source/Placement/crash_suspect_core.h
@@ -82,6 +82,8 @@
   std::vector<PromptPartId> parts;
   /// The events that the run had received.
   uint32_t events = 0;
+  /// Whether the run was a trial.
+  bool is_trial = false;
 };
 /// A run goes on and has received this many events.
 struct RunAdvanced {
@@ -227,6 +229,13 @@
     BackendId backend;
     uint64_t started_at_ms = 0;
     MonotonicTime time;
+    /// Trials that run at the same time must not excuse each other.
+    bool ended_trial = false;
+  };
+  /// How far a run with a part came after a crash.
+  struct Progress {
+    uint32_t events = 0;
+    MonotonicTime time;
   };
   struct HeldBackReport {
     MonotonicTime time;
@@ -261,12 +270,20 @@
   /// The same for runs that this process has relayed.
   void RecordOwnCrash(const BackendId& backend,
                       uint64_t started_at_ms,
-                      const std::vector<PromptPartId>& parts,
-                      uint32_t events,
+                      const std::vector<SuspectPart>& parts,
                       MonotonicTime time);
+  /// Remembers progress that cleared a part, since other processes may go on to
+  /// report the crash for a while.
+  void RememberProgress(const PromptPartId& part,
+                        uint32_t events,
+                        MonotonicTime time);
+  /// Whether a known run has gone on past the crash.
+  bool IsDisproved(const SuspectPart& suspect, MonotonicTime crash) const;
   void RecordCrashTime(const BackendId& backend,
                        uint64_t started_at_ms,
+                       bool ended_trial,
                        MonotonicTime time);
+  static bool EndedTrial(const Crash& crash);
   /// Records that a run with the part had received `events` at `time`. Returns
   /// whether that clears the part of a crash.
   bool RecordProgress(const PromptPartId& part,
@@ -323,6 +340,8 @@
   // Progress of runs that this process has relayed and that cleared a part, by
   // part and events.
   std::map<std::pair<PromptPartId, uint32_t>, MonotonicTime> m_cleared;
+  // The progress that cleared a part, whoever has seen it.
+  std::map<PromptPartId, Progress> m_progress;
   std::map<PromptPartId, Trial> m_trials;
   // The newest crashes.
   std::deque<CrashTime> m_crash_times;
--- a/Tests/Placement/crash_suspect_test.cc
+++ b/Tests/Placement/crash_suspect_test.cc
@@ -42,8 +42,13 @@
 
   void Break(const std::string& backend,
              const std::vector<std::string>& parts,
-             Duration at) {
-    core.Handle(RunBrokenOff{BackendId(backend), 1, Parts(parts)}, At(at));
+             Duration at,
+             bool is_trial = false) {
+    core.Handle(RunBrokenOff{.backend = BackendId(backend),
+                             .started_at_ms = 1,
+                             .parts = Parts(parts),
+                             .is_trial = is_trial},
+                At(at));
   }
   void Complete(const std::vector<std::string>& parts, Duration at) {
     core.Handle(RunEndedWell{Parts(parts)}, At(at));
@@ -158,9 +163,10 @@
   int tried_after_fifth = 0;
   for (Duration at = 0s; at < 10min; at += 50ms) {
     const auto action = process.Request({"p"}, at);
-    if (std::holds_alternative<RunAllowed>(action)) {
+    if (const auto* allowed = std::get_if<RunAllowed>(&action)) {
       tried_after_fifth += crashes >= 5 ? 1 : 0;
-      process.Break("b" + std::to_string(++crashes), {"p"}, at);
+      process.Break("b" + std::to_string(++crashes), {"p"}, at,
+                    allowed->is_trial);
     }
   }
   CHECK(crashes > 5);
@@ -319,6 +325,7 @@
   struct ActiveRun {
     int process = 0;
     bool crashing = false;
+    bool is_trial = false;
     std::vector<std::string> parts;
     Duration end{0};
   };
@@ -363,6 +370,7 @@
     }
     if (allowed) {
       run.end = at + (run.crashing ? 100ms : kRunTime);
+      run.is_trial = std::get<RunAllowed>(action).is_trial;
       m_backends[backend].runs.push_back(run);
     }
   }
@@ -393,7 +401,7 @@
                            std::to_string(backend.incarnation++);
     bool by_request = false;
     for (const ActiveRun& run : backend.runs) {
-      m_processes[run.process]->Break(id, run.parts, at);
+      m_processes[run.process]->Break(id, run.parts, at, run.is_trial);
       by_request |= run.crashing;
     }
     backend.runs.clear();
--- a/Tests/Placement/crash_wave_test.cc
+++ b/Tests/Placement/crash_wave_test.cc
@@ -1,4 +1,7 @@
 #include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -31,11 +34,14 @@
 
   // Another backend server crashes under a run with `events`.
   void Crash(MonotonicTime now, uint32_t events = 0) {
-    Crash(now, events, m_parts);
+    Crash(now, events, m_parts, std::exchange(m_is_trying, false));
   }
+  // The same under a run that began before the trial.
+  void CrashEarlierRun(MonotonicTime now) { Crash(now, 0, m_parts, false); }
   // Another backend server crashes under a run with other parts.
   void CrashElsewhere(MonotonicTime now) {
-    Crash(now, 0, {PromptPartId("elsewhere" + std::to_string(m_crashes))});
+    Crash(now, 0, {PromptPartId("elsewhere" + std::to_string(m_crashes))},
+          false);
   }
   void Advance(MonotonicTime now, uint32_t events) {
     m_core.Handle(RunAdvanced{.parts = m_parts, .events = events}, now);
@@ -45,24 +51,33 @@
   }
   bool MayRun(MonotonicTime now) {
     const auto action = m_core.Handle(RunRequested{m_parts}, now);
-    return std::holds_alternative<RunAllowed>(action);
+    const auto* allowed = std::get_if<RunAllowed>(&action);
+    m_is_trying |= allowed != nullptr && allowed->is_trial;
+    return allowed != nullptr;
   }
   bool IsBlocked(MonotonicTime now) { return m_core.IsBlocked(m_parts, now); }
+  CrashEvidence Evidence(MonotonicTime now) const {
+    return m_core.EvidenceToReport(now);
+  }
   void Hear(const Process& other, MonotonicTime now) {
-    m_core.Handle(PeerCrashEvidenceReported{other.m_vm,
-                                            other.m_core.EvidenceToReport(now)},
+    Hear(other, other.Evidence(now), now);
+  }
+  void Hear(const Process& other, CrashEvidence evidence, MonotonicTime now) {
+    m_core.Handle(PeerCrashEvidenceReported{other.m_vm, std::move(evidence)},
                   now);
   }
 
  private:
   void Crash(MonotonicTime now,
              uint32_t events,
-             const std::vector<PromptPartId>& parts) {
+             const std::vector<PromptPartId>& parts,
+             bool is_trial) {
     m_core.Handle(
         RunBrokenOff{.backend = BackendId(std::to_string(++m_crashes)),
                      .started_at_ms = 1,
                      .parts = parts,
-                     .events = events},
+                     .events = events,
+                     .is_trial = is_trial},
         now);
   }
 
@@ -71,6 +86,7 @@
   PeerTable m_table;
   CrashSuspectCore m_core;
   int m_crashes = 0;
+  bool m_is_trying = false;
 };
 
 TEST_CASE(
@@ -186,6 +202,71 @@
   CHECK(process.IsBlocked(now + 200ms));
 }
 
+TEST_CASE("A report from before a part was cleared does not block it again") {
+  Process process(0, 2);
+  Process other(1, 2);
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3; ++i) {
+    now += 100ms;
+    process.Crash(now);
+  }
+  other.Hear(process, now);
+  now += 1s;
+  const CrashEvidence old_evidence = other.Evidence(now);
+  process.Advance(now + 10ms, 32);
+  REQUIRE_FALSE(process.IsBlocked(now + 10ms));
+  process.Hear(other, old_evidence, now + 20ms);
+  CHECK_FALSE(process.IsBlocked(now + 20ms));
+}
+
+TEST_CASE("A run from before the block does not fail a trial") {
+  Process process;
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3; ++i) {
+    now += 100ms;
+    process.Crash(now);
+  }
+  now += 1s;
+  REQUIRE(process.MayRun(now));
+  process.CrashEarlierRun(now + 100ms);
+  CHECK_FALSE(process.MayRun(now + 2s));
+  process.EndTrial(now + 2s, /*has_run=*/true);
+  CHECK(process.MayRun(now + 3s));
+}
+
+TEST_CASE("Trials that crash backend servers together all fail") {
+  constexpr int kParts = 6;
+  const VmId vm = Process::Name(0);
+  PeerTable table({.self = vm});
+  CrashSuspectCore core({.self = vm}, table);
+  int backend = 0;
+  const auto crash = [&](int part, bool is_trial, MonotonicTime now) {
+    core.Handle(RunBrokenOff{.backend = BackendId(std::to_string(++backend)),
+                             .started_at_ms = 1,
+                             .parts = {PromptPartId(std::to_string(part))},
+                             .is_trial = is_trial},
+                now);
+  };
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3 * kParts; ++i) {
+    now += 100ms;
+    crash(i % kParts, false, now);
+  }
+  int trials = 0;
+  for (const MonotonicTime end = now + 15s; now < end; now += 50ms) {
+    for (int part = 0; part < kParts; ++part) {
+      const auto action =
+          core.Handle(RunRequested{{PromptPartId(std::to_string(part))}}, now);
+      if (std::holds_alternative<RunAllowed>(action)) {
+        ++trials;
+        crash(part, true, now);
+      }
+    }
+  }
+  // After 1 s and 5 s; the third trial follows after 16 s more.
+  CHECK(trials == 2 * kParts);
+}
+
 TEST_CASE("Processes that hold nothing back are passed over in the trials") {
   constexpr int kMembers = 20;
   std::vector<std::unique_ptr<Process>> fleet;
