Placement: a trial of a blocked request that was not run is not used up

TrialNotRun takes the trial back; processes that have heard of it meanwhile count it still, which only makes them try less.

placement.aborted_run_reports "A trial that was not run is not used up" fails without it.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -539,6 +539,10 @@
     const std::string& why) {
   --m_in_doubt_attempts;
   ++m_not_run_attempts;
+  if (std::exchange(m_is_request_trial, false)) {
+    m_gateway.aborted_runs.Handle(TrialNotRun{RequestFingerprint()},
+                                  MonotonicClock::now());
+  }
   if (*m_stopped) {
     return AttemptResult::kStopped;
   }
--- a/Source/Placement/aborted_run_tracker.cc
+++ b/Source/Placement/aborted_run_tracker.cc
@@ -35,6 +35,18 @@
   RecordOwnRun(event.fingerprint, now);
 }
 
+// Other processes may have heard of the trial and go on to count it; this one
+// can try again.
+void AbortedRunTracker::Apply(const TrialNotRun& event, MonotonicTime) {
+  const auto found = m_records.find(event.fingerprint);
+  if (found == m_records.end()) {
+    return;
+  }
+  Observed& own =
+      found->second.observed[{m_options.self, m_options.incarnation}];
+  own.cleared = std::min(own.cleared + 1, own.count);
+}
+
 void AbortedRunTracker::RecordOwnRun(const Fingerprint& fingerprint,
                                      MonotonicTime now) {
   Record& record = m_records[fingerprint];
--- a/Source/Placement/aborted_run_tracker.h
+++ b/Source/Placement/aborted_run_tracker.h
@@ -70,6 +70,10 @@
 struct TrialBegun {
   Fingerprint fingerprint;
 };
+/// The trial was not run: the backend server rejected it or was not reached.
+struct TrialNotRun {
+  Fingerprint fingerprint;
+};
 /// The request was run to completion.
 struct RunCompleted {
   Fingerprint fingerprint;
@@ -81,8 +85,11 @@
   Incarnation incarnation{};
   std::vector<CompletedRequest> completed{};
 };
-using AbortedRunEvent =
-    std::variant<RunAborted, TrialBegun, RunCompleted, PeerAbortedRunsReported>;
+using AbortedRunEvent = std::variant<RunAborted,
+                                     TrialBegun,
+                                     TrialNotRun,
+                                     RunCompleted,
+                                     PeerAbortedRunsReported>;
 
 /// \class AbortedRunTracker
 /// \brief Detects requests that crash the backend servers that run them, also
@@ -142,6 +149,7 @@
 
   void Apply(const RunAborted& event, MonotonicTime now);
   void Apply(const TrialBegun& event, MonotonicTime now);
+  void Apply(const TrialNotRun& event, MonotonicTime now);
   void Apply(const RunCompleted& event, MonotonicTime now);
   void Apply(const PeerAbortedRunsReported& event, MonotonicTime now);
   void RecordOwnRun(const Fingerprint& fingerprint, MonotonicTime now);
--- a/Tests/Placement/aborted_run_report_test.cc
+++ b/Tests/Placement/aborted_run_report_test.cc
@@ -206,6 +206,20 @@
   return wait.value_or(Duration::zero()) == Duration::zero();
 }
 
+TEST_CASE("A trial that was not run is not used up") {
+  Fleet fleet = MakeFleet(1);
+  for (int i = 0; i < 3; ++i) {
+    fleet[0]->Abort(0s);
+  }
+  for (int i = 0; i < 5; ++i) {
+    const Duration at = (i + 1) * 2s;
+    REQUIRE(Try(*fleet[0], at));
+    fleet[0]->tracker.Handle(TrialNotRun{kRequest}, At(at));
+  }
+  CHECK(Try(*fleet[0], 12s));
+  CHECK_FALSE(Try(*fleet[0], 14s));
+}
+
 TEST_CASE("A request that crashes backend servers is tried three times") {
   Fleet fleet = MakeFleet(5);
   for (int i = 0; i < 3; ++i) {
