Net, Gateway: count requests that cross the close of an idle connection

After the change of the drain some tries still end with no answer, and no log shows whether such a request had arrived before the close. A drained server now ends its side of an idle connection first and watches it for up to 300 ms; `requests_crossed` in `stopped` counts the connections on which a request came after that. The server does not read it or pass it on. net.http_drain has a test for the count, which is new.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -505,6 +505,7 @@
               {"reading", counts.reading},
               {"unread", counts.unread},
               {"requests_after_drain", m_caller_server->requests_after_drain()},
+              {"requests_crossed", m_caller_server->requests_crossed()},
               {"waiting", m_dispatcher.waiting_count()}});
 }
 
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -18,6 +18,9 @@
 // the server drains: its client has most likely just connected to send it.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(300);
 
+// How long a closed connection is watched for a request that crosses the close.
+constexpr Duration kCrossingTime = std::chrono::milliseconds(300);
+
 // A cancelled read may be about to start its next step, which the
 // cancellation does not reach, so it is cancelled again after this interval.
 constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
@@ -100,6 +103,7 @@
   std::set<Connection*> m_connections;
   size_t m_active = 0;
   size_t m_requests_after_drain = 0;
+  size_t m_requests_crossed = 0;
   // Responses carry `Connection: close`.
   bool m_draining = false;
   // Drain() was called.
@@ -162,6 +166,9 @@
   // Waits for the first bytes of a request. Returns false when the connection
   // must be closed.
   asio::awaitable<bool> WaitForRequest();
+  // Closes the connection, and counts a request that its client sent before it
+  // had noticed.
+  asio::awaitable<void> CloseIdle();
   // Limits the current phase. Only reads are cancelled: closing the connection
   // would lose a request that has just arrived.
   void StartTimer(Duration limit);
@@ -307,10 +314,26 @@
     m_phase = Phase::kReading;
     got = co_await m_stream.socket().async_read_some(space, token);
   }
+  if (error == asio::error::operation_aborted) {
+    if (m_server->m_drained) {
+      co_await CloseIdle();
+    }
+    co_return false;
+  }
   m_buffer.commit(got);
   co_return !error;
 }
 
+asio::awaitable<void> HttpServer::Impl::Connection::CloseIdle() {
+  m_state = State::kBroken;
+  boost::system::error_code error;
+  m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  StartTimer(kCrossingTime);
+  const size_t got = co_await m_stream.socket().async_read_some(
+      m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+  m_server->m_requests_crossed += got > 0 ? 1 : 0;
+}
+
 asio::awaitable<bool> HttpServer::Impl::Connection::ReadRequest() {
   m_phase = Phase::kIdle;
   m_read_timed_out = false;
@@ -687,6 +710,10 @@
   return counts;
 }
 
+size_t HttpServer::requests_crossed() const {
+  return m_impl->m_requests_crossed;
+}
+
 size_t HttpServer::requests_after_drain() const {
   return m_impl->m_requests_after_drain;
 }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -106,6 +106,9 @@
   size_t connections() const;
   /// Asks the kernel about each idle connection.
   HttpConnectionCounts CountConnections() const;
+  /// Number of idle connections on which a request arrived after their close;
+  /// the server does not read it.
+  size_t requests_crossed() const;
   /// Number of requests that were read after Drain().
   size_t requests_after_drain() const;
 
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -157,6 +157,21 @@
   CHECK_THROWS(Client(port));
 }
 
+TEST_CASE("A request that crosses the close of its connection is counted") {
+  Server server;
+  Client client(server.http.port());
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+  server.context.restart();
+  server.context.poll();
+  server.http.Drain();
+  server.RunSteps(20);
+  client.Send(kRequest);
+  CHECK(client.Read(server.context).empty());
+  CHECK(server.http.requests_crossed() == 1);
+  CHECK(server.http.connections() == 0);
+}
+
 TEST_CASE("A request that arrives as the idle timeout expires is answered") {
   Server server({.idle_timeout = 60ms});
   Client client(server.http.port());
