Platform: a late listing does not set the digest of a watcher back

A listing may arrive seconds after it was read, when a watch has reported newer changes. Its versions replaced the newer ones, and documents removed since came back, so the digest was one that no other gateway had, and all of them listed again. The watcher keeps what was reported after the version that the listing is of.

The new case of platform_adapter.late_listings failed before: 2 of 4 checks.

--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -155,7 +155,7 @@
   HandleSuccess(read_epoch);
   m_as_of = std::max(m_as_of, as_of);
   m_must_list = false;
-  ApplyListing(documents);
+  ApplyListing(documents, as_of);
   m_events.listed(std::move(documents));
   co_return Ok();
 }
@@ -190,12 +190,22 @@
   co_return Ok();
 }
 
-void DocumentWatcher::ApplyListing(const std::vector<Document>& documents) {
-  m_versions.clear();
-  m_digest = 0;
+// A listing may arrive after a watch that has reported newer changes.
+void DocumentWatcher::ApplyListing(const std::vector<Document>& documents,
+                                   ObjectVersion as_of) {
+  std::erase_if(m_versions,
+                [&](const auto& known) { return known.second <= as_of; });
+  std::erase_if(m_removed,
+                [&](const auto& removed) { return removed.second <= as_of; });
   for (const Document& document : documents) {
-    m_versions[document.name] = document.version;
-    m_digest ^= DigestOf(document.name, document.version);
+    if (!m_removed.contains(document.name)) {
+      ObjectVersion& version = m_versions[document.name];
+      version = std::max(version, document.version);
+    }
+  }
+  m_digest = 0;
+  for (const auto& [name, version] : m_versions) {
+    m_digest ^= DigestOf(name, version);
   }
 }
 
@@ -209,7 +219,10 @@
     m_digest ^= DigestOf(document.name, known->second);
     m_versions.erase(known);
   }
-  if (!change.removed) {
+  if (change.removed) {
+    m_removed[document.name] = m_as_of;
+  } else {
+    m_removed.erase(document.name);
     m_versions[document.name] = document.version;
     m_digest ^= DigestOf(document.name, document.version);
   }
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -94,7 +94,10 @@
   boost::asio::awaitable<void> BackOff();
   /// A call that was started in `read_epoch` has succeeded.
   void HandleSuccess(uint32_t read_epoch);
-  void ApplyListing(const std::vector<Document>& documents);
+  /// Takes over the documents of a listing, except what a watch has reported
+  /// after `as_of`.
+  void ApplyListing(const std::vector<Document>& documents,
+                    ObjectVersion as_of);
   /// Returns false for a change that is older than the known version.
   bool ApplyChange(const DocumentChange& change);
   void ReportRead(const StoreReadEnded& read);
@@ -109,6 +112,9 @@
   std::mt19937_64 m_random;
   ObjectVersion m_as_of;
   std::map<DocumentName, ObjectVersion> m_versions;
+  // Documents that were removed since the last listing, and the version of the
+  // store by which they were.
+  std::map<DocumentName, ObjectVersion> m_removed;
   uint64_t m_digest = 0;
   bool m_stopped = false;
   bool m_connected = false;
