Gateway: an item's trial at a silent backend server does not hold its prompt part

A run waits for a silent backend server for many seconds now, and would have held its part's trial that long.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -482,22 +482,29 @@
       platform::DecodeSharedParts(item.headers);
   const auto run = std::make_shared<ItemRun>(
       m_gateway.io,
-      ItemRunRequest{.item = std::move(item),
-                     .host = record->definition.host,
-                     .call = {.organisation = record->definition.organisation,
-                              .backend = backend,
-                              .deadline = kItemDeadline},
-                     .version = version,
-                     .progress = std::move(progress),
-                     .on_events =
-                         [this, parts](uint32_t before, uint32_t events) {
-                           RecordEvents(parts, before, events);
-                         },
-                     .in_doubt_runs = in_doubt_runs,
-                     .may_move =
-                         [this, &held = *lease](const ItemProgress& reached) {
-                           return MayMove(held, reached);
-                         }});
+      ItemRunRequest{
+          .item = std::move(item),
+          .host = record->definition.host,
+          .call = {.organisation = record->definition.organisation,
+                   .backend = backend,
+                   .deadline = kItemDeadline},
+          .version = version,
+          .progress = std::move(progress),
+          .on_events =
+              [this, parts](uint32_t before, uint32_t events) {
+                RecordEvents(parts, before, events);
+              },
+          .in_doubt_runs = in_doubt_runs,
+          .may_move =
+              [this, &held = *lease, trial](const ItemProgress& reached) {
+                // Other items with the prompt part need not wait for a silent
+                // run.
+                if (trial != nullptr) {
+                  trial->MarkRun();
+                  trial->End();
+                }
+                return MayMove(held, reached);
+              }});
   m_runs[key] = run;
   m_gateway.log.Write("item_run_began",
                       {{"job", key.first.value()},
@@ -520,7 +527,8 @@
                        {"stalled_ms", ToMillis(run->longest_stall())},
                        {"prompt_parts", run->shared_parts()},
                        {"why", run->failure_reason()}});
-  RecordRunEnd(*run, outcome, backend, started_at_ms, trial != nullptr);
+  const bool is_trial = trial != nullptr && !trial->has_ended();
+  RecordRunEnd(*run, outcome, backend, started_at_ms, is_trial);
   if (trial != nullptr && outcome != ItemRunOutcome::kNotRun) {
     trial->MarkRun();
   }
--- a/Source/Gateway/prompt_trial.cc
+++ b/Source/Gateway/prompt_trial.cc
@@ -12,6 +12,13 @@
     : m_suspects(suspects), m_parts(std::move(parts)) {}
 
 PromptTrial::~PromptTrial() {
+  End();
+}
+
+void PromptTrial::End() {
+  if (std::exchange(m_has_ended, true)) {
+    return;
+  }
   m_suspects.Handle(TrialEnded{.parts = m_parts, .has_run = m_has_run},
                     MonotonicClock::now());
 }
--- a/Source/Gateway/prompt_trial.h
+++ b/Source/Gateway/prompt_trial.h
@@ -23,11 +23,15 @@
   /// Records that the request may have run. Without a call, the next request
   /// may be tried at once.
   void MarkRun() { m_has_run = true; }
+  /// Ends the trial before its request, so that another one may be tried.
+  void End();
+  bool has_ended() const { return m_has_ended; }
 
  private:
   CrashSuspectCore& m_suspects;
   const std::vector<PromptPartId> m_parts;
   bool m_has_run = false;
+  bool m_has_ended = false;
 };
 
 }  // namespace cowslip
