Gateway: an item that is stopped before its run begins is not sent

Found by reading (two of us); no run has shown it and it has no test. The coroutine of a run is posted, so a stop that comes in between found no run and was lost: the item was sent although its job had ended or its slot was wanted. If the job was removed meanwhile, the process read a null record. The run is now not begun, and the item counts as interrupted.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -150,6 +150,8 @@
   const auto run = m_runs.find({action.job, action.item});
   if (run != m_runs.end()) {
     run->second->Stop();
+  } else {
+    m_stopped_runs.insert({action.job, action.item});
   }
 }
 
@@ -474,6 +476,12 @@
                                    std::shared_ptr<PromptTrial> trial,
                                    JobItem item) {
   const JobRecord* record = m_scheduler.Find(key.first);
+  if (m_stopped_runs.erase(key) > 0 || record == nullptr) {
+    lease.reset();
+    HandleEvent(ItemRunEnded{key.first, key.second,
+                             ItemRunOutcome::kInterrupted, progress});
+    co_return;
+  }
   const BackendId backend = lease->backend();
   const SoftwareVersion version = lease->version();
   const uint64_t started_at_ms = lease->started_at_ms();
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -178,6 +178,8 @@
   const JobRunnerOptions m_options;
   std::map<JobKey, OpenedJob> m_open_jobs;
   std::map<RunKey, std::shared_ptr<ItemRun>> m_runs;
+  /// Runs that were stopped before their coroutine began.
+  std::set<RunKey> m_stopped_runs;
   std::map<BackendId, MonotonicTime> m_last_preemption;
   /// The blocked prompt parts found in the current pass.
   std::set<PromptPartId> m_blocked_in_pass;
