Entry: a shutdown waits for requests that are still being read

It now waits until no connection is left, within drain_timeout_ms, and answers what is left then. examples.* start and stop the daemon; the order itself has no test here, net.http_drain covers the server that both use.

--- a/Source/Entry/entry_daemon.cc
+++ b/Source/Entry/entry_daemon.cc
@@ -419,8 +419,7 @@
 }
 
 void EntryDaemon::Impl::AwaitDrained(MonotonicTime give_up) {
-  const bool drained =
-      m_caller_server.active_requests() == 0 && m_batch_drained;
+  const bool drained = m_caller_server.connections() == 0 && m_batch_drained;
   if (!drained && MonotonicClock::now() < give_up) {
     m_drain.expires_after(kDrainPollInterval);
     m_drain.async_wait([this, give_up](const boost::system::error_code& error) {
@@ -430,6 +429,8 @@
     });
     return;
   }
+  m_caller_server.RefuseUnfinishedRequests();
+  m_caller_server.AnswerOpenRequests();
   m_limits.Drain([this] { StopAll(); });
 }
 
