Net: a handler that fails leaves no request without an answer

Found in a review of the class: a handler that threw, or returned without a response, closed the connection of a whole request. No path that does so is known. The server answers 500 now, without not_run, since the request may have run. net.http "A handler that fails..." failed before (2 checks).

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -430,12 +430,20 @@
   } catch (const std::exception& thrown) {
     LOG(ERROR) << "http: A request handler threw an exception: "
                << thrown.what() << ".";
-    m_state = State::kBroken;
+    m_state = m_state == State::kOpen ? State::kOpen : State::kBroken;
   }
   --m_server->m_active;
   m_on_disconnect = nullptr;
   boost::system::error_code ignored;
   m_stream.socket().cancel(ignored);
+  if (m_state == State::kOpen && m_stream.socket().is_open()) {
+    m_keep_alive = false;
+    HttpResponse response = MakeProblem(
+        500, "internal-error",
+        "The request may have run, and its response is lost", false);
+    const Result<void> written = co_await Respond(std::move(response));
+    static_cast<void>(written);
+  }
   if (m_state != State::kFinished) {
     Abort();
   }
--- a/Tests/Net/http_test.cc
+++ b/Tests/Net/http_test.cc
@@ -1,3 +1,5 @@
+#include <stdexcept>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -65,6 +67,24 @@
   });
 }
 
+awaitable<void> ThrowOrReturn(HttpExchange& exchange) {
+  if (exchange.request().Path() == "/throw") {
+    throw std::runtime_error("the handler failed");
+  }
+  co_return;
+}
+
+TEST_CASE("A handler that fails leaves no request without an answer") {
+  Run(ThrowOrReturn, [](HttpClient& http) -> awaitable<void> {
+    for (const char* path : {"/throw", "/return"}) {
+      HttpRequest request{.target = path};
+      auto got = co_await http.Send(std::move(request), kTimeout);
+      REQUIRE(got.has_value());
+      CHECK(got.value().status == 500);
+    }
+  });
+}
+
 TEST_CASE("A truncated stream is an error, not a complete response") {
   Run(StreamOrTruncate, [](HttpClient& http) -> awaitable<void> {
     HttpRequest whole{.target = "/whole"};
