Net: count the closes of idle connections, and requests that cross them

Outside a shutdown, a connection that reached the idle timeout was closed without a trace, and a request that crossed the close was neither counted nor logged, so it could not be told from a request that was never sent.

The server counts closes of idle connections and crossed requests by cause (idle timeout, drain). Both causes take the same path: half-close, then watch for a request for at most 300 ms. A connection in that state counts as neither idle nor reading, and a drain does not wait for it any longer than that.

The gateway exports cowslip_idle_connections_closed and cowslip_requests_crossed and logs idle_connections_closed, at most once a second, when the counts have changed. requests_crossed in the lines of a shutdown counts the crossings of the drain, as before.

The log line and the metrics of the gateway have no test.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -40,6 +40,9 @@
 // The interval between attempts to register while the store is unavailable.
 constexpr Duration kRegisterRetryInterval = std::chrono::milliseconds(300);
 
+// The shortest interval between log lines about closes of idle connections.
+constexpr Duration kIdleClosesLogInterval = std::chrono::seconds(1);
+
 PlacementOptions PlacementOptionsFor(const GatewaySettings& settings) {
   return PlacementOptions{.self = settings.vm, .zone = settings.zone};
 }
@@ -381,6 +384,21 @@
                      static_cast<double>(m_log.dropped()));
   m_metrics.SetGauge("cowslip_connections", "Open connections of callers.",
                      static_cast<double>(m_caller_server->connections()));
+  const HttpIdleCloses closes = m_caller_server->idle_closes();
+  const std::string closed = "cowslip_idle_connections_closed";
+  const std::string closed_help = "Idle connections closed, by cause.";
+  m_metrics.SetGauge(closed + R"({cause="timeout"})", closed_help,
+                     static_cast<double>(closes.timeouts));
+  m_metrics.SetGauge(closed + R"({cause="drain"})", closed_help,
+                     static_cast<double>(closes.drained));
+  const std::string crossed = "cowslip_requests_crossed";
+  const std::string crossed_help =
+      "Requests that arrived after the close of their idle connection, by the "
+      "cause of the close.";
+  m_metrics.SetGauge(crossed + R"({cause="timeout"})", crossed_help,
+                     static_cast<double>(closes.crossed_timeouts));
+  m_metrics.SetGauge(crossed + R"({cause="drain"})", crossed_help,
+                     static_cast<double>(closes.crossed_drained));
   m_metrics.SetGauge("cowslip_requests_waiting",
                      "Requests that wait for a slot.",
                      static_cast<double>(m_dispatcher.waiting_count()));
@@ -403,6 +421,7 @@
     HandlePeerEvent(PeerTick{});
     HandleDivergenceEvent(OwnDigestsChanged{OwnStoreDigests()});
     m_job_runner.Tick();
+    MaybeLogIdleCloses();
     m_log.Flush();
     if (m_shutting_down) {
       ContinueShutdown();
@@ -481,6 +500,7 @@
   }
   m_stopped = true;
   LogConnections("stopped");
+  LogIdleCloses();
   const size_t answers = m_caller_server->AnswerOpenRequests();
   if (answers > 0) {
     m_log.Write("requests_answered_at_exit", {{"requests", answers}});
@@ -500,13 +520,33 @@
 void GatewayDaemon::LogConnections(const char* event) {
   const HttpConnectionCounts counts = m_caller_server->CountConnections();
   m_log.Write(
-      event, {{"active_requests", m_caller_server->active_requests()},
-              {"connections", counts.open},
-              {"reading", counts.reading},
-              {"unread", counts.unread},
-              {"requests_after_drain", m_caller_server->requests_after_drain()},
-              {"requests_crossed", m_caller_server->requests_crossed()},
-              {"waiting", m_dispatcher.waiting_count()}});
+      event,
+      {{"active_requests", m_caller_server->active_requests()},
+       {"connections", counts.open},
+       {"reading", counts.reading},
+       {"unread", counts.unread},
+       {"requests_after_drain", m_caller_server->requests_after_drain()},
+       {"requests_crossed", m_caller_server->idle_closes().crossed_drained},
+       {"waiting", m_dispatcher.waiting_count()}});
+}
+
+void GatewayDaemon::MaybeLogIdleCloses() {
+  const MonotonicTime now = MonotonicClock::now();
+  if (m_caller_server->idle_closes() != m_logged_idle_closes &&
+      now - m_idle_closes_logged_at >= kIdleClosesLogInterval) {
+    m_idle_closes_logged_at = now;
+    LogIdleCloses();
+  }
+}
+
+void GatewayDaemon::LogIdleCloses() {
+  const HttpIdleCloses closes = m_caller_server->idle_closes();
+  m_logged_idle_closes = closes;
+  m_log.Write("idle_connections_closed",
+              {{"timeouts", closes.timeouts},
+               {"drained", closes.drained},
+               {"crossed_timeouts", closes.crossed_timeouts},
+               {"crossed_drained", closes.crossed_drained}});
 }
 
 void GatewayDaemon::Reload(const GatewaySettings& settings) {
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -121,6 +121,8 @@
   void EndRequests();
   /// Logs the caller connections and requests at a step of the shutdown.
   void LogConnections(const char* event);
+  void MaybeLogIdleCloses();
+  void LogIdleCloses();
   void CheckForProcessPause();
 
   boost::asio::io_context& m_context;
@@ -161,6 +163,8 @@
   DivergenceDetector m_divergence_detector{DivergenceOptions{}};
   const MonotonicTime m_start_time = MonotonicClock::now();
   MonotonicTime m_shutdown_start;
+  HttpIdleCloses m_logged_idle_closes;
+  MonotonicTime m_idle_closes_logged_at;
   bool m_backends_known = false;
   bool m_peers_known = false;
   bool m_jobs_known = false;
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -103,7 +103,7 @@
   std::set<Connection*> m_connections;
   size_t m_active = 0;
   size_t m_requests_after_drain = 0;
-  size_t m_requests_crossed = 0;
+  HttpIdleCloses m_idle_closes;
   // Responses carry `Connection: close`.
   bool m_draining = false;
   // Drain() was called.
@@ -160,7 +160,7 @@
   }
 
  private:
-  enum class Phase { kIdle, kReading, kHandling };
+  enum class Phase { kIdle, kReading, kHandling, kClosing };
   enum class State { kOpen, kResponding, kStreaming, kFinished, kBroken };
 
   // Waits for the first bytes of a request. Returns false when the connection
@@ -315,9 +315,7 @@
     got = co_await m_stream.socket().async_read_some(space, token);
   }
   if (error == asio::error::operation_aborted) {
-    if (m_server->m_drained) {
-      co_await CloseIdle();
-    }
+    co_await CloseIdle();
     co_return false;
   }
   m_buffer.commit(got);
@@ -325,13 +323,17 @@
 }
 
 asio::awaitable<void> HttpServer::Impl::Connection::CloseIdle() {
-  m_state = State::kBroken;
+  HttpIdleCloses& closes = m_server->m_idle_closes;
+  const bool drained = m_server->m_drained;
+  ++(drained ? closes.drained : closes.timeouts);
+  m_phase = Phase::kClosing;
   boost::system::error_code error;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
   StartTimer(kCrossingTime);
   const size_t got = co_await m_stream.socket().async_read_some(
       m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
-  m_server->m_requests_crossed += got > 0 ? 1 : 0;
+  (drained ? closes.crossed_drained : closes.crossed_timeouts) +=
+      got > 0 ? 1 : 0;
 }
 
 asio::awaitable<bool> HttpServer::Impl::Connection::ReadRequest() {
@@ -718,8 +720,8 @@
   return counts;
 }
 
-size_t HttpServer::requests_crossed() const {
-  return m_impl->m_requests_crossed;
+HttpIdleCloses HttpServer::idle_closes() const {
+  return m_impl->m_idle_closes;
 }
 
 size_t HttpServer::requests_after_drain() const {
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -63,6 +63,18 @@
   size_t unread = 0;
 };
 
+/// \class HttpIdleCloses
+/// \brief The idle connections that a server has closed, by cause. A crossed
+/// request is one that arrived after the close: the server does not read it.
+struct HttpIdleCloses {
+  size_t timeouts = 0;
+  size_t drained = 0;
+  size_t crossed_timeouts = 0;
+  size_t crossed_drained = 0;
+
+  bool operator==(const HttpIdleCloses&) const = default;
+};
+
 /// \class HttpServer
 /// \brief Accepts HTTP/1.1 connections and runs one handler per request.
 class HttpServer {
@@ -106,9 +118,7 @@
   size_t connections() const;
   /// Asks the kernel about each idle connection.
   HttpConnectionCounts CountConnections() const;
-  /// Number of idle connections on which a request arrived after their close;
-  /// the server does not read it.
-  size_t requests_crossed() const;
+  HttpIdleCloses idle_closes() const;
   /// Number of requests that were read after Drain().
   size_t requests_after_drain() const;
 
