Net: a raised idle timeout holds on connections that are idle already

Callers reuse a connection that has been idle for up to four fifths of the newest limit. After a configuration raised the limit, they met the close of connections whose wait had begun before: the timer was set once, from the limit in force when the wait began. A request sent after the raise at 0.8 times the new limit got no answer.

A connection keeps the largest limit that was in force since its wait began, and a timer that runs out earlier waits on. A lowered limit holds from the next request on: the protocol page sets no time for it, and a caller that has not heard of it would meet the close. A drain closes idle connections as before.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -131,6 +131,9 @@
   // Ends the wait for the next request. The connection's coroutine closes the
   // connection if no bytes have arrived.
   void EndIdleWait();
+  // Extends the wait for the next request to at least this limit. A lower limit
+  // changes nothing: the caller may not have heard of it.
+  void RaiseIdleLimit(Duration limit);
   void RefuseIfUnfinished();
   // Answers a request that has not got the head of an answer, without waiting.
   // Returns whether there was one.
@@ -209,6 +212,8 @@
   State m_state = State::kOpen;
   bool m_keep_alive = true;
   Phase m_phase = Phase::kIdle;
+  MonotonicTime m_idle_since;
+  Duration m_idle_limit = Duration::zero();
   bool m_read_timed_out = false;
   bool m_read_refused = false;
   size_t m_body_limit = 0;
@@ -250,11 +255,22 @@
   if (restarted || m_phase == Phase::kHandling) {
     return;
   }
+  if (m_phase == Phase::kIdle && !m_server->m_drained) {
+    const Duration left = m_idle_since + m_idle_limit - MonotonicClock::now();
+    if (left > Duration::zero()) {
+      StartTimer(left);
+      return;
+    }
+  }
   m_read_timed_out = m_phase == Phase::kReading;
   CancelReads();
   StartTimer(kCancelInterval);
 }
 
+void HttpServer::Impl::Connection::RaiseIdleLimit(Duration limit) {
+  m_idle_limit = std::max(m_idle_limit, limit);
+}
+
 void HttpServer::Impl::Connection::EndIdleWait() {
   if (m_phase != Phase::kIdle) {
     return;
@@ -304,8 +320,10 @@
 }
 
 asio::awaitable<bool> HttpServer::Impl::Connection::WaitForRequest() {
-  const Duration idle = m_server->m_options.idle_timeout;
-  StartTimer(m_server->m_drained ? std::min(idle, kFirstRequestTime) : idle);
+  m_idle_since = MonotonicClock::now();
+  m_idle_limit = m_server->m_options.idle_timeout;
+  StartTimer(m_server->m_drained ? std::min(m_idle_limit, kFirstRequestTime)
+                                 : m_idle_limit);
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   const auto space = m_buffer.prepare(4096);
@@ -693,6 +711,9 @@
   options.max_body_bytes = limits.max_body_bytes;
   options.read_timeout = limits.read_timeout;
   options.idle_timeout = limits.idle_timeout;
+  for (Impl::Connection* connection : m_impl->m_connections) {
+    connection->RaiseIdleLimit(limits.idle_timeout);
+  }
 }
 
 uint16_t HttpServer::port() const {
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -110,7 +110,9 @@
   /// Disables keep-alive: responses from now on carry `Connection: close`. New
   /// connections are still accepted.
   void DisableKeepAlive();
-  /// Changes the limits for requests that begin from now on.
+  /// Changes the limits for requests that begin from now on. A raised idle
+  /// timeout also holds on connections that are idle already; a lowered one
+  /// holds from their next request on.
   void SetLimits(const HttpServerLimits& limits);
   /// Number of requests whose handler is running.
   size_t active_requests() const;
--- a/Tests/Gateway/configuration_change_test.cc
+++ b/Tests/Gateway/configuration_change_test.cc
@@ -327,6 +327,25 @@
   });
 }
 
+TEST_CASE("A raised idle timeout holds on connections that were idle") {
+  GatewayFixture f(1);
+  f.configuration["limits"] = {{"idle_timeout_ms", 400}};
+  f.Publish();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    tcp::socket socket = co_await Connect(f);
+    Publish(f, nlohmann::json(f.configuration),
+            [](nlohmann::json& configuration) {
+              configuration["limits"]["idle_timeout_ms"] = 2000;
+            });
+    co_await f.Sleep(1600ms);
+    (void)co_await WriteRaw(socket, Head("/unsafe/x", 0));
+    const int status = co_await ReadStatus(socket);
+    CHECK(status == 200);
+  });
+}
+
 TEST_CASE("A request over a lowered body limit gets its refusal") {
   GatewayFixture f(1);
   f.AddGateway();
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -296,5 +296,54 @@
   CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
 }
 
+TEST_CASE("A raised idle timeout holds on connections that are idle already") {
+  Server server({.idle_timeout = 100ms});
+  Client client(server.http.port());
+  Client unused(server.http.port());
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+  server.context.restart();
+  server.context.run_for(50ms);
+  server.http.SetLimits({.idle_timeout = 600ms});
+  server.context.restart();
+  server.context.run_for(430ms);
+  CHECK(server.http.idle_closes() == HttpIdleCloses{});
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+  server.context.restart();
+  server.context.run_for(300ms);
+  CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 1});
+  CHECK(unused.HasEnded());
+  server.context.restart();
+  server.context.run_for(500ms);
+  CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 2});
+}
+
+// The caller may have heard of the raised limit only.
+TEST_CASE("An idle timeout that is raised and lowered closes nothing sooner") {
+  Server server({.idle_timeout = 100ms});
+  Client client(server.http.port());
+  server.context.restart();
+  server.context.run_for(20ms);
+  server.http.SetLimits({.idle_timeout = 600ms});
+  server.http.SetLimits({.idle_timeout = 100ms});
+  server.context.restart();
+  server.context.run_for(400ms);
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A raised idle timeout does not delay a drain") {
+  Server server({.idle_timeout = 100ms});
+  Client unused(server.http.port());
+  server.context.restart();
+  server.context.run_for(20ms);
+  server.http.SetLimits({.idle_timeout = 60s});
+  server.http.Drain();
+  server.context.restart();
+  server.context.run_for(800ms);
+  CHECK(server.http.connections() == 0);
+}
+
 }  // namespace
 }  // namespace cowslip
