Net: an early answer reaches a caller that still sends its request

A request that is answered before it was read in full (413 after a lowered body limit, 431, 400, 408, a refusal at a shutdown) was followed by the close of a socket with unread bytes. The kernel then resets the connection: the caller's write fails, and the reset may overtake the answer.

After an early answer the server now ends its side and reads and discards what still comes, for at most 5 s, 16 MiB or until nothing has come for 1 s. After a last answer with `Connection: close` it does so for 300 ms. The close of an idle connection, with its watch for a request that crosses it, is the same step.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -18,8 +18,30 @@
 // the server drains: its client has most likely just connected to send it.
 constexpr Duration kFirstRequestTime = std::chrono::milliseconds(300);
 
-// How long a closed connection is watched for a request that crosses the close.
-constexpr Duration kCrossingTime = std::chrono::milliseconds(300);
+// How long, and up to how many bytes, a connection is read after its close.
+struct DiscardLimits {
+  Duration in_all;
+  Duration between_bytes;
+  size_t bytes;
+};
+
+// A closed idle connection is watched for a request that crosses the close.
+constexpr DiscardLimits kAfterIdle = {
+    .in_all = std::chrono::milliseconds(300),
+    .between_bytes = std::chrono::milliseconds(300),
+    .bytes = 1};
+
+// What a client sends after the last answer, until it has noticed.
+constexpr DiscardLimits kAfterLastAnswer = {
+    .in_all = std::chrono::milliseconds(300),
+    .between_bytes = std::chrono::milliseconds(300),
+    .bytes = 1 << 20};
+
+// The rest of a request that was answered before it was read in full.
+constexpr DiscardLimits kAfterEarlyAnswer = {
+    .in_all = std::chrono::seconds(5),
+    .between_bytes = std::chrono::seconds(1),
+    .bytes = 16 << 20};
 
 // A cancelled read may be about to start its next step, which the
 // cancellation does not reach, so it is cancelled again after this interval.
@@ -172,6 +194,11 @@
   // Closes the connection, and counts a request that its client sent before it
   // had noticed.
   asio::awaitable<void> CloseIdle();
+  // Sends the end of the connection, then reads and discards what the client
+  // still sends: the close of a socket with unread bytes resets the connection,
+  // and the reset may reach the client before the answer. Returns how much was
+  // read.
+  asio::awaitable<size_t> CloseAndDiscard(DiscardLimits limits);
   // Limits the current phase. Only reads are cancelled: closing the connection
   // would lose a request that has just arrived.
   void StartTimer(Duration limit);
@@ -232,7 +259,8 @@
       break;
     }
     co_await RunHandler();
-    if (m_state != State::kFinished || !m_keep_alive) {
+    if (m_state == State::kFinished && !m_keep_alive) {
+      co_await CloseAndDiscard(kAfterLastAnswer);
       break;
     }
   }
@@ -344,14 +372,30 @@
   HttpIdleCloses& closes = m_server->m_idle_closes;
   const bool drained = m_server->m_drained;
   ++(drained ? closes.drained : closes.timeouts);
+  const size_t got = co_await CloseAndDiscard(kAfterIdle);
+  (drained ? closes.crossed_drained : closes.crossed_timeouts) +=
+      got > 0 ? 1 : 0;
+}
+
+asio::awaitable<size_t> HttpServer::Impl::Connection::CloseAndDiscard(
+    DiscardLimits limits) {
   m_phase = Phase::kClosing;
   boost::system::error_code error;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-  StartTimer(kCrossingTime);
-  const size_t got = co_await m_stream.socket().async_read_some(
-      m_buffer.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
-  (drained ? closes.crossed_drained : closes.crossed_timeouts) +=
-      got > 0 ? 1 : 0;
+  const MonotonicTime end = MonotonicClock::now() + limits.in_all;
+  size_t discarded = 0;
+  while (!error && discarded < limits.bytes) {
+    const Duration left = end - MonotonicClock::now();
+    if (left <= Duration::zero()) {
+      break;
+    }
+    StartTimer(std::min(left, limits.between_bytes));
+    m_buffer.clear();
+    discarded += co_await m_stream.socket().async_read_some(
+        m_buffer.prepare(16 * 1024),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  co_return discarded;
 }
 
 asio::awaitable<bool> HttpServer::Impl::Connection::ReadRequest() {
@@ -436,6 +480,7 @@
       error, m_body_limit, m_server->m_options.max_header_bytes);
   const Result<void> ignored = co_await Respond(std::move(error_response));
   static_cast<void>(ignored);
+  co_await CloseAndDiscard(kAfterEarlyAnswer);
 }
 
 asio::awaitable<void> HttpServer::Impl::Connection::RunHandler() {
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -1,6 +1,7 @@
 // Requests that meet the drain of a server or the idle timeout. The client
 // blocks on its own context, so each step of the server's context is forced.
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -68,6 +69,27 @@
     }
     return "";
   }
+  // Sends without a wait for space in the socket's buffer while the server
+  // runs, in pieces with a pause after each. Returns whether all was sent.
+  bool SendPieces(boost::asio::io_context& server,
+                  const std::string& bytes,
+                  size_t piece,
+                  Duration pause) {
+    m_socket.non_blocking(true);
+    size_t sent = 0;
+    while (sent < bytes.size()) {
+      boost::system::error_code error;
+      const size_t size = std::min(piece, bytes.size() - sent);
+      sent += m_socket.write_some(
+          boost::asio::buffer(bytes.data() + sent, size), error);
+      if (error && error != boost::asio::error::would_block) {
+        return false;
+      }
+      server.restart();
+      server.run_for(error ? Duration(1ms) : pause);
+    }
+    return true;
+  }
   // Whether the server has closed its side without an answer.
   bool HasEnded() {
     char byte = 0;
@@ -345,5 +367,75 @@
   CHECK(server.http.connections() == 0);
 }
 
+// The close of a socket with unread bytes resets the connection, and the reset
+// may overtake the answer.
+TEST_CASE("An early answer reaches a caller that still sends") {
+  struct Case {
+    std::string head;
+    std::string status;
+  };
+  const Case kind = GENERATE(
+      Case{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n",
+           "HTTP/1.1 413 Payload Too Large"},
+      Case{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "7A1200\r\n",
+           "HTTP/1.1 413 Payload Too Large"},
+      Case{"POST / HTTP/1.1\r\nHost: h\r\nPadding: " + std::string(9000, 'x') +
+               "\r\nContent-Length: 8000000\r\n\r\n",
+           "HTTP/1.1 431 Request Header Fields Too Large"},
+      Case{"POST / HTTP/9.9\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n",
+           "HTTP/1.1 400 Bad Request"});
+  CAPTURE(kind.head.substr(0, 80));
+  Server server({.max_header_bytes = 8192, .max_body_bytes = 1000});
+  const std::string request = kind.head + std::string(8000000, 'x');
+  SECTION("at once") {
+    Client client(server.http.port());
+    CHECK(client.SendPieces(server.context, request, request.size(), 0ms));
+    CHECK(client.Read(server.context) == kind.status);
+  }
+  SECTION("slowly") {
+    Client client(server.http.port());
+    CHECK(
+        client.SendPieces(server.context, request, request.size() / 12, 40ms));
+    CHECK(client.Read(server.context) == kind.status);
+  }
+}
+
+TEST_CASE("A caller that sends on after an early answer is cut off") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000000\r\n\r\n";
+  Server server({.max_body_bytes = 1000});
+  Client client(server.http.port());
+  SECTION("by size") {
+    const std::string much(40'000'000, 'x');
+    CHECK_FALSE(
+        client.SendPieces(server.context, head + much, much.size(), 0ms));
+  }
+  SECTION("by time") {
+    const std::string much(100, 'x');
+    CHECK_FALSE(client.SendPieces(server.context, head + much, 1, 100ms));
+  }
+  SECTION("by silence") {
+    client.Send(head);
+    server.context.restart();
+    server.context.run_for(1500ms);
+  }
+  CHECK(server.http.connections() == 0);
+}
+
+TEST_CASE("A request sent after a last answer does not destroy the answer") {
+  Server server;
+  Client client(server.http.port());
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  server.RunSteps(30);
+  client.Send(kRequest);
+  server.RunSteps(30);
+  client.Send(kRequest);
+  CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
+  server.context.restart();
+  server.context.run_for(500ms);
+  CHECK(server.http.connections() == 0);
+}
+
 }  // namespace
 }  // namespace cowslip
