Platform: a listing that a watch overtakes sets no document back

After a listing of the backend servers that had begun before one was asked to leave, and ended after the watch had reported it, a gateway took the server for usable again and sent it requests seconds later. `DocumentWatcher` handed on the documents as they were listed: entries that a watch had just changed went back, added ones were dropped, removed ones came back. The digest kept the newer versions, so it agreed with those of the peers and no refresh repaired the view.

`DocumentView` merges listings and watches by version. It keeps versions only, no contents: the versions of the pages of the newest listing, the version of each document, and the removals that a read still in progress may contradict. What it passes on is what is newer than anything known of that name, so `listed` now hands on the changes that a listing brings; all users apply them as they do those of a watch, and `BackendsListed` is gone. A listing also reports jobs whose removal was missed, and unchanged jobs are not decoded again.

In placement.cores and store_client the removed callback is replaced by the same entries one by one; the checks are as before.

--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -79,12 +79,11 @@
   void StartWatchers();
   std::shared_ptr<DocumentWatcher> StartWatcher(const char* kind,
                                                 DocumentWatcherEvents events);
-  void ApplyConfiguration(const Document& document);
-  void ApplyBackendList(const std::vector<Document>& documents);
+  void ApplyConfigurationChange(const DocumentChange& change);
   void ApplyBackendChange(const DocumentChange& change);
-  void ApplyPeerList(const std::vector<Document>& documents);
+  /// Call UpdatePeerTable() after the last of several changes.
   void ApplyPeerChange(const DocumentChange& change);
-  void ApplyJobList(const std::vector<Document>& documents);
+  void ApplyJobChange(const DocumentChange& change, const char* source);
   void UpdatePeerTable();
   void MaybeActivateJobs();
   /// Opens the startup gate once the configuration and the backend servers have
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -111,16 +111,14 @@
   m_configuration_watcher = StartWatcher(
       platform::kConfigurationKind,
       {.listed =
-           [this](const std::vector<Document>& documents) {
-             for (const Document& document : documents) {
-               ApplyConfiguration(document);
+           [this](const std::vector<DocumentChange>& changes) {
+             for (const DocumentChange& change : changes) {
+               ApplyConfigurationChange(change);
              }
            },
        .changed =
            [this](const DocumentChange& change) {
-             if (!change.removed) {
-               ApplyConfiguration(change.document);
-             }
+             ApplyConfigurationChange(change);
            },
        .lost =
            [this](const Error&) { m_gateway.configuration_is_current = false; },
@@ -128,8 +126,12 @@
   m_backend_watcher = StartWatcher(
       platform::kBackendKind,
       {.listed =
-           [this](const std::vector<Document>& documents) {
-             ApplyBackendList(documents);
+           [this](const std::vector<DocumentChange>& changes) {
+             for (const DocumentChange& change : changes) {
+               ApplyBackendChange(change);
+             }
+             m_backends_known = true;
+             MaybeOpenStartupGate();
            },
        .changed =
            [this](const DocumentChange& change) { ApplyBackendChange(change); },
@@ -137,37 +139,45 @@
            [this](const Error&) { HandleDirectoryEvent(DirectoryStoreLost{}); },
        .regained = [this] { HandleDirectoryEvent(DirectoryStoreRegained{}); }});
   m_peer_watcher = StartWatcher(
-      kPeerKind,
-      {.listed =
-           [this](const std::vector<Document>& documents) {
-             ApplyPeerList(documents);
-           },
-       .changed =
-           [this](const DocumentChange& change) { ApplyPeerChange(change); }});
+      kPeerKind, {.listed =
+                      [this](const std::vector<DocumentChange>& changes) {
+                        for (const DocumentChange& change : changes) {
+                          ApplyPeerChange(change);
+                        }
+                        m_peers_known = true;
+                        UpdatePeerTable();
+                        MaybeActivateJobs();
+                      },
+                  .changed =
+                      [this](const DocumentChange& change) {
+                        ApplyPeerChange(change);
+                        UpdatePeerTable();
+                      }});
   m_job_watcher = StartWatcher(
       kJobKind,
       {.listed =
-           [this](const std::vector<Document>& documents) {
-             ApplyJobList(documents);
+           [this](const std::vector<DocumentChange>& changes) {
+             for (const DocumentChange& change : changes) {
+               ApplyJobChange(change, "list");
+             }
+             m_jobs_known = true;
+             MaybeActivateJobs();
            },
        .changed =
            [this](const DocumentChange& change) {
-             if (change.removed) {
-               m_job_runner.RemoveJob(JobKey(change.document.name.value()));
-             } else {
-               m_job_runner.HandleJobDocument(change.document, "watch");
-             }
+             ApplyJobChange(change, "watch");
            },
        .lost = [this](const Error&) { m_gateway.jobs_are_current = false; },
        .regained = [this] { m_gateway.jobs_are_current = true; }});
 }
 
-void GatewayDaemon::ApplyJobList(const std::vector<Document>& documents) {
-  for (const Document& document : documents) {
-    m_job_runner.HandleJobDocument(document, "list");
+void GatewayDaemon::ApplyJobChange(const DocumentChange& change,
+                                   const char* source) {
+  if (change.removed) {
+    m_job_runner.RemoveJob(JobKey(change.document.name.value()));
+  } else {
+    m_job_runner.HandleJobDocument(change.document, source);
   }
-  m_jobs_known = true;
-  MaybeActivateJobs();
 }
 
 void GatewayDaemon::MaybeActivateJobs() {
@@ -187,8 +197,9 @@
                                   {"since_start_ms", ToMillis(since)}});
 }
 
-void GatewayDaemon::ApplyConfiguration(const Document& document) {
-  if (document.name.value() != platform::kConfigurationName) {
+void GatewayDaemon::ApplyConfigurationChange(const DocumentChange& change) {
+  const Document& document = change.document;
+  if (change.removed || document.name.value() != platform::kConfigurationName) {
     return;
   }
   Result<FleetConfigurationParts> parts =
@@ -227,22 +238,6 @@
   m_gossip->StateChanged();
 }
 
-void GatewayDaemon::ApplyBackendList(const std::vector<Document>& documents) {
-  BackendsListed listed;
-  for (const Document& document : documents) {
-    const auto backend = platform::DecodeBackend(document);
-    if (backend.has_value()) {
-      listed.backends.push_back(*backend);
-    } else {
-      m_log.Write("backend_entry_unreadable",
-                  {{"entry", document.name.value()}});
-    }
-  }
-  m_backends_known = true;
-  HandleDirectoryEvent(listed);
-  MaybeOpenStartupGate();
-}
-
 void GatewayDaemon::ApplyBackendChange(const DocumentChange& change) {
   const auto backend = platform::DecodeBackend(change.document);
   if (!change.removed && backend.has_value()) {
@@ -280,19 +275,6 @@
   }
 }
 
-void GatewayDaemon::ApplyPeerList(const std::vector<Document>& documents) {
-  m_peer_records.clear();
-  for (const Document& document : documents) {
-    const auto record = DecodePeer(document);
-    if (record.has_value()) {
-      m_peer_records[record->vm] = *record;
-    }
-  }
-  m_peers_known = true;
-  UpdatePeerTable();
-  MaybeActivateJobs();
-}
-
 void GatewayDaemon::ApplyPeerChange(const DocumentChange& change) {
   const auto record = DecodePeer(change.document);
   if (change.removed || !record.has_value()) {
@@ -300,7 +282,6 @@
   } else {
     m_peer_records[record->vm] = *record;
   }
-  UpdatePeerTable();
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/storage_daemon.cc
+++ b/Source/Gateway/storage_daemon.cc
@@ -44,16 +44,14 @@
                              .seed = m_options.incarnation.value()},
       DocumentWatcherEvents{
           .listed =
-              [this](const std::vector<Document>& documents) {
-                for (const Document& document : documents) {
-                  HandleRetirement(document);
+              [this](const std::vector<DocumentChange>& changes) {
+                for (const DocumentChange& change : changes) {
+                  HandleRetirement(change);
                 }
               },
           .changed =
               [this](const DocumentChange& change) {
-                if (!change.removed) {
-                  HandleRetirement(change.document);
-                }
+                HandleRetirement(change);
               },
           .lost =
               [this](const Error& error) {
@@ -65,9 +63,11 @@
   return Ok();
 }
 
-void StorageDaemon::HandleRetirement(const Document& document) {
+void StorageDaemon::HandleRetirement(const DocumentChange& change) {
+  const Document& document = change.document;
   const bool is_ours = document.name.value() == m_options.settings.vm.value();
-  if (!is_ours || m_reporting || platform::IsRetired(document)) {
+  if (change.removed || !is_ours || m_reporting ||
+      platform::IsRetired(document)) {
     return;
   }
   m_reporting = true;
--- a/Source/Gateway/storage_daemon.h
+++ b/Source/Gateway/storage_daemon.h
@@ -38,7 +38,7 @@
   void RejectSettings(const Error& why);
 
  private:
-  void HandleRetirement(const Document& document);
+  void HandleRetirement(const DocumentChange& change);
   boost::asio::awaitable<void> ReportEmpty(Document document);
   void ScheduleFlush();
 
--- a/Source/Placement/backend_directory.cc
+++ b/Source/Placement/backend_directory.cc
@@ -1,6 +1,5 @@
 #include "Placement/backend_directory.h"
 
-#include <set>
 #include <utility>
 
 namespace cowslip {
@@ -45,23 +44,6 @@
   m_actions.push_back(BackendUnusable{id});
 }
 
-void BackendDirectory::Apply(const BackendsListed& event, MonotonicTime now) {
-  std::set<BackendId> listed;
-  for (const BackendRecord& record : event.backends) {
-    listed.insert(record.id);
-    Upsert(record);
-  }
-  std::vector<BackendId> absent;
-  for (const auto& [id, entry] : m_backends) {
-    if (!listed.contains(id)) {
-      absent.push_back(id);
-    }
-  }
-  for (const BackendId& id : absent) {
-    MarkMissingOrRemove(id, now);
-  }
-}
-
 void BackendDirectory::Apply(const BackendEntryWritten& event, MonotonicTime) {
   Upsert(event.backend);
 }
--- a/Source/Placement/backend_directory.h
+++ b/Source/Placement/backend_directory.h
@@ -20,10 +20,6 @@
   Duration grace_period = std::chrono::milliseconds(2300);
 };
 
-/// The result of listing all entries in the store.
-struct BackendsListed {
-  std::vector<BackendRecord> backends;
-};
 /// An entry was created or updated.
 struct BackendEntryWritten {
   BackendRecord backend;
@@ -38,8 +34,7 @@
 struct DirectoryStoreRegained {};
 /// Periodic timer event.
 struct DirectoryTick {};
-using DirectoryEvent = std::variant<BackendsListed,
-                                    BackendEntryWritten,
+using DirectoryEvent = std::variant<BackendEntryWritten,
                                     BackendEntryRemoved,
                                     DirectoryStoreLost,
                                     DirectoryStoreRegained,
@@ -78,7 +73,6 @@
     bool missing = false;
   };
 
-  void Apply(const BackendsListed& event, MonotonicTime now);
   void Apply(const BackendEntryWritten& event, MonotonicTime now);
   void Apply(const BackendEntryRemoved& event, MonotonicTime now);
   void Apply(const DirectoryStoreLost&, MonotonicTime now);
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "Base/rendezvous.h"
 #include "Net/sleep_for.h"
 
 namespace cowslip {
@@ -20,9 +19,20 @@
 // The shortest wait of a watch: it returns the changes that are available.
 constexpr Duration kPollWait = std::chrono::milliseconds(1);
 
-uint64_t DigestOf(const DocumentName& name, ObjectVersion version) {
-  return RendezvousScore(name.value(), std::to_string(version.value()));
-}
+/// \class ReadInProgress
+/// \brief Tells a view when a read begins and when its response was applied.
+class ReadInProgress {
+ public:
+  explicit ReadInProgress(DocumentView& view)
+      : m_view(view), m_id(view.BeginRead()) {}
+  ~ReadInProgress() { m_view.EndRead(m_id); }
+  ReadInProgress(const ReadInProgress&) = delete;
+  ReadInProgress& operator=(const ReadInProgress&) = delete;
+
+ private:
+  DocumentView& m_view;
+  const DocumentView::ReadId m_id;
+};
 
 }  // namespace
 
@@ -121,50 +131,45 @@
 }
 
 awaitable<Result<void>> DocumentWatcher::ListAll() {
+  const ReadInProgress reading(m_view);
   const uint32_t read_epoch = m_read_epoch;
   const MonotonicTime began = MonotonicClock::now();
-  std::vector<Document> documents;
+  std::vector<DocumentPage> pages;
+  size_t documents = 0;
   DocumentName after;
-  ObjectVersion as_of;
   bool has_more = true;
   while (has_more) {
     Result<DocumentPage> page = co_await m_store.List(m_options.kind, after);
     if (!page.has_value()) {
       co_return page.error();
     }
-    // Takes the version of the first page, so that the watch also reports
-    // changes made during the listing.
-    if (documents.empty()) {
-      as_of = page.value().as_of;
-    }
-    has_more = page.value().has_more && !page.value().documents.empty();
-    for (Document& document : page.value().documents) {
-      documents.push_back(std::move(document));
-    }
+    pages.push_back(std::move(page.value()));
+    const DocumentPage& read = pages.back();
+    documents += read.documents.size();
+    has_more = read.has_more && !read.documents.empty();
     if (has_more) {
-      after = documents.back().name;
+      after = read.documents.back().name;
     }
   }
   if (m_stopped) {
     co_return Ok();
   }
   ReportRead({.listing = true,
-              .documents = documents.size(),
-              .as_of = as_of,
+              .documents = documents,
+              .as_of = pages.front().as_of,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
-  m_as_of = std::max(m_as_of, as_of);
   m_must_list = false;
-  ApplyListing(documents, as_of);
-  m_events.listed(std::move(documents));
+  m_events.listed(m_view.ApplyListing(std::move(pages)));
   co_return Ok();
 }
 
 awaitable<Result<void>> DocumentWatcher::WatchOnce(Duration wait) {
+  const ReadInProgress reading(m_view);
   const uint32_t read_epoch = m_read_epoch;
-  const ObjectVersion since = m_as_of;
+  const ObjectVersion since = m_view.as_of();
   const MonotonicTime began = MonotonicClock::now();
-  const Result<DocumentChanges> changes =
+  Result<DocumentChanges> changes =
       co_await m_store.Watch(m_options.kind, since, wait);
   if (m_stopped) {
     co_return Ok();
@@ -181,54 +186,13 @@
               .as_of = changes.value().as_of,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
-  m_as_of = std::max(m_as_of, changes.value().as_of);
-  for (const DocumentChange& change : changes.value().changes) {
-    if (ApplyChange(change)) {
-      m_events.changed(change);
-    }
+  for (const DocumentChange& change :
+       m_view.ApplyChanges(std::move(changes.value()))) {
+    m_events.changed(change);
   }
   co_return Ok();
 }
 
-// A listing may arrive after a watch that has reported newer changes.
-void DocumentWatcher::ApplyListing(const std::vector<Document>& documents,
-                                   ObjectVersion as_of) {
-  std::erase_if(m_versions,
-                [&](const auto& known) { return known.second <= as_of; });
-  std::erase_if(m_removed,
-                [&](const auto& removed) { return removed.second <= as_of; });
-  for (const Document& document : documents) {
-    if (!m_removed.contains(document.name)) {
-      ObjectVersion& version = m_versions[document.name];
-      version = std::max(version, document.version);
-    }
-  }
-  m_digest = 0;
-  for (const auto& [name, version] : m_versions) {
-    m_digest ^= DigestOf(name, version);
-  }
-}
-
-bool DocumentWatcher::ApplyChange(const DocumentChange& change) {
-  const Document& document = change.document;
-  const auto known = m_versions.find(document.name);
-  if (known != m_versions.end()) {
-    if (document.version < known->second) {
-      return false;
-    }
-    m_digest ^= DigestOf(document.name, known->second);
-    m_versions.erase(known);
-  }
-  if (change.removed) {
-    m_removed[document.name] = m_as_of;
-  } else {
-    m_removed.erase(document.name);
-    m_versions[document.name] = document.version;
-    m_digest ^= DigestOf(document.name, document.version);
-  }
-  return true;
-}
-
 void DocumentWatcher::HandleSuccess(uint32_t read_epoch) {
   m_failures = 0;
   if (!m_connected && read_epoch == m_read_epoch) {
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <vector>
@@ -13,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Platform/document_store.h"
+#include "Platform/document_view.h"
 
 namespace cowslip {
 
@@ -43,10 +43,15 @@
 };
 
 /// \class DocumentWatcherEvents
-/// \brief Callbacks of a watcher; all run on the watcher's executor.
+/// \brief Callbacks of a watcher; all run on the watcher's executor. Together
+/// `listed` and `changed` hand on each change once, and no document goes back
+/// to an older version.
 struct DocumentWatcherEvents {
-  /// A listing has completed, with all documents of the kind.
-  std::function<void(std::vector<Document> documents)> listed;
+  /// A listing has completed. These are all documents for the first one, then
+  /// the changes that were not known before the listing.
+  std::function<void(const std::vector<DocumentChange>& changes)> listed;
+  /// A watch has reported a change. A removal may be reported again, or of a
+  /// document that was never handed on.
   std::function<void(const DocumentChange& change)> changed;
   /// A call has failed, or the requested history is no longer available. This
   /// alone does not mean an outage.
@@ -83,7 +88,7 @@
   /// A digest of the known documents and versions. Two watchers of a kind with
   /// the same state have equal digests; different states have different digests
   /// except for hash collisions.
-  uint64_t digest() const { return m_digest; }
+  uint64_t digest() const { return m_view.digest(); }
 
  private:
   boost::asio::awaitable<void> Run();
@@ -94,12 +99,6 @@
   boost::asio::awaitable<void> BackOff();
   /// A call that was started in `read_epoch` has succeeded.
   void HandleSuccess(uint32_t read_epoch);
-  /// Takes over the documents of a listing, except what a watch has reported
-  /// after `as_of`.
-  void ApplyListing(const std::vector<Document>& documents,
-                    ObjectVersion as_of);
-  /// Returns false for a change that is older than the known version.
-  bool ApplyChange(const DocumentChange& change);
   void ReportRead(const StoreReadEnded& read);
   void HandleFailure(const Error& error);
   void ReportError(const Error& error);
@@ -110,12 +109,7 @@
   boost::asio::any_io_executor m_executor;
   boost::asio::steady_timer m_timer;
   std::mt19937_64 m_random;
-  ObjectVersion m_as_of;
-  std::map<DocumentName, ObjectVersion> m_versions;
-  // Documents that were removed since the last listing, and the version of the
-  // store by which they were.
-  std::map<DocumentName, ObjectVersion> m_removed;
-  uint64_t m_digest = 0;
+  DocumentView m_view;
   bool m_stopped = false;
   bool m_connected = false;
   bool m_must_list = true;
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -226,13 +226,14 @@
 TEST_CASE(
     "A removal takes effect at once except around an outage of the store") {
   BackendDirectory directory{BackendDirectoryOptions{}};
-  directory.Handle(BackendsListed{{Record("a"), Record("b")}}, At(0s));
+  directory.Handle(BackendEntryWritten{Record("a")}, At(0s));
+  directory.Handle(BackendEntryWritten{Record("b")}, At(0s));
   CHECK(directory.Handle(BackendEntryRemoved{BackendId("b")}, At(1s)).size() ==
         1);
   directory.Handle(DirectoryStoreLost{}, At(2s));
   directory.Handle(DirectoryStoreRegained{}, At(10s));
   // The entry expired during the outage.
-  CHECK(directory.Handle(BackendsListed{{}}, At(10s)).empty());
+  CHECK(directory.Handle(BackendEntryRemoved{BackendId("a")}, At(10s)).empty());
   CHECK(directory.Handle(DirectoryTick{}, At(12s)).empty());
   SECTION("The entry is registered again in time") {
     directory.Handle(BackendEntryWritten{Record("a")}, At(12s));
@@ -249,7 +250,7 @@
   BackendDirectory directory{BackendDirectoryOptions{}};
   BackendRecord draining = Record("a");
   draining.draining = true;
-  directory.Handle(BackendsListed{{draining}}, At(0s));
+  directory.Handle(BackendEntryWritten{draining}, At(0s));
   directory.Handle(DirectoryStoreLost{}, At(1s));
   CHECK(directory.Handle(BackendEntryRemoved{BackendId("a")}, At(2s)).size() ==
         1);
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -106,23 +106,21 @@
             .kind = kKind, .wait = 2s, .initial_backoff = 20ms},
         DocumentWatcherEvents{
             .listed =
-                [this](const std::vector<Document>& documents) {
-                  names.clear();
+                [this](const std::vector<DocumentChange>& changes) {
                   ++listings;
-                  for (const Document& document : documents) {
-                    names.insert(document.name.value());
+                  for (const DocumentChange& change : changes) {
+                    Apply(change);
                   }
                 },
-            .changed =
-                [this](const DocumentChange& change) {
-                  const std::string name = change.document.name.value();
-                  change.removed ? (void)names.erase(name)
-                                 : (void)names.insert(name);
-                },
+            .changed = [this](const DocumentChange& change) { Apply(change); },
             .lost = [this](const Error&) { ++lost; },
             .regained = [this] { ++regained; }});
     watcher->Start();
   }
+  void Apply(const DocumentChange& change) {
+    const std::string name = change.document.name.value();
+    change.removed ? (void)names.erase(name) : (void)names.insert(name);
+  }
   std::shared_ptr<DocumentWatcher> watcher;
   std::set<std::string> names;
   int listings = 0;
--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -87,7 +87,10 @@
   }
   Document document = found->second;
   m_documents.erase(found);
-  document.version = ObjectVersion(++m_version);
+  ++m_version;
+  if (!removals_keep_version) {
+    document.version = ObjectVersion(m_version);
+  }
   Record({kind, name}, document, true);
 }
 
--- a/Utilities/StandIns/MetadataStore/fake_document_store.h
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.h
@@ -65,6 +65,9 @@
            const std::string& name,
            nlohmann::json content);
   void Erase(const std::string& kind, const std::string& name);
+  /// Watches report a removal with the version of the last change before it,
+  /// not with that of the removal itself.
+  bool removals_keep_version = false;
   /// Called after each change.
   void OnChange(std::function<void()> callback) {
     m_on_change.push_back(std::move(callback));
