Gateway: log which peer differs, since when, and what a listing changed

`store_view_differs` named the kind by a number and no peer, so a log did not tell a missed change from a change on its way. It now has the kind's name, the peer, both digests, how long the difference has lasted and the version that the own view reaches up to. `store_listed` has the number of changes that were not known before the listing: none means that the listing was not needed.

--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -49,6 +49,7 @@
     if (read.listing) {
       m_log.Write("store_listed", {{"kind", name},
                                    {"documents", read.documents},
+                                   {"changes", read.changes},
                                    {"as_of", read.as_of.value()},
                                    {"ms", ToMillis(read.took)}});
     }
@@ -96,9 +97,16 @@
   const std::vector<DivergenceAction> actions =
       m_divergence_detector.Handle(event, MonotonicClock::now());
   for (const DivergenceAction& action : actions) {
-    const size_t kind = std::get<RefreshKind>(action).kind;
-    m_log.Write("store_view_differs", {{"kind", kind}});
-    followed[kind]->Refresh();
+    const auto& refresh = std::get<RefreshKind>(action);
+    DocumentWatcher& watcher = *followed[refresh.kind];
+    m_log.Write("store_view_differs",
+                {{"kind", watcher.kind().value()},
+                 {"as_of", watcher.as_of().value()},
+                 {"digest", refresh.own_digest},
+                 {"peer", refresh.peer.value()},
+                 {"peer_digest", refresh.peer_digest},
+                 {"lasted_ms", ToMillis(refresh.lasted)}});
+    watcher.Refresh();
   }
 }
 
--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -35,24 +35,30 @@
         now - *m_last_refresh[kind] >= m_options.min_refresh_interval;
     if (due && may_refresh) {
       m_last_refresh[kind] = now;
-      actions.push_back(RefreshKind{kind});
+      const auto& [vm, digests] = *FindDiffering(kind);
+      actions.push_back(RefreshKind{.kind = kind,
+                                    .peer = vm,
+                                    .peer_digest = digests[kind],
+                                    .own_digest = m_own_digests[kind],
+                                    .lasted = now - *m_differs_since[kind]});
     }
   }
   return actions;
 }
 
-bool DivergenceDetector::Differs(size_t kind) const {
-  return std::any_of(m_peer_digests.begin(), m_peer_digests.end(),
-                     [&](const auto& peer) {
-                       const StoreDigests& digests = peer.second;
-                       return digests.size() == m_own_digests.size() &&
-                              digests[kind] != m_own_digests[kind];
-                     });
+std::map<VmId, StoreDigests>::const_iterator DivergenceDetector::FindDiffering(
+    size_t kind) const {
+  return std::find_if(m_peer_digests.begin(), m_peer_digests.end(),
+                      [&](const auto& peer) {
+                        const StoreDigests& digests = peer.second;
+                        return digests.size() == m_own_digests.size() &&
+                               digests[kind] != m_own_digests[kind];
+                      });
 }
 
 void DivergenceDetector::Compare(MonotonicTime now) {
   for (size_t kind = 0; kind < m_own_digests.size(); ++kind) {
-    if (!Differs(kind)) {
+    if (FindDiffering(kind) == m_peer_digests.end()) {
       m_differs_since[kind].reset();
     } else if (!m_differs_since[kind].has_value()) {
       m_differs_since[kind] = now;
--- a/Source/Peers/divergence_detector.h
+++ b/Source/Peers/divergence_detector.h
@@ -53,6 +53,12 @@
 /// Read all documents of this kind again.
 struct RefreshKind {
   size_t kind = 0;
+  /// One of the peers that differ, its digest and the own one.
+  VmId peer;
+  uint64_t peer_digest = 0;
+  uint64_t own_digest = 0;
+  /// How long some peer has differed.
+  Duration lasted{0};
 };
 using DivergenceAction = std::variant<RefreshKind>;
 
@@ -70,7 +76,8 @@
 
  private:
   void Compare(MonotonicTime now);
-  bool Differs(size_t kind) const;
+  /// A peer whose digest of this kind differs, or the end.
+  std::map<VmId, StoreDigests>::const_iterator FindDiffering(size_t kind) const;
 
   const DivergenceOptions m_options;
   StoreDigests m_own_digests;
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -154,13 +154,17 @@
   if (m_stopped) {
     co_return Ok();
   }
+  const ObjectVersion as_of = pages.front().as_of;
+  const std::vector<DocumentChange> changes =
+      m_view.ApplyListing(std::move(pages));
   ReportRead({.listing = true,
               .documents = documents,
-              .as_of = pages.front().as_of,
+              .changes = changes.size(),
+              .as_of = as_of,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
   m_must_list = false;
-  m_events.listed(m_view.ApplyListing(std::move(pages)));
+  m_events.listed(changes);
   co_return Ok();
 }
 
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -38,6 +38,8 @@
   bool listing = false;
   /// Documents of the listing, or changes that the watch reports.
   size_t documents = 0;
+  /// Changes that were not known before the listing; zero for a watch.
+  size_t changes = 0;
   ObjectVersion as_of;
   Duration took{0};
 };
@@ -89,6 +91,9 @@
   /// the same state have equal digests; different states have different digests
   /// except for hash collisions.
   uint64_t digest() const { return m_view.digest(); }
+  const DocumentKind& kind() const { return m_options.kind; }
+  /// The version of the store that the next watch begins from.
+  ObjectVersion as_of() const { return m_view.as_of(); }
 
  private:
   boost::asio::awaitable<void> Run();
