Tests, Gateway: a failing check prints the response and the gateways' log

The gateways of a test program log to memory now, its newest 6000 bytes are printed at each failing check, and the checks of these two programs print the response or the error. A start that fails prints why. No check is changed.

--- a/Tests/Gateway/endless_answer_test.cc
+++ b/Tests/Gateway/endless_answer_test.cc
@@ -211,11 +211,13 @@
       const std::string job = "j" + std::to_string(jobs++);
       HttpRequest submission = f.Submission(job, 3);
       const auto accepted = co_await f.Send(0, std::move(submission));
+      INFO(f.Describe(accepted));
       REQUIRE(accepted.has_value());
       REQUIRE(accepted.value().status == 202);
       co_await f.Sleep(400ms);
       HttpRequest end = f.Request("DELETE", "/lots/" + job, "end");
       const auto ended = co_await f.Send(0, std::move(end));
+      INFO(f.Describe(ended));
       REQUIRE(ended.has_value());
       CHECK(ended.value().status == 200);
       co_await f.Sleep(200ms);
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -1,6 +1,5 @@
 #include "gateway_fixture.h"
 
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Base/base64.h"
+#include "gateway_log.h"
 
 namespace cowslip {
 
@@ -59,7 +59,7 @@
 }  // namespace
 
 GatewayFixture::GatewayFixture(size_t backends) {
-  m_log = ::open("/dev/null", O_WRONLY);
+  REQUIRE(::ftruncate(GatewayLogDescriptor(), 0) == 0);
   REQUIRE(server.Start().has_value());
   REQUIRE(other_server.Start().has_value());
   configuration = {{"version", 1},
@@ -94,7 +94,6 @@
   for (auto& gateway : m_gateways) {
     static_cast<void>(gateway.release());
   }
-  ::close(m_log);
 }
 
 void GatewayFixture::Publish() {
@@ -128,9 +127,11 @@
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       context, GatewayDaemonOptions{.settings = settings,
                                     .incarnation = Incarnation(100 + index),
-                                    .log_descriptor = m_log,
+                                    .log_descriptor = GatewayLogDescriptor(),
                                     .on_stopped = on_stopped}));
-  REQUIRE(m_gateways.back()->Start().has_value());
+  const Result<void> started = m_gateways.back()->Start();
+  INFO((started.has_value() ? "" : started.error().message));
+  REQUIRE(started.has_value());
   m_clients.push_back(std::make_unique<HttpClient>(
       context.get_executor(),
       Endpoint{.port = m_gateways.back()->caller_port()}));
@@ -156,6 +157,14 @@
   co_return co_await m_clients[gateway]->Send(std::move(request), timeout);
 }
 
+std::string GatewayFixture::Describe(const Result<HttpResponse>& response) {
+  if (!response.has_value()) {
+    return "no response: " + response.error().message;
+  }
+  return std::to_string(response.value().status) + " " +
+         response.value().body.substr(0, 300);
+}
+
 HttpRequest GatewayFixture::Request(const std::string& method,
                                     const std::string& target,
                                     const std::string& attempt,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -33,6 +33,8 @@
   size_t AddGateway();
   /// As above, with the store at another port.
   size_t AddGateway(uint16_t store_port);
+  /// What the caller received, for the message of a failing check.
+  static std::string Describe(const Result<HttpResponse>& response);
   /// Destroys a gateway without a shutdown, as a crash would.
   void KillGateway(size_t index) { m_gateways[index].reset(); }
 
@@ -93,7 +95,6 @@
   std::vector<std::unique_ptr<ModelServer>> m_backends;
   std::vector<std::unique_ptr<GatewayDaemon>> m_gateways;
   std::vector<std::unique_ptr<HttpClient>> m_clients;
-  int m_log = -1;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/prompt_part_crash_test.cc
+++ b/Tests/Gateway/prompt_part_crash_test.cc
@@ -144,13 +144,19 @@
     *done = true;
     co_await fleet.WaitUntilAllRun();
     size_t served = 0;
+    std::string unserved;
     for (size_t i = 0; i < 40; ++i) {
       HttpRequest crashing = fleet.Prompt("/stream/", "bad1");
       (void)co_await fleet.f.Send(i % 2, std::move(crashing));
       HttpRequest sound = fleet.SoundPrompt();
       const auto response = co_await fleet.f.Send(i % 2, std::move(sound));
-      served += response.has_value() && response.value().status == 200 ? 1 : 0;
+      if (response.has_value() && response.value().status == 200) {
+        ++served;
+      } else {
+        unserved = fleet.f.Describe(response);
+      }
     }
+    INFO("the last that was not served: " << unserved);
     CHECK(served == 40);
   });
 }
@@ -221,6 +227,7 @@
     HttpRequest submission =
         fleet.Submission("j", {"bad1", "good", "bad1", "good", "good"});
     const auto accepted = co_await fleet.f.Send(0, std::move(submission));
+    INFO(fleet.f.Describe(accepted));
     REQUIRE(accepted.has_value());
     REQUIRE(accepted.value().status == 202);
     co_await fleet.SendCrashing(kCrashes);
@@ -260,11 +267,17 @@
     // cause.
     co_await fleet.f.Sleep(2s);
     size_t served = 0;
+    std::string unserved;
     for (size_t i = 0; i < 40; ++i) {
       HttpRequest sound = fleet.SoundPrompt();
       const auto response = co_await fleet.f.Send(i % 2, std::move(sound));
-      served += response.has_value() && response.value().status == 200 ? 1 : 0;
+      if (response.has_value() && response.value().status == 200) {
+        ++served;
+      } else {
+        unserved = fleet.f.Describe(response);
+      }
     }
+    INFO("the last that was not served: " << unserved);
     CHECK(served == 40);
   });
 }
