Tests, Gateway: test programs never share a range of internal ports

The fixture chose a range of ports by the process id, closed what it had tried and bound the port again in the gateway. Two programs whose ids are equal modulo 100 took the same port in between: a gateway did not start (gateway_fixture.cc, REQUIRE of Start()).

--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -2,13 +2,12 @@
 
 #include <unistd.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Base/base64.h"
 #include "gateway_log.h"
+#include "port_range.h"
 
 namespace cowslip {
 
@@ -17,35 +16,13 @@
 
 namespace {
 
-// Returns a port that is free for UDP and TCP. It lies below the range of
-// ephemeral ports of the kernel. The process id selects a part of the range, so
-// that test programs that run at the same time rarely collide.
-uint16_t FreePort(boost::asio::io_context& context) {
-  using boost::asio::ip::tcp;
-  using boost::asio::ip::udp;
-  constexpr int kFirst = 26000;
-  constexpr int kPrograms = 100;
-  constexpr int kPortsEach = 60;
-  static int next = 0;
-  const int base = kFirst + ::getpid() % kPrograms * kPortsEach;
-  for (int tries = 0; tries < kPortsEach; ++tries) {
-    const auto port = static_cast<uint16_t>(base + next++ % kPortsEach);
-    boost::system::error_code error;
-    udp::socket datagrams(context, udp::v4());
-    datagrams.bind(udp::endpoint(udp::v4(), port), error);
-    tcp::acceptor connections(context, tcp::v4());
-    if (!error) {
-      connections.set_option(tcp::acceptor::reuse_address(true));
-      connections.bind(tcp::endpoint(tcp::v4(), port), error);
-    }
-    if (!error) {
-      return port;
-    }
-  }
-  FAIL(
-      "No internal port is free for another gateway in this test program's "
-      "range.");
-  return 0;
+// Returns a port for a gateway's datagrams and connections of its peers.
+uint16_t InternalPort() {
+  static PortRange range(::getpid() % PortRange::kRanges);
+  const uint16_t port = range.Next();
+  INFO("No port is free in the range " << range.number() << ".");
+  REQUIRE(port != 0);
+  return port;
 }
 
 nlohmann::json Route(const char* name, const char* prefix, const char* kind) {
@@ -122,7 +99,7 @@
                            .zone = ZoneId("z"),
                            .address = "127.0.0.1",
                            .store = Endpoint{.port = store_port}};
-  settings.first_internal_port = FreePort(context);
+  settings.first_internal_port = InternalPort();
   settings.stop_grace = stop_grace;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       context, GatewayDaemonOptions{.settings = settings,
