Gateway: a longer grace time holds for requests that began during the shutdown

A stream that began while the gateway shut down was cut at the end of the grace time that was in force when it began, although a reload had lengthened it since: its timers were set to that end once. ShutdownNotice::Limit gives the request's own deadline now until the time is up; the callback of Expire() ends the requests in progress, at each step of the shutdown, so that a later move of the end reaches those that began after the first. Job calls look at the end each time they wait, as before (LimitNow).

Evidence: gateway.shutdown, "A reload with a longer grace time lets requests be completed", failed before (1 of its checks: the stream had no last chunk).

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -469,9 +469,11 @@
 void GatewayDaemon::EndRequests() {
   if (!m_shutdown_notice.expired()) {
     LogConnections("requests_end");
-    m_shutdown_notice.Expire();
-    m_dispatcher.EndCancelledWaits();
   }
+  // Again at each step: a reload may have moved the end beyond requests that
+  // began after it.
+  m_shutdown_notice.Expire();
+  m_dispatcher.EndCancelledWaits();
   m_caller_server->RefuseUnfinishedRequests();
 }
 
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -197,7 +197,7 @@
                                         .not_run = true});
     }
     if (MonotonicClock::now() + kSubmitRetryInterval >=
-        m_gateway.shutdown_notice.Limit(give_up)) {
+        m_gateway.shutdown_notice.LimitNow(give_up)) {
       co_return NotAcceptedResponse(in_doubt, error);
     }
     co_await SleepFor(kSubmitRetryInterval);
@@ -360,7 +360,7 @@
       results = &reader->log.results();
     }
     const bool has_time = MonotonicClock::now() + kResultPollInterval <
-                          m_gateway.shutdown_notice.Limit(until);
+                          m_gateway.shutdown_notice.LimitNow(until);
     const JobRecord* known = m_scheduler.Find(record.key);
     const bool ended = known != nullptr && known->status.ended;
     if (results->size() > from || all_results_read || ended || !has_time) {
--- a/Source/Gateway/shutdown_notice.cc
+++ b/Source/Gateway/shutdown_notice.cc
@@ -14,6 +14,10 @@
 }
 
 MonotonicTime ShutdownNotice::Limit(MonotonicTime deadline) const {
+  return m_expired ? LimitNow(deadline) : deadline;
+}
+
+MonotonicTime ShutdownNotice::LimitNow(MonotonicTime deadline) const {
   return m_due.has_value() ? std::min(deadline, *m_due) : deadline;
 }
 
--- a/Source/Gateway/shutdown_notice.h
+++ b/Source/Gateway/shutdown_notice.h
@@ -40,11 +40,14 @@
   /// Calls back all requests in progress: their time is up.
   void Expire();
   bool expired() const { return m_expired; }
-  /// The earlier of `deadline` and the time by which this process needs to have
-  /// answered.
+  /// The deadline of a request that is called back: `deadline` until the first
+  /// Expire(), because the time that this process has may change before.
   MonotonicTime Limit(MonotonicTime deadline) const;
-  /// Registers a callback for Expire(). A request that begins later is limited
-  /// by Limit() only. The callback must not register or end others.
+  /// The earlier of `deadline` and the time by which this process needs to have
+  /// answered, as far as it is known now.
+  MonotonicTime LimitNow(MonotonicTime deadline) const;
+  /// Registers a callback for Expire(). The callback must not register or end
+  /// others.
   [[nodiscard]] Registration OnExpired(std::function<void()> callback);
 
  private:
--- a/Tests/Gateway/shutdown_test.cc
+++ b/Tests/Gateway/shutdown_test.cc
@@ -243,5 +243,93 @@
   CHECK(client->Status() == "HTTP/1.1 200 OK");
 }
 
+// A shorter grace time than has passed already.
+void ShortenGrace(StoppingGateway& gateway, Duration time) {
+  gateway.At(time, [&gateway] {
+    gateway.f.gateway(0).Reload(GatewaySettings{.stop_grace = 500ms});
+  });
+}
+
+TEST_CASE(
+    "A reload with a shorter grace time leaves no request without an answer") {
+  // Before and after the close of the listener.
+  for (const Duration reload : {1s, 3s}) {
+    StoppingGateway gateway(0, 10s);
+    // A backend server that takes requests and never answers.
+    const tcp::acceptor silent(
+        gateway.f.context,
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    gateway.f.store.Put(
+        "servers", "i-9",
+        {{"service", "s"},
+         {"address",
+          "127.0.0.1:" + std::to_string(silent.local_endpoint().port())},
+         {"zone", "z"},
+         {"version", "v1"},
+         {"slots", 4},
+         {"state", "ready"},
+         {"sequence", 1}});
+    std::vector<std::unique_ptr<Client>> clients;
+    const auto send = [&](const std::string& bytes) {
+      clients.push_back(std::make_unique<Client>(gateway.port()));
+      clients.back()->Send(bytes);
+    };
+    gateway.Run([&]() -> awaitable<void> {
+      HttpRequest job = GatewayFixture::Submission("job1", 1);
+      const auto accepted = co_await gateway.f.Send(0, std::move(job));
+      REQUIRE(accepted.has_value());
+      send(
+          "GET /lots/job1?after=0 HTTP/1.1\r\nHost: h.example\r\n"
+          "Key: key1\r\nAttempt-Id: r1\r\nWait-Ms: 30000\r\n\r\n");
+      // Some run, the others wait for a slot.
+      for (int i = 0; i < 8; ++i) {
+        const std::string id = "a" + std::to_string(i);
+        for (const char* path : {"/once/", "/unsafe/"}) {
+          send(RawRequest("POST", path + id, id + path[1]));
+        }
+      }
+      const std::string body(1000, 'x');
+      send(RawRequest("POST", "/safe/x", "half", body).substr(0, 600));
+      gateway.At(reload - 200ms, [&] {
+        gateway.f.server.SetFault(ServerFault::kBusy);
+        if (reload < 2500ms) {
+          const HttpRequest late = GatewayFixture::Submission("job2", 1);
+          send(RawRequest("POST", "/job/submit", "job2", late.body));
+        }
+      });
+      ShortenGrace(gateway, reload);
+      co_await gateway.f.Sleep(50ms);
+    });
+    for (size_t i = 0; i < clients.size(); ++i) {
+      INFO("request " << i << " of " << clients.size());
+      CHECK(clients[i]->Status().substr(0, 9) == "HTTP/1.1 ");
+    }
+  }
+}
+
+TEST_CASE("A reload with a longer grace time lets requests be completed") {
+  StoppingGateway gateway(1, 9s);
+  gateway.f.backend(0).behaviour() = {.events = 45, .pause = 100ms};
+  std::vector<std::unique_ptr<Client>> clients;
+  gateway.f.stop_grace = 4s;
+  gateway.Run([&]() -> awaitable<void> {
+    clients.push_back(std::make_unique<Client>(gateway.port()));
+    clients.back()->Send(RawRequest("POST", "/once/before", "before"));
+    gateway.At(500ms, [&] {
+      clients.push_back(std::make_unique<Client>(gateway.port()));
+      clients.back()->Send(RawRequest("POST", "/once/after", "after"));
+    });
+    gateway.At(1s, [&gateway] {
+      gateway.f.gateway(0).Reload(GatewaySettings{.stop_grace = 9s});
+    });
+    co_await gateway.f.Sleep(50ms);
+  });
+  for (const auto& client : clients) {
+    CHECK(client->Status() == "HTTP/1.1 200 OK");
+    const bool whole = client->Received().ends_with("\r\n0\r\n\r\n");
+    CHECK(whole);
+  }
+}
+
 }  // namespace
 }  // namespace cowslip
