Net: answer requests at the limit on connections, and wait when accept fails

At max_connections a connection was accepted and closed unread, so its caller got a reset instead of an answer. The limit (20000) was also far beyond the limit on file descriptors; when those ran out, accept failed at once, again and again, and the accept loop kept the processor busy.

Up to 64 connections beyond the limit are accepted to answer their requests with 503 and Retry-After, a promise that the request has not run; a caller may send it again at another gateway. Each may take 1 s to begin its request. Further connections stay in the accept queue until one ends: no caller is turned away without an answer, and the cost is bounded. A connection that finds room by the time its request was read is served as any other. Start() lowers the limit to three quarters of the file descriptors, so that connections to backend servers and the store can still be opened. After a failed accept the loop waits 50 ms or until a connection ends; the connection stays queued.

The gateway exports cowslip_requests_over_connection_limit and cowslip_failed_accepts. The responses that the server builds itself move to http_refusals, the blocking client of net.http_drain to files of its own.

At a drain, connections that no longer fit are still reset unread.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -399,6 +399,13 @@
                      static_cast<double>(closes.crossed_timeouts));
   m_metrics.SetGauge(crossed + R"({cause="drain"})", crossed_help,
                      static_cast<double>(closes.crossed_drained));
+  m_metrics.SetGauge(
+      "cowslip_requests_over_connection_limit",
+      "Requests refused for lack of connections.",
+      static_cast<double>(m_caller_server->requests_over_limit()));
+  m_metrics.SetGauge("cowslip_failed_accepts",
+                     "Times that accepting a caller's connection failed.",
+                     static_cast<double>(m_caller_server->failed_accepts()));
   m_metrics.SetGauge("cowslip_requests_waiting",
                      "Requests that wait for a slot.",
                      static_cast<double>(m_dispatcher.waiting_count()));
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -1,5 +1,7 @@
 #include "Net/http_server.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -9,6 +11,7 @@
 #include "Base/log.h"
 #include "Net/beast.h"
 #include "Net/http_exchange.h"
+#include "Net/http_refusals.h"
 
 namespace cowslip {
 
@@ -47,76 +50,47 @@
 // cancellation does not reach, so it is cancelled again after this interval.
 constexpr Duration kCancelInterval = std::chrono::milliseconds(100);
 
-// Seconds until the next attempt of a request that a shutdown refuses. Other
-// gateways take it at once.
-constexpr char kRefusalRetryAfter[] = "0.30";
+// Connections beyond max_connections that are open at a time to refuse their
+// requests. Further ones wait to be accepted.
+constexpr size_t kSurplusConnections = 64;
 
-constexpr char kProblemType[] = "application/problem+json";
+// How long a connection beyond max_connections may take to begin its request.
+constexpr Duration kSurplusIdleTime = std::chrono::seconds(1);
 
-HttpResponse MakeProblem(int status,
-                         const std::string& type,
-                         const std::string& detail,
-                         bool not_run) {
-  HttpResponse response{.status = status};
-  response.headers.push_back({"Content-Type", kProblemType});
-  response.body = R"({"type":"urn:cowslip:)" + type + R"(","title":")" + type +
-                  R"(","status":)" + std::to_string(status) + R"(,"detail":")" +
-                  detail + R"(.")" + (not_run ? R"(,"not_run":true})" : "}");
-  return response;
-}
+// How long to wait after accepting a connection has failed. It stays queued.
+constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(50);
 
-// Builds the response to a request that a shutdown ends before it was read.
-HttpResponse ShutdownRefusal() {
-  HttpResponse response = MakeProblem(
-      503, "draining", "Send the request again: this gateway shuts down", true);
-  response.headers.push_back({"Retry-After", kRefusalRetryAfter});
-  return response;
-}
-
-// Builds the response to a request that could not be read. The connection is
-// closed after it.
-HttpResponse ErrorResponseFor(const boost::system::error_code& error,
-                              size_t max_body_bytes,
-                              size_t max_header_bytes) {
-  if (error == http::error::body_limit) {
-    return MakeProblem(
-        413, "body-too-large",
-        "Send a body of at most " + std::to_string(max_body_bytes) + " bytes",
-        true);
-  }
-  if (error == http::error::header_limit) {
-    return MakeProblem(431, "header-too-large",
-                       "Send header fields of at most " +
-                           std::to_string(max_header_bytes) + " bytes in all",
-                       true);
+// The connections that leave a quarter of the file descriptors to backend
+// servers, peers and the store.
+size_t ConnectionsAllowedByDescriptors() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return std::numeric_limits<size_t>::max();
   }
-  if (error == beast::error::timeout) {
-    return MakeProblem(408, "request-timeout", "Send the whole request sooner",
-                       true);
-  }
-  if (error == asio::error::shut_down) {
-    return ShutdownRefusal();
-  }
-  return MakeProblem(400, "malformed-request",
-                     "Send a valid HTTP/1.1 request: " + error.message(), true);
+  return limit.rlim_cur / 4 * 3;
 }
 
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
  public:
+  class Connection;
+
   Impl(asio::io_context& context, HttpServerOptions options, Handler handler)
       : m_context(context),
         m_options(std::move(options)),
         m_handler(std::move(handler)),
-        m_acceptor(context) {}
+        m_acceptor(context),
+        m_room(context) {}
 
   Result<void> Start();
   void Drain();
   void Close();
   void Serve(tcp::socket socket);
-
-  class Connection;
+  void HandleConnectionEnd(Connection* connection);
+  bool HasRoom() const {
+    return m_connections.size() < m_options.max_connections;
+  }
 
   asio::io_context& m_context;
   HttpServerOptions m_options;
@@ -126,6 +100,8 @@
   size_t m_active = 0;
   size_t m_requests_after_drain = 0;
   HttpIdleCloses m_idle_closes;
+  size_t m_requests_over_limit = 0;
+  size_t m_failed_accepts = 0;
   // Responses carry `Connection: close`.
   bool m_draining = false;
   // Drain() was called.
@@ -133,7 +109,15 @@
 
  private:
   asio::awaitable<void> Accept();
+  bool MayAccept() const {
+    return m_connections.size() <
+           m_options.max_connections + kSurplusConnections;
+  }
+  // Waits until a connection or the time ends.
+  asio::awaitable<void> WaitForConnectionEnd(Duration at_most);
   void AcceptQueuedConnections();
+
+  asio::steady_timer m_room;
 };
 
 // One connection and its current exchange.
@@ -144,10 +128,11 @@
   Connection(std::shared_ptr<Impl> server, tcp::socket socket)
       : m_server(std::move(server)),
         m_stream(std::move(socket)),
-        m_timer(m_stream.get_executor()) {
+        m_timer(m_stream.get_executor()),
+        m_surplus(!m_server->HasRoom()) {
     m_server->m_connections.insert(this);
   }
-  ~Connection() override { m_server->m_connections.erase(this); }
+  ~Connection() override { m_server->HandleConnectionEnd(this); }
 
   asio::awaitable<void> Run();
   // Ends the wait for the next request. The connection's coroutine closes the
@@ -213,6 +198,8 @@
   boost::system::error_code ApplyRequestHead(
       http::request_parser<http::string_body>& parser);
   asio::awaitable<void> RejectRequest(boost::system::error_code error);
+  // Refuses the request of a connection that is still beyond the limit.
+  asio::awaitable<bool> RefuseSurplus();
   asio::awaitable<void> RunHandler();
   void WatchForDisconnect();
   bool HasUnreadBytes() const {
@@ -243,6 +230,8 @@
   Duration m_idle_limit = Duration::zero();
   bool m_read_timed_out = false;
   bool m_read_refused = false;
+  // The connection was beyond max_connections when it was accepted.
+  bool m_surplus;
   size_t m_body_limit = 0;
   uint64_t m_requests = 0;
 };
@@ -258,7 +247,10 @@
     if (!readable) {
       break;
     }
-    co_await RunHandler();
+    const bool refused = m_surplus && co_await RefuseSurplus();
+    if (!refused) {
+      co_await RunHandler();
+    }
     if (m_state == State::kFinished && !m_keep_alive) {
       co_await CloseAndDiscard(kAfterLastAnswer);
       break;
@@ -350,6 +342,9 @@
 asio::awaitable<bool> HttpServer::Impl::Connection::WaitForRequest() {
   m_idle_since = MonotonicClock::now();
   m_idle_limit = m_server->m_options.idle_timeout;
+  if (m_surplus) {
+    m_idle_limit = std::min(m_idle_limit, kSurplusIdleTime);
+  }
   StartTimer(m_server->m_drained ? std::min(m_idle_limit, kFirstRequestTime)
                                  : m_idle_limit);
   boost::system::error_code error;
@@ -476,13 +471,31 @@
   }
   m_keep_alive = false;
   m_state = State::kOpen;
-  HttpResponse error_response = ErrorResponseFor(
+  HttpResponse error_response = RefusalOfUnreadRequest(
       error, m_body_limit, m_server->m_options.max_header_bytes);
   const Result<void> ignored = co_await Respond(std::move(error_response));
   static_cast<void>(ignored);
   co_await CloseAndDiscard(kAfterEarlyAnswer);
 }
 
+asio::awaitable<bool> HttpServer::Impl::Connection::RefuseSurplus() {
+  m_surplus =
+      m_server->m_connections.size() > m_server->m_options.max_connections;
+  if (!m_surplus) {
+    co_return false;
+  }
+  ++m_server->m_requests_over_limit;
+  m_state = State::kOpen;
+  m_keep_alive = false;
+  HttpResponse refusal = SurplusRefusal();
+  const Result<void> ignored = co_await Respond(std::move(refusal));
+  static_cast<void>(ignored);
+  if (m_state != State::kFinished) {
+    Abort();
+  }
+  co_return true;
+}
+
 asio::awaitable<void> HttpServer::Impl::Connection::RunHandler() {
   m_state = State::kOpen;
   m_on_disconnect = nullptr;
@@ -648,6 +661,8 @@
                  "Cannot listen on " + m_options.listen.ToString() + ": " +
                      error.message() + ". Choose a free address and port.");
   }
+  m_options.max_connections =
+      std::min(m_options.max_connections, ConnectionsAllowedByDescriptors());
   asio::co_spawn(
       m_context, [self = shared_from_this()] { return self->Accept(); },
       asio::detached);
@@ -657,22 +672,43 @@
 asio::awaitable<void> HttpServer::Impl::Accept() {
   const auto self = shared_from_this();
   while (m_acceptor.is_open()) {
+    if (!MayAccept()) {
+      co_await WaitForConnectionEnd(Duration::max());
+      continue;
+    }
     boost::system::error_code error;
     tcp::socket socket = co_await m_acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error || m_connections.size() >= m_options.max_connections) {
-      LOG_EVERY_N(WARNING, 100) << "http: A connection was rejected: accepting "
-                                   "it failed or the limit max_connections "
-                                   "was reached.";
+    if (error) {
+      ++m_failed_accepts;
+      LOG_EVERY_N(WARNING, 100)
+          << "http: Accepting a connection failed: " << error.message() << ".";
+      co_await WaitForConnectionEnd(kAcceptRetryInterval);
       continue;
     }
     Serve(std::move(socket));
   }
 }
 
+asio::awaitable<void> HttpServer::Impl::WaitForConnectionEnd(Duration at_most) {
+  if (at_most == Duration::max()) {
+    m_room.expires_at(asio::steady_timer::time_point::max());
+  } else {
+    m_room.expires_after(at_most);
+  }
+  boost::system::error_code ignored;
+  co_await m_room.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void HttpServer::Impl::HandleConnectionEnd(Connection* connection) {
+  m_connections.erase(connection);
+  m_room.cancel();
+}
+
 void HttpServer::Impl::Serve(tcp::socket socket) {
   const auto connection =
       std::make_shared<Connection>(shared_from_this(), std::move(socket));
@@ -685,7 +721,7 @@
 void HttpServer::Impl::AcceptQueuedConnections() {
   boost::system::error_code error;
   m_acceptor.non_blocking(true, error);
-  while (!error && m_connections.size() < m_options.max_connections) {
+  while (!error && MayAccept()) {
     tcp::socket socket(m_context);
     m_acceptor.accept(socket, error);
     if (!error) {
@@ -703,6 +739,7 @@
   AcceptQueuedConnections();
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
+  m_room.cancel();
   for (Connection* connection : m_connections) {
     connection->EndIdleWait();
   }
@@ -711,6 +748,7 @@
 void HttpServer::Impl::Close() {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
+  m_room.cancel();
   const std::set<Connection*> connections = m_connections;
   for (Connection* connection : connections) {
     connection->Abort();
@@ -790,6 +828,14 @@
   return m_impl->m_idle_closes;
 }
 
+size_t HttpServer::requests_over_limit() const {
+  return m_impl->m_requests_over_limit;
+}
+
+size_t HttpServer::failed_accepts() const {
+  return m_impl->m_failed_accepts;
+}
+
 size_t HttpServer::requests_after_drain() const {
   return m_impl->m_requests_after_drain;
 }
--- a/Source/Net/http_server.h
+++ b/Source/Net/http_server.h
@@ -50,6 +50,8 @@
   Duration idle_timeout = std::chrono::seconds(60);
   /// How long one write may wait for a client that does not read.
   Duration write_timeout = std::chrono::seconds(30);
+  /// A request over a connection beyond this is refused with 503. Start()
+  /// lowers it to what the limit on file descriptors allows.
   size_t max_connections = 20000;
 };
 
@@ -121,6 +123,11 @@
   /// Asks the kernel about each idle connection.
   HttpConnectionCounts CountConnections() const;
   HttpIdleCloses idle_closes() const;
+  /// Number of requests refused because of `max_connections`.
+  size_t requests_over_limit() const;
+  /// Number of times that accepting a connection failed, most likely for lack
+  /// of file descriptors.
+  size_t failed_accepts() const;
   /// Number of requests that were read after Drain().
   size_t requests_after_drain() const;
 
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -1,35 +1,31 @@
 // Requests that meet the drain of a server or the idle timeout. The client
 // blocks on its own context, so each step of the server's context is forced.
 
-#include <algorithm>
 #include <chrono>
 #include <string>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "Net/http_exchange.h"
 #include "Net/http_server.h"
+#include "raw_client.h"
+#include "server_in_steps.h"
 
 namespace cowslip {
 namespace {
 
 using boost::asio::awaitable;
-using boost::asio::ip::tcp;
 using namespace std::chrono_literals;
 
-constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+using Client = RawClient;
+using Server = ServerInSteps;
 
-awaitable<void> Answer(HttpExchange& exchange) {
-  HttpResponse response{.body = "answer"};
-  (void)co_await exchange.Respond(std::move(response));
-}
+constexpr const char* kRequest = RawClient::kRequest;
 
 awaitable<void> Hang(HttpExchange&) {
   boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
@@ -37,90 +33,6 @@
   co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-class Client {
- public:
-  explicit Client(uint16_t port) : m_socket(m_context) {
-    m_socket.connect(
-        tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
-  }
-  void Send(const std::string& bytes) {
-    boost::asio::write(m_socket, boost::asio::buffer(bytes));
-  }
-  // Runs the server until the client has an answer or the connection ends, for
-  // at most 2 s. Returns the status line; empty when there is none.
-  std::string Read(boost::asio::io_context& server) {
-    std::string received;
-    m_socket.non_blocking(true);
-    const auto give_up = std::chrono::steady_clock::now() + 2s;
-    while (std::chrono::steady_clock::now() < give_up) {
-      server.restart();
-      server.run_for(1ms);
-      char bytes[4096];
-      boost::system::error_code error;
-      const size_t got = m_socket.read_some(boost::asio::buffer(bytes), error);
-      received.append(bytes, got);
-      const size_t line_end = received.find("\r\n");
-      if (line_end != std::string::npos) {
-        return received.substr(0, line_end);
-      }
-      if (error && error != boost::asio::error::would_block) {
-        return "";
-      }
-    }
-    return "";
-  }
-  // Sends without a wait for space in the socket's buffer while the server
-  // runs, in pieces with a pause after each. Returns whether all was sent.
-  bool SendPieces(boost::asio::io_context& server,
-                  const std::string& bytes,
-                  size_t piece,
-                  Duration pause) {
-    m_socket.non_blocking(true);
-    size_t sent = 0;
-    while (sent < bytes.size()) {
-      boost::system::error_code error;
-      const size_t size = std::min(piece, bytes.size() - sent);
-      sent += m_socket.write_some(
-          boost::asio::buffer(bytes.data() + sent, size), error);
-      if (error && error != boost::asio::error::would_block) {
-        return false;
-      }
-      server.restart();
-      server.run_for(error ? Duration(1ms) : pause);
-    }
-    return true;
-  }
-  // Whether the server has closed its side without an answer.
-  bool HasEnded() {
-    char byte = 0;
-    boost::system::error_code error;
-    m_socket.non_blocking(true);
-    m_socket.read_some(boost::asio::buffer(&byte, 1), error);
-    return error == boost::asio::error::eof;
-  }
-
- private:
-  boost::asio::io_context m_context;
-  tcp::socket m_socket;
-};
-
-struct Server {
-  explicit Server(HttpServerOptions options = {},
-                  HttpServer::Handler handler = Answer)
-      : http(context, std::move(options), std::move(handler)) {
-    REQUIRE(http.Start().has_value());
-    context.poll();
-  }
-  void RunSteps(int steps) {
-    for (int i = 0; i < steps; ++i) {
-      context.restart();
-      context.poll_one();
-    }
-  }
-  boost::asio::io_context context;
-  HttpServer http;
-};
-
 TEST_CASE("A request in the socket's buffer at the drain is answered") {
   Server server;
   Client client(server.http.port());
@@ -181,8 +93,7 @@
   CHECK(server.http.connections() == 2);
   const uint16_t port = server.http.port();
   server.http.Drain();
-  server.context.restart();
-  server.context.run_for(1s);
+  server.RunFor(1s);
   CHECK(server.http.connections() == 0);
   CHECK_THROWS(Client(port));
 }
@@ -207,26 +118,22 @@
   Server server({.idle_timeout = 60ms});
   Client client(server.http.port());
   Client silent(server.http.port());
-  server.context.restart();
-  server.context.run_for(120ms);
+  server.RunFor(120ms);
   CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 2});
   client.Send(kRequest);
   CHECK(client.Read(server.context).empty());
   CHECK(server.http.idle_closes() ==
         HttpIdleCloses{.timeouts = 2, .crossed_timeouts = 1});
-  server.context.restart();
-  server.context.run_for(400ms);
+  server.RunFor(400ms);
   CHECK(server.http.connections() == 0);
 }
 
 TEST_CASE("A drain does not wait for connections that an idle timeout closed") {
   Server server({.idle_timeout = 60ms});
   Client client(server.http.port());
-  server.context.restart();
-  server.context.run_for(120ms);
+  server.RunFor(120ms);
   server.http.Drain();
-  server.context.restart();
-  server.context.run_for(400ms);
+  server.RunFor(400ms);
   CHECK(server.http.connections() == 0);
   CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 1});
 }
@@ -247,12 +154,10 @@
   Client client(server.http.port());
   server.context.poll();
   CHECK(server.http.connections() == 1);
-  server.context.restart();
-  server.context.run_for(120ms);
+  server.RunFor(120ms);
   CHECK(client.HasEnded());
   // Until then, the connection is watched for a request that crosses the close.
-  server.context.restart();
-  server.context.run_for(400ms);
+  server.RunFor(400ms);
   CHECK(server.http.connections() == 0);
 }
 
@@ -324,20 +229,16 @@
   Client unused(server.http.port());
   client.Send(kRequest);
   CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
-  server.context.restart();
-  server.context.run_for(50ms);
+  server.RunFor(50ms);
   server.http.SetLimits({.idle_timeout = 600ms});
-  server.context.restart();
-  server.context.run_for(430ms);
+  server.RunFor(430ms);
   CHECK(server.http.idle_closes() == HttpIdleCloses{});
   client.Send(kRequest);
   CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
-  server.context.restart();
-  server.context.run_for(300ms);
+  server.RunFor(300ms);
   CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 1});
   CHECK(unused.HasEnded());
-  server.context.restart();
-  server.context.run_for(500ms);
+  server.RunFor(500ms);
   CHECK(server.http.idle_closes() == HttpIdleCloses{.timeouts = 2});
 }
 
@@ -345,12 +246,10 @@
 TEST_CASE("An idle timeout that is raised and lowered closes nothing sooner") {
   Server server({.idle_timeout = 100ms});
   Client client(server.http.port());
-  server.context.restart();
-  server.context.run_for(20ms);
+  server.RunFor(20ms);
   server.http.SetLimits({.idle_timeout = 600ms});
   server.http.SetLimits({.idle_timeout = 100ms});
-  server.context.restart();
-  server.context.run_for(400ms);
+  server.RunFor(400ms);
   client.Send(kRequest);
   CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
 }
@@ -358,12 +257,10 @@
 TEST_CASE("A raised idle timeout does not delay a drain") {
   Server server({.idle_timeout = 100ms});
   Client unused(server.http.port());
-  server.context.restart();
-  server.context.run_for(20ms);
+  server.RunFor(20ms);
   server.http.SetLimits({.idle_timeout = 60s});
   server.http.Drain();
-  server.context.restart();
-  server.context.run_for(800ms);
+  server.RunFor(800ms);
   CHECK(server.http.connections() == 0);
 }
 
@@ -417,8 +314,7 @@
   }
   SECTION("by silence") {
     client.Send(head);
-    server.context.restart();
-    server.context.run_for(1500ms);
+    server.RunFor(1500ms);
   }
   CHECK(server.http.connections() == 0);
 }
@@ -432,8 +328,7 @@
   server.RunSteps(30);
   client.Send(kRequest);
   CHECK(client.Read(server.context) == "HTTP/1.1 200 OK");
-  server.context.restart();
-  server.context.run_for(500ms);
+  server.RunFor(500ms);
   CHECK(server.http.connections() == 0);
 }
 
