Net: answer a request that lies behind one with the last answer

While the server drained, each answer carried `Connection: close`, and the connection ended after it although further requests had been read into its buffer or lay in the socket's. HTTP/1.1 lets a caller send them again, but only where that is safe, and the caller can't tell a request that was read from one that has run. The same held for a refusal at the limit on connections and for the 500 after a handler without a response.

An exchange is now the last one only if no byte of a further request has come when the head of its answer is written. A caller that asks for the close itself still gets it, and after an early answer the bytes behind it can't be told apart. A stream that breaks off still ends its connection, the only sign there is that it is incomplete.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -202,6 +202,11 @@
   asio::awaitable<bool> RefuseSurplus();
   asio::awaitable<void> RunHandler();
   void WatchForDisconnect();
+  // Makes this exchange the last one unless a further request has begun to
+  // arrive, which is owed an answer too.
+  void CloseAfterLastRequest() {
+    m_keep_alive = m_keep_alive && (m_buffer.size() > 0 || HasUnreadBytes());
+  }
   bool HasUnreadBytes() const {
     boost::system::error_code error;
     return m_stream.socket().available(error) > 0 && !error;
@@ -443,7 +448,7 @@
 boost::system::error_code HttpServer::Impl::Connection::ApplyRequestHead(
     http::request_parser<http::string_body>& parser) {
   const auto& message = parser.get();
-  m_keep_alive = message.keep_alive() && !m_server->m_draining;
+  m_keep_alive = message.keep_alive();
   m_request.method = std::string(message.method_string());
   m_request.target = std::string(message.target());
   m_request.headers = ToHeaders(message);
@@ -486,7 +491,7 @@
   }
   ++m_server->m_requests_over_limit;
   m_state = State::kOpen;
-  m_keep_alive = false;
+  CloseAfterLastRequest();
   HttpResponse refusal = SurplusRefusal();
   const Result<void> ignored = co_await Respond(std::move(refusal));
   static_cast<void>(ignored);
@@ -515,7 +520,7 @@
   boost::system::error_code ignored;
   m_stream.socket().cancel(ignored);
   if (m_state == State::kOpen && m_stream.socket().is_open()) {
-    m_keep_alive = false;
+    CloseAfterLastRequest();
     HttpResponse response = MakeProblem(
         500, "internal-error",
         "The request may have run, and its response is lost", false);
@@ -553,7 +558,9 @@
   for (const HttpHeader& header : headers) {
     message.insert(header.name, header.value);
   }
-  m_keep_alive = m_keep_alive && !m_server->m_draining;
+  if (m_server->m_draining) {
+    CloseAfterLastRequest();
+  }
   message.keep_alive(m_keep_alive);
 }
 
--- a/Tests/Net/raw_client.cc
+++ b/Tests/Net/raw_client.cc
@@ -41,6 +41,22 @@
   return "";
 }
 
+std::string RawClient::ReadAll(boost::asio::io_context& server) {
+  std::string received;
+  m_socket.non_blocking(true);
+  const auto give_up = std::chrono::steady_clock::now() + 2s;
+  boost::system::error_code error;
+  while (std::chrono::steady_clock::now() < give_up &&
+         (!error || error == boost::asio::error::would_block)) {
+    server.restart();
+    server.run_for(1ms);
+    char bytes[4096];
+    const size_t got = m_socket.read_some(boost::asio::buffer(bytes), error);
+    received.append(bytes, got);
+  }
+  return received;
+}
+
 bool RawClient::SendPieces(boost::asio::io_context& server,
                            const std::string& bytes,
                            size_t piece,
--- a/Tests/Net/raw_client.h
+++ b/Tests/Net/raw_client.h
@@ -24,6 +24,9 @@
   /// Runs the server until the client has an answer or the connection ends, for
   /// at most 2 s. Returns the status line; empty when there is none.
   std::string Read(boost::asio::io_context& server);
+  /// As above, until the connection ends or 2 s have passed. Returns all that
+  /// was received.
+  std::string ReadAll(boost::asio::io_context& server);
   /// Sends without a wait for space in the socket's buffer while the server
   /// runs, in pieces with a pause after each. Returns whether all was sent.
   bool SendPieces(boost::asio::io_context& server,
