Gateway: streams are not cut before the last sixth of a short grace time

A gateway ended the requests in progress one second before the end of the grace time. With a grace time under six seconds that is before its last sixth, and streams that could have gone on were cut. The margins for the answers and the exit shrink with the grace time now, down to three and two steps of the shutdown; from six seconds on they are unchanged.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -27,12 +27,24 @@
 // stops being ready.
 constexpr Duration kBalancerRemovalTime = std::chrono::milliseconds(2500);
 
-// The part of the grace time that is reserved for writing the log and exiting.
-constexpr Duration kExitMargin = std::chrono::milliseconds(400);
+// The time before the end of the grace time that is reserved for the answers of
+// requests that can't be completed and for the exit: at most the last sixth of
+// the grace time, and enough for the steps of the shutdown.
+constexpr Duration kMaxAnswerMargin = std::chrono::milliseconds(1000);
+constexpr Duration kMinAnswerMargin = 3 * kTickInterval;
 
-// The time before the exit that is reserved for writing the answers of requests
-// that can't be completed.
-constexpr Duration kAnswerMargin = std::chrono::milliseconds(600);
+// The part of that time that is reserved for writing the log and exiting.
+constexpr Duration kMaxExitMargin = std::chrono::milliseconds(400);
+constexpr Duration kMinExitMargin = 2 * kTickInterval;
+
+Duration AnswerMargin(Duration grace) {
+  return std::clamp<Duration>(grace / 6, kMinAnswerMargin, kMaxAnswerMargin);
+}
+
+Duration ExitMargin(Duration grace) {
+  return std::clamp<Duration>(AnswerMargin(grace) * 2 / 5, kMinExitMargin,
+                              kMaxExitMargin);
+}
 
 // The body of a relayed store call: the largest document, in CBOR.
 constexpr size_t kMaxPeerBodyBytes = 4 << 20;
@@ -470,7 +482,8 @@
 }
 
 MonotonicTime GatewayDaemon::AnswersDue() const {
-  return m_shutdown_start + m_settings.stop_grace - kExitMargin - kAnswerMargin;
+  return m_shutdown_start + m_settings.stop_grace -
+         AnswerMargin(m_settings.stop_grace);
 }
 
 void GatewayDaemon::EndRequests() {
@@ -491,7 +504,8 @@
     EndRequests();
   }
   const Duration since = MonotonicClock::now() - m_shutdown_start;
-  const Duration exit_after = m_settings.stop_grace - kExitMargin;
+  const Duration exit_after =
+      m_settings.stop_grace - ExitMargin(m_settings.stop_grace);
   if (since < std::min(kBalancerRemovalTime, exit_after)) {
     return;
   }
--- a/Tests/Gateway/shutdown_test.cc
+++ b/Tests/Gateway/shutdown_test.cc
@@ -48,8 +48,14 @@
       const size_t got = m_socket.read_some(boost::asio::buffer(bytes), error);
       m_received.append(bytes, got);
     }
+    m_closed = m_closed || error != boost::asio::error::would_block;
     return m_received;
   }
+  // Whether the gateway has closed the connection.
+  bool IsClosed() {
+    Received();
+    return m_closed;
+  }
   std::string Status() {
     const std::string& received = Received();
     return received.substr(0, received.find("\r\n"));
@@ -59,6 +65,7 @@
   boost::asio::io_context m_context;
   tcp::socket m_socket;
   std::string m_received;
+  bool m_closed = false;
 };
 
 // One gateway whose process ends once its shutdown is complete.
@@ -243,6 +250,26 @@
   CHECK(client->Status() == "HTTP/1.1 200 OK");
 }
 
+TEST_CASE("A stream is not cut before the last sixth of a short grace time") {
+  for (const Duration grace : {2s, 3s, 4s, 6s}) {
+    StoppingGateway gateway(1, grace);
+    gateway.f.backend(0).behaviour() = {.events = 1000, .pause = 20ms};
+    std::unique_ptr<Client> client;
+    bool closed_early = true;
+    gateway.Run([&]() -> awaitable<void> {
+      client = std::make_unique<Client>(gateway.port());
+      client->Send(RawRequest("POST", "/once/a1", "a1"));
+      gateway.At(grace * 5 / 6 - 20ms,
+                 [&] { closed_early = client->IsClosed(); });
+      co_await gateway.f.Sleep(50ms);
+    });
+    INFO("grace time of " << ToMillis(grace) << " ms");
+    CHECK(client->Status() == "HTTP/1.1 200 OK");
+    CHECK_FALSE(closed_early);
+    CHECK(client->IsClosed());
+  }
+}
+
 // A shorter grace time than has passed already.
 void ShortenGrace(StoppingGateway& gateway, Duration time) {
   gateway.At(time, [&gateway] {
