Net: HttpAbort reports when a request is about to be sent

A caller that limits how long two backend servers work on one request has to count from the sending: a connection may take up to the connect timeout. SetSendCallback() is called once there is a connection, and not for a connection that is refused.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -311,6 +311,9 @@
   }
   ConnectionPtr connection = std::move(acquired.value());
   const AbortBinding binding(abort, *connection);
+  if (abort != nullptr) {
+    abort->ReportSend();
+  }
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   const auto message = ToBeast(std::move(request), impl->endpoint());
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,17 @@
     }
   }
   bool aborted() const { return m_aborted; }
+  /// `on_send` is called when there is a connection and the request is about to
+  /// be sent.
+  void SetSendCallback(std::function<void()> on_send) {
+    m_on_send = std::move(on_send);
+  }
+  /// Called by HttpClient.
+  void ReportSend() const {
+    if (m_on_send) {
+      m_on_send();
+    }
+  }
   /// Called by HttpClient: sets the function that closes the connection, or
   /// null when there is no connection.
   void SetCloseCallback(std::function<void()> close) {
@@ -57,6 +69,7 @@
 
  private:
   std::function<void()> m_close;
+  std::function<void()> m_on_send;
   bool m_aborted = false;
 };
 
--- a/Tests/Net/http_test.cc
+++ b/Tests/Net/http_test.cc
@@ -56,6 +56,26 @@
   CHECK(done);
 }
 
+TEST_CASE("A call says when its request is about to be sent") {
+  Run(Echo, [](HttpClient& http) -> awaitable<void> {
+    int sent = 0;
+    const auto abort = std::make_shared<HttpAbort>();
+    abort->SetSendCallback([&sent] { ++sent; });
+    HttpRequest request{.method = "GET", .target = "/x"};
+    const auto opened = co_await http.Open(std::move(request), kTimeout, abort);
+    CHECK(opened.has_value());
+    CHECK(sent == 1);
+    // Nothing listens at the port, so nothing is sent.
+    const auto executor = co_await boost::asio::this_coro::executor;
+    HttpClient nowhere(executor, Endpoint{.port = 1});
+    HttpRequest again{.method = "GET", .target = "/x"};
+    const auto refused =
+        co_await nowhere.Open(std::move(again), kTimeout, abort);
+    CHECK_FALSE(refused.has_value());
+    CHECK(sent == 1);
+  });
+}
+
 TEST_CASE("Requests on one persistent connection are answered in order") {
   Run(Echo, [](HttpClient& http) -> awaitable<void> {
     for (int i = 0; i < 3; ++i) {
