Gateway: a silence ends no attempt before another one has its stream

Seen: a sound backend server that is silent for 1.2 s and goes on lost its stream. The gateway took a slot elsewhere, aborted the silent run and only then sent the request. When the other backend server turned the request away, was not reached, or failed before its first event, nobody had the stream any more: callers got a cut stream, 502 or 503.

Change: the silent run stays open. BackendAttempt is one attempt at one backend server; StreamMove offers the stream to another one beside it and judges its answer. The silent run is aborted when the other one has sent the next event, or has kept the request for 250 ms after the sending; a refusal comes within a round trip, so by then the request is running or queued there, and the silent one has been silent for longer than sound ones usually are. When the silent one goes on first, the other run is ended and its data is dropped. When the other one refuses or fails, the stream stays where it was; if the silent run breaks off meanwhile, the stream goes on with the other one.

No event is relayed while a move is under way: any data of the silent run ends the move, and data that arrives after the silent run was aborted is dropped, so the event that the other run was asked for is the next one. A move counts as an attempt of the route until it is known not to have run. A stream with a prompt part that is suspected of crashing backend servers does not move; before, it could move as a trial.

attempt_stalled has the outcomes asked_other, turned_away and move_failed, the other backend server and the reason.

Evidence: gateway.silent_moves on the code before: 25 checks failed in 5 of 9 cases; in 12 of 14 combinations of the first three cases (turned away, not reached, failing) the caller got no whole answer. The 4 checks of "ends both runs" expect two runs at a time, which the code before never had. Now: 4 runs passed (261 checks each). gateway.silent_backends passed unchanged but for its fixture, which moved to silent_backends.h (190 checks). The other gateway and net tests passed once.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Base/event_log.h"
+#include "Gateway/backend_attempt.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/problem_response.h"
@@ -13,6 +14,7 @@
 #include "Gateway/response_classification.h"
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/stream_end.h"
+#include "Gateway/stream_move.h"
 #include "Gateway/stream_origin_directory.h"
 #include "Net/http_exchange.h"
 #include "Placement/aborted_run_tracker.h"
@@ -28,12 +30,6 @@
 // attempt ends it: each takes a round trip out of the latency target.
 constexpr uint32_t kMaxNotRunAttempts = 3;
 
-// A resumable stream without data for the limit moves to another backend server
-// if one has a free slot. Callers give up after two seconds without data, so
-// the rest of these has to do for the move.
-constexpr StallWatchOptions kStall{.limit = std::chrono::milliseconds(1200),
-                                   .repeat = std::chrono::milliseconds(200)};
-
 // The largest body of an unsuccessful response that is passed on.
 constexpr size_t kMaxFailureBytes = 1 << 20;
 
@@ -71,15 +67,9 @@
 
 void RelaySession::Stop() {
   *m_stopped = true;
-  AbortAttempt();
-}
-
-void RelaySession::AbortAttempt() {
-  if (m_abort != nullptr) {
-    m_abort->Abort();
-  }
-  if (m_response != nullptr) {
-    m_response->Abort();
+  m_move.reset();
+  if (m_attempt != nullptr) {
+    m_attempt->Abort();
   }
 }
 
@@ -107,55 +97,6 @@
              std::max<uint32_t>(m_request.route->max_attempts, 1);
 }
 
-bool RelaySession::MayMove() const {
-  return m_request.route->kind == RequestKind::kStreaming &&
-         m_request.route->resumable && m_can_resume && MayRetry();
-}
-
-bool RelaySession::CanGoOnAt(const AttemptLease& lease) const {
-  return (!m_head_sent || m_can_resume) &&
-         (!m_stream_version.has_value() ||
-          *m_stream_version == lease.version());
-}
-
-void RelaySession::HandleStall(const AttemptLease& lease, Duration silent) {
-  // Responses of other kinds may take this long without being stalled.
-  if (*m_stopped || m_next_lease != nullptr ||
-      m_request.route->kind != RequestKind::kStreaming) {
-    return;
-  }
-  if (m_trial != nullptr) {
-    // Other requests with the prompt part need not wait for this one.
-    m_trial->MarkRun();
-    m_trial.reset();
-    m_move_blocked = true;
-  }
-  if (MayMove() && !m_move_blocked && !IsBlocked()) {
-    m_next_lease = m_gateway.dispatcher.TryPlaceOnline(
-        PlacementQuery{.service = m_request.service,
-                       .shared_prompt = m_request.caller.shared_prompt,
-                       .exclude = m_tried_backends,
-                       .version = m_stream_version});
-  }
-  if (m_next_lease != nullptr && !MaySendPrompt()) {
-    m_next_lease.reset();
-    m_blocked_prompt.reset();
-    m_move_blocked = true;
-  }
-  if (m_next_lease != nullptr) {
-    LogStall(lease, "moved", silent);
-    AbortAttempt();
-  } else if (!m_stall_logged) {
-    m_stall_logged = true;
-    LogStall(lease, "kept", silent);
-  }
-}
-
-bool RelaySession::ReadmitSilentBackend() {
-  const BackendId backend = std::exchange(m_silent_backend, BackendId());
-  return MayRetry() && m_tried_backends.erase(backend) > 0;
-}
-
 awaitable<bool> RelaySession::ResolveStreamVersion() {
   const bool resumes = m_request.route->kind == RequestKind::kStreaming &&
                        m_request.caller.last_event > 0;
@@ -361,11 +302,11 @@
 }
 
 RelaySession::AttemptResult RelaySession::EndAttemptInDoubt(
-    AttemptLease& lease,
     const std::string& why) {
   if (*m_stopped) {
     return AttemptResult::kStopped;
   }
+  AttemptLease& lease = m_attempt->lease();
   lease.SetOutcome(AttemptOutcome::kFailed);
   m_last_failure = why;
   m_gateway.metrics.CountAttempt("in_doubt");
@@ -376,7 +317,7 @@
                        {"why", why},
                        {"last_event", m_last_event_id},
                        {"attempts_in_doubt", m_in_doubt_attempts},
-                       {"answer_began", m_response != nullptr},
+                       {"answer_began", m_attempt->response() != nullptr},
                        {"attempt_events", m_attempt_event_count},
                        {"prompt_parts", m_request.caller.shared_parts},
                        {"ends_with_connection", ResponseEndsWithConnection()},
@@ -385,43 +326,16 @@
 }
 
 RelaySession::AttemptResult RelaySession::HandleResponseError(
-    AttemptLease& lease,
     const Error& error) {
-  if (m_next_lease != nullptr) {
-    return EndAttemptInDoubt(lease, "the backend server was silent");
-  }
   // A timeout has many causes. A connection that is closed during the run
   // usually means that the backend server crashed.
   if (!*m_stopped && error.kind() == ErrorKind::kInDoubt) {
-    RecordBrokenRun(lease);
-  }
-  return EndAttemptInDoubt(lease, error.message);
-}
-
-void RelaySession::EndSilence(const AttemptLease& lease, bool went_on) {
-  const std::optional<Duration> silent = m_stall_watch->EndRead();
-  if (silent.has_value() && m_stall_logged && went_on) {
-    LogStall(lease, "went_on", *silent);
+    RecordBrokenRun(m_attempt->lease(), m_attempt_event_count);
   }
-  m_stall_logged = false;
+  return EndAttemptInDoubt(error.message);
 }
 
-void RelaySession::LogStall(const AttemptLease& lease,
-                            const char* outcome,
-                            Duration silent) {
-  m_gateway.metrics.CountStall(outcome);
-  m_gateway.log.Write("attempt_stalled",
-                      {{"id", m_request.caller.attempt.value()},
-                       {"backend", lease.backend().value()},
-                       {"version", lease.version().value()},
-                       {"then", outcome},
-                       {"silent_ms", ToMillis(silent)},
-                       {"attempts_in_doubt", m_in_doubt_attempts},
-                       {"answer_began", m_response != nullptr},
-                       {"last_event", m_last_event_id}});
-}
-
-void RelaySession::RecordBrokenRun(const AttemptLease& lease) {
+void RelaySession::RecordBrokenRun(const AttemptLease& lease, uint32_t events) {
   const MonotonicTime now = MonotonicClock::now();
   if (!m_is_request_trial) {
     m_gateway.aborted_runs.Handle(RunAborted{RequestFingerprint()}, now);
@@ -430,7 +344,7 @@
       RunBrokenOff{.backend = lease.backend(),
                    .started_at_ms = lease.started_at_ms(),
                    .parts = m_request.caller.shared_parts,
-                   .events = m_attempt_event_count,
+                   .events = events,
                    .is_trial = m_trial != nullptr},
       now);
   m_gateway.reported_state_changed();
@@ -534,7 +448,6 @@
 }
 
 RelaySession::AttemptResult RelaySession::EndAttemptNotRun(
-    AttemptLease& lease,
     AttemptOutcome outcome,
     const std::string& why) {
   --m_in_doubt_attempts;
@@ -546,77 +459,86 @@
   if (*m_stopped) {
     return AttemptResult::kStopped;
   }
-  lease.SetOutcome(outcome);
+  m_attempt->lease().SetOutcome(outcome);
   m_last_failure = why;
+  LogAttemptNotRun(m_attempt->lease(), why);
+  return AttemptResult::kNotRun;
+}
+
+void RelaySession::LogAttemptNotRun(const AttemptLease& lease,
+                                    const std::string& why) {
   m_gateway.metrics.CountAttempt("not_run");
   m_gateway.log.Write("attempt_not_run",
                       {{"id", m_request.caller.attempt.value()},
                        {"backend", lease.backend().value()},
                        {"why", why}});
-  return AttemptResult::kNotRun;
 }
 
 awaitable<RelaySession::AttemptResult> RelaySession::RunAttempts(
     std::unique_ptr<AttemptLease> lease) {
+  m_attempt = std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease));
   while (true) {
-    m_stall_watch = std::make_unique<StallWatch>(
-        m_gateway.io, kStall, [this, &current = *lease](Duration silent) {
-          HandleStall(current, silent);
-        });
-    const AttemptResult result = co_await RunAttempt(*lease);
+    WatchForSilence();
+    const AttemptResult result = co_await RunAttempt();
     m_stall_watch.reset();
-    m_response.reset();
-    m_abort.reset();
-    std::unique_ptr<AttemptLease> next = std::move(m_next_lease);
     const bool has_ended = result == AttemptResult::kCompleted ||
                            result == AttemptResult::kStopped;
-    // Data that came as the attempt was aborted may have changed where the
-    // request can go on.
-    if (has_ended || next == nullptr || !CanGoOnAt(*next)) {
+    if (has_ended || m_move == nullptr) {
+      m_move.reset();
+      m_attempt.reset();
       co_return result;
     }
-    m_silent_backend = lease->backend();
-    lease = std::move(next);
+    if (std::exchange(m_left_silent_backend, false)) {
+      m_silent_backend = m_attempt->lease().backend();
+    }
+    m_attempt = m_move->Take();
+    m_move.reset();
   }
 }
 
-awaitable<RelaySession::AttemptResult> RelaySession::RunAttempt(
-    AttemptLease& lease) {
+awaitable<RelaySession::AttemptResult> RelaySession::RunAttempt() {
+  const AttemptLease& lease = m_attempt->lease();
   m_tried_backends.insert(lease.backend());
   m_last_backend = lease.backend();
   m_last_version = lease.version();
   m_event_reader = SseReader();
   m_attempt_event_count = 0;
-  m_attempt_start = MonotonicClock::now();
-  m_abort = std::make_shared<HttpAbort>();
-  // Count the attempt as possibly run until it is known not to have run.
-  ++m_in_doubt_attempts;
-  HttpRequest request = MakeBackendRequest(lease.backend());
-  m_move_blocked = false;
-  const Duration timeout = RemainingTime();
-  const auto client = lease.client();
   m_stall_watch->BeginRead();
-  Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await client->Open(std::move(request), timeout, m_abort);
-  EndSilence(lease, opened.has_value());
+  Result<void> opened = Ok();
+  if (m_attempt->is_opened_ahead()) {
+    opened = co_await m_attempt->WaitUntilReady();
+  } else {
+    // Count the attempt as possibly run until it is known not to have run.
+    ++m_in_doubt_attempts;
+    HttpRequest request = MakeBackendRequest(lease.backend());
+    const Duration timeout = RemainingTime();
+    opened = co_await m_attempt->Open(std::move(request), timeout);
+  }
+  EndSilence(opened.has_value());
+  if (m_left_silent_backend) {
+    co_return EndAttemptInDoubt("the backend server was silent");
+  }
   if (!opened.has_value()) {
     const Error& error = opened.error();
     if (error.kind() == ErrorKind::kUnavailable) {
-      m_gateway.crash_suspects.Handle(
-          BackendRefusedConnection{lease.backend(), lease.started_at_ms()},
-          MonotonicClock::now());
-      co_return EndAttemptNotRun(lease, AttemptOutcome::kFailed, error.message);
+      RecordRefusedConnection(lease);
+      co_return EndAttemptNotRun(AttemptOutcome::kFailed, error.message);
     }
-    co_return HandleResponseError(lease, error);
+    co_return HandleResponseError(error);
   }
-  m_response = std::move(opened.value());
-  co_return co_await ReadResponse(lease);
+  co_return co_await ReadResponse();
+}
+
+void RelaySession::RecordRefusedConnection(const AttemptLease& lease) {
+  m_gateway.crash_suspects.Handle(
+      BackendRefusedConnection{lease.backend(), lease.started_at_ms()},
+      MonotonicClock::now());
 }
 
-awaitable<RelaySession::AttemptResult> RelaySession::ReadResponse(
-    AttemptLease& lease) {
+ResponseKind RelaySession::RecordResponse(const BackendAttempt& attempt) {
+  AttemptLease& lease = attempt.lease();
   const ResponseClassification classified =
-      ClassifyResponse(*m_response, m_request.caller.attempt);
+      ClassifyResponse(*attempt.response(), m_request.caller.attempt);
   if (classified.is_leaving) {
     lease.MarkBackendLeaving();
   }
@@ -628,93 +550,102 @@
                         {{"backend", lease.backend().value()},
                          {"per_second", classified.limit->per_second}});
   }
-  switch (classified.kind) {
+  return classified.kind;
+}
+
+awaitable<RelaySession::AttemptResult> RelaySession::ReadResponse() {
+  switch (RecordResponse(*m_attempt)) {
     case ResponseKind::kOtherRequest:
-      co_return EndAttemptInDoubt(lease,
-                                  "the answer belongs to another request");
+      co_return EndAttemptInDoubt("the answer belongs to another request");
     case ResponseKind::kNotRun:
       co_return EndAttemptNotRun(
-          lease, AttemptOutcome::kFull,
+          AttemptOutcome::kFull,
           "the backend server turned the request away with status " +
-              std::to_string(m_response->status()));
+              std::to_string(m_attempt->response()->status()));
     case ResponseKind::kUnverified:
-      co_return EndAttemptInDoubt(lease,
-                                  "the answer is not the backend server's");
+      co_return EndAttemptInDoubt("the answer is not the backend server's");
     case ResponseKind::kFailure:
-      co_return co_await RelayFailure(lease);
+      co_return co_await RelayFailure();
     case ResponseKind::kSuccess:
       break;
   }
-  co_return co_await RelayBody(lease);
+  // The silence has ended.
+  m_move.reset();
+  co_return co_await RelayBody();
 }
 
-awaitable<RelaySession::AttemptResult> RelaySession::RelayFailure(
-    AttemptLease& lease) {
-  const int status = m_response->status();
+awaitable<RelaySession::AttemptResult> RelaySession::RelayFailure() {
+  const HttpResponseStream& failure = *m_attempt->response();
+  const int status = failure.status();
   // After a server error, another backend server may succeed, if the request
-  // may run again.
-  if (m_head_sent || (status >= 500 && MayRetry())) {
-    co_return EndAttemptInDoubt(
-        lease, "the backend server answered status " + std::to_string(status));
+  // may run again or another one has it already.
+  const bool has_other = m_move != nullptr || MayRetry();
+  if (m_head_sent || (status >= 500 && has_other)) {
+    co_return EndAttemptInDoubt("the backend server answered status " +
+                                std::to_string(status));
   }
+  m_move.reset();
   HttpResponse response{
       .status = status,
-      .headers = platform::EncodeCallerHeaders(m_response->headers())};
+      .headers = platform::EncodeCallerHeaders(failure.headers())};
   while (true) {
     const Duration timeout = RemainingTime();
     Result<std::optional<std::string>> chunk =
-        co_await m_response->ReadSome(timeout);
+        co_await m_attempt->ReadSome(timeout);
     if (!chunk.has_value()) {
-      co_return EndAttemptInDoubt(lease, chunk.error().message);
+      co_return EndAttemptInDoubt(chunk.error().message);
     }
     if (!chunk.value().has_value()) {
       break;
     }
     response.body += *chunk.value();
     if (response.body.size() > kMaxFailureBytes) {
-      co_return EndAttemptInDoubt(lease,
-                                  "the backend server's failure is too long");
+      co_return EndAttemptInDoubt("the backend server's failure is too long");
     }
   }
-  lease.SetOutcome(AttemptOutcome::kCompleted);
+  m_attempt->lease().SetOutcome(AttemptOutcome::kCompleted);
   LogRequestEnd("backend_failure", status);
   (void)co_await m_exchange.Respond(std::move(response));
   co_return AttemptResult::kCompleted;
 }
 
-awaitable<RelaySession::AttemptResult> RelaySession::RelayBody(
-    AttemptLease& lease) {
+awaitable<RelaySession::AttemptResult> RelaySession::RelayBody() {
+  const HttpResponseStream& response = *m_attempt->response();
   while (true) {
     const Duration timeout = RemainingTime();
     m_stall_watch->BeginRead();
     Result<std::optional<std::string>> chunk =
-        co_await m_response->ReadSome(timeout);
-    EndSilence(lease, chunk.has_value());
+        co_await m_attempt->ReadSome(timeout);
+    EndSilence(chunk.has_value());
+    if (m_left_silent_backend) {
+      // Data that came as the attempt was aborted: the other run sends it, too.
+      co_return EndAttemptInDoubt("the backend server was silent");
+    }
     if (!chunk.has_value()) {
-      co_return HandleResponseError(lease, chunk.error());
+      co_return HandleResponseError(chunk.error());
     }
     if (!chunk.value().has_value()) {
       break;
     }
+    m_move.reset();
     const std::string bytes = std::move(*chunk.value());
-    const bool relayed = co_await RelayChunk(lease, bytes);
+    const bool relayed = co_await RelayChunk(bytes);
     if (!relayed) {
       co_return EndAttemptInDoubt(
-          lease,
           "the events are out of order, or the caller does not take them");
     }
   }
   if (m_request.route->kind == RequestKind::kStreaming) {
-    const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
+    const Result<void> complete = CheckStreamEnd(response, m_event_reader);
     if (!complete.has_value()) {
-      co_return HandleResponseError(lease, complete.error());
+      co_return HandleResponseError(complete.error());
     }
   }
   if (!m_head_sent) {
     // A successful response without a body: only the head is left to send.
     m_head_sent = true;
-    HttpHeaders headers = platform::EncodeCallerHeaders(m_response->headers());
-    const int success = m_response->status();
+    HttpHeaders headers = platform::EncodeCallerHeaders(response.headers());
+    const int success = response.status();
     (void)co_await m_exchange.StartStream(success, std::move(headers));
   }
   const Result<void> finished = co_await m_exchange.FinishStream();
@@ -723,7 +654,7 @@
     Stop();
     co_return AttemptResult::kStopped;
   }
-  RecordCompletion(lease);
+  RecordCompletion();
   co_return AttemptResult::kCompleted;
 }
 
@@ -745,9 +676,8 @@
   return true;
 }
 
-awaitable<bool> RelaySession::RelayChunk(AttemptLease& lease,
-                                         const std::string& chunk) {
-  RecordFirstByte(lease);
+awaitable<bool> RelaySession::RelayChunk(const std::string& chunk) {
+  RecordFirstByte();
   if (m_request.route->kind != RequestKind::kStreaming) {
     m_can_resume = false;
     co_return co_await WriteToCaller(chunk);
@@ -764,7 +694,7 @@
   if (whole.empty()) {
     co_return true;
   }
-  RecordStreamVersion(lease);
+  RecordStreamVersion();
   co_return co_await WriteToCaller(std::move(whole));
 }
 
@@ -784,7 +714,8 @@
   }
 }
 
-void RelaySession::RecordStreamVersion(const AttemptLease& lease) {
+void RelaySession::RecordStreamVersion() {
+  const AttemptLease& lease = m_attempt->lease();
   const bool begins = !m_stream_version.has_value();
   m_stream_version = lease.version();
   if (begins && m_request.route->resumable) {
@@ -804,8 +735,9 @@
   if (is_first) {
     m_gateway.metrics.RecordFirstByte(MonotonicClock::now() -
                                       m_request.arrived);
-    HttpHeaders headers = platform::EncodeCallerHeaders(m_response->headers());
-    const int status = m_response->status();
+    const HttpResponseStream& response = *m_attempt->response();
+    HttpHeaders headers = platform::EncodeCallerHeaders(response.headers());
+    const int status = response.status();
     written = co_await m_exchange.StartStreamWith(status, std::move(headers),
                                                   std::move(bytes));
   } else {
@@ -818,32 +750,35 @@
   co_return written.has_value();
 }
 
-void RelaySession::RecordFirstByte(AttemptLease& lease) {
-  if (m_attempt_event_count > 0 || m_first_byte_time >= m_attempt_start) {
+void RelaySession::RecordFirstByte() {
+  const MonotonicTime start = m_attempt->start();
+  if (m_attempt_event_count > 0 || m_first_byte_time >= start) {
     return;
   }
   m_first_byte_time = MonotonicClock::now();
-  m_gateway.dispatcher.HandleEvent(
-      FirstEventMeasured{lease.backend(), m_first_byte_time - m_attempt_start});
+  m_gateway.dispatcher.HandleEvent(FirstEventMeasured{
+      m_attempt->lease().backend(), m_first_byte_time - start});
 }
 
-void RelaySession::RecordCompletion(AttemptLease& lease) {
+void RelaySession::RecordCompletion() {
+  AttemptLease& lease = m_attempt->lease();
   lease.SetOutcome(AttemptOutcome::kCompleted);
   m_gateway.metrics.CountAttempt("completed");
   RecordWholeRun(lease);
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.dispatcher.HandleEvent(
-      SlotTimeMeasured{lease.backend(), now - m_attempt_start});
+      SlotTimeMeasured{lease.backend(), now - m_attempt->start()});
   if (m_attempt_event_count > 1) {
     m_gateway.dispatcher.HandleEvent(EventIntervalMeasured{
         lease.backend(),
         (now - m_first_byte_time) / (m_attempt_event_count - 1)});
   }
-  LogRequestEnd("served", m_response->status());
+  LogRequestEnd("served", m_attempt->response()->status());
 }
 
 bool RelaySession::ResponseEndsWithConnection() const {
-  return m_response != nullptr && m_response->ends_with_connection();
+  return m_attempt != nullptr && m_attempt->response() != nullptr &&
+         m_attempt->response()->ends_with_connection();
 }
 
 size_t RelaySession::PartialEventBytes() const {
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -14,8 +14,9 @@
 #include "Fleet/caller_request.h"
 #include "Fleet/fleet_configuration.h"
 #include "Gateway/gateway_context.h"
+#include "Gateway/response_classification.h"
 #include "Gateway/stall_watch.h"
-#include "Net/http_client.h"
+#include "Gateway/stream_move.h"
 #include "Net/sse_reader.h"
 #include "Placement/crash_suspect_core.h"
 #include "Placement/placement_core.h"
@@ -24,6 +25,8 @@
 namespace cowslip {
 
 class AttemptLease;
+class BackendAttempt;
+class Error;
 class HttpExchange;
 class PromptTrial;
 
@@ -50,8 +53,9 @@
 /// has not run may be sent to another backend server. An idempotent request may
 /// also be retried after a failure, as long as the head was not sent, and a
 /// resumable stream is resumed after the last whole event that the caller has.
-/// A silence of the backend server does not end an attempt: the request moves
-/// only if another backend server has a free slot for it.
+/// A silence of the backend server does not end an attempt: the stream is
+/// offered to another backend server with a free slot, and the silent attempt
+/// ends only when that one has taken the stream over.
 class RelaySession {
  public:
   RelaySession(GatewayContext& gateway,
@@ -73,6 +77,14 @@
     /// The caller has disconnected or the deadline has passed.
     kStopped,
   };
+  /// What is logged about a silence.
+  struct StallNote {
+    const char* outcome = "";
+    Duration silent{0};
+    /// The backend server to which the stream was offered.
+    BackendId other;
+    std::string why;
+  };
 
   /// Finds the software version that must go on with a stream that the caller
   /// resumes. Returns false when it is not known.
@@ -80,12 +92,11 @@
   /// Runs an attempt, and those to which it moves when it stalls.
   boost::asio::awaitable<AttemptResult> RunAttempts(
       std::unique_ptr<AttemptLease> lease);
-  boost::asio::awaitable<AttemptResult> RunAttempt(AttemptLease& lease);
-  boost::asio::awaitable<AttemptResult> ReadResponse(AttemptLease& lease);
-  boost::asio::awaitable<AttemptResult> RelayFailure(AttemptLease& lease);
-  boost::asio::awaitable<AttemptResult> RelayBody(AttemptLease& lease);
-  boost::asio::awaitable<bool> RelayChunk(AttemptLease& lease,
-                                          const std::string& chunk);
+  boost::asio::awaitable<AttemptResult> RunAttempt();
+  boost::asio::awaitable<AttemptResult> ReadResponse();
+  boost::asio::awaitable<AttemptResult> RelayFailure();
+  boost::asio::awaitable<AttemptResult> RelayBody();
+  boost::asio::awaitable<bool> RelayChunk(const std::string& chunk);
   boost::asio::awaitable<bool> WriteToCaller(std::string bytes);
   boost::asio::awaitable<void> RespondWithProblem(Problem problem);
   boost::asio::awaitable<void> FinishWithFailure();
@@ -96,27 +107,28 @@
   Duration RemainingTime() const;
   /// What this request's caller is told to wait before the next attempt.
   Duration RetryDelay() const;
+  void WatchForSilence();
   /// Whether the request may go on elsewhere while an attempt is under way.
-  bool MayMove() const;
-  /// Whether the caller's stream can go on at the backend server.
-  bool CanGoOnAt(const AttemptLease& lease) const;
-  /// Moves a stalled attempt if it may move and there is a slot elsewhere.
-  void HandleStall(const AttemptLease& lease, Duration silent);
-  void AbortAttempt();
+  bool MayMove();
+  void HandleStall(Duration silent);
+  /// Offers the stream to another backend server if there is a slot.
+  void BeginMove(Duration silent);
+  /// `silent_before` is how long the backend server was silent when the move
+  /// began.
+  void HandleMoveDecided(const MoveOutcome& outcome, Duration silent_before);
+  void RecordRefusedMove(const MoveTurnedAway& refused);
+  void RecordFailedMove(const MoveFailed& failed);
   /// Lets the request go back to a backend server that it left for its silence.
   /// Returns false when there is none.
   bool ReadmitSilentBackend();
-  AttemptResult EndAttemptInDoubt(AttemptLease& lease, const std::string& why);
+  AttemptResult EndAttemptInDoubt(const std::string& why);
   /// Ends an attempt whose response failed or ended early. Records an aborted
-  /// run of the request unless a read timed out, the attempt moves or this
-  /// process stopped it.
-  AttemptResult HandleResponseError(AttemptLease& lease, const Error& error);
+  /// run of the request unless a read timed out or this process stopped it.
+  AttemptResult HandleResponseError(const Error& error);
   /// The read under way has ended, with data or not.
-  void EndSilence(const AttemptLease& lease, bool went_on);
+  void EndSilence(bool went_on);
   /// Logs and counts a silence of the backend server that is longer than usual.
-  void LogStall(const AttemptLease& lease,
-                const char* outcome,
-                Duration silent);
+  void LogStall(const StallNote& note);
   /// Whether the request is suspected of crashing backend servers.
   bool IsBlocked();
   /// Whether the request may be sent, or is held back because it is suspected
@@ -129,22 +141,25 @@
   /// Whether a request with this prompt may be sent. If not, the reason is kept
   /// in `m_blocked_prompt`.
   bool MaySendPrompt();
-  void RecordBrokenRun(const AttemptLease& lease);
+  void RecordBrokenRun(const AttemptLease& lease, uint32_t events);
+  void RecordRefusedConnection(const AttemptLease& lease);
+  /// Records what a response's head says about its backend server.
+  ResponseKind RecordResponse(const BackendAttempt& attempt);
   void RecordWholeRun(const AttemptLease& lease);
   Problem BlockedProblem() const;
   const Fingerprint& RequestFingerprint();
-  AttemptResult EndAttemptNotRun(AttemptLease& lease,
-                                 AttemptOutcome outcome,
+  AttemptResult EndAttemptNotRun(AttemptOutcome outcome,
                                  const std::string& why);
+  void LogAttemptNotRun(const AttemptLease& lease, const std::string& why);
   void WatchCallerAndDeadline();
   void Stop();
   /// Keeps the version that wrote the stream's first event, for this gateway
   /// and for those at which the caller may resume the stream.
-  void RecordStreamVersion(const AttemptLease& lease);
-  void RecordFirstByte(AttemptLease& lease);
+  void RecordStreamVersion();
+  void RecordFirstByte();
   /// Counts the attempt's events, and tells the crash suspects how far it is.
   void CountEvents(size_t more);
-  void RecordCompletion(AttemptLease& lease);
+  void RecordCompletion();
   bool ResponseEndsWithConnection() const;
   /// The number of bytes received after the last whole event of the attempt.
   size_t PartialEventBytes() const;
@@ -157,17 +172,18 @@
   boost::asio::steady_timer m_deadline_timer;
 
   // State of the current attempt.
-  std::shared_ptr<HttpAbort> m_abort;
-  std::unique_ptr<HttpResponseStream> m_response;
+  std::shared_ptr<BackendAttempt> m_attempt;
   SseReader m_event_reader;
-  MonotonicTime m_attempt_start;
   MonotonicTime m_first_byte_time;
   std::unique_ptr<StallWatch> m_stall_watch;
   bool m_stall_logged = false;
-  // Whether the prompt of the current attempt may not be sent elsewhere.
-  bool m_move_blocked = false;
-  // Where the attempt moves, once it has been aborted for its stall.
-  std::unique_ptr<AttemptLease> m_next_lease;
+  // Where the stream was offered because of a silence, until it is taken over
+  // or the silence ends. No event is relayed meanwhile.
+  std::unique_ptr<StreamMove> m_move;
+  // Whether the current attempt was aborted because the move was taken.
+  bool m_left_silent_backend = false;
+  // The backend servers that turned the stream away during this silence.
+  std::set<BackendId> m_refused_moves;
   uint32_t m_attempt_event_count = 0;
 
   std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
--- a/Tests/Gateway/silent_backend_test.cc
+++ b/Tests/Gateway/silent_backend_test.cc
@@ -1,6 +1,4 @@
-#include <set>
-
-#include "gateway_fixture.h"
+#include "silent_backends.h"
 
 namespace cowslip {
 namespace {
@@ -8,101 +6,8 @@
 using boost::asio::awaitable;
 using namespace std::chrono_literals;
 
-constexpr uint64_t kEvents = 6;
-
-// A backend server may work on a request that goes on elsewhere for no longer.
-constexpr Duration kMaxOverlap = 400ms;
-
-// Longer than any test.
-constexpr Duration kForGood = 60s;
-
-// Silences before some events, see ModelBehaviour.
-using Silences = std::map<uint64_t, Duration>;
-
-void SetEntryField(GatewayFixture& f,
-                   size_t backend,
-                   const std::string& field,
-                   const std::string& value) {
-  const std::string id = "i-" + std::to_string(backend);
-  nlohmann::json entry = f.store.Find("servers", id)->content;
-  entry[field] = value;
-  f.store.Put("servers", id, entry);
-}
-
-/// \class SilentBackends
-/// \brief A gateway with backend servers that fall silent, and routes whose
-/// timeout is far longer than the silences.
-class SilentBackends : public GatewayFixture {
- public:
-  SilentBackends(size_t backends, const Silences& silences)
-      : GatewayFixture(backends), m_count(backends) {
-    for (size_t i = 0; i < backends; ++i) {
-      backend(i).behaviour().events = kEvents;
-      backend(i).behaviour().silences = silences;
-    }
-    for (auto& route : configuration["routes"]) {
-      route["timeout_ms"] = 9000;
-    }
-    Publish();
-    AddGateway();
-  }
-
-  static HttpRequest SlowRequest(const std::string& target,
-                                 const std::string& attempt) {
-    HttpRequest request = Request("POST", target, attempt);
-    SetHeader(request.headers, "Deadline-Ms", "9000");
-    return request;
-  }
-
-  // Checks that the caller gets the whole answer.
-  awaitable<void> CheckServed(const std::string& target,
-                              const std::string& attempt) {
-    HttpRequest request = SlowRequest(target, attempt);
-    const auto response = co_await Send(0, std::move(request));
-    INFO(target);
-    if (!response.has_value()) {
-      FAIL_CHECK(response.error().message);
-      co_return;
-    }
-    CHECK(response.value().status == 200);
-    CHECK(response.value().body == ModelServer::Body(attempt, 1, kEvents));
-  }
-
-  // The backend servers that the request reached.
-  std::set<size_t> Asked() {
-    std::set<size_t> asked;
-    for (size_t i = 0; i < m_count; ++i) {
-      if (RequestsAt(i) > 0) {
-        asked.insert(i);
-      }
-    }
-    return asked;
-  }
-
-  // The backend servers that are at work now.
-  std::set<size_t> AtWork() {
-    std::set<size_t> at_work;
-    for (size_t i = 0; i < m_count; ++i) {
-      if (backend(i).active() > 0) {
-        at_work.insert(i);
-      }
-    }
-    return at_work;
-  }
-
- private:
-  static void SetHeader(HttpHeaders& headers,
-                        const std::string& name,
-                        const std::string& value) {
-    for (HttpHeader& header : headers) {
-      if (header.name == name) {
-        header.value = value;
-      }
-    }
-  }
-
-  const size_t m_count;
-};
+constexpr auto kMaxOverlap = SilentBackends::kMaxOverlap;
+constexpr auto kForGood = SilentBackends::kForGood;
 
 TEST_CASE("A stream is whole although each backend server falls silent twice") {
   const Duration silence = GENERATE(1300ms, 2000ms);
@@ -116,8 +21,8 @@
 
 TEST_CASE("A stream is whole although its version was replaced meanwhile") {
   SilentBackends f(2, {{2, 1300ms}, {4, 1300ms}});
-  SetEntryField(f, 0, "version", "v1");
-  SetEntryField(f, 1, "version", "v2");
+  f.SetEntryField(0, "version", "v1");
+  f.SetEntryField(1, "version", "v2");
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
     co_await f.CheckServed("/stream/x", "a");
@@ -127,15 +32,15 @@
 
 TEST_CASE("A stream is whole although its version is replaced in a silence") {
   SilentBackends f(3, {{2, 2000ms}, {4, 1300ms}});
-  SetEntryField(f, 2, "version", "v2");
+  f.SetEntryField(2, "version", "v2");
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
     boost::asio::co_spawn(
         f.context,
         [&]() -> awaitable<void> {
           co_await f.Sleep(600ms);
-          SetEntryField(f, 0, "state", "draining");
-          SetEntryField(f, 1, "state", "draining");
+          f.SetEntryField(0, "state", "draining");
+          f.SetEntryField(1, "state", "draining");
         },
         boost::asio::detached);
     co_await f.CheckServed("/stream/x", "a");
@@ -271,9 +176,9 @@
 TEST_CASE(
     "An item is not restarted because its version is replaced meanwhile") {
   SilentBackends f(3, {{3, 4000ms}});
-  SetEntryField(f, 1, "state", "draining");
-  SetEntryField(f, 2, "state", "draining");
-  SetEntryField(f, 2, "version", "v2");
+  f.SetEntryField(1, "state", "draining");
+  f.SetEntryField(2, "state", "draining");
+  f.SetEntryField(2, "version", "v2");
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
     boost::asio::co_spawn(
@@ -283,8 +188,8 @@
             co_await f.Sleep(10ms);
           }
           co_await f.Sleep(600ms);
-          SetEntryField(f, 0, "state", "draining");
-          SetEntryField(f, 2, "state", "ready");
+          f.SetEntryField(0, "state", "draining");
+          f.SetEntryField(2, "state", "ready");
         },
         boost::asio::detached);
     co_await CheckItemsCompleted(f);
--- /dev/null
+++ b/Tests/Gateway/silent_move_test.cc
@@ -0,0 +1,222 @@
+#include <array>
+
+#include "silent_backends.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+constexpr auto kMaxOverlap = SilentBackends::kMaxOverlap;
+constexpr auto kForGood = SilentBackends::kForGood;
+
+// A silence at the head, and one between events.
+constexpr std::array<uint64_t, 2> kSilenceBefore = {0, 3};
+
+TEST_CASE("A silence ends no stream because all others turn it away") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  const int max_attempts = GENERATE(1, 2);
+  SilentBackends f(3, {{before, 2000ms}});
+  f.SetMaxAttempts(max_attempts);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t) {
+      // The slot of the first one would be taken as well.
+      for (size_t i = 0; i < 3; ++i) {
+        f.backend(i).behaviour().turn_away = 100;
+      }
+    });
+    co_await f.CheckServed("/stream/x", "a");
+    // The route allows no run beside the silent one.
+    CHECK((max_attempts > 1 || f.Asked().size() == 1));
+  });
+}
+
+TEST_CASE("A silence ends no stream because others are not reached") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  SilentBackends f(2, {{before, 2000ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      f.backend(1 - other).behaviour().turn_away = 100;
+      f.SetEntryField(other, "address", "127.0.0.1:1");
+    });
+    co_await f.CheckServed("/stream/x", "a");
+  });
+}
+
+// How another backend server fails before its first event.
+enum class Failure { kReset, kBreaksAtHead, kStatus500, kWrongId };
+
+TEST_CASE("A silence ends no stream because another backend server fails") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  const Failure failure = GENERATE(Failure::kReset, Failure::kBreaksAtHead,
+                                   Failure::kStatus500, Failure::kWrongId);
+  SilentBackends f(3, {{before, 2000ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      ModelBehaviour& b = f.backend(other).behaviour();
+      b.silences.clear();
+      b.silent_closes = failure == Failure::kReset ? 100 : 0;
+      b.head_breaks = failure == Failure::kBreaksAtHead ? 100 : 0;
+      b.fail_status = 500;
+      b.fails = failure == Failure::kStatus500 ? 100 : 0;
+      b.wrong_ids = failure == Failure::kWrongId ? 100 : 0;
+    });
+    co_await f.CheckServed("/stream/x", "a");
+    // No more runs than the route's attempts.
+    CHECK(f.Asked().size() == 2);
+  });
+}
+
+TEST_CASE("A silent backend server that goes on first keeps its stream") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  SilentBackends f(2, {{before, 1300ms}});
+  for (size_t i = 0; i < 2; ++i) {
+    f.SetEntryField(i, "slots", 1);
+  }
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      f.backend(other).behaviour().silences = {{before, 220ms}};
+    });
+    bool done = false;
+    Duration overlap{0};
+    f.MeasureOverlap(done, overlap);
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.Asked().size() == 2);
+    co_await f.Sleep(100ms);
+    CHECK(f.AtWork().empty());
+    done = true;
+    co_await f.Sleep(20ms);
+    CHECK(overlap < kMaxOverlap);
+    // The slots of both are free again.
+    for (size_t i = 0; i < 2; ++i) {
+      f.backend(i).behaviour().silences = {{1, 300ms}};
+    }
+    size_t served = 0;
+    for (size_t i = 0; i < 2; ++i) {
+      boost::asio::co_spawn(
+          f.context,
+          [&f, &served, i]() -> awaitable<void> {
+            co_await f.CheckServed("/stream/x", "b" + std::to_string(i));
+            ++served;
+          },
+          boost::asio::detached);
+    }
+    co_await f.Sleep(150ms);
+    CHECK(f.AtWork().size() == 2);
+    co_await f.Sleep(600ms);
+    CHECK(served == 2);
+  });
+}
+
+TEST_CASE("A stream that moves to a slow start leaves its first run in time") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  SilentBackends f(2, {{before, kForGood}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      f.backend(other).behaviour().silences = {{before, 700ms}};
+    });
+    bool done = false;
+    Duration overlap{0};
+    f.MeasureOverlap(done, overlap);
+    co_await f.CheckServed("/stream/x", "a");
+    done = true;
+    co_await f.Sleep(20ms);
+    CHECK(overlap < kMaxOverlap);
+    CHECK(f.AtWork().empty());
+  });
+}
+
+TEST_CASE("A stream whose silent backend server crashes goes on elsewhere") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  SilentBackends f(2, {{before, 1300ms}});
+  for (size_t i = 0; i < 2; ++i) {
+    f.backend(i).behaviour().silence_breaks = 1;
+  }
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      f.backend(other).behaviour().silence_breaks = 0;
+      f.backend(other).behaviour().silences = {{before, 200ms}};
+    });
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.RequestsAt(0) == 1);
+    CHECK(f.RequestsAt(1) == 1);
+  });
+}
+
+TEST_CASE("A stream that ends while it moves ends both runs") {
+  const uint64_t before = GENERATE(from_range(kSilenceBefore));
+  const bool caller_leaves = GENERATE(true, false);
+  SilentBackends f(2, {{before, kForGood}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    HttpClient client(f.context.get_executor(),
+                      Endpoint{.port = f.gateway(0).caller_port()});
+    const auto abort = std::make_shared<HttpAbort>();
+    std::unique_ptr<HttpResponseStream> stream;
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          HttpRequest request = SilentBackends::SlowRequest(
+              "/stream/x", "a", caller_leaves ? "9000" : "1350");
+          const Duration timeout = 9s;
+          auto opened =
+              co_await client.Open(std::move(request), timeout, abort);
+          if (opened.has_value()) {
+            stream = std::move(opened.value());
+          }
+        },
+        boost::asio::detached);
+    while (f.Asked().size() < 2) {
+      co_await f.Sleep(10ms);
+    }
+    CHECK(f.AtWork().size() == 2);
+    if (caller_leaves) {
+      if (stream != nullptr) {
+        stream->Abort();
+      }
+      abort->Abort();
+    }
+    // Before the longest overlap is over.
+    co_await f.Sleep(caller_leaves ? 100ms : 200ms);
+    CHECK(f.AtWork().empty());
+  });
+}
+
+TEST_CASE("A stream that is offered elsewhere in vain may move again") {
+  SilentBackends f(3, {{3, kForGood}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    int others = 0;
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      f.backend(other).behaviour().silences.clear();
+      f.backend(other).behaviour().turn_away = others++ == 0 ? 0 : 100;
+    });
+    co_await f.CheckServed("/stream/x", "a");
+  });
+}
+
+TEST_CASE("A stream that stays where it was moves in its next silence") {
+  SilentBackends f(2, {{2, 1500ms}, {5, kForGood}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    size_t first = 0;
+    f.ChangeOthersOnceAsked([&](size_t other) {
+      first = 1 - other;
+      f.backend(other).behaviour().silences.clear();
+      f.backend(other).behaviour().turn_away = 1;
+    });
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.RequestsAt(first) == 1);
+    CHECK(f.RequestsAt(1 - first) == 2);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -109,11 +109,11 @@
   co_return false;
 }
 
-awaitable<void> ModelServer::FallSilent(HttpExchange& exchange,
+awaitable<bool> ModelServer::FallSilent(HttpExchange& exchange,
                                         uint64_t number) {
   const auto found = m_behaviour.silences.find(number);
   if (found == m_behaviour.silences.end()) {
-    co_return;
+    co_return true;
   }
   boost::asio::steady_timer timer(m_context, found->second);
   exchange.OnClientDisconnected([&timer] { timer.cancel(); });
@@ -121,15 +121,27 @@
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   exchange.OnClientDisconnected(nullptr);
+  if (Take(m_behaviour.silence_breaks)) {
+    exchange.Abort();
+    co_return false;
+  }
+  co_return true;
 }
 
 awaitable<void> ModelServer::StreamEvents(HttpExchange& exchange,
                                           std::string attempt) {
   const bool other = Take(m_behaviour.wrong_ids);
   const bool breaks = m_behaviour.break_after > 0 && Take(m_behaviour.breaks);
-  co_await FallSilent(exchange, 0);
+  const bool has_head = co_await FallSilent(exchange, 0);
+  if (!has_head) {
+    co_return;
+  }
   HttpHeaders headers = Headers(other ? "another" : attempt);
   (void)co_await exchange.StartStream(200, std::move(headers));
+  if (Take(m_behaviour.head_breaks)) {
+    exchange.Abort();
+    co_return;
+  }
   const std::string resumed =
       FindHeader(exchange.request().headers, "Last-Event-Id").value_or("0");
   const uint64_t first = std::stoull(resumed) + 1;
@@ -140,7 +152,10 @@
       exchange.Abort();
       co_return;
     }
-    co_await FallSilent(exchange, number);
+    const bool goes_on = co_await FallSilent(exchange, number);
+    if (!goes_on) {
+      co_return;
+    }
     std::string event = Event(attempt, number);
     const Result<void> written = co_await exchange.WriteChunk(std::move(event));
     if (!written.has_value()) {
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -37,6 +37,10 @@
   /// How long it falls silent before the event of this number; 0 is the head of
   /// an answer.
   std::map<uint64_t, Duration> silences;
+  /// Silences that end with a closed connection.
+  int silence_breaks = 0;
+  /// Streams that break after the head.
+  int head_breaks = 0;
   /// Says in every answer that it leaves.
   bool leaving = false;
   /// The requests per second that it names as its limit in every answer; 0 for
@@ -70,7 +74,8 @@
   boost::asio::awaitable<void> StreamEvents(HttpExchange& exchange,
                                             std::string attempt);
   /// Waits if ModelBehaviour::silences says so, until the client leaves.
-  boost::asio::awaitable<void> FallSilent(HttpExchange& exchange,
+  /// Returns false when the connection was closed at the end.
+  boost::asio::awaitable<bool> FallSilent(HttpExchange& exchange,
                                           uint64_t number);
   HttpHeaders Headers(const std::string& attempt);
 
