Peers: a kind that changes all the time is not taken for diverged

Every VM listed all jobs about once a second for as long as jobs changed. The detector compared the newest digests only, and counted as one difference whatever differed at whichever peer: digests of a kind that changes faster than peers send theirs are hardly ever all equal. A peer that stayed out of date made the others list once a second too, and one that had not listed anything yet was compared with its digest of nothing.

All processes go through the same states, so a digest that this process once had is no difference. A report is settled too by a listing that began after it, because reads of the store are linearizable. The daemon passes on the digest after each change, so that no state is left out, and reports no digests before it has listed each kind.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -438,7 +438,7 @@
     CheckForProcessPause();
     HandleDirectoryEvent(DirectoryTick{});
     HandlePeerEvent(PeerTick{});
-    HandleDivergenceEvent(OwnDigestsChanged{OwnStoreDigests()});
+    HandleDivergenceEvent(DivergenceTick{});
     m_job_runner.Tick();
     MaybeLogIdleCloses();
     m_log.Flush();
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -93,7 +93,11 @@
   /// The time until this process's next turn to poll the store.
   Duration TimeUntilOwnPoll() const;
   void SchedulePoll();
+  /// The watchers of the kinds whose digests peers compare.
+  std::vector<DocumentWatcher*> ComparedWatchers() const;
+  void ReportListing(const std::string& kind, MonotonicTime began);
   void HandleDivergenceEvent(const DivergenceEvent& event);
+  /// Empty until all compared kinds were listed.
   StoreDigests OwnStoreDigests() const;
   void HandleDirectoryEvent(const DirectoryEvent& event);
   void HandlePeerEvent(const PeerEvent& event);
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -45,8 +45,14 @@
       regained();
     }
   };
+  events.changed = [this, changed = std::move(events.changed)](
+                       const DocumentChange& change) {
+    changed(change);
+    HandleDivergenceEvent(OwnDigestsChanged{OwnStoreDigests()});
+  };
   events.read_ended = [this, name](const StoreReadEnded& read) {
     if (read.listing) {
+      ReportListing(name, MonotonicClock::now() - read.took);
       m_log.Write("store_listed", {{"kind", name},
                                    {"documents", read.documents},
                                    {"changes", read.changes},
@@ -90,15 +96,28 @@
   });
 }
 
+std::vector<DocumentWatcher*> GatewayDaemon::ComparedWatchers() const {
+  return {m_configuration_watcher.get(), m_backend_watcher.get(),
+          m_job_watcher.get()};
+}
+
+void GatewayDaemon::ReportListing(const std::string& kind,
+                                  MonotonicTime began) {
+  HandleDivergenceEvent(OwnDigestsChanged{OwnStoreDigests()});
+  const std::vector<DocumentWatcher*> watchers = ComparedWatchers();
+  for (size_t i = 0; i < watchers.size(); ++i) {
+    if (watchers[i]->kind().value() == kind) {
+      HandleDivergenceEvent(KindListed{.kind = i, .began = began});
+    }
+  }
+}
+
 void GatewayDaemon::HandleDivergenceEvent(const DivergenceEvent& event) {
-  const std::vector<DocumentWatcher*> followed = {m_configuration_watcher.get(),
-                                                  m_backend_watcher.get(),
-                                                  m_job_watcher.get()};
   const std::vector<DivergenceAction> actions =
       m_divergence_detector.Handle(event, MonotonicClock::now());
   for (const DivergenceAction& action : actions) {
     const auto& refresh = std::get<RefreshKind>(action);
-    DocumentWatcher& watcher = *followed[refresh.kind];
+    DocumentWatcher& watcher = *ComparedWatchers()[refresh.kind];
     m_log.Write("store_view_differs",
                 {{"kind", watcher.kind().value()},
                  {"as_of", watcher.as_of().value()},
@@ -111,8 +130,14 @@
 }
 
 StoreDigests GatewayDaemon::OwnStoreDigests() const {
-  return {m_configuration_watcher->digest(), m_backend_watcher->digest(),
-          m_job_watcher->digest()};
+  StoreDigests digests;
+  for (const DocumentWatcher* watcher : ComparedWatchers()) {
+    if (!watcher->has_listed()) {
+      return {};
+    }
+    digests.push_back(watcher->digest());
+  }
+  return digests;
 }
 
 void GatewayDaemon::StartWatchers() {
--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "Base/overloaded.h"
-
 namespace cowslip {
 
 DivergenceDetector::DivergenceDetector(DivergenceOptions options)
@@ -12,58 +10,114 @@
 std::vector<DivergenceAction> DivergenceDetector::Handle(
     const DivergenceEvent& event,
     MonotonicTime now) {
-  std::visit(Overloaded{[&](const OwnDigestsChanged& own) {
-                          m_own_digests = own.digests;
-                          m_differs_since.resize(m_own_digests.size());
-                          m_last_refresh.resize(m_own_digests.size());
-                        },
-                        [&](const PeerDigestsReceived& peer) {
-                          m_peer_digests[peer.vm] = peer.digests;
-                        },
-                        [&](const PeerDigestsInvalidated& invalidated) {
-                          m_peer_digests.erase(invalidated.vm);
-                        },
-                        [](const DivergenceTick&) {}},
-             event);
-  Compare(now);
+  std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
   std::vector<DivergenceAction> actions;
-  for (size_t kind = 0; kind < m_own_digests.size(); ++kind) {
-    const bool due = m_differs_since[kind].has_value() &&
-                     now - *m_differs_since[kind] >= m_options.grace_period;
-    const bool may_refresh =
-        !m_last_refresh[kind].has_value() ||
-        now - *m_last_refresh[kind] >= m_options.min_refresh_interval;
-    if (due && may_refresh) {
-      m_last_refresh[kind] = now;
-      const auto& [vm, digests] = *FindDiffering(kind);
-      actions.push_back(RefreshKind{.kind = kind,
-                                    .peer = vm,
-                                    .peer_digest = digests[kind],
-                                    .own_digest = m_own_digests[kind],
-                                    .lasted = now - *m_differs_since[kind]});
+  for (size_t index = 0; index < m_kinds.size(); ++index) {
+    const std::optional<DivergenceAction> action = RefreshIfDue(index, now);
+    if (action.has_value()) {
+      actions.push_back(*action);
     }
   }
   return actions;
 }
 
-std::map<VmId, StoreDigests>::const_iterator DivergenceDetector::FindDiffering(
-    size_t kind) const {
-  return std::find_if(m_peer_digests.begin(), m_peer_digests.end(),
-                      [&](const auto& peer) {
-                        const StoreDigests& digests = peer.second;
-                        return digests.size() == m_own_digests.size() &&
-                               digests[kind] != m_own_digests[kind];
-                      });
+void DivergenceDetector::Settle(PeerDigest& peer) {
+  peer.is_settled = true;
+  peer.differs_since.reset();
+}
+
+void DivergenceDetector::Apply(const OwnDigestsChanged& event, MonotonicTime) {
+  m_kinds.resize(event.digests.size());
+  for (size_t index = 0; index < m_kinds.size(); ++index) {
+    Kind& kind = m_kinds[index];
+    const uint64_t digest = event.digests[index];
+    if (!kind.own_digests.empty() && kind.own_digests.back() == digest) {
+      continue;
+    }
+    kind.own_digests.push_back(digest);
+    if (kind.own_digests.size() > m_options.remembered_digests) {
+      kind.own_digests.pop_front();
+    }
+    for (auto& [vm, peer] : kind.peers) {
+      if (peer.digest == digest) {
+        Settle(peer);
+      }
+    }
+  }
 }
 
-void DivergenceDetector::Compare(MonotonicTime now) {
-  for (size_t kind = 0; kind < m_own_digests.size(); ++kind) {
-    if (FindDiffering(kind) == m_peer_digests.end()) {
-      m_differs_since[kind].reset();
-    } else if (!m_differs_since[kind].has_value()) {
-      m_differs_since[kind] = now;
+void DivergenceDetector::Apply(const KindListed& event, MonotonicTime) {
+  if (event.kind >= m_kinds.size()) {
+    return;
+  }
+  for (auto& [vm, peer] : m_kinds[event.kind].peers) {
+    if (peer.received <= event.began) {
+      Settle(peer);
     }
   }
 }
 
+void DivergenceDetector::Apply(const PeerDigestsReceived& event,
+                               MonotonicTime now) {
+  if (event.digests.size() != m_kinds.size()) {
+    Apply(PeerDigestsInvalidated{event.vm}, now);
+    return;
+  }
+  for (size_t index = 0; index < m_kinds.size(); ++index) {
+    Kind& kind = m_kinds[index];
+    const uint64_t digest = event.digests[index];
+    const auto [entry, is_new] = kind.peers.try_emplace(event.vm);
+    PeerDigest& peer = entry->second;
+    if (is_new || peer.digest != digest) {
+      peer.digest = digest;
+      peer.received = now;
+      peer.is_settled = false;
+    }
+    // The newest digests are the most likely ones.
+    const auto& own = kind.own_digests;
+    if (!peer.is_settled &&
+        std::find(own.rbegin(), own.rend(), digest) != own.rend()) {
+      Settle(peer);
+    }
+    if (!peer.is_settled && !peer.differs_since.has_value()) {
+      peer.differs_since = now;
+    }
+  }
+}
+
+void DivergenceDetector::Apply(const PeerDigestsInvalidated& event,
+                               MonotonicTime) {
+  for (Kind& kind : m_kinds) {
+    kind.peers.erase(event.vm);
+  }
+}
+
+std::optional<DivergenceAction> DivergenceDetector::RefreshIfDue(
+    size_t index,
+    MonotonicTime now) {
+  Kind& kind = m_kinds[index];
+  const auto longest = std::min_element(
+      kind.peers.begin(), kind.peers.end(), [](const auto& a, const auto& b) {
+        return a.second.differs_since.value_or(MonotonicTime::max()) <
+               b.second.differs_since.value_or(MonotonicTime::max());
+      });
+  if (longest == kind.peers.end() ||
+      !longest->second.differs_since.has_value()) {
+    return std::nullopt;
+  }
+  const Duration lasted = now - *longest->second.differs_since;
+  const bool may_refresh =
+      !kind.last_refresh.has_value() ||
+      now - *kind.last_refresh >= m_options.min_refresh_interval;
+  if (lasted < m_options.grace_period || !may_refresh) {
+    return std::nullopt;
+  }
+  kind.last_refresh = now;
+  return RefreshKind{.kind = index,
+                     .peer = longest->first,
+                     .peer_digest = longest->second.digest,
+                     .own_digest = kind.own_digests.back(),
+                     .lasted = lasted};
+}
+
 }  // namespace cowslip
--- a/Source/Platform/document_view.cc
+++ b/Source/Platform/document_view.cc
@@ -79,7 +79,7 @@
   m_removals.erase(name);
 }
 
-bool DocumentView::Remove(const Document& document) {
+bool DocumentView::ApplyRemoval(const Document& document) {
   const auto known = m_versions.find(document.name);
   if (known != m_versions.end()) {
     if (document.version < known->second) {
@@ -95,22 +95,20 @@
   return true;
 }
 
-std::vector<DocumentChange> DocumentView::ApplyChanges(
-    DocumentChanges changes) {
-  std::vector<DocumentChange> news;
-  for (DocumentChange& change : changes.changes) {
-    const Document& document = change.document;
-    if (change.removed ? !Remove(document)
-                       : IsOutdated(document.name, document.version)) {
-      continue;
-    }
-    if (!change.removed) {
-      Set(document.name, document.version);
-    }
-    news.push_back(std::move(change));
+bool DocumentView::ApplyChange(const DocumentChange& change) {
+  const Document& document = change.document;
+  if (change.removed) {
+    return ApplyRemoval(document);
   }
-  m_as_of = std::max(m_as_of, changes.as_of);
-  return news;
+  if (IsOutdated(document.name, document.version)) {
+    return false;
+  }
+  Set(document.name, document.version);
+  return true;
+}
+
+void DocumentView::AdvanceTo(ObjectVersion as_of) {
+  m_as_of = std::max(m_as_of, as_of);
 }
 
 std::vector<DocumentChange> DocumentView::ApplyListing(
@@ -127,7 +125,7 @@
   }
   // Later pages may be of later versions, so a watch from the first page's
   // reports the changes in the documents of all pages.
-  m_as_of = std::max(m_as_of, listing.front().as_of);
+  AdvanceTo(listing.front().as_of);
   KeepListing(std::move(listing));
   return news;
 }
--- a/Source/Platform/document_view.h
+++ b/Source/Platform/document_view.h
@@ -30,9 +30,11 @@
 
   /// Takes over a listing; returns how it differs from what was known.
   std::vector<DocumentChange> ApplyListing(std::vector<DocumentPage> pages);
-  /// Takes over what a watch reports; returns the changes that are news, and
-  /// every removal unless a newer version of the document is known.
-  std::vector<DocumentChange> ApplyChanges(DocumentChanges changes);
+  /// Takes over one change that a watch reports; returns whether it is news. A
+  /// removal is unless a newer version of the document is known.
+  bool ApplyChange(const DocumentChange& change);
+  /// Call it when a watch that reached up to this version was taken over.
+  void AdvanceTo(ObjectVersion as_of);
 
   /// The version to watch from: all changes up to it are known, unless the
   /// store has dropped some silently.
@@ -60,8 +62,7 @@
   /// True if something newer is known of the document than this version.
   bool IsOutdated(const DocumentName& name, ObjectVersion version) const;
   void Set(const DocumentName& name, ObjectVersion version);
-  /// Returns false for a removal that is older than the known version.
-  bool Remove(const Document& document);
+  bool ApplyRemoval(const Document& document);
   std::vector<DocumentChange> RemoveUnlisted(
       const std::vector<DocumentPage>& pages,
       const ListingRange& listing);
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -173,7 +173,7 @@
   const uint32_t read_epoch = m_read_epoch;
   const ObjectVersion since = m_view.as_of();
   const MonotonicTime began = MonotonicClock::now();
-  Result<DocumentChanges> changes =
+  const Result<DocumentChanges> changes =
       co_await m_store.Watch(m_options.kind, since, wait);
   if (m_stopped) {
     co_return Ok();
@@ -190,9 +190,11 @@
               .as_of = changes.value().as_of,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
-  for (const DocumentChange& change :
-       m_view.ApplyChanges(std::move(changes.value()))) {
-    m_events.changed(change);
+  m_view.AdvanceTo(changes.value().as_of);
+  for (const DocumentChange& change : changes.value().changes) {
+    if (m_view.ApplyChange(change)) {
+      m_events.changed(change);
+    }
   }
   co_return Ok();
 }
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -52,8 +52,9 @@
   /// A listing has completed. These are all documents for the first one, then
   /// the changes that were not known before the listing.
   std::function<void(const std::vector<DocumentChange>& changes)> listed;
-  /// A watch has reported a change. A removal may be reported again, or of a
-  /// document that was never handed on.
+  /// A watch has reported a change; digest() is that of the contents after it.
+  /// A removal may be reported again, or of a document that was never handed
+  /// on.
   std::function<void(const DocumentChange& change)> changed;
   /// A call has failed, or the requested history is no longer available. This
   /// alone does not mean an outage.
@@ -65,6 +66,7 @@
   /// before the callback that delivers the result of that read.
   std::function<void()> regained;
   /// A call has succeeded; called before the callbacks that deliver its result.
+  /// digest() already includes the result of a listing.
   std::function<void(const StoreReadEnded& read)> read_ended;
 };
 
@@ -92,6 +94,8 @@
   /// except for hash collisions.
   uint64_t digest() const { return m_view.digest(); }
   const DocumentKind& kind() const { return m_options.kind; }
+  /// All documents were listed at least once.
+  bool has_listed() const { return m_view.as_of() != ObjectVersion(); }
   /// The version of the store that the next watch begins from.
   ObjectVersion as_of() const { return m_view.as_of(); }
 
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -83,6 +83,18 @@
   }
 }
 
+void MetadataServer::Count(const HttpRequest& request) {
+  const std::string path = request.Path().substr(kPrefix.size());
+  const size_t slash = path.find('/');
+  std::string call = request.method;
+  if (call == "GET") {
+    const bool is_watch = request.Query("watch").has_value();
+    const bool is_list = slash == std::string::npos;
+    call = is_watch ? "watch" : is_list ? "list" : "get";
+  }
+  ++m_calls[call + " " + PercentDecode(path.substr(0, slash))];
+}
+
 ServerFault MetadataServer::FaultFor(const HttpRequest& request) const {
   const bool applies = request.target.find(m_fault_kind) != std::string::npos;
   return applies ? m_fault : ServerFault::kNone;
@@ -90,6 +102,7 @@
 
 awaitable<void> MetadataServer::Handle(HttpExchange& exchange) {
   const HttpRequest request = exchange.request();
+  Count(request);
   if (FaultFor(request) == ServerFault::kSlow) {
     boost::asio::steady_timer pause(m_context, kSlowAnswer);
     co_await pause.async_wait(boost::asio::use_awaitable);
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -1,6 +1,7 @@
 #ifndef UTILITIES_STANDINS_METADATASTORE_METADATA_SERVER_H_
 #define UTILITIES_STANDINS_METADATASTORE_METADATA_SERVER_H_
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -43,6 +44,9 @@
   uint16_t port() const { return m_server.port(); }
   /// With `kind`, only calls about that kind meet the fault.
   void SetFault(ServerFault fault, std::string kind = "");
+  /// The calls so far by method or way of reading and kind of document, such as
+  /// "list servers", "watch servers", "get servers" or "POST peers".
+  const std::map<std::string, size_t>& calls() const { return m_calls; }
 
  private:
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
@@ -56,6 +60,7 @@
                                              DocumentKind kind,
                                              std::string name);
   void WakeWatches();
+  void Count(const HttpRequest& request);
   ServerFault FaultFor(const HttpRequest& request) const;
 
   FakeDocumentStore& m_store;
@@ -64,6 +69,7 @@
   std::set<boost::asio::steady_timer*> m_waiting;
   ServerFault m_fault = ServerFault::kNone;
   std::string m_fault_kind;
+  std::map<std::string, size_t> m_calls;
 };
 
 }  // namespace cowslip
