Jobs: a known end belongs to one job, not to its id

An end that was acknowledged or reported is remembered for 180 s by the job's key, because records that arrive later may be older. A job is removed 180 s after its submission, so the end may be remembered for nearly 180 s after that, and a new job under the same id was accepted (202) and not opened: it counted as over. The end names the time of submission of the job now; it covers any record of the key only until the record is known. Reports of the first job's end, which last 12 s, do not end the new job; an acknowledged end is always that of the job known now.

An end that was reported, not acknowledged, less than 24 s after that of an earlier job with the id is learned from the job's record only.

--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -55,12 +55,20 @@
 
 bool JobScheduler::IsOver(const Job& job) const {
   return job.record.status.ended || job.record.status.finished ||
-         m_ends.contains(job.record.key);
+         HasKnownEnd(job.record);
+}
+
+bool JobScheduler::HasKnownEnd(const JobRecord& record) const {
+  const auto found = m_ends.find(record.key);
+  return found != m_ends.end() &&
+         (!found->second.submitted.has_value() ||
+          *found->second.submitted == record.definition.submitted);
 }
 
 bool JobScheduler::IsEnded(const JobKey& job) const {
   const JobRecord* record = Find(job);
-  return m_ends.contains(job) || (record != nullptr && record->status.ended);
+  return record == nullptr ? m_ends.contains(job)
+                           : record->status.ended || HasKnownEnd(*record);
 }
 
 std::vector<JobKey> JobScheduler::EndsToReport(MonotonicTime now) const {
@@ -97,6 +105,10 @@
     return;
   }
   job.record = event.record;
+  const auto end = m_ends.find(event.record.key);
+  if (end != m_ends.end() && !end->second.submitted.has_value()) {
+    end->second.submitted = event.record.definition.submitted;
+  }
   if (IsOver(job)) {
     Close(job);
     return;
@@ -127,17 +139,30 @@
 
 void JobScheduler::Apply(const JobEndAcknowledged& event, ClockReadings now) {
   m_acknowledged_ends.emplace(event.job, now.monotonic);
-  RememberEnd(event.job, now);
+  RememberEnd(event.job, true, now);
 }
 
 void JobScheduler::Apply(const JobEndReported& event, ClockReadings now) {
-  RememberEnd(event.job, now);
+  RememberEnd(event.job, false, now);
 }
 
-void JobScheduler::RememberEnd(const JobKey& key, ClockReadings now) {
-  const bool is_new = m_ends.emplace(key, now.monotonic).second;
+void JobScheduler::RememberEnd(const JobKey& key,
+                               bool certain,
+                               ClockReadings now) {
   Job* job = FindJob(key);
-  if (is_new && job != nullptr) {
+  KnownEnd end{.since = now.monotonic};
+  if (job != nullptr) {
+    end.submitted = job->record.definition.submitted;
+  }
+  const auto [known, is_new] = m_ends.emplace(key, end);
+  // Reports of an earlier job's end may go on while a new job has its id.
+  const bool is_of_new_job = job != nullptr && !HasKnownEnd(job->record) &&
+                             (certain || now.monotonic - known->second.since >=
+                                             2 * m_options.end_report_time);
+  if (is_of_new_job) {
+    known->second = end;
+  }
+  if (job != nullptr && (is_new || is_of_new_job)) {
     Close(*job);
   }
 }
@@ -146,7 +171,7 @@
 // that the job has ended.
 void JobScheduler::ForgetOldEnds(MonotonicTime now) {
   std::erase_if(m_ends, [&](const auto& end) {
-    return now - end.second >= m_options.retention;
+    return now - end.second.since >= m_options.retention;
   });
   std::erase_if(m_acknowledged_ends, [&](const auto& end) {
     return now - end.second >= m_options.end_report_time;
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -281,6 +281,12 @@
   size_t jobs() const { return m_jobs.size(); }
 
  private:
+  struct KnownEnd {
+    MonotonicTime since;
+    /// Tells the job that has ended from a later one with its id; not set
+    /// until the job's record is known.
+    std::optional<WallTime> submitted;
+  };
   enum class ItemPhase { kPending, kRunning, kEnded, kRecorded };
   struct Item {
     ItemPhase phase = ItemPhase::kPending;
@@ -333,7 +339,11 @@
 
   bool IsOwner(const Job& job) const { return Owns(job.record); }
   bool IsOver(const Job& job) const;
-  void RememberEnd(const JobKey& key, ClockReadings now);
+  /// Whether an end that this process knows of is that of this very job, not of
+  /// an earlier one with the same id.
+  bool HasKnownEnd(const JobRecord& record) const;
+  /// An end that is `certain` is that of the job that is known now.
+  void RememberEnd(const JobKey& key, bool certain, ClockReadings now);
   void ForgetOldEnds(MonotonicTime now);
   void Open(Job& job);
   void Close(Job& job);
@@ -365,9 +375,9 @@
   const JobSchedulerOptions m_options;
   const PeerTable& m_peers;
   std::map<JobKey, Job> m_jobs;
-  /// Ends that this process knows of other than from the job's record, and
-  /// since when. Records and listings that arrive later may be older.
-  std::map<JobKey, MonotonicTime> m_ends;
+  /// Ends that this process knows of other than from the job's record. Records
+  /// and listings that arrive later may be older.
+  std::map<JobKey, KnownEnd> m_ends;
   /// When this process has acknowledged ends.
   std::map<JobKey, MonotonicTime> m_acknowledged_ends;
   std::optional<MonotonicTime> m_active_since;
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -215,6 +215,52 @@
   CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("l"), true}, 12s)) == nullptr);
 }
 
+TEST_CASE("A new job under the id of a removed one that had ended is opened") {
+  for (const bool reported : {false, true}) {
+    Fixture f;
+    f.Handle(SchedulerActivated{}, 0s);
+    f.Open(Record("j", "vm1", 1));
+    const auto end = [&](Duration at) {
+      if (reported) {
+        f.Handle(JobEndReported{JobKey("j")}, at);
+      } else {
+        f.Handle(JobEndAcknowledged{JobKey("j")}, at);
+      }
+    };
+    end(170s);
+    f.Handle(JobRemoved{JobKey("j")}, 181s);
+    JobRecord next = Record("j", "vm1", 1);
+    next.version = ObjectVersion(9);
+    next.definition.submitted = kSubmitted + 181s;
+    next.definition.give_up = kSubmitted + 300s;
+    CHECK(Find<OpenJob>(f.Handle(JobUpdated{next}, 181s)) != nullptr);
+    f.Handle(JobOpened{JobKey("j"), {}}, 181s);
+    // A peer still reports the end of the first job.
+    f.Handle(JobEndReported{JobKey("j")}, 182s);
+    CHECK_FALSE(f.scheduler.IsEnded(JobKey("j")));
+    CHECK(f.scheduler.RunnableItems(At(182s)).size() == 2);
+    // The new job's own end.
+    end(200s);
+    CHECK(f.scheduler.IsEnded(JobKey("j")));
+    CHECK(f.scheduler.RunnableItems(At(200s)).empty());
+  }
+}
+
+TEST_CASE("The end of a new job is known at once where it is acknowledged") {
+  Fixture f;
+  f.Handle(SchedulerActivated{}, 0s);
+  f.Open(Record("j", "vm1", 1));
+  f.Handle(JobEndAcknowledged{JobKey("j")}, 179s);
+  f.Handle(JobRemoved{JobKey("j")}, 181s);
+  JobRecord next = Record("j", "vm1", 1);
+  next.version = ObjectVersion(9);
+  next.definition.submitted = kSubmitted + 181s;
+  f.Open(next, 181s);
+  f.Handle(JobEndAcknowledged{JobKey("j")}, 182s);
+  CHECK(f.scheduler.IsEnded(JobKey("j")));
+  CHECK(f.scheduler.RunnableItems(At(182s)).empty());
+}
+
 TEST_CASE("The end of a job is reported for a while after it is acknowledged") {
   Fixture f;
   f.Open(Record("j", "vm1", 1));
