Gateway: the startup gate holds no request beyond its deadline

Requests that reached a gateway before it had read the store were held for up to 500 ms from the start of the process, also those with an earlier deadline: their refusal came too late. The gate waits no longer than the request's own time now. A request that cannot be decoded is refused without a wait.

--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -60,9 +60,6 @@
 
 awaitable<void> RequestRouter::Handle(HttpExchange& exchange) {
   const MonotonicTime arrived = MonotonicClock::now();
-  if (!m_gateway.startup_gate.is_open()) {
-    co_await m_gateway.startup_gate.Wait();
-  }
   Result<CallerRequest> decoded =
       platform::DecodeCallerRequest(exchange.request());
   if (!decoded.has_value()) {
@@ -74,6 +71,10 @@
     co_return;
   }
   CallerRequest caller = std::move(decoded.value());
+  if (!m_gateway.startup_gate.is_open()) {
+    const Duration limit = caller.deadline.value_or(Duration::max());
+    co_await m_gateway.startup_gate.Wait(limit);
+  }
   const auto configuration = m_gateway.configuration;
   if (configuration == nullptr) {
     Problem problem = NotReadyProblem("This VM has no configuration yet.");
--- a/Source/Gateway/startup_gate.h
+++ b/Source/Gateway/startup_gate.h
@@ -2,6 +2,7 @@
 #define SOURCE_GATEWAY_STARTUP_GATE_H_
 
 #include <chrono>
+#include <set>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -29,12 +30,14 @@
   bool is_open() const { return m_open; }
   /// The number of requests that have been held so far.
   size_t held_requests() const { return m_held_requests; }
-  /// Returns once the gate is open or the timeout has passed.
-  boost::asio::awaitable<void> Wait();
+  /// Returns once the gate is open, or the timeout or `limit` has passed.
+  boost::asio::awaitable<void> Wait(Duration limit);
 
  private:
-  // Expires when the timeout has passed; cancelled by Open().
-  boost::asio::steady_timer m_timeout;
+  boost::asio::io_context& m_context;
+  const MonotonicTime m_end;
+  // The timers of the held requests; cancelled by Open().
+  std::set<boost::asio::steady_timer*> m_waiting;
   bool m_open = false;
   size_t m_held_requests = 0;
 };
