Gateway, Tests: moves of streams are tested where both runs go on

With the check for data that arrives after the silent run was aborted taken out, and with the move kept although the silent run goes on, all checks passed: no test had both runs go on in one pass of the event loop, and the stream in "goes on first" was over before the other backend server answered.

ModelBehaviour::silences_end ends silences of several stand-ins at one time. The new case lets 24 streams go on at both backend servers at once; the stream of "goes on first" lasts longer. Session: Stop() need not end the move, because the attempt that it aborts does so.

Evidence: with the check taken out, 11 checks of the new case fail; with the move kept, 14 of both cases; without the bound on the overlap, the 2 checks of "leaves its first run in time".

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -67,7 +67,6 @@
 
 void RelaySession::Stop() {
   *m_stopped = true;
-  m_move.reset();
   if (m_attempt != nullptr) {
     m_attempt->Abort();
   }
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -76,6 +76,8 @@
   SilentBackends f(2, {{before, 1300ms}});
   for (size_t i = 0; i < 2; ++i) {
     f.SetEntryField(i, "slots", 1);
+    // The stream still runs when the other one would answer.
+    f.backend(i).behaviour().pause = 60ms;
   }
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
@@ -95,6 +97,7 @@
     // The slots of both are free again.
     for (size_t i = 0; i < 2; ++i) {
       f.backend(i).behaviour().silences = {{1, 300ms}};
+      f.backend(i).behaviour().pause = 2ms;
     }
     size_t served = 0;
     for (size_t i = 0; i < 2; ++i) {
@@ -218,5 +221,39 @@
   });
 }
 
+// The data of both arrives in one pass of the event loop.
+TEST_CASE("Streams are whole when both backend servers go on at once") {
+  constexpr size_t kStreams = 24;
+  SilentBackends f(2, {{3, kForGood}});
+  f.SetEntryField(0, "slots", 2 * kStreams);
+  f.SetEntryField(1, "slots", 2 * kStreams);
+  f.SetEntryField(1, "state", "draining");
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    const auto end = std::chrono::steady_clock::now() + 1350ms;
+    f.backend(0).behaviour().silences_end = end;
+    f.backend(1).behaviour().silences_end = end;
+    size_t ended = 0;
+    for (size_t i = 0; i < kStreams; ++i) {
+      boost::asio::co_spawn(
+          f.context,
+          [&f, &ended, i]() -> awaitable<void> {
+            co_await f.CheckServed("/stream/x", "a" + std::to_string(i));
+            ++ended;
+          },
+          boost::asio::detached);
+    }
+    co_await f.Sleep(400ms);
+    f.SetEntryField(1, "state", "ready");
+    while (ended < kStreams) {
+      co_await f.Sleep(10ms);
+    }
+    CHECK(f.RequestsAt(0) == kStreams);
+    CHECK(f.RequestsAt(1) > 0);
+    co_await f.Sleep(100ms);
+    CHECK(f.AtWork().empty());
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -115,7 +115,9 @@
   if (found == m_behaviour.silences.end()) {
     co_return true;
   }
-  boost::asio::steady_timer timer(m_context, found->second);
+  boost::asio::steady_timer timer(m_context);
+  timer.expires_at(m_behaviour.silences_end.value_or(
+      std::chrono::steady_clock::now() + found->second));
   exchange.OnClientDisconnected([&timer] { timer.cancel(); });
   boost::system::error_code ignored;
   co_await timer.async_wait(
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -1,7 +1,9 @@
 #ifndef UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
 #define UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   /// How long it falls silent before the event of this number; 0 is the head of
   /// an answer.
   std::map<uint64_t, Duration> silences;
+  /// When set, silences end at this time instead.
+  std::optional<std::chrono::steady_clock::time_point> silences_end;
   /// Silences that end with a closed connection.
   int silence_breaks = 0;
   /// Streams that break after the head.
