Gateway: the time between offers of a silent stream doubles

A silent stream was offered every 200 ms to one more backend server, and each offer takes a place from other requests in a fleet that has none.

After a refusal the stream is offered again only when the silence has lasted 0.4, then 0.8 s longer, doubling.

--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -1,6 +1,7 @@
 // Silences of backend servers, and moves of a stream to another one.
 #include "Gateway/relay_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Base/event_log.h"
@@ -22,6 +23,14 @@
 constexpr StallWatchOptions kStall{.limit = std::chrono::milliseconds(1200),
                                    .repeat = std::chrono::milliseconds(200)};
 
+// The silence after which a stream is offered once more. The time between two
+// offers doubles: in a fleet that is nearly full each offer takes a round trip
+// and a place from other requests.
+Duration SilenceBeforeOffer(size_t refused_offers) {
+  return kStall.limit +
+         2 * kStall.repeat * ((1 << std::min<size_t>(refused_offers, 8)) - 1);
+}
+
 }  // namespace
 
 void RelaySession::WatchForSilence() {
@@ -50,7 +59,7 @@
     m_trial->MarkRun();
     m_trial.reset();
   }
-  if (MayMove()) {
+  if (silent >= SilenceBeforeOffer(m_refused_moves.size()) && MayMove()) {
     BeginMove(silent);
   }
   if (m_move == nullptr && !m_stall_logged) {
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -255,5 +255,21 @@
   });
 }
 
+// Each offer takes a place from other requests.
+TEST_CASE("A silence does not offer its stream at short intervals") {
+  SilentBackends f(8, {{3, 3000ms}});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.ChangeOthersOnceAsked([&](size_t) {
+      for (size_t i = 0; i < 8; ++i) {
+        f.backend(i).behaviour().turn_away = 100;
+      }
+    });
+    co_await f.CheckServed("/stream/x", "a");
+    CHECK(f.Asked().size() >= 3);
+    CHECK(f.Asked().size() <= 4);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
