Net: a drain answers the connections that wait to be accepted, at any limit

A drain closed the listener after it had accepted connections up to the limit, or up to the first failure of accept, such as a lack of file descriptors. The close reset the connections that were left in the queue, some with requests.

A drain accepts all that waits, whatever the limit: those beyond it get their refusal. The listener is closed once the queue is empty. If accepting fails first, the accept loop repeats it every 50 ms and whenever a connection ends.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -679,6 +679,11 @@
 asio::awaitable<void> HttpServer::Impl::Accept() {
   const auto self = shared_from_this();
   while (m_acceptor.is_open()) {
+    if (m_drained) {
+      AcceptQueuedConnections();
+      co_await WaitForConnectionEnd(kAcceptRetryInterval);
+      continue;
+    }
     if (!MayAccept()) {
       co_await WaitForConnectionEnd(Duration::max());
       continue;
@@ -687,7 +692,7 @@
     tcp::socket socket = co_await m_acceptor.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::operation_aborted) {
-      co_return;
+      continue;
     }
     if (error) {
       ++m_failed_accepts;
@@ -724,17 +729,22 @@
 }
 
 // The close of the listener would reset the connections that wait to be
-// accepted, and their clients may have sent requests.
+// accepted, and their clients may have sent requests. It is closed when none
+// waits. Accept() calls this again if accepting fails.
 void HttpServer::Impl::AcceptQueuedConnections() {
   boost::system::error_code error;
   m_acceptor.non_blocking(true, error);
-  while (!error && MayAccept()) {
+  while (!error) {
     tcp::socket socket(m_context);
     m_acceptor.accept(socket, error);
     if (!error) {
       Serve(std::move(socket));
     }
   }
+  if (error == asio::error::would_block) {
+    m_acceptor.close(error);
+    m_room.cancel();
+  }
 }
 
 void HttpServer::Impl::Drain() {
@@ -745,8 +755,7 @@
   m_drained = true;
   AcceptQueuedConnections();
   boost::system::error_code ignored;
-  m_acceptor.close(ignored);
-  m_room.cancel();
+  m_acceptor.cancel(ignored);
   for (Connection* connection : m_connections) {
     connection->EndIdleWait();
   }
--- a/Tests/Net/http_connection_limit_test.cc
+++ b/Tests/Net/http_connection_limit_test.cc
@@ -130,6 +130,42 @@
   CHECK(server.http.connections() == 0);
 }
 
+TEST_CASE("Connections beyond the limit at a drain get answers") {
+  ServerInSteps server({.max_connections = 1});
+  const bool accepted = GENERATE(true, false);
+  auto clients = Connect(200, server.http.port());
+  if (accepted) {
+    server.RunFor(20ms);
+  }
+  for (const auto& client : clients) {
+    client->Send(kRequest);
+  }
+  server.http.Drain();
+  size_t answered = 0;
+  for (const auto& client : clients) {
+    const std::string status = client->Read(server.context);
+    answered += status == kOk || status == kRefused ? 1 : 0;
+  }
+  CHECK(answered == clients.size());
+  clients.clear();
+  server.RunFor(200ms);
+  CHECK(server.http.connections() == 0);
+  CHECK_THROWS(RawClient(server.http.port()));
+}
+
+TEST_CASE(
+    "A connection that meets a lack of descriptors at a drain is served") {
+  ServerInSteps server;
+  RawClient client(server.http.port());
+  client.Send(kRequest);
+  {
+    const DescriptorLimit limit(4);
+    server.http.Drain();
+    server.RunFor(50ms);
+  }
+  CHECK(client.Read(server.context) == kOk);
+}
+
 TEST_CASE("A lack of file descriptors neither spins nor loses a connection") {
   ServerInSteps server;
   RawClient client(server.http.port());
