Net: an answer at the exit is not followed by a reset

As the process exits, requests that have no answer get a general one, and the socket is closed at once. Where bytes of the request had arrived unread, the kernel reset the connection, which may overtake that answer.

What has arrived is read and discarded after the answer, without a wait. Bytes that arrive later still cause a reset: the process ends.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
 #include <sstream>
@@ -184,6 +185,8 @@
   // and the reset may reach the client before the answer. Returns how much was
   // read.
   asio::awaitable<size_t> CloseAndDiscard(DiscardLimits limits);
+  // As above for what has arrived already, on a socket that does not block.
+  void DiscardArrivedBytes();
   // Limits the current phase. Only reads are cancelled: closing the connection
   // would lose a request that has just arrived.
   void StartTimer(Duration limit);
@@ -340,10 +343,20 @@
   m_stream.socket().non_blocking(true, ignored);
   m_stream.socket().send(asio::buffer(bytes.str()), 0, ignored);
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  DiscardArrivedBytes();
   m_state = State::kBroken;
   return true;
 }
 
+void HttpServer::Impl::Connection::DiscardArrivedBytes() {
+  std::array<char, 16 * 1024> bytes{};
+  boost::system::error_code error;
+  size_t discarded = 0;
+  while (!error && discarded < kAfterLastAnswer.bytes) {
+    discarded += m_stream.socket().receive(asio::buffer(bytes), 0, error);
+  }
+}
+
 asio::awaitable<bool> HttpServer::Impl::Connection::WaitForRequest() {
   m_idle_since = MonotonicClock::now();
   m_idle_limit = m_server->m_options.idle_timeout;
--- a/Tests/Net/http_drain_test.cc
+++ b/Tests/Net/http_drain_test.cc
@@ -2,6 +2,7 @@
 // blocks on its own context, so each step of the server's context is forced.
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -198,6 +199,22 @@
   CHECK(server.http.AnswerOpenRequests() == 0);
 }
 
+TEST_CASE("An answer at the exit is not followed by a reset") {
+  auto server = std::make_unique<Server>();
+  Client client(server->http.port());
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n");
+  server->context.restart();
+  server->context.poll();
+  client.Send(std::string(200000, 'x'));
+  server->http.Drain();
+  CHECK(server->http.AnswerOpenRequests() == 1);
+  server.reset();
+  boost::asio::io_context none;
+  CHECK(client.Read(none) == "HTTP/1.1 503 Service Unavailable");
+  CHECK(client.HasEnded());
+  CHECK_NOTHROW(client.Send("x"));
+}
+
 TEST_CASE("Limits that shrink while a body is read do not refuse it") {
   Server server;
   Client client(server.http.port());
