Tests, Gateway: accepted jobs at the exit of a gateway

Results that the store did not take before the exit come from another gateway.

The process of the gateway is gone after its exit now: it is killed then in each case.

--- a/Tests/Gateway/shutdown_test.cc
+++ b/Tests/Gateway/shutdown_test.cc
@@ -3,6 +3,7 @@
 // lies in their sockets.
 
 #include <chrono>
+#include <map>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Jobs/job_documents.h"
 #include "gateway_fixture.h"
 
 namespace cowslip {
@@ -85,10 +87,11 @@
     f.Publish();
   }
 
-  // Starts the gateway, then runs `before` and the shutdown.
+  // Starts the gateway, then runs `before` and the shutdown. The process is
+  // gone afterwards.
   template <class Body>
   void Run(Body before) {
-    f.AddGateway();
+    f.AddKillableGateway();
     f.Run([&]() -> awaitable<void> {
       co_await f.WaitUntilReady();
       co_await before();
@@ -96,9 +99,11 @@
     f.gateway(0).Shutdown();
     const MonotonicTime begin = MonotonicClock::now();
     f.context.restart();
-    f.context.run_for(m_grace + 1s);
+    f.RunFor(m_grace + 1s);
     CHECK(m_stopped);
     CHECK(MonotonicClock::now() - begin < m_grace);
+    f.KillGateway();
+    f.context.restart();
   }
   // Calls `action` at a time after the shutdown has begun.
   void At(Duration time, std::function<void()> action) {
@@ -358,5 +363,85 @@
   }
 }
 
+// Submits the jobs to the other gateway and checks that each has its results.
+void CheckJobsAtOther(GatewayFixture& f,
+                      const std::vector<std::string>& jobs,
+                      size_t items) {
+  f.Run([&]() -> awaitable<void> {
+    for (const std::string& job : jobs) {
+      INFO(job);
+      HttpRequest again = GatewayFixture::Submission(job, items);
+      const auto accepted = co_await f.Send(1, std::move(again));
+      INFO(GatewayFixture::Describe(accepted));
+      REQUIRE(accepted.has_value());
+      CHECK(accepted.value().status == 202);
+    }
+    for (const std::string& job : jobs) {
+      INFO(job);
+      const nlohmann::json results = co_await f.ReadAllResults(1, job);
+      CHECK(results.size() == items);
+      for (const auto& result : results) {
+        CHECK(result["state"] == "completed");
+      }
+    }
+  });
+}
+
+TEST_CASE("A job that is submitted as the process ends is accepted or found") {
+  StoppingGateway gateway(2, 1s);
+  GatewayFixture& f = gateway.f;
+  std::vector<std::unique_ptr<Client>> clients;
+  std::vector<std::string> jobs;
+  gateway.Run([&]() -> awaitable<void> {
+    f.AddGateway();
+    co_await f.WaitUntilReady();
+    // A submission takes two calls.
+    f.server.SetFault(ServerFault::kSlow);
+    for (Duration time = 300ms; time < 900ms; time += 20ms) {
+      jobs.push_back("job" + std::to_string(jobs.size()));
+      clients.push_back(std::make_unique<Client>(gateway.port()));
+      const HttpRequest job = GatewayFixture::Submission(jobs.back(), 2);
+      gateway.At(time, [client = clients.back().get(), body = job.body,
+                        id = jobs.back()] {
+        client->Send(RawRequest("POST", "/job/submit", id, body));
+      });
+    }
+  });
+  f.server.SetFault(ServerFault::kNone);
+  std::map<std::string, size_t> statuses;
+  for (size_t i = 0; i < clients.size(); ++i) {
+    const std::string status = clients[i]->Status().substr(0, 12);
+    ++statuses[status];
+    INFO(jobs[i] << " " << status);
+    CHECK((status == "HTTP/1.1 202" || status == "HTTP/1.1 503" ||
+           status == "HTTP/1.1 504"));
+    // A submission with 202 is in the store, whatever became of the process.
+    if (status == "HTTP/1.1 202") {
+      CHECK(f.store.Find(kJobKind, jobs[i] + ".mill") != nullptr);
+    }
+  }
+  CHECK(statuses["HTTP/1.1 202"] > 0);
+  CHECK(statuses["HTTP/1.1 504"] > 0);
+  CheckJobsAtOther(f, jobs, 2);
+}
+
+TEST_CASE("Results that were not written before the exit come from another") {
+  StoppingGateway gateway(2, 3s);
+  GatewayFixture& f = gateway.f;
+  gateway.Run([&]() -> awaitable<void> {
+    HttpRequest job = GatewayFixture::Submission("job1", 6);
+    const auto accepted = co_await f.Send(0, std::move(job));
+    REQUIRE(accepted.has_value());
+    CHECK(accepted.value().status == 202);
+    f.server.SetFault(ServerFault::kBusy, kResultKind);
+    co_await f.Sleep(500ms);
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) == 6);
+    f.AddGateway();
+    co_await f.WaitUntilReady();
+  });
+  f.server.SetFault(ServerFault::kNone);
+  CheckJobsAtOther(f, {"job1"}, 6);
+}
+
 }  // namespace
 }  // namespace cowslip
