--- a/Tests/Gateway/configuration_change_test.cc
+++ b/Tests/Gateway/configuration_change_test.cc
@@ -231,6 +231,39 @@
   }
 }
 
+TEST_CASE("Calls that wait for results are answered after a change") {
+  constexpr Duration kWait = 1500ms;
+  for (const Change change : kChanges) {
+    GatewayFixture f(1);
+    f.AddGateway();
+    f.AddGateway();
+    f.backend(0).behaviour().pause = 20s;
+    f.Run([&]() -> awaitable<void> {
+      co_await f.WaitUntilReady();
+      // At the job's gateway and at one that reads it from the store.
+      for (size_t gateway = 0; gateway < 2; ++gateway) {
+        HttpRequest submission = f.Submission("j" + std::to_string(gateway), 2);
+        const auto accepted = co_await f.Send(gateway, std::move(submission));
+        REQUIRE(accepted.has_value());
+      }
+      Outcomes outcomes;
+      const MonotonicTime begin = MonotonicClock::now();
+      for (const char* job : {"j0", "j1"}) {
+        HttpRequest poll =
+            f.Request("GET", "/lots/" + std::string(job) + "?after=0", "poll");
+        poll.headers.push_back({"Wait-Ms", std::to_string(ToMillis(kWait))});
+        Start(f, std::move(poll), outcomes);
+      }
+      co_await f.Sleep(300ms);
+      CHECK(outcomes.answered == 0);
+      Publish(f, nlohmann::json(f.configuration), change);
+      co_await AwaitAll(f, outcomes);
+      CHECK(MonotonicClock::now() - begin < kWait + 300ms);
+      CHECK(outcomes.statuses[200] == 2);
+    });
+  }
+}
+
 TEST_CASE("Every request is answered while the configuration keeps changing") {
   GatewayFixture f(2);
   f.AddGateway();
