Gateway: a restarted gateway registers with one call to the store

A restart took three priced calls to register: a create that conflicts with the entry of the earlier incarnation, a read and a replacement. Calls of one restart, by the counts of the stand-in, without polls and renewed watches: 4 kinds listed, POST, GET and PUT of the registration. The registration now follows the first listing of the gateways, which tells whether there is an earlier entry and its version, so a first start makes one POST and a restart one PUT. After a failure it creates, reads and replaces as before, so a lost response or a removal meanwhile does no harm.

gateway.store_calls, new case: without using the listed entry 2 of its checks fail (2 POSTs instead of 1, 1 GET instead of none); passed in three runs. The case with lost responses guards the path that is as before.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -142,8 +142,6 @@
   if (!servers.has_value()) {
     return servers.error();
   }
-  boost::asio::co_spawn(
-      m_context, [this] { return Register(); }, boost::asio::detached);
   ScheduleTick();
   SchedulePoll();
   return Ok();
@@ -328,6 +326,8 @@
   }
 }
 
+// Each call is priced: after a restart the listing has told the entry of the
+// earlier incarnation, which takes one call to replace.
 awaitable<Result<void>> GatewayDaemon::RegisterOnce() {
   const DocumentKind kind(kPeerKind);
   const DocumentName name(m_settings.vm.value());
@@ -337,23 +337,29 @@
                           .port = m_settings.first_internal_port},
       .incarnation = m_options.incarnation};
   nlohmann::json content = EncodePeer(record);
-  const Result<Document> created = co_await m_store.Create(kind, name, content);
-  if (created.has_value()) {
-    co_return Ok();
-  }
-  if (created.error().kind() != ErrorKind::kConflict) {
-    co_return created.error();
-  }
-  // The entry is either that of an earlier incarnation, or this one's own whose
-  // response was lost.
-  const Result<Document> known = co_await m_store.Get(kind, name);
+  // Another attempt must not rely on it: the entry may have changed.
+  std::optional<Document> known = std::exchange(m_own_entry, std::nullopt);
   if (!known.has_value()) {
-    co_return known.error();
+    const Result<Document> created =
+        co_await m_store.Create(kind, name, content);
+    if (created.has_value()) {
+      co_return Ok();
+    }
+    if (created.error().kind() != ErrorKind::kConflict) {
+      co_return created.error();
+    }
+    // The entry is either that of an earlier incarnation, or this one's own
+    // whose response was lost.
+    Result<Document> found = co_await m_store.Get(kind, name);
+    if (!found.has_value()) {
+      co_return found.error();
+    }
+    known = std::move(found.value());
   }
-  if (known.value().content == content) {
+  if (known->content == content) {
     co_return Ok();
   }
-  const ObjectVersion version = known.value().version;
+  const ObjectVersion version = known->version;
   const Result<Document> replaced =
       co_await m_store.Replace(kind, name, content, version);
   if (!replaced.has_value()) {
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -84,6 +85,8 @@
   /// Call UpdatePeerTable() after the last of several changes.
   void ApplyPeerChange(const DocumentChange& change);
   void ApplyJobChange(const DocumentChange& change, const char* source);
+  /// Call it with the first listing of the peers.
+  void BeginRegistration(const std::vector<DocumentChange>& listed);
   void UpdatePeerTable();
   void MaybeActivateJobs();
   /// Opens the startup gate once the configuration and the backend servers have
@@ -172,6 +175,8 @@
   bool m_peers_known = false;
   bool m_jobs_known = false;
   bool m_registered = false;
+  // The entry of an earlier incarnation, until the first attempt to register.
+  std::optional<Document> m_own_entry;
   bool m_shutting_down = false;
   bool m_listener_closed = false;
   bool m_stopped = false;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "Base/overloaded.h"
 #include "Gateway/peer_documents.h"
 #include "Jobs/job_documents.h"
@@ -177,8 +180,10 @@
                         for (const DocumentChange& change : changes) {
                           ApplyPeerChange(change);
                         }
-                        m_peers_known = true;
                         UpdatePeerTable();
+                        if (!std::exchange(m_peers_known, true)) {
+                          BeginRegistration(changes);
+                        }
                         MaybeActivateJobs();
                       },
                   .changed =
@@ -308,6 +313,17 @@
   }
 }
 
+void GatewayDaemon::BeginRegistration(
+    const std::vector<DocumentChange>& listed) {
+  for (const DocumentChange& change : listed) {
+    if (change.document.name.value() == m_settings.vm.value()) {
+      m_own_entry = change.document;
+    }
+  }
+  boost::asio::co_spawn(
+      m_context, [this] { return Register(); }, boost::asio::detached);
+}
+
 void GatewayDaemon::ApplyPeerChange(const DocumentChange& change) {
   const auto record = DecodePeer(change.document);
   if (change.removed || !record.has_value()) {
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -95,13 +95,22 @@
 }
 
 size_t GatewayFixture::AddGateway(uint16_t store_port) {
-  return AddGateway(context, store_port);
+  return AddGateway(store_port, "gateway-" + std::to_string(m_gateways.size()));
+}
+
+size_t GatewayFixture::AddGateway(uint16_t store_port, const std::string& vm) {
+  return AddGateway(context, store_port, vm);
 }
 
 size_t GatewayFixture::AddKillableGateway() {
+  return AddKillableGateway(server.port());
+}
+
+size_t GatewayFixture::AddKillableGateway(uint16_t store_port) {
   REQUIRE(m_killable_context == nullptr);
   m_killable_context = std::make_unique<boost::asio::io_context>();
-  m_killable = AddGateway(*m_killable_context, server.port());
+  m_killable = AddGateway(*m_killable_context, store_port,
+                          "gateway-" + std::to_string(m_gateways.size()));
   return m_killable;
 }
 
@@ -126,9 +135,10 @@
 }
 
 size_t GatewayFixture::AddGateway(boost::asio::io_context& gateway_context,
-                                  uint16_t store_port) {
+                                  uint16_t store_port,
+                                  const std::string& vm) {
   const size_t index = m_gateways.size();
-  GatewaySettings settings{.vm = VmId("gateway-" + std::to_string(index)),
+  GatewaySettings settings{.vm = VmId(vm),
                            .zone = ZoneId("z"),
                            .address = "127.0.0.1",
                            .store = Endpoint{.port = store_port}};
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -33,11 +33,14 @@
   size_t AddGateway();
   /// As above, with the store at another port.
   size_t AddGateway(uint16_t store_port);
+  /// As above, on the VM that had this name before.
+  size_t AddGateway(uint16_t store_port, const std::string& vm);
   /// What the caller received, for the message of a failing check.
   static std::string Describe(const Result<HttpResponse>& response);
-  /// As above, for KillGateway(): its handlers have a context of their own. At
+  /// Adds one for KillGateway(): its handlers have a context of their own. At
   /// most one in a fixture.
   size_t AddKillableGateway();
+  size_t AddKillableGateway(uint16_t store_port);
   /// Destroys the killable gateway without a shutdown, as a crash would: none
   /// of its handlers runs any more.
   void KillGateway();
@@ -98,7 +101,8 @@
 
  private:
   size_t AddGateway(boost::asio::io_context& gateway_context,
-                    uint16_t store_port);
+                    uint16_t store_port,
+                    const std::string& vm);
   void Register(size_t index);
 
   std::vector<std::unique_ptr<ModelServer>> m_backends;
--- a/Tests/Gateway/store_call_test.cc
+++ b/Tests/Gateway/store_call_test.cc
@@ -1,3 +1,4 @@
+#include "Gateway/peer_documents.h"
 #include "Jobs/job_documents.h"
 #include "gateway_fixture.h"
 
@@ -58,5 +59,64 @@
   });
 }
 
+const std::string kRegister = "POST " + std::string(kPeerKind);
+const std::string kRegisterAgain = "PUT " + std::string(kPeerKind);
+const std::string kReadRegistration = "get " + std::string(kPeerKind);
+
+bool IsRegistered(const GatewayFixture& f,
+                  const std::string& vm,
+                  uint64_t incarnation) {
+  const Document* entry = f.store.Find(kPeerKind, vm);
+  return entry != nullptr && DecodePeer(*entry).has_value() &&
+         DecodePeer(*entry)->incarnation == Incarnation(incarnation);
+}
+
+TEST_CASE("A start and a restart of a gateway register with one call") {
+  GatewayFixture f(1);
+  f.AddGateway();
+  const size_t stopping = f.AddKillableGateway(f.other_server.port());
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    CHECK(CallsOf(f.other_server, kRegister) == 1);
+    CHECK(CallsOf(f.other_server, kReadRegistration) == 0);
+    CHECK(CallsOf(f.other_server, kRegisterAgain) == 0);
+    f.gateway(stopping).Shutdown();
+    co_await f.Sleep(3500ms);
+    f.KillGateway();
+    f.AddGateway(f.other_server.port(), "gateway-1");
+    co_await f.WaitUntilReady();
+    CHECK(IsRegistered(f, "gateway-1", 102));
+    CHECK(CallsOf(f.other_server, kRegister) == 1);
+    CHECK(CallsOf(f.other_server, kReadRegistration) == 0);
+    CHECK(CallsOf(f.other_server, kRegisterAgain) == 1);
+    for (const char* kind : {kPeerKind, kJobKind, "servers", "config"}) {
+      INFO(kind);
+      CHECK(CallsOf(f.other_server, "list " + std::string(kind)) == 2);
+    }
+  });
+}
+
+TEST_CASE("A restarted gateway registers although the response is lost") {
+  GatewayFixture f(1);
+  f.AddGateway();
+  f.AddKillableGateway(f.other_server.port());
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.KillGateway();
+    for (MetadataServer* server : {&f.server, &f.other_server}) {
+      server->SetFault(ServerFault::kLoseAnswers, kPeerKind);
+    }
+    const size_t restarted = f.AddGateway(f.other_server.port(), "gateway-1");
+    co_await f.Sleep(1s);
+    CHECK_FALSE(f.gateway(restarted).IsReady());
+    for (MetadataServer* server : {&f.server, &f.other_server}) {
+      server->SetFault(ServerFault::kNone);
+    }
+    co_await f.Sleep(1s);
+    CHECK(f.gateway(restarted).IsReady());
+    CHECK(IsRegistered(f, "gateway-1", 102));
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
