Gateway, Tests: a stream with a suspected prompt part does not move

A move would bring the part to one more backend server. Nothing tested that since a move stopped being a trial.

--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -271,5 +271,52 @@
   });
 }
 
+// It may crash the other backend server as well.
+TEST_CASE("A stream with a suspected prompt part stays where it is silent") {
+  constexpr size_t kBackends = 4;
+  SilentBackends f(kBackends, {});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    const auto send =
+        [&f](std::string attempt) -> awaitable<Result<HttpResponse>> {
+      HttpRequest request = SilentBackends::SlowRequest("/stream/x", attempt);
+      request.headers.push_back(
+          {"Prompt-Prefix", "bad:100,own" + attempt + ":50"});
+      request.body = attempt;
+      co_return co_await f.Send(0, std::move(request));
+    };
+    const auto requests = [&f] {
+      size_t count = 0;
+      for (size_t i = 0; i < kBackends; ++i) {
+        count += f.RequestsAt(i);
+      }
+      return count;
+    };
+    // Crashes that come closer together have a common cause.
+    for (size_t i = 0; i < kBackends; ++i) {
+      f.backend(i).behaviour().silences = {{0, 50ms}};
+      f.backend(i).behaviour().silence_breaks = 100;
+    }
+    for (int i = 0; i < 10 && f.Asked().size() < kBackends; ++i) {
+      (void)co_await send("a" + std::to_string(i));
+    }
+    for (size_t i = 0; i < kBackends; ++i) {
+      f.backend(i).behaviour().silences = {{3, 1700ms}};
+      f.backend(i).behaviour().silence_breaks = 0;
+    }
+    const size_t before = requests();
+    const auto blocked = co_await send("b");
+    REQUIRE(blocked.has_value());
+    CHECK(blocked.value().status == 503);
+    CHECK(requests() == before);
+    co_await f.Sleep(1200ms);
+    const auto tried = co_await send("c");
+    REQUIRE(tried.has_value());
+    CHECK(tried.value().body ==
+          ModelServer::Body("c", 1, SilentBackends::kEvents));
+    CHECK(requests() == before + 1);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
