Platform: a read that is older than a pause does not replace the next one

After a pause of its VM a gateway asks for a new listing and takes the configuration and the jobs for outdated until it has one. If a poll or a listing was on its way, the request was dropped: the older read does not count, so the view stayed outdated until the pending watch ended, up to ten seconds later.

A poll no longer keeps a listing from starting, and a listing that was overtaken by AssumeStale() is followed by another.

--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -78,10 +78,10 @@
 }
 
 void DocumentWatcher::Poll() {
-  if (m_refreshing || m_stopped || m_must_list) {
+  if (m_refreshing || m_polling || m_stopped || m_must_list) {
     return;
   }
-  m_refreshing = true;
+  m_polling = true;
   const auto self = shared_from_this();
   boost::asio::co_spawn(
       m_executor, [self] { return self->PollOnce(); }, boost::asio::detached);
@@ -98,16 +98,23 @@
   if (!outcome.has_value()) {
     ReportError(outcome.error());
   }
-  m_refreshing = false;
+  m_polling = false;
 }
 
 awaitable<void> DocumentWatcher::ListOnce() {
-  Result<void> listed = co_await ListAll();
-  // Retries here because the pending watch may never get a response.
-  while (!listed.has_value() && !m_connected && !m_stopped) {
-    ReportError(listed.error());
-    co_await SleepFor(m_options.max_backoff);
-    listed = co_await ListAll();
+  bool done = false;
+  while (!done && !m_stopped) {
+    const uint32_t read_epoch = m_read_epoch;
+    const Result<void> listed = co_await ListAll();
+    if (listed.has_value()) {
+      done = read_epoch == m_read_epoch;
+    } else if (m_connected) {
+      done = true;
+    } else {
+      // Retries here because the pending watch may never get a response.
+      ReportError(listed.error());
+      co_await SleepFor(m_options.max_backoff);
+    }
   }
   m_refreshing = false;
 }
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -123,6 +123,7 @@
   bool m_connected = false;
   bool m_must_list = true;
   bool m_refreshing = false;
+  bool m_polling = false;
   uint32_t m_failures = 0;
   // Incremented by AssumeStale(): responses to calls that were started earlier
   // may be stale too.
--- a/Tests/PlatformAdapter/overtaken_listing_test.cc
+++ b/Tests/PlatformAdapter/overtaken_listing_test.cc
@@ -98,7 +98,7 @@
             .changed =
                 [this](const DocumentChange& change) { HandleChange(change); },
             .lost = [](const Error&) {},
-            .regained = [] {}});
+            .regained = [this] { ++regained; }});
     watcher->Start();
     store.RunReady();
   }
@@ -163,6 +163,7 @@
   BackendDirectory directory{BackendDirectoryOptions{}};
   // Whether it is draining, by name.
   std::map<std::string, bool> usable_backends;
+  int regained = 0;
   std::shared_ptr<DocumentWatcher> watcher;
 };
 
@@ -211,6 +212,30 @@
   }
 }
 
+TEST_CASE("A read that is older than AssumeStale does not replace the next") {
+  Fixture f("things");
+  f.Put("a", {{"x", 1}});
+  f.WatchUntilListed();
+  REQUIRE(f.store.pending() == 1);
+  REQUIRE(f.regained == 1);
+  SECTION("A poll") {
+    f.watcher->Poll();
+  }
+  SECTION("A listing") {
+    f.watcher->Refresh();
+  }
+  f.store.RunReady();
+  REQUIRE(f.store.pending() == 2);
+  f.watcher->AssumeStale(Error(ErrorKind::kUnavailable, "The VM was paused."));
+  f.store.RunReady();
+  // The watch gets no response.
+  for (int i = 0; i < 10 && f.store.pending() > 1; ++i) {
+    f.store.Complete(1);
+  }
+  CHECK(f.store.pending() == 1);
+  CHECK(f.regained == 2);
+}
+
 // Each number is one step: a call that goes on, a change in the store, or a
 // read that the owner of the watcher asks for.
 void TakeStep(Fixture& f, uint32_t step, bool may_lose_changes) {
