Gateway: an offer that is given up before its call begins does not end the process

If the silent backend server went on in that turn, the offer was discarded with its slot, and the coroutine then used the slot: the gateway crashed with all requests that it held. It takes a stall and data in one pass, as after a pause of the process.

--- a/Source/Gateway/backend_attempt.cc
+++ b/Source/Gateway/backend_attempt.cc
@@ -56,6 +56,10 @@
 awaitable<void> BackendAttempt::RunAhead(std::shared_ptr<BackendAttempt> self,
                                          HttpRequest request,
                                          Duration timeout) {
+  // A coroutine begins later than it is spawned.
+  if (self->m_abort->aborted()) {
+    co_return;
+  }
   const Result<void> opened = co_await self->Open(std::move(request), timeout);
   if (!opened.has_value()) {
     self->m_open_error = opened.error();
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -1,5 +1,8 @@
 #include <array>
 
+#include "Gateway/backend_attempt.h"
+#include "Gateway/dispatcher.h"
+#include "Gateway/stream_move.h"
 #include "silent_backends.h"
 
 namespace cowslip {
@@ -318,5 +321,26 @@
   });
 }
 
+TEST_CASE("A move that is given up before its call begins sends nothing") {
+  boost::asio::io_context io;
+  Dispatcher dispatcher(io, DispatcherOptions{.placement = {.self = VmId("v")}},
+                        [] {});
+  dispatcher.HandleEvent(BackendAdded{BackendRecord{.id = BackendId("b"),
+                                                    .service = ServiceId("s"),
+                                                    .address = {.port = 1},
+                                                    .slots = 4}});
+  auto lease =
+      dispatcher.TryPlaceOnline(PlacementQuery{.service = ServiceId("s")});
+  REQUIRE(lease != nullptr);
+  int decisions = 0;
+  auto move = std::make_unique<StreamMove>(
+      io, std::make_shared<BackendAttempt>(io, std::move(lease)),
+      StreamMoveOptions{}, [&decisions](const MoveOutcome&) { ++decisions; });
+  move->Start(HttpRequest{}, 1s);
+  move.reset();
+  io.run_for(1s);
+  CHECK(decisions == 0);
+}
+
 }  // namespace
 }  // namespace cowslip
