Gateway: a pause of the process does not count as a silence of backend servers

After a pause of a gateway its timers ran before the data that had arrived meanwhile was read, so all its streams were taken for silent at once: each was offered to a second backend server and lost one of its attempts.

--- a/Source/Gateway/stall_watch.cc
+++ b/Source/Gateway/stall_watch.cc
@@ -65,6 +65,13 @@
       Wait(state, state->options.limit - silent);
       return;
     }
+    // This process stood still: what has arrived meanwhile is read first.
+    const Duration late =
+        std::chrono::steady_clock::now() - state->timer.expiry();
+    if (late >= state->options.repeat) {
+      Wait(state, state->options.repeat);
+      return;
+    }
     Wait(state, state->options.repeat);
     state->stalled = true;
     state->on_stall(silent);
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <thread>
 
 #include "Gateway/backend_attempt.h"
 #include "Gateway/dispatcher.h"
@@ -342,5 +343,43 @@
   CHECK(decisions == 0);
 }
 
+// The data that arrived meanwhile is read after the timers.
+TEST_CASE("A gateway that stood still does not take streams for silent") {
+  constexpr size_t kStreams = 24;
+  SilentBackends f(2, {});
+  for (size_t i = 0; i < 2; ++i) {
+    f.SetEntryField(i, "slots", 4 * kStreams);
+    f.backend(i).behaviour().events = 400;
+    f.backend(i).behaviour().pause = 3ms;
+  }
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    size_t ended = 0;
+    for (size_t i = 0; i < kStreams; ++i) {
+      boost::asio::co_spawn(
+          f.context,
+          [&f, &ended, i]() -> awaitable<void> {
+            HttpRequest request = SilentBackends::SlowRequest(
+                "/stream/x", "a" + std::to_string(i));
+            const auto response = co_await f.Send(0, std::move(request));
+            CHECK(response.has_value());
+            ++ended;
+          },
+          boost::asio::detached);
+    }
+    for (int round = 0; round < 3; ++round) {
+      co_await f.Sleep(200ms);
+      std::this_thread::sleep_for(8ms);
+      // The backend servers write in this pass of the event loop.
+      co_await f.Sleep(0ms);
+      std::this_thread::sleep_for(1300ms);
+    }
+    while (ended < kStreams) {
+      co_await f.Sleep(10ms);
+    }
+    CHECK(f.RequestsAt(0) + f.RequestsAt(1) == kStreams);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
