Gateway: an offer that was never sent costs a stream no attempt

When a silent backend server went on while the connection to another one was still being opened, the other one counted as an attempt and as tried, although it never had the request. The next failure of the sound one then ended the stream.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -569,7 +569,7 @@
       break;
   }
   // The silence has ended.
-  m_move.reset();
+  DropMove();
   co_return co_await RelayBody();
 }
 
@@ -583,7 +583,7 @@
     co_return EndAttemptInDoubt("the backend server answered status " +
                                 std::to_string(status));
   }
-  m_move.reset();
+  DropMove();
   HttpResponse response{
       .status = status,
       .headers = platform::EncodeCallerHeaders(failure.headers())};
@@ -626,7 +626,7 @@
     if (!chunk.value().has_value()) {
       break;
     }
-    m_move.reset();
+    DropMove();
     const std::string bytes = std::move(*chunk.value());
     const bool relayed = co_await RelayChunk(bytes);
     if (!relayed) {
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -116,6 +116,8 @@
   /// `silent_before` is how long the backend server was silent when the move
   /// began.
   void HandleMoveDecided(const MoveOutcome& outcome, Duration silent_before);
+  /// Ends a move that is under way, if there is one.
+  void DropMove();
   void RecordRefusedMove(const MoveTurnedAway& refused);
   void RecordFailedMove(const MoveFailed& failed);
   /// Lets the request go back to a backend server that it left for its silence.
--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -128,6 +128,14 @@
              outcome);
 }
 
+void RelaySession::DropMove() {
+  if (m_move != nullptr && !m_move->was_sent()) {
+    --m_in_doubt_attempts;
+    m_tried_backends.erase(m_move->attempt().lease().backend());
+  }
+  m_move.reset();
+}
+
 void RelaySession::RecordRefusedMove(const MoveTurnedAway& refused) {
   const BackendAttempt& other = m_move->attempt();
   AttemptLease& lease = other.lease();
--- a/Source/Gateway/stream_move.cc
+++ b/Source/Gateway/stream_move.cc
@@ -27,7 +27,7 @@
 
 void StreamMove::Start(HttpRequest request, Duration timeout) {
   m_attempt->OpenAhead(std::move(request), timeout,
-                       {.on_sent = [this] { LimitOverlap(); },
+                       {.on_sent = [this] { HandleSent(); },
                         .on_ready = [this] { Decide(Judge()); }});
 }
 
@@ -38,7 +38,8 @@
   return std::exchange(m_attempt, nullptr);
 }
 
-void StreamMove::LimitOverlap() {
+void StreamMove::HandleSent() {
+  m_was_sent = true;
   m_overlap_timer.expires_after(m_options.max_overlap);
   m_overlap_timer.async_wait(
       [this, alive = m_alive](const boost::system::error_code& error) {
--- a/Source/Gateway/stream_move.h
+++ b/Source/Gateway/stream_move.h
@@ -70,11 +70,14 @@
 
   void Start(HttpRequest request, Duration timeout);
   const BackendAttempt& attempt() const { return *m_attempt; }
+  /// Whether the request may have reached the other backend server.
+  bool was_sent() const { return m_was_sent; }
   /// Hands over the attempt, also before the decision.
   std::shared_ptr<BackendAttempt> Take();
 
  private:
-  void LimitOverlap();
+  /// Limits the overlap from now on.
+  void HandleSent();
   MoveOutcome Judge() const;
   /// Judges what was read ahead of a successful response.
   MoveOutcome JudgeBody() const;
@@ -84,6 +87,7 @@
   const StreamMoveOptions m_options;
   Callback m_on_decided;
   boost::asio::steady_timer m_overlap_timer;
+  bool m_was_sent = false;
   // Reset by the destructor, so that the timer's handler does nothing.
   const std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -1,6 +1,8 @@
 #include <array>
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "Gateway/backend_attempt.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/stream_move.h"
@@ -381,5 +383,46 @@
   });
 }
 
+TEST_CASE("An offer that was never sent costs a stream no attempt") {
+  using boost::asio::ip::tcp;
+  SilentBackends f(2, {{2, 1300ms}, {4, 100ms}});
+  // Connections to it hang: its queue is full.
+  tcp::acceptor full(f.context);
+  full.open(tcp::v4());
+  full.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  full.listen(0);
+  tcp::socket first(f.context);
+  first.connect(full.local_endpoint());
+  const std::string full_address =
+      "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    size_t other = 0;
+    std::string address;
+    bool was_asked = false;
+    f.ChangeOthersOnceAsked([&](size_t changed) {
+      other = changed;
+      const std::string id = "i-" + std::to_string(other);
+      address =
+          f.store.Find("servers", id)->content["address"].get<std::string>();
+      f.SetEntryField(other, "address", full_address);
+      was_asked = true;
+    });
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          while (!was_asked) {
+            co_await f.Sleep(5ms);
+          }
+          co_await f.Sleep(1300ms);
+          // The silent one has gone on, and breaks off in its next silence.
+          f.backend(1 - other).behaviour().silence_breaks = 1;
+          f.SetEntryField(other, "address", address);
+        },
+        boost::asio::detached);
+    co_await f.CheckServed("/stream/x", "a");
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
