Peers: a missed removal of the newest document is noticed

A document that is added and removed leads back to the digest of before. A process that had missed the removal took its peers, which report that digest, for being behind, and kept a backend server that was gone until the next change.

--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -26,6 +26,22 @@
   peer.differs_since.reset();
 }
 
+void DivergenceDetector::SettleIfKnown(const Kind& kind, PeerDigest& peer) {
+  const auto& own = kind.own_digests;
+  const auto newest = std::find(own.rbegin(), own.rend(), peer.digest);
+  if (newest == own.rend()) {
+    return;
+  }
+  const uint64_t state =
+      kind.last_state - static_cast<uint64_t>(newest - own.rbegin());
+  // Views do not go back: a peer that seems to has been through changes that
+  // this process has missed, and which cancel each other out in the digest.
+  if (state >= peer.state) {
+    peer.state = state;
+    Settle(peer);
+  }
+}
+
 void DivergenceDetector::Apply(const OwnDigestsChanged& event, MonotonicTime) {
   m_kinds.resize(event.digests.size());
   for (size_t index = 0; index < m_kinds.size(); ++index) {
@@ -35,12 +51,13 @@
       continue;
     }
     kind.own_digests.push_back(digest);
+    ++kind.last_state;
     if (kind.own_digests.size() > m_options.remembered_digests) {
       kind.own_digests.pop_front();
     }
     for (auto& [vm, peer] : kind.peers) {
       if (peer.digest == digest) {
-        Settle(peer);
+        SettleIfKnown(kind, peer);
       }
     }
   }
@@ -73,11 +90,8 @@
       peer.received = now;
       peer.is_settled = false;
     }
-    // The newest digests are the most likely ones.
-    const auto& own = kind.own_digests;
-    if (!peer.is_settled &&
-        std::find(own.rbegin(), own.rend(), digest) != own.rend()) {
-      Settle(peer);
+    if (!peer.is_settled) {
+      SettleIfKnown(kind, peer);
     }
     if (!peer.is_settled && !peer.differs_since.has_value()) {
       peer.differs_since = now;
--- a/Source/Peers/divergence_detector.h
+++ b/Source/Peers/divergence_detector.h
@@ -98,6 +98,8 @@
     uint64_t digest = 0;
     // When the peer first reported this digest.
     MonotonicTime received;
+    // The newest state of this process that the peer has reported.
+    uint64_t state = 0;
     // This process had the digest, or has listed the kind after `received`.
     bool is_settled = false;
     // Since when none of the peer's digests has been settled.
@@ -106,6 +108,8 @@
   struct Kind {
     // The newest is at the end.
     std::deque<uint64_t> own_digests;
+    // The number of the newest one, counted from 1.
+    uint64_t last_state = 0;
     std::map<VmId, PeerDigest> peers;
     std::optional<MonotonicTime> last_refresh;
   };
@@ -116,6 +120,9 @@
   void Apply(const PeerDigestsInvalidated& event, MonotonicTime now);
   void Apply(const DivergenceTick&, MonotonicTime) {}
   static void Settle(PeerDigest& peer);
+  /// Settles the peer's digest if this process had it, and the peer has not
+  /// reported a newer state before.
+  static void SettleIfKnown(const Kind& kind, PeerDigest& peer);
   /// Returns the action that is due for the kind, if any.
   std::optional<DivergenceAction> RefreshIfDue(size_t index, MonotonicTime now);
 
--- a/Tests/Peers/divergence_test.cc
+++ b/Tests/Peers/divergence_test.cc
@@ -164,5 +164,29 @@
   }
 }
 
+// The digest without a document is that of the time before it was added.
+TEST_CASE("A missed removal of the newest document is noticed") {
+  DivergenceDetector detector{DivergenceOptions{}};
+  constexpr uint64_t kBefore = 0x5;
+  constexpr uint64_t kAdded = 0x75;
+  detector.Handle(OwnDigestsChanged{{kBefore}}, At(0ms));
+  detector.Handle(PeerDigestsReceived{VmId("p"), {kBefore}}, At(100ms));
+  detector.Handle(OwnDigestsChanged{{kAdded}}, At(200ms));
+  detector.Handle(PeerDigestsReceived{VmId("p"), {kAdded}}, At(300ms));
+  size_t refreshes = 0;
+  for (Duration now = 500ms; now < 1500ms; now += kHeartbeat) {
+    refreshes +=
+        detector.Handle(PeerDigestsReceived{VmId("p"), {kBefore}}, At(now))
+            .size();
+  }
+  CHECK(refreshes == 1);
+  // The listing ends the difference.
+  detector.Handle(OwnDigestsChanged{{kBefore}}, At(1500ms));
+  detector.Handle(KindListed{.began = At(1490ms)}, At(1500ms));
+  CHECK(detector.Handle(PeerDigestsReceived{VmId("p"), {kBefore}}, At(2s))
+            .empty());
+  CHECK(detector.Handle(DivergenceTick{}, At(3s)).empty());
+}
+
 }  // namespace
 }  // namespace cowslip
