Net: new limits do not keep silent connections beyond the limit open

Connections beyond max_connections may take a second to begin their request. Each configuration, also one that changes no limit, raised that second to the idle timeout, so 64 silent ones kept all others waiting to be accepted.

--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -296,7 +296,9 @@
 }
 
 void HttpServer::Impl::Connection::RaiseIdleLimit(Duration limit) {
-  m_idle_limit = std::max(m_idle_limit, limit);
+  if (!m_surplus) {
+    m_idle_limit = std::max(m_idle_limit, limit);
+  }
 }
 
 void HttpServer::Impl::Connection::EndIdleWait() {
--- a/Tests/Net/http_connection_limit_test.cc
+++ b/Tests/Net/http_connection_limit_test.cc
@@ -194,5 +194,17 @@
   CHECK(next.Read(server->context) == kRefused);
 }
 
+// A configuration sets the limits anew, also those that it does not change.
+TEST_CASE("New limits do not keep silent connections beyond the limit open") {
+  ServerInSteps server({.max_connections = 1});
+  const auto clients = Connect(65, server.http.port());
+  server.RunFor(50ms);
+  server.http.SetLimits(HttpServerLimits{});
+  RawClient late(server.http.port());
+  late.Send(kRequest);
+  server.RunFor(1500ms);
+  CHECK(server.http.requests_over_limit() == 1);
+}
+
 }  // namespace
 }  // namespace cowslip
