--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -82,7 +82,7 @@
         m_options(std::move(options)),
         m_handler(std::move(handler)),
         m_acceptor(context),
-        m_room(context) {}
+        m_connection_ended(context) {}
 
   Result<void> Start();
   void Drain();
@@ -118,7 +118,8 @@
   asio::awaitable<void> WaitForConnectionEnd(Duration at_most);
   void AcceptQueuedConnections();
 
-  asio::steady_timer m_room;
+  // Cancelled when a connection ends.
+  asio::steady_timer m_connection_ended;
 };
 
 // One connection and its current exchange.
@@ -722,18 +723,18 @@
 
 asio::awaitable<void> HttpServer::Impl::WaitForConnectionEnd(Duration at_most) {
   if (at_most == Duration::max()) {
-    m_room.expires_at(asio::steady_timer::time_point::max());
+    m_connection_ended.expires_at(asio::steady_timer::time_point::max());
   } else {
-    m_room.expires_after(at_most);
+    m_connection_ended.expires_after(at_most);
   }
   boost::system::error_code ignored;
-  co_await m_room.async_wait(
+  co_await m_connection_ended.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 void HttpServer::Impl::HandleConnectionEnd(Connection* connection) {
   m_connections.erase(connection);
-  m_room.cancel();
+  m_connection_ended.cancel();
 }
 
 void HttpServer::Impl::Serve(tcp::socket socket) {
@@ -758,7 +759,7 @@
   }
   if (error == asio::error::would_block) {
     m_acceptor.close(error);
-    m_room.cancel();
+    m_connection_ended.cancel();
   }
 }
 
@@ -779,7 +780,7 @@
 void HttpServer::Impl::Close() {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
-  m_room.cancel();
+  m_connection_ended.cancel();
   const std::set<Connection*> connections = m_connections;
   for (Connection* connection : connections) {
     connection->Abort();
--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -34,8 +34,8 @@
   }
   const uint64_t state =
       kind.last_state - static_cast<uint64_t>(newest - own.rbegin());
-  // Views do not go back: a peer that seems to has been through changes that
-  // this process has missed, and which cancel each other out in the digest.
+  // Views do not go back: a peer that reports an older digest has followed
+  // changes that cancel each other out in it, and this process missed some.
   if (state >= peer.state) {
     peer.state = state;
     Settle(peer);
--- a/Source/Platform/document_view.cc
+++ b/Source/Platform/document_view.cc
@@ -114,12 +114,12 @@
 std::vector<DocumentChange> DocumentView::ApplyListing(
     std::vector<DocumentPage> pages) {
   ListingRange listing = RangeOf(pages);
-  std::vector<DocumentChange> news = RemoveUnlisted(pages, listing);
+  std::vector<DocumentChange> changes = RemoveUnlisted(pages, listing);
   for (DocumentPage& page : pages) {
     for (Document& document : page.documents) {
       if (!IsOutdated(document.name, document.version)) {
         Set(document.name, document.version);
-        news.push_back({.document = std::move(document)});
+        changes.push_back({.document = std::move(document)});
       }
     }
   }
@@ -127,7 +127,7 @@
   // reports the changes in the documents of all pages.
   AdvanceTo(listing.front().as_of);
   KeepListing(std::move(listing));
-  return news;
+  return changes;
 }
 
 std::vector<DocumentChange> DocumentView::RemoveUnlisted(
--- a/Source/Platform/document_view.h
+++ b/Source/Platform/document_view.h
@@ -30,8 +30,9 @@
 
   /// Takes over a listing; returns how it differs from what was known.
   std::vector<DocumentChange> ApplyListing(std::vector<DocumentPage> pages);
-  /// Takes over one change that a watch reports; returns whether it is news. A
-  /// removal is unless a newer version of the document is known.
+  /// Takes over one change that a watch reports; returns whether it was
+  /// unknown. A removal counts as such unless a newer version of the document
+  /// is known.
   bool ApplyChange(const DocumentChange& change);
   /// Call it when a watch that reached up to this version was taken over.
   void AdvanceTo(ObjectVersion as_of);
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -46,15 +46,15 @@
 
 /// \class DocumentWatcherEvents
 /// \brief Callbacks of a watcher; all run on the watcher's executor. Together
-/// `listed` and `changed` hand on each change once, and no document goes back
+/// `listed` and `changed` report each change once, and no document goes back
 /// to an older version.
 struct DocumentWatcherEvents {
   /// A listing has completed. These are all documents for the first one, then
   /// the changes that were not known before the listing.
   std::function<void(const std::vector<DocumentChange>& changes)> listed;
   /// A watch has reported a change; digest() is that of the contents after it.
-  /// A removal may be reported again, or of a document that was never handed
-  /// on.
+  /// A removal may be reported again, or of a document that was never
+  /// reported.
   std::function<void(const DocumentChange& change)> changed;
   /// A call has failed, or the requested history is no longer available. This
   /// alone does not mean an outage.
--- a/Tests/PlatformAdapter/overtaken_listing_test.cc
+++ b/Tests/PlatformAdapter/overtaken_listing_test.cc
@@ -19,10 +19,10 @@
 namespace cowslip {
 namespace {
 
-/// \class HandedOnView
-/// \brief What the callbacks of a watcher hand on, merged; counts documents
+/// \class ReportedView
+/// \brief What the callbacks of a watcher report, merged; counts documents
 /// that go back to an older state.
-class HandedOnView {
+class ReportedView {
  public:
   void Apply(const DocumentChange& change) {
     const std::string name = change.document.name.value();
@@ -67,7 +67,7 @@
   // The states of each document in the store, oldest first; nullopt where there
   // is none.
   std::map<std::string, std::vector<std::optional<uint64_t>>> m_history;
-  // The last state of each document that was handed on.
+  // The last state of each document that was reported.
   std::map<std::string, size_t> m_reached;
   size_t m_steps_back = 0;
 };
@@ -159,7 +159,7 @@
   boost::asio::io_context context;
   FakeDocumentStore documents;
   GatedStore store{context, documents};
-  HandedOnView view;
+  ReportedView view;
   BackendDirectory directory{BackendDirectoryOptions{}};
   // Whether it is draining, by name.
   std::map<std::string, bool> usable_backends;
@@ -301,7 +301,7 @@
   }));
 }
 
-TEST_CASE("Listings and watches in any order hand on the newest state") {
+TEST_CASE("Listings and watches in any order report the newest state") {
   CheckInterleavings(false);
 }
 
