--- a/Source/Fleet/fleet_configuration.cc
+++ b/Source/Fleet/fleet_configuration.cc
@@ -20,6 +20,7 @@
     : m_parts(std::move(parts)) {
   for (const FleetRoute& route : m_parts.routes) {
     m_routes_by_host[NormaliseHost(route.host)].push_back(&route);
+    m_routes.emplace(route.id, &route);
   }
   for (auto& [host, routes] : m_routes_by_host) {
     std::stable_sort(routes.begin(), routes.end(),
@@ -50,12 +51,8 @@
 }
 
 const FleetRoute* FleetConfiguration::FindRoute(const RouteId& id) const {
-  for (const FleetRoute& route : m_parts.routes) {
-    if (route.id == id) {
-      return &route;
-    }
-  }
-  return nullptr;
+  const auto found = m_routes.find(id);
+  return found == m_routes.end() ? nullptr : found->second;
 }
 
 const FleetOrganisation* FleetConfiguration::FindOrganisation(
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -66,6 +67,10 @@
   /// For batch jobs: time from the first submission after which unfinished
   /// items may be abandoned.
   Duration retention = std::chrono::seconds(600);
+  /// For batch jobs: limit on the tokens of one organisation's accepted items
+  /// that have no result yet, over all gateways. 0 means no limit; nullopt if
+  /// the route declares none.
+  std::optional<uint64_t> max_waiting_tokens;
 
   /// Whether the route sends some requests to the service.
   bool SplitsTo(const ServiceId& service) const {
@@ -142,6 +147,7 @@
   ConfigVersion version() const { return m_parts.version; }
   bool keys_required() const { return m_parts.keys_required; }
   const CallerLimits& limits() const { return m_parts.limits; }
+  const std::vector<FleetRoute>& routes() const { return m_parts.routes; }
   const std::vector<FleetService>& services() const { return m_parts.services; }
   const std::vector<FleetOrganisation>& organisations() const {
     return m_parts.organisations;
@@ -161,6 +167,7 @@
   FleetConfigurationParts m_parts;
   std::unordered_map<std::string, std::vector<const FleetRoute*>>
       m_routes_by_host;
+  std::unordered_map<RouteId, const FleetRoute*> m_routes;
   std::map<OrganisationId, const FleetOrganisation*> m_organisations;
   std::unordered_map<Digest, const FleetOrganisation*> m_organisations_by_key;
 };
--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -32,6 +32,8 @@
   Duration stop_grace = std::chrono::seconds(8);
   /// Time for which results stay readable after the submission of a job.
   Duration job_retention = std::chrono::seconds(120);
+  /// The memory that this process may use; 0 if the settings name none.
+  uint64_t memory_bytes = 0;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -47,6 +47,10 @@
   /// Whether the watch on jobs works, so that a takeover of a job by another
   /// process would be noticed.
   bool jobs_are_current = false;
+  /// The version of the store up to which this process knows all jobs.
+  std::function<ObjectVersion()> jobs_as_of;
+  /// Lists the jobs again, because a change may have been missed.
+  std::function<void()> refresh_jobs;
   /// Called when something has changed that this process reports to the others:
   /// the quota usage, or what it knows of crashes.
   std::function<void()> reported_state_changed;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -105,12 +105,19 @@
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
                 .shutdown_notice = m_shutdown_notice,
+                .jobs_as_of = [this] { return m_job_watcher->as_of(); },
+                .refresh_jobs = [this] { m_job_watcher->Refresh(); },
                 .reported_state_changed = [this] { m_gossip->StateChanged(); }},
       m_scheduler(JobSchedulerOptions{.self = m_settings.vm,
                                       .incarnation = m_options.incarnation},
                   m_peer_table),
       m_job_runner(m_gateway, m_store, m_scheduler, JobRunnerOptions{}),
-      m_job_handler(m_gateway, m_store, m_scheduler, m_job_runner),
+      m_job_acceptance(m_gateway, m_store, m_scheduler, m_job_runner),
+      m_job_handler(m_gateway,
+                    m_store,
+                    m_scheduler,
+                    m_job_runner,
+                    m_job_acceptance),
       m_request_router(m_gateway, m_job_handler, m_options.incarnation.value()),
       m_tick_timer(context),
       m_poll_timer(context) {
@@ -280,6 +287,9 @@
     m_dispatcher.HandleEvent(BackendLimitHeard{std::move(limit)});
   }
   m_job_runner.HandleReportedEnds(message.ended_jobs);
+  if (!message.job_progress.empty()) {
+    m_job_runner.HandleEvent(JobProgressReported{message.job_progress});
+  }
   m_job_runner.SchedulePass();
   if (message.reaches_store) {
     HandleDivergenceEvent(PeerDigestsReceived{message.vm, message.digests});
@@ -305,7 +315,8 @@
           m_crash_suspects.EvidenceToReport(MonotonicClock::now()),
       .backend_limits =
           m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now()),
-      .ended_jobs = m_scheduler.EndsToReport(MonotonicClock::now())};
+      .ended_jobs = m_scheduler.EndsToReport(MonotonicClock::now()),
+      .job_progress = m_scheduler.ProgressToReport()};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
@@ -388,6 +399,7 @@
 
 awaitable<void> GatewayDaemon::HandleMetricsRequest(HttpExchange& exchange) {
   UpdateGauges();
+  UpdateJobGauges();
   HttpResponse response{.body = m_metrics.Render()};
   response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
   (void)co_await exchange.Respond(std::move(response));
@@ -435,13 +447,28 @@
                      m_gateway.configuration_is_current ? 1 : 0);
 }
 
+void GatewayDaemon::UpdateJobGauges() {
+  for (const auto& [route, tokens] : m_job_acceptance.MaxWaitingTokens()) {
+    m_metrics.SetGauge(
+        "cowslip_waiting_tokens_max{route=\"" + route.value() + "\"}",
+        "The most tokens of one organisation's unfinished items, by route.",
+        static_cast<double>(tokens));
+  }
+  const ProcessLoad& load = m_job_acceptance.process_load();
+  m_metrics.SetGauge("cowslip_timer_lag_seconds", "Average delay of timers.",
+                     std::chrono::duration<double>(load.lag()).count());
+}
+
 void GatewayDaemon::ScheduleTick() {
   m_tick_timer.expires_after(kTickInterval);
   m_tick_timer.async_wait([this](const boost::system::error_code& error) {
     if (error) {
       return;
     }
+    const Duration lag =
+        std::chrono::steady_clock::now() - m_tick_timer.expiry();
     CheckForProcessPause();
+    m_job_acceptance.Tick(lag, m_settings.memory_bytes);
     HandleDirectoryEvent(DirectoryTick{});
     HandlePeerEvent(PeerTick{});
     HandleDivergenceEvent(DivergenceTick{});
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -17,6 +17,7 @@
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/gateway_metrics.h"
+#include "Gateway/job_acceptance.h"
 #include "Gateway/job_handler.h"
 #include "Gateway/job_runner.h"
 #include "Gateway/request_router.h"
@@ -81,6 +82,9 @@
   std::shared_ptr<DocumentWatcher> StartWatcher(const char* kind,
                                                 DocumentWatcherEvents events);
   void ApplyConfigurationChange(const DocumentChange& change);
+  /// A route that has a limit on waiting tokens and declares none any more.
+  std::optional<RouteId> RouteWithoutLimit(
+      const FleetConfigurationParts& parts) const;
   void ApplyBackendChange(const DocumentChange& change);
   /// Call UpdatePeerTable() after the last of several changes.
   void ApplyPeerChange(const DocumentChange& change);
@@ -103,6 +107,9 @@
   /// Empty until all compared kinds were listed.
   StoreDigests OwnStoreDigests() const;
   void HandleDirectoryEvent(const DirectoryEvent& event);
+  /// Call it before the entry of a backend server is removed, or replaced by
+  /// that of an incarnation that started at `successor`.
+  void ReportVanished(const BackendId& id, std::optional<uint64_t> successor);
   void HandlePeerEvent(const PeerEvent& event);
   void ApplyAction(const PeerCountsChanged& counted);
   void ApplyAction(const PeerAppeared& appeared);
@@ -118,6 +125,7 @@
   boost::asio::awaitable<void> HandleMetricsRequest(HttpExchange& exchange);
   boost::asio::awaitable<void> HandlePeerRequest(HttpExchange& exchange);
   void UpdateGauges();
+  void UpdateJobGauges();
   void ScheduleTick();
   void ContinueShutdown();
   /// When the requests in progress need to have been answered during a
@@ -153,6 +161,7 @@
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
   JobRunner m_job_runner;
+  JobAcceptance m_job_acceptance;
   JobHandler m_job_handler;
   RequestRouter m_request_router;
   std::unique_ptr<HttpServer> m_caller_server;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -251,6 +251,15 @@
   if (old != nullptr && version <= old->version()) {
     return;
   }
+  const std::optional<RouteId> unlimited = RouteWithoutLimit(parts.value());
+  if (unlimited.has_value()) {
+    m_log.Write("configuration_rejected",
+                {{"why", "Route " + unlimited->value() +
+                             " had a limit and declares no max_count. Publish "
+                             "a configuration with a max_count, 0 for no "
+                             "limit; the current version stays in force."}});
+    return;
+  }
   m_gateway.configuration =
       std::make_shared<const FleetConfiguration>(std::move(parts.value()));
   const FleetConfiguration& now = *m_gateway.configuration;
@@ -260,6 +269,7 @@
         {organisation.id, organisation.rate, organisation.burst});
   }
   m_quota.Handle(quotas, MonotonicClock::now());
+  m_job_acceptance.ApplyLimits(now);
   for (const FleetService& service : now.services()) {
     m_dispatcher.SetMaxConnections(service.id, service.max_connections);
   }
@@ -276,6 +286,22 @@
   m_gossip->StateChanged();
 }
 
+// A limit that is forgotten must not count as one that was lifted.
+std::optional<RouteId> GatewayDaemon::RouteWithoutLimit(
+    const FleetConfigurationParts& parts) const {
+  for (const FleetRoute& route : parts.routes) {
+    const FleetRoute* old = m_gateway.configuration == nullptr
+                                ? nullptr
+                                : m_gateway.configuration->FindRoute(route.id);
+    if (old != nullptr && route.kind == RequestKind::kBatch &&
+        old->max_waiting_tokens.value_or(0) > 0 &&
+        !route.max_waiting_tokens.has_value()) {
+      return route.id;
+    }
+  }
+  return std::nullopt;
+}
+
 void GatewayDaemon::ApplyBackendChange(const DocumentChange& change) {
   const auto backend = platform::DecodeBackend(change.document);
   if (!change.removed && backend.has_value()) {
@@ -290,25 +316,39 @@
       BackendEntryRemoved{BackendId(change.document.name.value())});
 }
 
+// Crashes of backend servers that run nothing for this process are seen only
+// here.
+void GatewayDaemon::ReportVanished(const BackendId& id,
+                                   std::optional<uint64_t> successor) {
+  const BackendRecord* known = m_dispatcher.placement_core().Find(id);
+  if (known != nullptr && !known->draining &&
+      known->started_at_ms != successor) {
+    m_crash_suspects.Handle(BackendVanished{id, known->started_at_ms},
+                            MonotonicClock::now());
+  }
+}
+
 void GatewayDaemon::HandleDirectoryEvent(const DirectoryEvent& event) {
   const std::vector<DirectoryAction> actions =
       m_backend_directory.Handle(event, MonotonicClock::now());
   for (const DirectoryAction& action : actions) {
     std::visit(
-        Overloaded{[&](const BackendUsable& usable) {
-                     m_log.Write(
-                         "backend_usable",
-                         {{"backend", usable.backend.id.value()},
-                          {"address", usable.backend.address.ToString()},
-                          {"version", usable.backend.version.value()},
-                          {"draining", usable.backend.draining}});
-                     m_dispatcher.HandleEvent(BackendAdded{usable.backend});
-                   },
-                   [&](const BackendUnusable& unusable) {
-                     m_log.Write("backend_unusable",
-                                 {{"backend", unusable.id.value()}});
-                     m_dispatcher.HandleEvent(BackendRemoved{unusable.id});
-                   }},
+        Overloaded{
+            [&](const BackendUsable& usable) {
+              m_log.Write("backend_usable",
+                          {{"backend", usable.backend.id.value()},
+                           {"address", usable.backend.address.ToString()},
+                           {"version", usable.backend.version.value()},
+                           {"draining", usable.backend.draining}});
+              ReportVanished(usable.backend.id, usable.backend.started_at_ms);
+              m_dispatcher.HandleEvent(BackendAdded{usable.backend});
+            },
+            [&](const BackendUnusable& unusable) {
+              m_log.Write("backend_unusable",
+                          {{"backend", unusable.id.value()}});
+              ReportVanished(unusable.id, std::nullopt);
+              m_dispatcher.HandleEvent(BackendRemoved{unusable.id});
+            }},
         action);
   }
 }
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -10,6 +10,7 @@
 #include "Base/event_log.h"
 #include "Base/sha256.h"
 #include "Gateway/gateway_metrics.h"
+#include "Gateway/job_acceptance.h"
 #include "Gateway/job_runner.h"
 #include "Gateway/problem_response.h"
 #include "Gateway/shutdown_notice.h"
@@ -28,7 +29,6 @@
 // How long a submission is retried at the store. Another VM may reach the store
 // when this one does not, so the client is told early enough to retry there.
 constexpr Duration kSubmitTimeout = std::chrono::milliseconds(1300);
-constexpr Duration kSubmitRetryInterval = std::chrono::milliseconds(150);
 // Retry-After of submissions and calls that could not be served.
 constexpr Duration kSubmitRetryAfter = std::chrono::milliseconds(300);
 // How often the end of a job is written to its record before the client is told
@@ -57,20 +57,6 @@
               .not_run = true});
 }
 
-HttpResponse NotAcceptedResponse(bool in_doubt, const Error& error) {
-  if (in_doubt) {
-    return ProblemResponse(
-        Problem{.kind = ProblemKind::kDeadlinePassed,
-                .detail = "The job may have been accepted. Submit it again "
-                          "under the same id."});
-  }
-  return ProblemResponse(
-      Problem{.kind = ProblemKind::kNotReady,
-              .detail = "The job was not accepted: " + error.message,
-              .not_run = true,
-              .retry_after = kSubmitRetryAfter});
-}
-
 }  // namespace
 
 // The log is used by one coroutine at a time; the others wait on `available`,
@@ -89,11 +75,13 @@
 JobHandler::JobHandler(GatewayContext& gateway,
                        DocumentStore& store,
                        JobScheduler& scheduler,
-                       JobRunner& runner)
+                       JobRunner& runner,
+                       JobAcceptance& acceptance)
     : m_gateway(gateway),
       m_store(store),
       m_scheduler(scheduler),
-      m_job_runner(runner) {}
+      m_job_runner(runner),
+      m_acceptance(acceptance) {}
 
 HttpResponse JobHandler::UnavailableResponse(const Error& error) const {
   return ProblemResponse(Problem{
@@ -107,40 +95,23 @@
                                    CallerRequest caller,
                                    const FleetRoute& route,
                                    OrganisationId organisation) {
-  const HttpRequest& request = exchange.request();
+  const MonotonicTime arrived = MonotonicClock::now();
   HttpResponse response;
-  Result<std::vector<JobItem>> items = platform::DecodeSubmission(request.body);
-  if (request.method != "POST" || caller.attempt.empty()) {
+  if (exchange.request().method != "POST" || caller.attempt.empty()) {
     response =
         ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
                                 .detail = "Submit a job by POST, with its id.",
                                 .not_run = true});
-  } else if (!items.has_value()) {
-    response = ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
-                                       .detail = items.error().message,
-                                       .not_run = true});
   } else {
-    const JobId id(caller.attempt.value());
-    const WallTime now = WallNow();
-    const auto after = [now](Duration duration) {
-      return now + std::chrono::milliseconds(ToMillis(duration));
-    };
-    JobRecord record{.key = JobKeyFor(id, organisation),
-                     .definition = {.id = id,
-                                    .organisation = organisation,
-                                    .route = route.id,
-                                    .host = caller.host,
-                                    .digest = Sha256(request.body),
-                                    .submitted = now,
-                                    .due = after(route.completion_target),
-                                    .give_up = after(route.retention),
-                                    .max_attempts = route.max_attempts}};
-    for (const JobItem& item : items.value()) {
-      record.definition.items.push_back(item.id);
+    JobId id(caller.attempt.value());
+    std::optional<HttpResponse> rejected =
+        co_await m_acceptance.RejectUnread(route, organisation, std::move(id));
+    if (rejected.has_value()) {
+      response = std::move(*rejected);
+    } else {
+      response = co_await AcceptJob(exchange.request().body, caller, route,
+                                    organisation, arrived);
     }
-    const MonotonicTime give_up = MonotonicClock::now() + kSubmitTimeout;
-    response = co_await AcceptJob(std::move(record), std::move(items.value()),
-                                  give_up);
   }
   m_gateway.metrics.CountRequest("job_submitted_" +
                                  std::to_string(response.status));
@@ -152,103 +123,54 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
-awaitable<HttpResponse> JobHandler::AcceptJob(JobRecord record,
-                                              std::vector<JobItem> items,
-                                              MonotonicTime give_up) {
-  JobStatus owner;
-  m_scheduler.SetOwner(owner);
-  record.definition.accepted_by = owner.owner;
-  record.definition.accepted_incarnation = owner.incarnation;
-  const std::vector<nlohmann::json> inputs = EncodeInputs(items);
-  record.definition.input_segments = static_cast<uint32_t>(inputs.size());
-  // Set once a write of the record had no response: the job may be accepted.
-  bool in_doubt = false;
-  while (true) {
-    const JobRecord* known = m_scheduler.Find(record.key);
-    Result<JobRecord> stored = Error();
-    if (known != nullptr) {
-      stored = *known;
-    } else {
-      const Result<void> kept = co_await StoreInputs(record, inputs);
-      if (kept.has_value()) {
-        stored = co_await StoreJob(record);
-      } else {
-        stored = kept.error();
-      }
-    }
-    if (stored.has_value()) {
-      if (stored.value().definition.digest != record.definition.digest) {
-        co_return ProblemResponse(Problem{
-            .kind = ProblemKind::kAlreadyClaimed,
-            .detail = "Another job has this id. Submit with a new one."});
-      }
-      if (known == nullptr && m_scheduler.Owns(stored.value())) {
-        m_job_runner.AddAcceptedJob(std::move(stored.value()),
-                                    std::move(items));
-      }
-      co_return HttpResponse{.status = 202};
-    }
-    const Error& error = stored.error();
-    in_doubt = in_doubt || error.kind() == ErrorKind::kInDoubt;
-    if (error.kind() == ErrorKind::kTooLarge ||
-        error.kind() == ErrorKind::kInvalidArgument) {
-      co_return ProblemResponse(Problem{.kind = ProblemKind::kBodyTooLarge,
-                                        .detail = error.message,
-                                        .not_run = true});
-    }
-    if (MonotonicClock::now() + kSubmitRetryInterval >=
-        m_gateway.shutdown_notice.LimitNow(give_up)) {
-      co_return NotAcceptedResponse(in_doubt, error);
-    }
-    co_await SleepFor(kSubmitRetryInterval);
-  }
-}
-
-awaitable<Result<void>> JobHandler::StoreInputs(
-    const JobRecord& record,
-    const std::vector<nlohmann::json>& inputs) {
-  const DocumentKind kind(kInputKind);
-  uint32_t segment = 0;
-  for (nlohmann::json content : inputs) {
-    const DocumentName name =
-        InputName(record.key, record.definition.digest, segment);
-    const Result<Document> created =
-        co_await m_store.Create(kind, name, std::move(content));
-    // The name contains the digest of the submission, so an existing document
-    // has the same content.
-    if (!created.has_value() &&
-        created.error().kind() != ErrorKind::kConflict) {
-      // Items without the job's record have no effect, so a write in doubt is
-      // reported as not accepted.
-      co_return Error(created.error().kind() == ErrorKind::kInDoubt
-                          ? ErrorKind::kUnavailable
-                          : created.error().kind(),
-                      created.error().message);
-    }
-    ++segment;
-  }
-  co_return Ok();
-}
-
-awaitable<Result<JobRecord>> JobHandler::StoreJob(const JobRecord& record) {
-  const DocumentKind kind(kJobKind);
-  const DocumentName name = JobName(record.key);
-  nlohmann::json content = EncodeDefinition(record.definition);
-  Result<Document> stored =
-      co_await m_store.Create(kind, name, std::move(content));
-  if (!stored.has_value() && stored.error().kind() == ErrorKind::kConflict) {
-    stored = co_await m_store.Get(kind, name);
+awaitable<HttpResponse> JobHandler::AcceptJob(const std::string& body,
+                                              const CallerRequest& caller,
+                                              const FleetRoute& route,
+                                              OrganisationId organisation,
+                                              MonotonicTime arrived) {
+  Result<std::vector<JobItem>> items = platform::DecodeSubmission(body);
+  if (!items.has_value()) {
+    co_return ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
+                                      .detail = items.error().message,
+                                      .not_run = true});
   }
-  if (!stored.has_value()) {
-    co_return stored.error();
+  const JobId id(caller.attempt.value());
+  const WallTime now = WallNow();
+  const auto after = [now](Duration duration) {
+    return now + std::chrono::milliseconds(ToMillis(duration));
+  };
+  JobSubmission submission{
+      .record = {.key = JobKeyFor(id, organisation),
+                 .definition = {.id = id,
+                                .organisation = organisation,
+                                .route = route.id,
+                                .host = caller.host,
+                                .digest = Sha256(body),
+                                .submitted = now,
+                                .due = after(route.completion_target),
+                                .give_up = after(route.retention),
+                                .max_attempts = route.max_attempts}},
+      .max_waiting_tokens = route.max_waiting_tokens.value_or(0),
+      .arrived = arrived,
+      .give_up = MonotonicClock::now() + kSubmitTimeout};
+  if (!route.split.empty()) {
+    submission.service = route.split.front().service;
   }
-  std::optional<JobRecord> decoded = DecodeJob(stored.value());
-  if (!decoded.has_value()) {
-    co_return Error(
-        ErrorKind::kUnavailable,
-        "Another version's job has this id. Submit with a new one.");
+  JobDefinition& definition = submission.record.definition;
+  for (const JobItem& item : items.value()) {
+    if (!item.tokens.has_value() && submission.max_waiting_tokens > 0) {
+      co_return ProblemResponse(
+          Problem{.kind = ProblemKind::kBadRequest,
+                  .detail = "Item " + item.id.value() +
+                            " states no `tokens`, which the route limits. "
+                            "State them and submit the job again.",
+                  .not_run = true});
+    }
+    definition.items.push_back(item.id);
+    definition.tokens.push_back(item.tokens.value_or(0));
   }
-  co_return std::move(*decoded);
+  submission.items = std::move(items.value());
+  co_return co_await m_acceptance.Accept(std::move(submission));
 }
 
 awaitable<Result<JobRecord>> JobHandler::FindJob(JobKey job) {
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -22,6 +22,7 @@
 namespace cowslip {
 
 class HttpExchange;
+class JobAcceptance;
 class JobRunner;
 struct HttpResponse;
 
@@ -34,7 +35,8 @@
   JobHandler(GatewayContext& gateway,
              DocumentStore& store,
              JobScheduler& scheduler,
-             JobRunner& runner);
+             JobRunner& runner,
+             JobAcceptance& acceptance);
 
   /// Accepts a new job, or a repeated submission of one.
   boost::asio::awaitable<void> Submit(HttpExchange& exchange,
@@ -51,13 +53,11 @@
   /// Reads the results of a job that is not open in this process.
   struct ResultReader;
 
-  boost::asio::awaitable<HttpResponse> AcceptJob(JobRecord record,
-                                                 std::vector<JobItem> items,
-                                                 MonotonicTime give_up);
-  boost::asio::awaitable<Result<void>> StoreInputs(
-      const JobRecord& record,
-      const std::vector<nlohmann::json>& inputs);
-  boost::asio::awaitable<Result<JobRecord>> StoreJob(const JobRecord& record);
+  boost::asio::awaitable<HttpResponse> AcceptJob(const std::string& body,
+                                                 const CallerRequest& caller,
+                                                 const FleetRoute& route,
+                                                 OrganisationId organisation,
+                                                 MonotonicTime arrived);
   boost::asio::awaitable<Result<JobRecord>> FindJob(JobKey job);
 
   boost::asio::awaitable<HttpResponse> Respond(ReadResultsCall call,
@@ -87,6 +87,7 @@
   DocumentStore& m_store;
   JobScheduler& m_scheduler;
   JobRunner& m_job_runner;
+  JobAcceptance& m_acceptance;
   std::map<JobKey, std::shared_ptr<ResultReader>> m_result_readers;
 };
 
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -11,6 +11,7 @@
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/prompt_trial.h"
+#include "Jobs/backlog_share.h"
 #include "Jobs/job_documents.h"
 #include "Placement/crash_suspect_core.h"
 #include "platform/request_headers.h"
@@ -92,6 +93,12 @@
   HandleEvent(JobUpdated{std::move(record)});
 }
 
+void JobRunner::AcceptOfferedJob(const JobRecord& record,
+                                 std::vector<JobItem> items) {
+  AddAcceptedJob(record, std::move(items));
+  HandleEvent(JobOfferEnded{record.key});
+}
+
 void JobRunner::HandleJobDocument(const Document& document,
                                   const char* source) {
   std::optional<JobRecord> record = DecodeJob(document);
@@ -168,6 +175,7 @@
   const JobRecord* record = m_scheduler.Find(action.job);
   JobStatus status = record->status;
   status.finished = true;
+  status.accepted = true;
   status.progress.clear();
   boost::asio::co_spawn(
       m_gateway.io,
@@ -181,6 +189,7 @@
   const JobRecord* record = m_scheduler.Find(action.job);
   JobStatus status = record->status;
   status.owner = VmId();
+  status.accepted = true;
   status.progress.clear();
   m_gateway.log.Write(
       "job_handed_back",
@@ -204,11 +213,14 @@
 }
 
 void JobRunner::ApplyAction(const CloseJob& action) {
+  // Null if the job's document was removed.
   const JobRecord* record = m_scheduler.Find(action.job);
+  const JobStatus status = record == nullptr ? JobStatus() : record->status;
   m_gateway.log.Write("job_closed", {{"job", action.job.value()},
-                                     {"owner", record->status.owner.value()},
+                                     {"removed", record == nullptr},
+                                     {"owner", status.owner.value()},
                                      {"ended", m_scheduler.IsEnded(action.job)},
-                                     {"finished", record->status.finished}});
+                                     {"finished", status.finished}});
   m_open_jobs.erase(action.job);
 }
 
@@ -244,11 +256,34 @@
 void JobRunner::RunPass() {
   const ClockReadings now = Now();
   m_last_pass_time = now.monotonic;
-  PreemptItems(now.monotonic);
-  StartItems(now);
+  PreemptItems(now);
+  if (HasFreeSlot()) {
+    StartItems(now);
+  }
+}
+
+// Under a backlog slots are full most of the time, and ordering all items is
+// far more work than this.
+bool JobRunner::HasFreeSlot() {
+  std::set<ServiceId> services;
+  for (auto& [key, open] : m_open_jobs) {
+    const JobRecord* record = m_scheduler.Find(key);
+    if (record != nullptr) {
+      const std::optional<ServiceId> service = ServiceOf(open, *record);
+      if (service.has_value()) {
+        services.insert(*service);
+      }
+    }
+  }
+  const PlacementCore& placement = m_gateway.dispatcher.placement_core();
+  return std::any_of(
+      services.begin(), services.end(), [&](const ServiceId& service) {
+        return placement.PlaceBatch({.service = service}, MonotonicClock::now())
+            .has_value();
+      });
 }
 
-void JobRunner::PreemptItems(MonotonicTime now) {
+void JobRunner::PreemptItems(ClockReadings now) {
   for (const BackendUse& use :
        m_gateway.dispatcher.placement_core().InFlight()) {
     if (use.batch == 0 ||
@@ -257,15 +292,19 @@
       continue;
     }
     MonotonicTime& last_preemption = m_last_preemption[use.backend];
-    const auto running = m_scheduler.RunningItemsAt(use.backend);
-    if (running.empty() || now - last_preemption < m_options.preempt_interval) {
+    if (now.monotonic - last_preemption < m_options.preempt_interval) {
       continue;
     }
-    last_preemption = now;
+    const auto running = m_scheduler.RunningItemsAt(use.backend, now);
+    if (running.empty()) {
+      continue;
+    }
+    last_preemption = now.monotonic;
     const auto& [job, item] = running.front();
     m_gateway.log.Write("item_yields", {{"job", job.value()},
                                         {"item", item.value()},
                                         {"backend", use.backend.value()}});
+    m_gateway.dispatcher.HandleEvent(BatchPreempted{use.backend});
     ApplyAction(StopItem{job, item});
   }
 }
@@ -312,9 +351,40 @@
   return std::nullopt;
 }
 
+std::map<ServiceId, int64_t> JobRunner::ItemsAllowed(ClockReadings now) const {
+  const auto& configuration = m_gateway.configuration;
+  std::map<ServiceId, BacklogShareRequest> backlogs;
+  std::map<ServiceId, int64_t> running;
+  for (JobWork& work : m_scheduler.UnfinishedWork()) {
+    const FleetRoute* route = configuration == nullptr
+                                  ? nullptr
+                                  : configuration->FindRoute(work.route);
+    if (route != nullptr && !route->split.empty()) {
+      const ServiceId& service = route->split.front().service;
+      running[service] += m_scheduler.RunningItems(work.job);
+      backlogs[service].work.push_back(std::move(work));
+    }
+  }
+  std::map<ServiceId, int64_t> allowed;
+  for (auto& [service, backlog] : backlogs) {
+    const uint32_t slots = m_gateway.dispatcher.placement_core().BatchSlots(
+        service, now.monotonic);
+    // The views of the processes differ a little, and a slot that nobody claims
+    // is lost.
+    backlog.slots = slots + slots / 2;
+    backlog.self = m_scheduler.self();
+    backlog.now = now.wall;
+    backlog.item_time = m_scheduler.item_span();
+    allowed[service] =
+        int64_t{ItemsAtHead(std::move(backlog))} - running[service];
+  }
+  return allowed;
+}
+
 void JobRunner::StartItems(ClockReadings now) {
   size_t started = 0;
   m_blocked_in_pass.clear();
+  std::map<ServiceId, int64_t> allowed = ItemsAllowed(now);
   // Services, or single versions of them, without a free slot.
   std::set<std::pair<ServiceId, std::optional<SoftwareVersion>>> full;
   for (const RunnableItem& runnable : m_scheduler.RunnableItems(now)) {
@@ -329,7 +399,7 @@
     const auto service = ServiceOf(open->second, *record);
     const auto item = open->second.items.find(runnable.item);
     if (!service.has_value() || full.contains({*service, std::nullopt}) ||
-        item == open->second.items.end()) {
+        item == open->second.items.end() || allowed[*service] <= 0) {
       continue;
     }
     const std::optional<SoftwareVersion> version =
@@ -348,6 +418,7 @@
       continue;
     }
     ++started;
+    --allowed[*service];
     ItemProgress progress = *runnable.progress;
     HandleEvent(ItemStarted{runnable.job, runnable.item, lease->backend()});
     boost::asio::co_spawn(
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -60,6 +60,9 @@
   /// to the scheduler. `source` is the call that returned it, for the log.
   void HandleJobDocument(const Document& document, const char* source);
   void RemoveJob(const JobKey& job);
+  /// Accepts a job whose record exists, without its items, see
+  /// JobDefinition::offered.
+  void AcceptOfferedJob(const JobRecord& record, std::vector<JobItem> items);
   /// Stops jobs whose end another process has acknowledged.
   void HandleReportedEnds(const std::vector<JobKey>& jobs);
   /// Passes an event to the scheduler and applies the actions it returns.
@@ -102,6 +105,9 @@
   boost::asio::awaitable<void> Claim(JobKey job);
   boost::asio::awaitable<void> Open(JobKey job);
   boost::asio::awaitable<Result<void>> ReadJob(JobKey job);
+  /// Removes an offered job that was never accepted: its items are not stored.
+  boost::asio::awaitable<void> RemoveUnaccepted(JobKey job,
+                                                ObjectVersion version);
   /// Whether the job's items and results are loaded, with the results claimed
   /// under the fencing number of `record`.
   bool IsLoaded(const JobRecord& record) const;
@@ -142,12 +148,17 @@
                     uint32_t events);
 
   void RunPass();
+  /// Whether an item of any open job may find a free slot.
+  bool HasFreeSlot();
   /// The software version that must resume the item; nullopt for an item that
   /// has not begun. An item whose version no longer serves is
   /// restarted from the beginning.
   std::optional<SoftwareVersion> VersionToResume(const RunnableItem& item,
                                                  const ServiceId& service);
   void StartItems(ClockReadings now);
+  /// How many more items this process may run at each service, by its share of
+  /// the fleet's backlog.
+  std::map<ServiceId, int64_t> ItemsAllowed(ClockReadings now) const;
   /// Whether another backend server than the lease's has a free slot for an
   /// item with this progress.
   bool MayMove(const AttemptLease& lease, const ItemProgress& progress) const;
@@ -167,7 +178,7 @@
                     const BackendId& backend,
                     uint64_t started_at_ms,
                     bool is_trial);
-  void PreemptItems(MonotonicTime now);
+  void PreemptItems(ClockReadings now);
   /// The service that runs a job's items; nullopt while the job's route is
   /// missing.
   std::optional<ServiceId> ServiceOf(OpenedJob& job, const JobRecord& record);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -109,12 +109,18 @@
   }
   const JobDefinition definition = record->definition;
   const FencingNumber fence = record->fence();
+  const ObjectVersion version = record->version;
+  const bool is_accepted = record->IsAccepted();
   OpenedJob opened;
   const DocumentKind kind(kInputKind);
   for (uint32_t i = 0; i < definition.input_segments; ++i) {
     const DocumentName name = InputName(job, definition.digest, i);
     const Result<Document> document = co_await m_store.Get(kind, name);
     if (!document.has_value()) {
+      if (document.error().kind() == ErrorKind::kNotFound && !is_accepted) {
+        co_await RemoveUnaccepted(job, version);
+        co_return Error(ErrorKind::kConflict, "The job was never accepted.");
+      }
       co_return document.error();
     }
     Result<std::vector<JobItem>> items = DecodeInputs(document.value().content);
@@ -152,6 +158,21 @@
   co_return Ok();
 }
 
+// Conditional, because another process may accept the job at the same time.
+awaitable<void> JobRunner::RemoveUnaccepted(JobKey job, ObjectVersion version) {
+  const DocumentKind kind(kJobKind);
+  const DocumentName name = JobName(job);
+  const Result<void> removed = co_await m_store.RemoveAt(kind, name, version);
+  m_gateway.log.Write(
+      "job_never_accepted",
+      {{"job", job.value()},
+       {"removed", removed.has_value()},
+       {"why", removed.has_value() ? "" : removed.error().message}});
+  if (removed.has_value()) {
+    RemoveJob(job);
+  }
+}
+
 awaitable<Result<void>> JobRunner::ReadSavedProgress(JobKey job,
                                                      OpenedJob& opened) {
   const DocumentKind kind(kProgressKind);
--- a/Source/Jobs/job_documents.cc
+++ b/Source/Jobs/job_documents.cc
@@ -77,6 +77,10 @@
   definition.accepted_by = content.at("accepted_by").get<VmId>();
   definition.accepted_incarnation =
       content.at("accepted_incarnation").get<Incarnation>();
+  // Processes of earlier releases write none of these.
+  definition.tokens = content.value("tokens", std::vector<uint64_t>());
+  definition.offered = content.value("offered", false);
+  definition.spare_slots_only = content.value("spare_slots_only", false);
   return definition;
 }
 
@@ -116,6 +120,7 @@
   read.incarnation = status.at("incarnation").get<Incarnation>();
   read.ended = status.at("ended").get<bool>();
   read.finished = status.at("finished").get<bool>();
+  read.accepted = status.value("accepted", false);
   read.progress = ReadProgress(status.at("progress"));
   return read;
 }
@@ -184,6 +189,9 @@
           {"max_attempts", definition.max_attempts},
           {"input_segments", definition.input_segments},
           {"items", definition.items},
+          {"tokens", definition.tokens},
+          {"offered", definition.offered},
+          {"spare_slots_only", definition.spare_slots_only},
           {"accepted_by", definition.accepted_by},
           {"accepted_incarnation", definition.accepted_incarnation}};
 }
@@ -193,6 +201,7 @@
           {"incarnation", status.incarnation},
           {"ended", status.ended},
           {"finished", status.finished},
+          {"accepted", status.accepted},
           {"progress", WriteProgress(status.progress)}};
 }
 
@@ -200,6 +209,7 @@
   try {
     JobRecord record{.key = JobKey(document.name.value()),
                      .version = document.version,
+                     .created = document.created,
                      .definition = ReadDefinition(document.content)};
     record.status = ReadStatus(document.status, record.definition);
     return record;
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -5,20 +5,16 @@
 #include <utility>
 
 #include "Base/rendezvous.h"
+#include "Jobs/backlog_share.h"
 
 namespace cowslip {
 
-namespace {
-
-// Number of items that an organisation starts before the next organisation's
-// turn: about the slots of one backend server, so that due times determine the
-// order within an organisation.
-constexpr size_t kItemsPerTurn = 8;
-
-}  // namespace
-
 JobScheduler::JobScheduler(JobSchedulerOptions options, const PeerTable& peers)
-    : m_options(std::move(options)), m_peers(peers) {}
+    : m_options(std::move(options)),
+      m_peers(peers),
+      m_item_time(m_options.initial_item_time),
+      m_item_events(m_options.initial_item_events),
+      m_item_span(m_options.initial_item_time) {}
 
 std::vector<JobSchedulerAction> JobScheduler::Handle(
     const JobSchedulerEvent& event,
@@ -115,10 +111,7 @@
   }
   if (IsOwner(job)) {
     job.orphaned_since.reset();
-    // A job that this process has handed back is reopened only after a claim.
-    if (job.ownership == Ownership::kNone && !job.handed_back) {
-      Open(job);
-    }
+    MaybeOpen(job);
     return;
   }
   if (job.ownership == Ownership::kOpen ||
@@ -178,6 +171,92 @@
   });
 }
 
+void JobScheduler::Apply(const JobProgressReported& event, ClockReadings) {
+  for (const JobProgress& progress : event.progress) {
+    Job* job = FindJob(progress.job);
+    if (job != nullptr) {
+      job->reported.items = std::max(job->reported.items, progress.items);
+      job->reported.tokens = std::max(job->reported.tokens, progress.tokens);
+    }
+  }
+}
+
+void JobScheduler::Apply(const JobOffered& event, ClockReadings) {
+  m_offers.insert(event.job);
+}
+
+void JobScheduler::Apply(const JobOfferEnded& event, ClockReadings) {
+  m_offers.erase(event.job);
+  Job* job = FindJob(event.job);
+  if (job != nullptr && IsOwner(*job) && !IsOver(*job)) {
+    MaybeOpen(*job);
+  }
+}
+
+// A job that this process has handed back is reopened only after a claim.
+void JobScheduler::MaybeOpen(Job& job) {
+  if (job.ownership == Ownership::kNone && !job.handed_back &&
+      !IsOffered(job.record.key)) {
+    Open(job);
+  }
+}
+
+JobProgress JobScheduler::ProgressOf(const Job& job) const {
+  JobProgress progress{.job = job.record.key};
+  const std::vector<ItemId>& ids = job.record.definition.items;
+  for (size_t i = 0; i < ids.size() && !job.items.empty(); ++i) {
+    const auto found = job.items.find(ids[i]);
+    if (found != job.items.end() &&
+        found->second.phase == ItemPhase::kRecorded) {
+      ++progress.items;
+      progress.tokens += job.record.TokensOf(i);
+    }
+  }
+  progress.items = std::max(progress.items, job.reported.items);
+  progress.tokens = std::max(progress.tokens, job.reported.tokens);
+  return progress;
+}
+
+std::vector<JobProgress> JobScheduler::ProgressToReport() const {
+  std::vector<JobProgress> reports;
+  for (const auto& [key, job] : m_jobs) {
+    if (job.ownership == Ownership::kOpen && !IsOver(job) &&
+        reports.size() < m_options.max_reported_progress) {
+      JobProgress progress = ProgressOf(job);
+      if (progress.items > 0) {
+        reports.push_back(std::move(progress));
+      }
+    }
+  }
+  return reports;
+}
+
+std::vector<JobWork> JobScheduler::UnfinishedWork() const {
+  std::vector<JobWork> unfinished;
+  for (const auto& [key, job] : m_jobs) {
+    if (IsOver(job)) {
+      continue;
+    }
+    const JobDefinition& definition = job.record.definition;
+    const JobProgress done = ProgressOf(job);
+    uint64_t tokens = 0;
+    for (size_t i = 0; i < definition.items.size(); ++i) {
+      tokens += job.record.TokensOf(i);
+    }
+    const auto items = static_cast<uint32_t>(definition.items.size());
+    unfinished.push_back({.job = key,
+                          .organisation = definition.organisation,
+                          .route = definition.route,
+                          .created = job.record.created,
+                          .due = definition.due,
+                          .spare_slots_only = definition.spare_slots_only,
+                          .owner = job.record.status.owner,
+                          .items = items - std::min(items, done.items),
+                          .tokens = tokens - std::min(tokens, done.tokens)});
+  }
+  return unfinished;
+}
+
 void JobScheduler::Apply(const SchedulerActivated&, ClockReadings now) {
   if (!m_active_since.has_value()) {
     m_active_since = now.monotonic;
@@ -257,12 +336,15 @@
 
 void JobScheduler::AdoptProgress(Item& item,
                                  const std::map<ItemId, ItemProgress>& known,
-                                 const ItemId& id) {
+                                 const ItemId& id) const {
   const auto found = known.find(id);
   if (found != known.end() && item.phase == ItemPhase::kPending &&
       item.progress.last_event < found->second.last_event) {
     const uint32_t failed_runs = item.progress.failed_runs;
     item.progress = found->second;
+    item.slot_time = std::max(item.slot_time,
+                              std::chrono::duration_cast<Duration>(
+                                  m_item_time * DoneFraction(item.progress)));
     // Runs that failed after the progress was saved still count.
     item.progress.failed_runs =
         std::max(item.progress.failed_runs, failed_runs);
@@ -276,7 +358,7 @@
   }
 }
 
-void JobScheduler::Apply(const ItemStarted& event, ClockReadings) {
+void JobScheduler::Apply(const ItemStarted& event, ClockReadings now) {
   Job* job = FindJob(event.job);
   if (job == nullptr) {
     return;
@@ -284,6 +366,8 @@
   Item& item = job->items[event.item];
   item.phase = ItemPhase::kRunning;
   item.backend = event.backend;
+  item.run_start = now.monotonic;
+  item.first_start = item.first_start.value_or(now.monotonic);
   item.stopping = false;
 }
 
@@ -297,6 +381,7 @@
     return;
   }
   item.phase = ItemPhase::kPending;
+  item.slot_time += now.monotonic - item.run_start;
   const uint32_t failed_runs = item.progress.failed_runs;
   const uint64_t known_events = item.progress.last_event;
   item.progress = event.progress;
@@ -311,6 +396,7 @@
   }
   switch (event.outcome) {
     case ItemRunOutcome::kCompleted:
+      RecordItemTime(item, now.monotonic);
       EndItem(*job, event.item, ItemState::kCompleted, now);
       break;
     case ItemRunOutcome::kUnprocessable:
@@ -344,6 +430,35 @@
   MaybeHandBack(*job);
 }
 
+void JobScheduler::RecordItemTime(const Item& item, MonotonicTime now) {
+  const auto average = [&](Duration& value, Duration sample) {
+    value += std::chrono::duration_cast<Duration>((sample - value) *
+                                                  m_options.smoothing_factor);
+  };
+  average(m_item_time, item.slot_time);
+  average(m_item_span, now - item.first_start.value_or(now));
+  const auto events = static_cast<double>(item.progress.last_event);
+  m_item_events += (events - m_item_events) * m_options.smoothing_factor;
+}
+
+double JobScheduler::DoneFraction(const ItemProgress& progress) const {
+  return std::min(1.0, static_cast<double>(progress.last_event) /
+                           std::max(m_item_events, 1.0));
+}
+
+Duration JobScheduler::SpanLeft(const ItemProgress& progress) const {
+  return std::chrono::duration_cast<Duration>(item_span() *
+                                              (1 - DoneFraction(progress)));
+}
+
+ItemClass JobScheduler::ClassOf(const Job& job,
+                                const Item& item,
+                                WallTime now) const {
+  const JobDefinition& definition = job.record.definition;
+  return cowslip::ClassOf(definition.due, definition.spare_slots_only, now,
+                          SpanLeft(item.progress));
+}
+
 void JobScheduler::RestartItem(Item& item) {
   item.progress = ItemProgress{.failed_runs = item.progress.failed_runs};
 }
@@ -602,66 +717,97 @@
   m_actions.push_back(DeleteJob{job.record.key});
 }
 
+size_t JobScheduler::RunningItems(const JobKey& key) const {
+  const auto found = m_jobs.find(key);
+  if (found == m_jobs.end()) {
+    return 0;
+  }
+  const auto& items = found->second.items;
+  return std::count_if(items.begin(), items.end(), [](const auto& item) {
+    return item.second.phase == ItemPhase::kRunning;
+  });
+}
+
 std::vector<RunnableItem> JobScheduler::RunnableItems(ClockReadings now) const {
   if (m_stopping) {
     return {};
   }
-  std::map<OrganisationId, size_t> running;
-  for (const auto& [key, job] : m_jobs) {
-    for (const auto& [id, item] : job.items) {
-      running[job.record.definition.organisation] +=
-          item.phase == ItemPhase::kRunning ? 1 : 0;
-    }
-  }
-  // Late items last, then the organisation with the fewer turns, then the due
-  // time.
-  using Order = std::tuple<bool, size_t, WallTime, JobKey, ItemId>;
-  std::vector<std::pair<Order, RunnableItem>> ordered;
+  struct Candidate {
+    const Job* job = nullptr;
+    const ItemId* id = nullptr;
+    const Item* item = nullptr;
+    ItemClass item_class = ItemClass::kInTime;
+    size_t turn = 0;
+  };
+  struct Share {
+    size_t running = 0;
+    std::vector<Candidate> candidates;
+  };
+  std::map<OrganisationId, Share> shares;
   for (const auto& [key, job] : m_jobs) {
-    if (job.ownership != Ownership::kOpen || IsOver(job)) {
+    if (job.items.empty()) {
       continue;
     }
-    const JobDefinition& definition = job.record.definition;
-    const bool late = now.wall + m_options.typical_item_time > definition.due;
-    size_t share = running[definition.organisation];
-    for (const ItemId& id : definition.items) {
-      const auto found = job.items.find(id);
-      if (found == job.items.end() ||
-          found->second.phase != ItemPhase::kPending ||
-          found->second.not_before > now.monotonic) {
-        continue;
+    Share& share = shares[job.record.definition.organisation];
+    const bool open = job.ownership == Ownership::kOpen && !IsOver(job);
+    for (const auto& [id, item] : job.items) {
+      share.running += item.phase == ItemPhase::kRunning ? 1 : 0;
+      if (open && item.phase == ItemPhase::kPending &&
+          item.not_before <= now.monotonic) {
+        share.candidates.push_back(
+            {&job, &id, &item, ClassOf(job, item, now.wall)});
       }
-      ordered.push_back(
-          {{late, share / kItemsPerTurn, definition.due, key, id},
-           {key, id, &found->second.progress, found->second.in_doubt_runs}});
-      ++share;
     }
-    running[definition.organisation] = share;
   }
-  std::sort(ordered.begin(), ordered.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
+  using Order =
+      std::tuple<ItemClass, size_t, WallTime, const JobKey&, const ItemId&>;
+  const auto order = [](const Candidate& candidate) {
+    const JobRecord& record = candidate.job->record;
+    return Order(candidate.item_class, candidate.turn, record.definition.due,
+                 record.key, *candidate.id);
+  };
+  const auto before = [&](const Candidate& a, const Candidate& b) {
+    return order(a) < order(b);
+  };
+  std::vector<Candidate> ordered;
+  for (auto& [organisation, share] : shares) {
+    // All turns are equal here, so the order is that within the organisation.
+    std::sort(share.candidates.begin(), share.candidates.end(), before);
+    size_t position = share.running;
+    for (Candidate& candidate : share.candidates) {
+      candidate.turn = position / kItemsPerTurn;
+      ++position;
+      ordered.push_back(candidate);
+    }
+  }
+  std::sort(ordered.begin(), ordered.end(), before);
   std::vector<RunnableItem> items;
-  for (auto& entry : ordered) {
-    items.push_back(std::move(entry.second));
+  items.reserve(ordered.size());
+  for (const Candidate& candidate : ordered) {
+    items.push_back({candidate.job->record.key, *candidate.id,
+                     &candidate.item->progress, candidate.item->in_doubt_runs});
   }
   return items;
 }
 
 std::vector<std::pair<JobKey, ItemId>> JobScheduler::RunningItemsAt(
-    const BackendId& backend) const {
-  std::vector<std::tuple<WallTime, JobKey, ItemId>> running;
+    const BackendId& backend,
+    ClockReadings now) const {
+  using Order = std::tuple<ItemClass, WallTime, Duration, JobKey, ItemId>;
+  std::vector<Order> running;
   for (const auto& [key, job] : m_jobs) {
     for (const auto& [id, item] : job.items) {
       if (item.phase == ItemPhase::kRunning && !item.stopping &&
           item.backend == backend) {
-        running.emplace_back(job.record.definition.due, key, id);
+        const WallTime due = job.record.definition.due;
+        const Duration left = SpanLeft(item.progress);
+        running.emplace_back(ClassOf(job, item, now.wall), due, left, key, id);
       }
     }
   }
-  // Items of the job that is due last are the best ones to delay.
   std::sort(running.rbegin(), running.rend());
   std::vector<std::pair<JobKey, ItemId>> items;
-  for (const auto& [due, key, id] : running) {
+  for (const auto& [item_class, due, left, key, id] : running) {
     items.emplace_back(key, id);
   }
   return items;
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_JOBS_JOB_SCHEDULER_H_
 #define SOURCE_JOBS_JOB_SCHEDULER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -11,7 +12,10 @@
 #include <vector>
 
 #include "Fleet/backend_record.h"
+#include "Jobs/job_order.h"
 #include "Jobs/job_types.h"
+#include "Jobs/job_work.h"
+#include "Peers/job_progress.h"
 #include "Peers/peer_table.h"
 
 namespace cowslip {
@@ -39,9 +43,13 @@
   Duration max_retry_backoff = std::chrono::milliseconds(2500);
   /// Results are collected for this long before they are written together.
   Duration result_flush_delay = std::chrono::milliseconds(250);
-  /// The time that an item typically takes. Jobs with less time left until they
-  /// are due are scheduled after those that can still finish in time.
-  Duration typical_item_time = std::chrono::seconds(4);
+  /// The time for which an item occupies slots, and the number of its events,
+  /// until items have been completed.
+  Duration initial_item_time = std::chrono::seconds(5);
+  double initial_item_events = 150;
+  /// Weight of the newest completed item in the averages of these. Short items
+  /// are completed first, so the first ones must not count for much.
+  double smoothing_factor = 0.05;
   /// The progress of interrupted items is saved once at least this many events
   /// would be lost, about the work of one item, and `save_delay` has passed
   /// since the first of them: a load peak interrupts most items of a job within
@@ -55,6 +63,8 @@
   /// a watch waits, and at most `max_reported_ends` at a time.
   Duration end_report_time = std::chrono::seconds(12);
   size_t max_reported_ends = 128;
+  /// Bounds a report to a few kB; what is left out counts as unfinished.
+  size_t max_reported_progress = 64;
   /// Finished jobs are deleted this long after they were submitted.
   Duration retention = std::chrono::seconds(180);
 };
@@ -75,6 +85,19 @@
 struct JobEndReported {
   JobKey job;
 };
+/// Another process has reported the progress of jobs that it owns.
+struct JobProgressReported {
+  std::vector<JobProgress> progress;
+};
+/// This process writes the record of a job before it decides whether the job is
+/// accepted; until JobOfferEnded the job is not opened.
+struct JobOffered {
+  JobKey job;
+};
+/// This process has accepted or withdrawn the job, or another process has.
+struct JobOfferEnded {
+  JobKey job;
+};
 /// This process is registered, and has read the list of the other ones.
 struct SchedulerActivated {};
 /// This process is shutting down: it starts no more items and hands its jobs
@@ -159,6 +182,9 @@
                                        JobRemoved,
                                        JobEndAcknowledged,
                                        JobEndReported,
+                                       JobProgressReported,
+                                       JobOffered,
+                                       JobOfferEnded,
                                        SchedulerActivated,
                                        SchedulerStopping,
                                        ClaimEnded,
@@ -248,9 +274,11 @@
 /// silent, has restarted or hands the job back, one of the live processes
 /// claims it by conditional update; rendezvous hashing determines which one
 /// tries first. If the owner was in fact alive, an item may run twice, but it
-/// never gets two results, because the result log accepts only one. Items that
-/// can still finish in time are ordered by due time and shared evenly between
-/// organisations; late items follow.
+/// never gets two results, because the result log accepts only one.
+///
+/// Organisations take turns. Within an organisation the items of the job that
+/// is due first start first, so that under a backlog jobs are completed one
+/// after the other. Items that can no longer finish in time follow.
 class JobScheduler {
  public:
   JobScheduler(JobSchedulerOptions options, const PeerTable& peers);
@@ -269,12 +297,31 @@
   bool IsEnded(const JobKey& job) const;
   /// The ends that the other processes have to be told of.
   std::vector<JobKey> EndsToReport(MonotonicTime now) const;
+  /// The progress of this process's jobs, for reports to the others.
+  std::vector<JobProgress> ProgressToReport() const;
+  /// What is left to do of every job that is not over, whoever owns it. Results
+  /// that this process has not heard of count as left to do.
+  std::vector<JobWork> UnfinishedWork() const;
+  /// The items of the job that this process runs.
+  size_t RunningItems(const JobKey& job) const;
+  /// Whether this process is about to accept or withdraw the job.
+  bool IsOffered(const JobKey& job) const { return m_offers.contains(job); }
+  const VmId& self() const { return m_options.self; }
+  /// How long an item occupies slots on average, all its runs together.
+  Duration item_time() const { return m_item_time; }
+  /// How long it takes on average from an item's first run to its end, the time
+  /// in which it is interrupted included.
+  Duration item_span() const {
+    return std::clamp(m_item_span, m_item_time, 2 * m_item_time);
+  }
   /// Whether this process owns the job and has read all its results.
   bool IsOpen(const JobKey& job) const;
-  /// Items that run at that backend server, the best one to preempt first: the
-  /// one whose job is due last.
+  /// Items that run at that backend server, the best one to preempt first: one
+  /// that is late anyway, then one whose job is due last, then one that has
+  /// most left to do.
   std::vector<std::pair<JobKey, ItemId>> RunningItemsAt(
-      const BackendId& backend) const;
+      const BackendId& backend,
+      ClockReadings now) const;
   /// Whether this process has no jobs that it still has to hand back, neither
   /// open ones nor ones that it is claiming.
   bool IsIdle() const;
@@ -294,6 +341,10 @@
     MonotonicTime not_before;
     uint32_t in_doubt_runs = 0;
     BackendId backend;
+    MonotonicTime run_start;
+    std::optional<MonotonicTime> first_start;
+    /// How long its earlier runs in this process have taken.
+    Duration slot_time{0};
     bool stopping = false;
   };
   enum class Ownership { kNone, kClaiming, kOpening, kOpen };
@@ -301,6 +352,8 @@
     JobRecord record;
     Ownership ownership = Ownership::kNone;
     std::map<ItemId, Item> items;
+    /// What other owners have reported.
+    JobProgress reported;
     std::vector<ItemResult> unwritten_results;
     MonotonicTime flush_timer_start;
     bool writing = false;
@@ -322,6 +375,9 @@
   void Apply(const JobRemoved& event, ClockReadings now);
   void Apply(const JobEndAcknowledged& event, ClockReadings now);
   void Apply(const JobEndReported& event, ClockReadings now);
+  void Apply(const JobProgressReported& event, ClockReadings now);
+  void Apply(const JobOffered& event, ClockReadings now);
+  void Apply(const JobOfferEnded& event, ClockReadings now);
   void Apply(const SchedulerActivated&, ClockReadings now);
   void Apply(const SchedulerStopping&, ClockReadings now);
   void Apply(const ClaimEnded& event, ClockReadings now);
@@ -338,6 +394,16 @@
   void Apply(const SchedulerTick&, ClockReadings now);
 
   bool IsOwner(const Job& job) const { return Owns(job.record); }
+  /// Opens the job if this process owns it and has accepted it.
+  void MaybeOpen(Job& job);
+  /// The results of the job that this process knows of.
+  JobProgress ProgressOf(const Job& job) const;
+  void RecordItemTime(const Item& item, MonotonicTime now);
+  /// How much of an item's work is done, from 0 to 1.
+  double DoneFraction(const ItemProgress& progress) const;
+  ItemClass ClassOf(const Job& job, const Item& item, WallTime now) const;
+  /// How much longer an item with this progress takes.
+  Duration SpanLeft(const ItemProgress& progress) const;
   bool IsOver(const Job& job) const;
   /// Whether an end that this process knows of is that of this very job, not of
   /// an earlier one with the same id.
@@ -361,9 +427,9 @@
   void AddUnsavedEvents(Job& job, uint64_t events, ClockReadings now);
   /// Replaces the progress of a pending item by its entry in `known` if that is
   /// further along.
-  static void AdoptProgress(Item& item,
-                            const std::map<ItemId, ItemProgress>& known,
-                            const ItemId& id);
+  void AdoptProgress(Item& item,
+                     const std::map<ItemId, ItemProgress>& known,
+                     const ItemId& id) const;
   /// The progress of the items that have been started but have no result yet.
   static std::map<ItemId, ItemProgress> CollectProgress(const Job& job);
   void MaybeTakeOver(Job& job, ClockReadings now);
@@ -380,6 +446,10 @@
   std::map<JobKey, KnownEnd> m_ends;
   /// When this process has acknowledged ends.
   std::map<JobKey, MonotonicTime> m_acknowledged_ends;
+  std::set<JobKey> m_offers;
+  Duration m_item_time;
+  double m_item_events;
+  Duration m_item_span;
   std::optional<MonotonicTime> m_active_since;
   bool m_stopping = false;
   std::vector<JobSchedulerAction> m_actions;
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -1,8 +1,10 @@
 #ifndef SOURCE_JOBS_JOB_TYPES_H_
 #define SOURCE_JOBS_JOB_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,9 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  /// The tokens of the prompt and the maximum output, as the client states
+  /// them; nullopt if it does not.
+  std::optional<uint64_t> tokens;
 };
 
 /// \class ItemProgress
@@ -67,6 +72,15 @@
   /// Number of documents that hold the items.
   uint32_t input_segments = 0;
   std::vector<ItemId> items;
+  /// The tokens of each of `items`; 0 for those that stated none. Empty in jobs
+  /// of earlier releases.
+  std::vector<uint64_t> tokens;
+  /// When the job was accepted, it could not be finished in time: its items run
+  /// in slots that those which can be in time leave.
+  bool spare_slots_only = false;
+  /// The job's record was written before the job was accepted, see
+  /// JobRecord::IsAccepted().
+  bool offered = false;
   /// The process that accepted the job and is its first owner.
   VmId accepted_by;
   Incarnation accepted_incarnation;
@@ -82,6 +96,9 @@
   bool ended = false;
   /// Every item has a result.
   bool finished = false;
+  /// An offered job was accepted, and its items are stored. The process that
+  /// offered the job may know so before the status does.
+  bool accepted = false;
   /// The progress of the items when the last owner handed the job back.
   std::map<ItemId, ItemProgress> progress;
 };
@@ -91,9 +108,21 @@
 struct JobRecord {
   JobKey key;
   ObjectVersion version;
+  /// The version at which the document was created; 0 if the store does not
+  /// tell.
+  ObjectVersion created;
   JobDefinition definition;
   JobStatus status;
 
+  /// Whether the record says that the job was accepted.
+  bool IsAccepted() const {
+    return !definition.offered || status.accepted || status.ended ||
+           status.finished;
+  }
+  /// The tokens of the item at this index of `definition.items`.
+  uint64_t TokensOf(size_t index) const {
+    return index < definition.tokens.size() ? definition.tokens[index] : 0;
+  }
   /// The version of the document at which the current owner was set, or a later
   /// one.
   FencingNumber fence() const { return FencingNumber(version.value()); }
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -135,6 +135,15 @@
   for (const json& job : fields.at(17)) {
     message.ended_jobs.push_back(job.get<JobKey>());
   }
+  // Processes of earlier releases end here.
+  if (fields.size() > 18) {
+    for (const json& progress : fields.at(18)) {
+      message.job_progress.push_back(
+          {.job = progress.at(0).get<JobKey>(),
+           .items = progress.at(1).get<uint32_t>(),
+           .tokens = progress.at(2).get<uint64_t>()});
+    }
+  }
   return message;
 }
 
@@ -162,6 +171,11 @@
     completed_requests.push_back(
         {request.fingerprint.value(), ToMillis(request.age)});
   }
+  json job_progress = json::array();
+  for (const JobProgress& progress : message.job_progress) {
+    job_progress.push_back(
+        {progress.job.value(), progress.items, progress.tokens});
+  }
   return ToCbor(json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
        message.sequence, ToMillis(message.uptime),
@@ -170,7 +184,8 @@
        EncodeAbortedRuns(message.aborted_runs),
        EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
        EncodeLimits(message.backend_limits), std::move(held_back),
-       std::move(completed_requests), message.ended_jobs}));
+       std::move(completed_requests), message.ended_jobs,
+       std::move(job_progress)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -16,6 +16,7 @@
 #include "Fleet/request_rate.h"
 #include "Peers/crash_evidence.h"
 #include "Peers/divergence_detector.h"
+#include "Peers/job_progress.h"
 #include "Quota/quota_core.h"
 
 namespace cowslip {
@@ -87,6 +88,8 @@
   std::vector<BackendLimit> backend_limits;
   /// Jobs whose end the sender has acknowledged to a client lately.
   std::vector<JobKey> ended_jobs;
+  /// The sender's unfinished jobs of which some items have results.
+  std::vector<JobProgress> job_progress;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Source/Placement/crash_suspect_core.cc
+++ b/Source/Placement/crash_suspect_core.cc
@@ -87,6 +87,16 @@
   return CrashSuspectNoAction{};
 }
 
+CrashSuspectAction CrashSuspectCore::Apply(const BackendVanished& event,
+                                           MonotonicTime now) {
+  RecordCrashTime({.backend = event.backend,
+                   .started_at_ms = event.started_at_ms,
+                   .time = now,
+                   .uncertainty = m_options.discovery_delay});
+  UpdateBlockedParts();
+  return CrashSuspectNoAction{};
+}
+
 CrashSuspectAction CrashSuspectCore::Apply(
     const PeerCrashEvidenceReported& event,
     MonotonicTime now) {
@@ -176,7 +186,10 @@
   const bool has_trial =
       std::any_of(parts.begin(), parts.end(),
                   [](const SuspectPart& suspect) { return suspect.is_trial; });
-  RecordCrashTime(backend, started_at_ms, has_trial, time);
+  RecordCrashTime({.backend = backend,
+                   .started_at_ms = started_at_ms,
+                   .time = time,
+                   .ended_trial = has_trial});
   auto known =
       std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& crash) {
         return crash.backend == backend &&
@@ -238,25 +251,34 @@
   }
 }
 
-void CrashSuspectCore::RecordCrashTime(const BackendId& backend,
-                                       uint64_t started_at_ms,
-                                       bool ended_trial,
-                                       MonotonicTime time) {
+void CrashSuspectCore::RecordCrashTime(const CrashTime& crash) {
   const auto known = std::find_if(
-      m_crash_times.begin(), m_crash_times.end(), [&](const CrashTime& crash) {
-        return crash.backend == backend && crash.started_at_ms == started_at_ms;
+      m_crash_times.begin(), m_crash_times.end(), [&](const CrashTime& other) {
+        return other.backend == crash.backend &&
+               other.started_at_ms == crash.started_at_ms;
       });
   if (known != m_crash_times.end()) {
-    known->ended_trial |= ended_trial;
+    known->ended_trial |= crash.ended_trial;
+    if (crash.uncertainty < known->uncertainty) {
+      known->time = crash.time;
+      known->uncertainty = crash.uncertainty;
+    }
     return;
   }
-  m_crash_times.push_back({backend, started_at_ms, time, ended_trial});
+  m_crash_times.push_back(crash);
   if (m_crash_times.size() > m_options.max_crash_times) {
     m_crash_times.pop_front();
   }
   m_changed = true;
 }
 
+bool CrashSuspectCore::MayBeTogether(const CrashTime& other,
+                                     MonotonicTime time) const {
+  const MonotonicTime earliest = other.time - other.uncertainty;
+  return time >= earliest - m_options.common_cause_window &&
+         time <= other.time + m_options.common_cause_window;
+}
+
 bool CrashSuspectCore::Disproves(uint32_t events,
                                  const Suspicion& suspicion) const {
   return events == kAllEvents ||
@@ -278,8 +300,7 @@
         m_crash_times.begin(), m_crash_times.end(),
         [&](const CrashTime& other) {
           return other.backend != crash.backend && !other.ended_trial &&
-                 Distance(other.time, crash.time) <=
-                     m_options.common_cause_window;
+                 MayBeTogether(other, crash.time);
         });
     crash.has_common_cause = others >= m_options.common_cause_crashes;
   }
--- a/Source/Placement/crash_suspect_core.h
+++ b/Source/Placement/crash_suspect_core.h
@@ -45,6 +45,8 @@
   /// of a trial's crash, so that the trial proves nothing.
   uint32_t common_cause_crashes = 4;
   Duration common_cause_window = std::chrono::milliseconds(250);
+  /// How long after a crash service discovery may show it.
+  Duration discovery_delay = std::chrono::seconds(4);
   /// A run that has received this many events more than one that broke off has
   /// passed the point at which that one crashed the backend server, if it did.
   uint32_t event_margin = 10;
@@ -106,6 +108,12 @@
   BackendId backend;
   uint64_t started_at_ms = 0;
 };
+/// Service discovery no longer lists an incarnation that had not said that it
+/// leaves.
+struct BackendVanished {
+  BackendId backend;
+  uint64_t started_at_ms = 0;
+};
 /// Another process reported what it knows of crashes.
 struct PeerCrashEvidenceReported {
   VmId vm;
@@ -125,6 +133,7 @@
                                        RunEndedWell,
                                        RunEndedWithConnection,
                                        BackendRefusedConnection,
+                                       BackendVanished,
                                        PeerCrashEvidenceReported,
                                        RunRequested,
                                        TrialEnded>;
@@ -231,6 +240,8 @@
     MonotonicTime time;
     /// Trials that run at the same time must not excuse each other.
     bool ended_trial = false;
+    /// How long before `time` it may have crashed.
+    Duration uncertainty{0};
   };
   /// How far a run with a part came after a crash.
   struct Progress {
@@ -256,6 +267,7 @@
                            MonotonicTime now);
   CrashSuspectAction Apply(const BackendRefusedConnection& event,
                            MonotonicTime now);
+  CrashSuspectAction Apply(const BackendVanished& event, MonotonicTime now);
   CrashSuspectAction Apply(const PeerCrashEvidenceReported& event,
                            MonotonicTime now);
   CrashSuspectAction Apply(const RunRequested& event, MonotonicTime now);
@@ -279,10 +291,7 @@
                         MonotonicTime time);
   /// Whether a known run has gone on past the crash.
   bool IsDisproved(const SuspectPart& suspect, MonotonicTime crash) const;
-  void RecordCrashTime(const BackendId& backend,
-                       uint64_t started_at_ms,
-                       bool ended_trial,
-                       MonotonicTime time);
+  void RecordCrashTime(const CrashTime& crash);
   static bool EndedTrial(const Crash& crash);
   /// Records that a run with the part had received `events` at `time`. Returns
   /// whether that clears the part of a crash.
@@ -304,6 +313,9 @@
   uint32_t CountOf(const PromptPartId& part) const;
   /// Whether a run with `events` has gone on past the suspected crash.
   bool Disproves(uint32_t events, const Suspicion& suspicion) const;
+  /// Whether another backend server may have crashed together with one that
+  /// crashed at `time`.
+  bool MayBeTogether(const CrashTime& other, MonotonicTime time) const;
   /// Sets `has_common_cause` of the crashes that ended a trial.
   void FindCommonCauses();
   /// Whether a blocked part accounts for the crash.
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -230,6 +230,13 @@
   }
 }
 
+void PlacementCore::Apply(const BatchPreempted& event, MonotonicTime now) {
+  const auto found = m_backends.find(event.backend);
+  if (found != m_backends.end()) {
+    found->second.batch_paused_until = now + m_options.preemption_pause;
+  }
+}
+
 void PlacementCore::UpdateAverage(double& average, Duration sample) const {
   const double seconds = ToSeconds(sample);
   average = average == 0
@@ -313,8 +320,10 @@
 bool PlacementCore::IsUsable(const Backend& backend,
                              WorkClass work,
                              MonotonicTime now) const {
+  const bool is_paused =
+      work == WorkClass::kBatch && now < backend.batch_paused_until;
   return AcceptsRequests(backend.record) && now >= backend.backoff_until &&
-         IsWithinLimit(backend.record, work, now);
+         !is_paused && IsWithinLimit(backend.record, work, now);
 }
 
 double PlacementCore::MedianEventInterval(const ServiceId& service) const {
@@ -385,13 +394,30 @@
 std::optional<BackendId> PlacementCore::PlaceBatch(const PlacementQuery& query,
                                                    MonotonicTime now) const {
   const auto max_load = [&](const Backend& backend) {
-    const uint32_t slots = backend.record.slots;
-    return slots > m_options.batch_headroom ? slots - m_options.batch_headroom
-                                            : 1;
+    return MaxLoadWithBatch(backend.record);
   };
   return PlaceBelowLoad(query, WorkClass::kBatch, now, max_load);
 }
 
+uint32_t PlacementCore::MaxLoadWithBatch(const BackendRecord& record) const {
+  const uint32_t slots = record.slots;
+  return slots > m_options.batch_headroom ? slots - m_options.batch_headroom
+                                          : 1;
+}
+
+uint32_t PlacementCore::BatchSlots(const ServiceId& service,
+                                   MonotonicTime now) const {
+  uint32_t slots = 0;
+  for (const auto& [id, backend] : m_backends) {
+    if (backend.record.service == service &&
+        IsUsable(backend, WorkClass::kBatch, now)) {
+      const uint32_t most = MaxLoadWithBatch(backend.record);
+      slots += most - std::min(most, backend.Online());
+    }
+  }
+  return slots;
+}
+
 bool PlacementCore::ShouldPreemptBatch(const BackendId& id) const {
   const auto found = m_backends.find(id);
   if (found == m_backends.end()) {
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -27,6 +27,10 @@
   /// Slots of a backend server that batch items leave free for the online
   /// requests that arrive before the next peer report.
   uint32_t batch_headroom = 2;
+  /// How long this process starts no batch item where it has preempted one: a
+  /// wave of online requests lasts longer, and the next request would preempt
+  /// the new item.
+  Duration preemption_pause = std::chrono::milliseconds(200);
   /// Base of the backoff after consecutive failures; it doubles with each one.
   Duration initial_backoff = std::chrono::milliseconds(500);
   /// Maximum backoff: the platform removes the entry of an unresponsive backend
@@ -108,6 +112,10 @@
   WorkClass work = WorkClass::kOnline;
   AttemptOutcome outcome = AttemptOutcome::kCompleted;
 };
+/// This process preempts a batch item at a backend server.
+struct BatchPreempted {
+  BackendId backend;
+};
 /// The time to the first event of an online request was measured.
 struct FirstEventMeasured {
   BackendId backend;
@@ -139,6 +147,7 @@
                                     FleetMembersChanged,
                                     AttemptStarted,
                                     AttemptEnded,
+                                    BatchPreempted,
                                     FirstEventMeasured,
                                     EventIntervalMeasured,
                                     SlotTimeMeasured,
@@ -210,6 +219,9 @@
   bool ShouldPreemptBatch(const BackendId& backend) const;
 
   ServiceLoad Load(const PlacementQuery& query, MonotonicTime now) const;
+  /// The slots of the service that batch items may use at this moment, those
+  /// that they use already included.
+  uint32_t BatchSlots(const ServiceId& service, MonotonicTime now) const;
   /// Whether the service has a backend server of this version that accepts new
   /// requests, however loaded it is.
   bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
@@ -245,6 +257,7 @@
     std::map<VmId, InFlightCounts> peers;
     uint32_t failures = 0;
     MonotonicTime backoff_until;
+    MonotonicTime batch_paused_until;
     // Seconds; zero until there is a sample.
     double first_event = 0;
     double event_interval = 0;
@@ -262,6 +275,7 @@
   void Apply(const FleetMembersChanged& event, MonotonicTime now);
   void Apply(const AttemptStarted& event, MonotonicTime now);
   void Apply(const AttemptEnded& event, MonotonicTime now);
+  void Apply(const BatchPreempted& event, MonotonicTime now);
   void Apply(const FirstEventMeasured& event, MonotonicTime now);
   void Apply(const EventIntervalMeasured& event, MonotonicTime now);
   void Apply(const SlotTimeMeasured& event, MonotonicTime now);
@@ -285,6 +299,8 @@
   std::optional<Duration> AttemptInterval(const BackendId& id,
                                           RequestRate limit) const;
   bool IsSlow(const Backend& backend, double median) const;
+  /// How many requests a backend server may run when a batch item is one.
+  uint32_t MaxLoadWithBatch(const BackendRecord& record) const;
   double MedianEventInterval(const ServiceId& service) const;
   template <class MaxLoad>
   std::optional<BackendId> PlaceBelowLoad(const PlacementQuery& query,
--- a/Source/Platform/document_store.h
+++ b/Source/Platform/document_store.h
@@ -27,6 +27,9 @@
 struct Document {
   DocumentName name;
   ObjectVersion version;
+  /// The version at which it was created; 0 if the store does not tell. Of two
+  /// documents, the one with the lower value was created first.
+  ObjectVersion created;
   /// The state that the document's writer declares.
   nlohmann::json content;
   /// The state that is reported about it; updated separately from the content.
@@ -98,6 +101,9 @@
   /// Removes the document regardless of its version.
   virtual boost::asio::awaitable<Result<void>> Remove(DocumentKind kind,
                                                       DocumentName name) = 0;
+  /// Removes the document if it is still at `expected`.
+  virtual boost::asio::awaitable<Result<void>>
+  RemoveAt(DocumentKind kind, DocumentName name, ObjectVersion expected) = 0;
 };
 
 }  // namespace cowslip
--- a/Source/Platform/relayed_store.cc
+++ b/Source/Platform/relayed_store.cc
@@ -125,6 +125,10 @@
         std::move(status->kind), std::move(status->name),
         std::move(status->status), status->expected));
   }
+  if (auto* remove = std::get_if<RemoveDocumentAt>(&request)) {
+    co_return ToStoreResponse(co_await m_direct.RemoveAt(
+        std::move(remove->kind), std::move(remove->name), remove->expected));
+  }
   auto& remove = std::get<RemoveDocument>(request);
   co_return ToStoreResponse(
       co_await m_direct.Remove(std::move(remove.kind), std::move(remove.name)));
@@ -248,6 +252,18 @@
 awaitable<Result<void>> RelayedStore::Remove(DocumentKind kind,
                                              DocumentName name) {
   StoreRequest request = RemoveDocument{std::move(kind), std::move(name)};
+  co_return co_await CallForDone(std::move(request));
+}
+
+awaitable<Result<void>> RelayedStore::RemoveAt(DocumentKind kind,
+                                               DocumentName name,
+                                               ObjectVersion expected) {
+  StoreRequest request =
+      RemoveDocumentAt{std::move(kind), std::move(name), expected};
+  co_return co_await CallForDone(std::move(request));
+}
+
+awaitable<Result<void>> RelayedStore::CallForDone(StoreRequest request) {
   const Result<Done> done = co_await CallFor<Done>(std::move(request));
   if (!done.has_value()) {
     co_return done.error();
--- a/Source/Platform/relayed_store.h
+++ b/Source/Platform/relayed_store.h
@@ -68,6 +68,10 @@
       ObjectVersion expected) override;
   boost::asio::awaitable<Result<void>> Remove(DocumentKind kind,
                                               DocumentName name) override;
+  boost::asio::awaitable<Result<void>> RemoveAt(
+      DocumentKind kind,
+      DocumentName name,
+      ObjectVersion expected) override;
 
   /// Whether this process's last direct call got a response from the store.
   bool reaches_store() const { return m_reaches_store; }
@@ -84,6 +88,7 @@
       Endpoint peer);
   template <class Response>
   boost::asio::awaitable<Result<Response>> CallFor(StoreRequest request);
+  boost::asio::awaitable<Result<void>> CallForDone(StoreRequest request);
   void RecordDirectCall(const Result<StoreResponse>& store_response);
 
   const boost::asio::any_io_executor m_executor;
--- a/Source/Platform/store_relay_messages.cc
+++ b/Source/Platform/store_relay_messages.cc
@@ -21,13 +21,17 @@
 }
 
 json EncodeDocumentFields(const Document& document) {
-  return json::array(
-      {document.name, document.version, document.content, document.status});
+  return json::array({document.name, document.version, document.content,
+                      document.status, document.created});
 }
 
 Document ReadDocument(const json& fields) {
+  // Processes of earlier releases do not tell the creation.
+  const auto created =
+      fields.size() > 4 ? fields.at(4).get<ObjectVersion>() : ObjectVersion();
   return Document{.name = fields.at(0).get<DocumentName>(),
                   .version = fields.at(1).get<ObjectVersion>(),
+                  .created = created,
                   .content = fields.at(2),
                   .status = fields.at(3)};
 }
@@ -53,6 +57,9 @@
 json EncodeFields(const RemoveDocument& r) {
   return {r.kind, r.name};
 }
+json EncodeFields(const RemoveDocumentAt& r) {
+  return json::array({r.kind, r.name, r.expected});
+}
 
 StoreRequest ReadRequest(size_t index, const json& f) {
   const auto kind = f.at(0).get<DocumentKind>();
@@ -73,8 +80,10 @@
     case 5:
       return ReplaceDocumentStatus{kind, name(), f.at(2),
                                    f.at(3).get<ObjectVersion>()};
-    default:
+    case 6:
       return RemoveDocument{kind, name()};
+    default:
+      return RemoveDocumentAt{kind, name(), f.at(2).get<ObjectVersion>()};
   }
 }
 
--- a/Source/Platform/store_relay_messages.h
+++ b/Source/Platform/store_relay_messages.h
@@ -45,13 +45,19 @@
   DocumentKind kind;
   DocumentName name;
 };
+struct RemoveDocumentAt {
+  DocumentKind kind;
+  DocumentName name;
+  ObjectVersion expected;
+};
 using StoreRequest = std::variant<GetDocument,
                                   ListDocuments,
                                   WatchDocuments,
                                   CreateDocument,
                                   ReplaceDocument,
                                   ReplaceDocumentStatus,
-                                  RemoveDocument>;
+                                  RemoveDocument,
+                                  RemoveDocumentAt>;
 
 /// Success without a value.
 struct Done {};
--- a/Tests/Gateway/lone_items_test.cc
+++ b/Tests/Gateway/lone_items_test.cc
@@ -5,7 +5,8 @@
 namespace cowslip {
 namespace {
 
-// Crashes of backend servers that run nothing are not seen beside a trial.
+// Crashes of backend servers that run nothing are seen by service discovery
+// only.
 TEST_CASE("Items are not left lying after waves that nothing else has met") {
   CheckItemsAfterCrashWaves(0);
 }
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -490,6 +490,90 @@
   CHECK(place <= 8);
 }
 
+TEST_CASE("The job that is due first does not wait for others of its owner") {
+  Fixture f;
+  // The order of the names is not that of the due times.
+  for (int i = 0; i < 20; ++i) {
+    const std::string name = "j" + std::to_string(100 - i);
+    JobRecord record = Record(name.c_str(), "vm1", 1);
+    record.definition.due += std::chrono::seconds(i);
+    f.Open(record);
+  }
+  const auto runnable = f.scheduler.RunnableItems(At(0s));
+  REQUIRE(runnable.size() == 40);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(runnable[2 * i].job == JobKey("j" + std::to_string(100 - i)));
+  }
+}
+
+TEST_CASE("Items in spare slots start after those that are to be in time") {
+  Fixture f;
+  JobRecord spare = Record("j", "vm1", 1);
+  spare.definition.spare_slots_only = true;
+  JobRecord in_time = Record("k", "vm1", 1);
+  in_time.definition.due += 5s;
+  JobRecord late = Record("i", "vm1", 1);
+  late.definition.due = kSubmitted + 2s;
+  f.Open(spare);
+  f.Open(in_time);
+  f.Open(late);
+  const auto runnable = f.scheduler.RunnableItems(At(0s));
+  REQUIRE(runnable.size() == 6);
+  CHECK(runnable[0].job == JobKey("k"));
+  CHECK(runnable[2].job == JobKey("j"));
+  CHECK(runnable[4].job == JobKey("i"));
+}
+
+TEST_CASE("The item that has most left to do is preempted first") {
+  Fixture f;
+  f.Open(Record("j", "vm1", 1));
+  f.RunItem("a", ItemRunOutcome::kInterrupted, 1s);
+  for (const char* item : {"a", "b"}) {
+    f.Handle(ItemStarted{JobKey("j"), ItemId(item), BackendId("x")}, 2s);
+  }
+  const auto running = f.scheduler.RunningItemsAt(BackendId("x"), At(2s));
+  REQUIRE(running.size() == 2);
+  CHECK(running[0].second == ItemId("b"));
+}
+
+TEST_CASE("An offered job is not opened before it is accepted") {
+  Fixture f;
+  const JobRecord record = Record("j", "vm1", 1);
+  f.Handle(JobOffered{record.key}, 0s);
+  CHECK(Find<OpenJob>(f.Handle(JobUpdated{record}, 0s)) == nullptr);
+  CHECK(f.scheduler.UnfinishedWork().size() == 1);
+  CHECK(Find<OpenJob>(f.Handle(JobOfferEnded{record.key}, 1s)) != nullptr);
+}
+
+TEST_CASE("Unfinished work shrinks with results, whoever reports them") {
+  Fixture f;
+  JobRecord own = Record("j", "vm1", 1);
+  own.definition.tokens = {10, 30};
+  f.Open(own);
+  f.RunItem("a", ItemRunOutcome::kCompleted, 1s);
+  CHECK(f.scheduler.ProgressToReport().empty());
+  f.Handle(ResultsWritten{own.key, {ItemId("a")}}, 2s);
+  const auto reports = f.scheduler.ProgressToReport();
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].items == 1);
+  CHECK(reports[0].tokens == 10);
+
+  Fixture other;
+  JobRecord record = own;
+  record.status.owner = VmId("vm2");
+  other.Handle(JobUpdated{record}, 0s);
+  CHECK(other.scheduler.UnfinishedWork()[0].tokens == 40);
+  other.Handle(JobProgressReported{reports}, 2s);
+  // An older report that arrives late sets nothing back.
+  other.Handle(JobProgressReported{{{.job = own.key}}}, 2s);
+  CHECK(other.scheduler.UnfinishedWork()[0].tokens == 30);
+  CHECK(other.scheduler.UnfinishedWork()[0].items == 1);
+  record.status.ended = true;
+  record.version = ObjectVersion(2);
+  other.Handle(JobUpdated{record}, 3s);
+  CHECK(other.scheduler.UnfinishedWork().empty());
+}
+
 TEST_CASE("Finished jobs are deleted after their retention") {
   Fixture f;
   JobRecord record = Record("j", "vm1", 1);
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -140,6 +140,8 @@
       message.crash_evidence.held_back.push_back(
           PromptPartId(std::to_string(count)));
       message.ended_jobs.push_back(JobKey(std::to_string(count)));
+      message.job_progress.push_back(
+          {JobKey(std::to_string(count)), count, uint64_t{count} << 20});
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
@@ -164,9 +166,12 @@
     const auto& limits = decoded.value().backend_limits;
     RC_ASSERT(limits.size() == counts.size());
     RC_ASSERT(decoded.value().ended_jobs == message.ended_jobs);
+    const auto& progress = decoded.value().job_progress;
+    RC_ASSERT(progress.size() == counts.size());
     for (size_t i = 0; i < counts.size(); ++i) {
       RC_ASSERT(limits[i].limit == message.backend_limits[i].limit);
       RC_ASSERT(limits[i].started_at_ms == counts[i]);
+      RC_ASSERT(progress[i].tokens == message.job_progress[i].tokens);
     }
     for (size_t i = 0; i < counts.size(); ++i) {
       RC_ASSERT(evidence.crashes[i].started_at_ms == counts[i]);
--- a/Tests/Placement/crash_wave_test.cc
+++ b/Tests/Placement/crash_wave_test.cc
@@ -43,6 +43,13 @@
     Crash(now, 0, {PromptPartId("elsewhere" + std::to_string(m_crashes))},
           false);
   }
+  // Service discovery shows the crash of a backend server that ran nothing.
+  void VanishElsewhere(MonotonicTime now) {
+    m_core.Handle(
+        BackendVanished{.backend = BackendId("idle" + std::to_string(++m_idle)),
+                        .started_at_ms = 1},
+        now);
+  }
   void Advance(MonotonicTime now, uint32_t events) {
     m_core.Handle(RunAdvanced{.parts = m_parts, .events = events}, now);
   }
@@ -86,6 +93,7 @@
   PeerTable m_table;
   CrashSuspectCore m_core;
   int m_crashes = 0;
+  int m_idle = 0;
   bool m_is_trying = false;
 };
 
@@ -124,6 +132,44 @@
   CHECK(process.MayRun(now + kMaxIdleTime));
 }
 
+TEST_CASE(
+    "A trial that crashes together with idle backend servers is repeated") {
+  Process process;
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3; ++i) {
+    now += 100ms;
+    process.Crash(now);
+  }
+  for (int wave = 0; wave < 10; ++wave) {
+    now += 2s;
+    REQUIRE(process.MayRun(now));
+    process.Crash(now);
+    for (int i = 0; i < 4; ++i) {
+      process.VanishElsewhere(now + 900ms);
+    }
+  }
+  CHECK(process.MayRun(now + kMaxIdleTime));
+}
+
+TEST_CASE("Backend servers that vanish later do not excuse a trial") {
+  Process process;
+  MonotonicTime now(100s);
+  for (int i = 0; i < 3; ++i) {
+    now += 100ms;
+    process.Crash(now);
+  }
+  for (const Duration delay : {1s, 4s}) {
+    now += delay;
+    REQUIRE(process.MayRun(now));
+    process.Crash(now);
+  }
+  for (int i = 0; i < 4; ++i) {
+    process.VanishElsewhere(now + 6s);
+  }
+  CHECK_FALSE(process.MayRun(now + 15900ms));
+  CHECK(process.MayRun(now + 16s));
+}
+
 TEST_CASE("Many later crashes do not fail a trial that proved nothing") {
   Process process;
   MonotonicTime now(100s);
--- a/Tests/Platform/store_relay_messages_test.cc
+++ b/Tests/Platform/store_relay_messages_test.cc
@@ -19,7 +19,8 @@
       CreateDocument{kKind, kName, kContent},
       ReplaceDocument{kKind, kName, kContent, kVersion},
       ReplaceDocumentStatus{kKind, kName, kContent, kVersion},
-      RemoveDocument{kKind, kName}};
+      RemoveDocument{kKind, kName},
+      RemoveDocumentAt{kKind, kName, ObjectVersion(7)}};
   for (const StoreRequest& request : requests) {
     const std::string bytes = EncodeStoreRequest(request);
     const auto decoded = DecodeStoreRequest(bytes);
@@ -33,7 +34,7 @@
 }
 
 TEST_CASE("Store responses and errors round-trip through their encoding") {
-  const Document document{kName, kVersion, kContent, nullptr};
+  const Document document{kName, kVersion, kVersion, kContent, nullptr};
   const std::vector<StoreResponse> responses = {
       Done{}, document, DocumentPage{{document, document}, true, kVersion},
       DocumentChanges{{{document, true}}, kVersion}};
--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -109,6 +109,29 @@
   CHECK(configuration.keys_required());
 }
 
+TEST_CASE("A limit on waiting tokens is a whole number up to 2^53") {
+  const auto decode = [](const json& value) {
+    json spec = Configuration();
+    spec["routes"][1]["max_count"] = value;
+    return platform::DecodeConfiguration(spec);
+  };
+  for (const uint64_t tokens :
+       {uint64_t{0}, uint64_t{1'200'000}, uint64_t{1} << 53}) {
+    const auto parts = decode(tokens);
+    REQUIRE(parts.has_value());
+    CHECK(parts.value().routes[1].max_waiting_tokens == tokens);
+  }
+  for (const json& invalid :
+       {json(-1), json(1.5), json((uint64_t{1} << 53) + 2), json("100"),
+        json(nullptr), json(true)}) {
+    const auto parts = decode(invalid);
+    REQUIRE_FALSE(parts.has_value());
+    CHECK(parts.error().message.find("max_count") != std::string::npos);
+  }
+  const auto none = platform::DecodeConfiguration(Configuration());
+  CHECK_FALSE(none.value().routes[1].max_waiting_tokens.has_value());
+}
+
 TEST_CASE("A configuration without organisations requires no API key") {
   json spec = Configuration();
   spec.erase("tenants");
--- a/Tests/PlatformAdapter/gated_store.cc
+++ b/Tests/PlatformAdapter/gated_store.cc
@@ -99,4 +99,10 @@
   return m_store.Remove(std::move(kind), std::move(name));
 }
 
+awaitable<Result<void>> GatedStore::RemoveAt(DocumentKind kind,
+                                             DocumentName name,
+                                             ObjectVersion expected) {
+  return m_store.RemoveAt(std::move(kind), std::move(name), expected);
+}
+
 }  // namespace cowslip
--- a/Tests/PlatformAdapter/gated_store.h
+++ b/Tests/PlatformAdapter/gated_store.h
@@ -52,6 +52,10 @@
       ObjectVersion expected) override;
   boost::asio::awaitable<Result<void>> Remove(DocumentKind kind,
                                               DocumentName name) override;
+  boost::asio::awaitable<Result<void>> RemoveAt(
+      DocumentKind kind,
+      DocumentName name,
+      ObjectVersion expected) override;
 
  private:
   struct PendingCall {
--- a/Tests/PlatformAdapter/late_listing_test.cc
+++ b/Tests/PlatformAdapter/late_listing_test.cc
@@ -61,6 +61,11 @@
                                  DocumentName name) override {
     return m_store.Remove(std::move(kind), std::move(name));
   }
+  awaitable<Result<void>> RemoveAt(DocumentKind kind,
+                                   DocumentName name,
+                                   ObjectVersion expected) override {
+    return m_store.RemoveAt(std::move(kind), std::move(name), expected);
+  }
 
   Duration delay{0};
 
--- a/Tests/PlatformAdapter/messages_test.cc
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -160,6 +160,20 @@
   }
 }
 
+TEST_CASE("The tokens of an item are a whole number, or not stated") {
+  const auto decode = [](const std::string& tokens) {
+    return platform::DecodeSubmission(
+        R"({"items":[{"id":"a","path":"/p","body":"")" + tokens + "}]}");
+  };
+  CHECK(decode(R"(,"tokens":940)").value()[0].tokens == 940);
+  CHECK_FALSE(decode("").value()[0].tokens.has_value());
+  for (const char* invalid : {"-1", "1.5", "\"940\"", "null", "1e300"}) {
+    const auto items = decode(std::string(",\"tokens\":") + invalid);
+    REQUIRE_FALSE(items.has_value());
+    CHECK(items.error().message.find("tokens") != std::string::npos);
+  }
+}
+
 TEST_CASE("A random body is rejected as a job submission") {
   rc::check([](const std::string& body) {
     RC_ASSERT(!platform::DecodeSubmission(body).has_value());
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -78,6 +78,32 @@
   });
 }
 
+TEST_CASE("A document is removed only at the expected version") {
+  Fixture f;
+  f.Run([&]() -> awaitable<void> {
+    const DocumentName name("a");
+    nlohmann::json content = {{"x", 1}};
+    auto created = co_await f.client->Create(kKind, name, std::move(content));
+    REQUIRE(created.has_value());
+    const ObjectVersion first = created.value().version;
+    CHECK(created.value().created == first);
+    nlohmann::json status = {{"y", 1}};
+    auto changed =
+        co_await f.client->ReplaceStatus(kKind, name, std::move(status), first);
+    REQUIRE(changed.has_value());
+    CHECK(changed.value().created == first);
+    auto too_old = co_await f.client->RemoveAt(kKind, name, first);
+    REQUIRE_FALSE(too_old.has_value());
+    CHECK(too_old.error().kind() == ErrorKind::kConflict);
+    const ObjectVersion second = changed.value().version;
+    auto removed = co_await f.client->RemoveAt(kKind, name, second);
+    CHECK(removed.has_value());
+    auto gone = co_await f.client->RemoveAt(kKind, name, second);
+    REQUIRE_FALSE(gone.has_value());
+    CHECK(gone.error().kind() == ErrorKind::kNotFound);
+  });
+}
+
 TEST_CASE(
     "A write is unavailable when refused and in doubt without a response") {
   Fixture f;
--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -75,6 +75,9 @@
   Document& document = m_documents[{kind, name}];
   document.name = DocumentName(name);
   document.version = ObjectVersion(++m_version);
+  if (document.created == ObjectVersion()) {
+    document.created = document.version;
+  }
   document.content = std::move(content);
   Record({kind, name}, document, false);
 }
@@ -200,6 +203,25 @@
   });
 }
 
+awaitable<Result<void>> FakeDocumentStore::RemoveAt(DocumentKind kind,
+                                                    DocumentName name,
+                                                    ObjectVersion expected) {
+  const Result<Document> removed = Run([=, this]() -> Result<Document> {
+    const Key key(kind.value(), name.value());
+    const Result<Document*> found = FindAt(key, expected);
+    if (!found.has_value()) {
+      return found.error();
+    }
+    Document document = *found.value();
+    Erase(key.first, key.second);
+    return document;
+  });
+  if (!removed.has_value()) {
+    co_return removed.error();
+  }
+  co_return Ok();
+}
+
 awaitable<Result<void>> FakeDocumentStore::Remove(DocumentKind kind,
                                                   DocumentName name) {
   if (TakeFault() != StoreFault::kNone) {
--- a/Utilities/StandIns/MetadataStore/fake_document_store.h
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.h
@@ -50,6 +50,10 @@
       ObjectVersion expected) override;
   boost::asio::awaitable<Result<void>> Remove(DocumentKind kind,
                                               DocumentName name) override;
+  boost::asio::awaitable<Result<void>> RemoveAt(
+      DocumentKind kind,
+      DocumentName name,
+      ObjectVersion expected) override;
 
   /// The next `count` calls meet this fault.
   void FailNext(StoreFault fault, size_t count = 1);
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -20,7 +20,7 @@
   return {{"metadata",
            {{"name", document.name.value()},
             {"revision", document.version.value()},
-            {"created", 1},
+            {"created", document.created.value()},
             {"finalizers", json::array()},
             {"deleting", false}}},
           {"spec", document.content},
@@ -206,6 +206,12 @@
 awaitable<HttpResponse> MetadataServer::Write(const HttpRequest& request,
                                               DocumentKind kind,
                                               std::string name) {
+  if (request.method == "DELETE" && request.Query("revision").has_value()) {
+    const ObjectVersion expected(Number(request, "revision"));
+    const Result<void> removed =
+        co_await m_store.RemoveAt(kind, DocumentName(name), expected);
+    co_return removed.has_value() ? HttpResponse() : FromError(removed.error());
+  }
   if (request.method == "DELETE") {
     const Result<void> removed =
         co_await m_store.Remove(kind, DocumentName(name));
