Jobs, Gateway: slots that nobody claims, and offers that were given up

What callers could see: items of one gateway left lying behind items of another one that can't run, such as those of a blocked prompt part or a lost gateway; a 202 for an offer that its gateway had given up without a decision.

Cause: shares of the backlog were kept also while slots stayed free. A repeated submission took any job that this process owns for an accepted one.

A repeated submission of an own job that is not open is confirmed by a conditional write. A paused backend server counts in BatchSlots. Jobs are rejected for lack of processor time at a timer lag of 150 ms, half of a latency target, instead of 60 ms.

Evidence: jobs.backlog_share, gateway.waiting_tokens, gateway.jobs.

--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -208,7 +208,7 @@
     co_return std::nullopt;
   }
   EndOffer(*submission);
-  if (m_scheduler.Owns(known)) {
+  if (m_scheduler.Owns(known) && m_scheduler.IsOpen(known.key)) {
     co_return AcceptedResponse();
   }
   co_return co_await ConfirmOffer(submission, std::move(known));
@@ -426,18 +426,13 @@
   const DocumentName name = JobName(record.key);
   const ObjectVersion version = record.version;
   const Result<void> removed = co_await m_store.RemoveAt(kind, name, version);
-  if (removed.has_value()) {
-    EndOffer(*submission);
+  // When there is none, the response to an earlier removal was lost.
+  if (removed.has_value() || removed.error().kind() == ErrorKind::kNotFound) {
     m_job_runner.RemoveJob(record.key);
-    co_return ProblemResponse(problem);
-  }
-  submission->why = removed.error();
-  if (removed.error().kind() == ErrorKind::kNotFound) {
-    // An earlier attempt has removed it, or the response to one was lost.
     EndOffer(*submission);
-    m_job_runner.RemoveJob(record.key);
     co_return ProblemResponse(problem);
   }
+  submission->why = removed.error();
   if (removed.error().kind() == ErrorKind::kConflict) {
     co_await ReadRecord(record.key);
   }
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -257,14 +257,14 @@
   const ClockReadings now = Now();
   m_last_pass_time = now.monotonic;
   PreemptItems(now);
-  if (HasFreeSlot()) {
+  if (FindFreeSlots(now)) {
     StartItems(now);
   }
 }
 
 // Under a backlog slots are full most of the time, and ordering all items is
 // far more work than this.
-bool JobRunner::HasFreeSlot() {
+bool JobRunner::FindFreeSlots(ClockReadings now) {
   std::set<ServiceId> services;
   for (auto& [key, open] : m_open_jobs) {
     const JobRecord* record = m_scheduler.Find(key);
@@ -276,11 +276,17 @@
     }
   }
   const PlacementCore& placement = m_gateway.dispatcher.placement_core();
-  return std::any_of(
-      services.begin(), services.end(), [&](const ServiceId& service) {
-        return placement.PlaceBatch({.service = service}, MonotonicClock::now())
-            .has_value();
-      });
+  m_unclaimed_in_pass.clear();
+  bool any_free = false;
+  for (const ServiceId& service : services) {
+    const bool is_free =
+        placement.PlaceBatch({.service = service}, now.monotonic).has_value();
+    if (m_unclaimed_slots.Check(service, is_free, now.monotonic)) {
+      m_unclaimed_in_pass.insert(service);
+    }
+    any_free |= is_free;
+  }
+  return any_free;
 }
 
 void JobRunner::PreemptItems(ClockReadings now) {
@@ -375,8 +381,11 @@
     backlog.self = m_scheduler.self();
     backlog.now = now.wall;
     backlog.item_time = m_scheduler.item_span();
-    allowed[service] =
-        int64_t{ItemsAtHead(std::move(backlog))} - running[service];
+    int64_t& items = allowed[service];
+    items = int64_t{ItemsAtHead(std::move(backlog))} - running[service];
+    if (m_unclaimed_in_pass.contains(service)) {
+      items = std::max<int64_t>(items, 1);
+    }
   }
   return allowed;
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -16,6 +16,7 @@
 #include "Jobs/job_scheduler.h"
 #include "Jobs/job_types.h"
 #include "Jobs/result_log.h"
+#include "Jobs/unclaimed_slots.h"
 #include "Platform/document_store.h"
 
 namespace cowslip {
@@ -148,8 +149,9 @@
                     uint32_t events);
 
   void RunPass();
-  /// Whether an item of any open job may find a free slot.
-  bool HasFreeSlot();
+  /// Whether an item of any open job may find a free slot. Finds the services
+  /// with unclaimed slots.
+  bool FindFreeSlots(ClockReadings now);
   /// The software version that must resume the item; nullopt for an item that
   /// has not begun. An item whose version no longer serves is
   /// restarted from the beginning.
@@ -196,6 +198,9 @@
   std::set<PromptPartId> m_blocked_in_pass;
   /// When items with a blocked prompt part were last logged.
   std::map<PromptPartId, MonotonicTime> m_blocked_logged;
+  UnclaimedSlots m_unclaimed_slots{UnclaimedSlotsOptions{}};
+  /// The services with unclaimed slots found in the current pass.
+  std::set<ServiceId> m_unclaimed_in_pass;
   boost::asio::steady_timer m_pass_timer;
   bool m_pass_scheduled = false;
   MonotonicTime m_last_pass_time;
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -168,7 +168,7 @@
       {{"job", job.value()},
        {"removed", removed.has_value()},
        {"why", removed.has_value() ? "" : removed.error().message}});
-  if (removed.has_value()) {
+  if (removed.has_value() || removed.error().kind() == ErrorKind::kNotFound) {
     RemoveJob(job);
   }
 }
--- a/Source/Gateway/process_load.h
+++ b/Source/Gateway/process_load.h
@@ -13,7 +13,7 @@
 struct ProcessLoadOptions {
   /// Average delay of timers beyond which the processor is used up: a fraction
   /// of an online request's latency target.
-  Duration max_lag = std::chrono::milliseconds(60);
+  Duration max_lag = std::chrono::milliseconds(150);
   /// Weight of the newest delay in the average; there are ten a second.
   double smoothing_factor = 0.2;
   /// Fraction of the memory limit beyond which memory is used up.
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -410,7 +410,7 @@
   uint32_t slots = 0;
   for (const auto& [id, backend] : m_backends) {
     if (backend.record.service == service &&
-        IsUsable(backend, WorkClass::kBatch, now)) {
+        IsUsable(backend, WorkClass::kOnline, now)) {
       const uint32_t most = MaxLoadWithBatch(backend.record);
       slots += most - std::min(most, backend.Online());
     }
