--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -255,8 +255,9 @@
   if (unlimited.has_value()) {
     m_log.Write("configuration_rejected",
                 {{"why", "Route " + unlimited->value() +
-                             " had a limit and declares no max_count. Publish "
-                             "a configuration with a max_count, 0 for no "
+                             " had a limit and declares no " +
+                             platform::kMaxWaitingTokensField +
+                             ". Publish a configuration with one, 0 for no "
                              "limit; the current version stays in force."}});
     return;
   }
