Gateway: without processor time left a gateway starts no items

Cause, suspected: the gateway, with 0.09 of a core, ran more items than it has processor time for and read the report of the end late.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -47,6 +47,8 @@
   /// Whether the watch on jobs works, so that a takeover of a job by another
   /// process would be noticed.
   bool jobs_are_current = false;
+  /// Whether this process has processor time left for more batch work.
+  bool has_time_left = true;
   /// The version of the store up to which this process knows all jobs.
   std::function<ObjectVersion()> jobs_as_of;
   /// Lists the jobs again, because a change may have been missed.
--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -595,6 +595,7 @@
 
 void JobAcceptance::Tick(Duration lag, uint64_t memory_limit) {
   m_process_load.RecordLag(lag);
+  m_gateway.has_time_left = m_process_load.HasTimeLeft();
   const MonotonicTime now = MonotonicClock::now();
   const bool sample_is_due = now - m_sampled_at >= kSampleInterval;
   if (sample_is_due) {
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -257,7 +257,9 @@
   const ClockReadings now = Now();
   m_last_pass_time = now.monotonic;
   PreemptItems(now);
-  if (FindFreeSlots(now)) {
+  // Each item that runs takes processor time from online requests, and from the
+  // messages that stop items.
+  if (m_gateway.has_time_left && FindFreeSlots(now)) {
     StartItems(now);
   }
 }
--- a/Tests/Gateway/waiting_tokens_test.cc
+++ b/Tests/Gateway/waiting_tokens_test.cc
@@ -1,4 +1,5 @@
 #include <set>
+#include <thread>
 
 #include "Jobs/job_documents.h"
 #include "gateway_fixture.h"
@@ -226,6 +227,30 @@
   });
 }
 
+TEST_CASE("A gateway without processor time left takes on no batch work") {
+  Fixture f(1000, 1);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    CHECK(co_await f.StatusOf(0, "a", 1) == 202);
+    const nlohmann::json results = co_await f.ReadAllResults(0, "a");
+    CHECK(results.size() == 1);
+    for (int i = 0; i < 8; ++i) {
+      std::this_thread::sleep_for(600ms);
+      co_await f.Sleep(1ms);
+    }
+    const size_t requests = f.RequestsAt(0);
+    CHECK(co_await f.StatusOf(0, "b", 1) == 503);
+    CHECK(f.StoredJobs({"b"}).empty());
+    CHECK(f.RequestsAt(0) == requests);
+    // It recovers as soon as timers are in time again.
+    co_await f.Sleep(3s);
+    CHECK(co_await f.StatusOf(0, "b", 1) == 202);
+    const nlohmann::json later = co_await f.ReadAllResults(0, "b");
+    CHECK(later.size() == 1);
+  });
+}
+
 TEST_CASE("A job whose tokens cannot be counted gets 400") {
   Fixture f(1000);
   f.AddGateway();
