--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -410,10 +410,11 @@
   }
   submission->why = kept.error();
   if (IsPermanent(kept.error())) {
+    Problem too_large{.kind = ProblemKind::kBodyTooLarge,
+                      .detail = kept.error().message,
+                      .not_run = true};
     co_return co_await WithdrawOffer(submission, std::move(record),
-                                     Problem{.kind = ProblemKind::kBodyTooLarge,
-                                             .detail = kept.error().message,
-                                             .not_run = true});
+                                     std::move(too_large));
   }
   co_return std::nullopt;
 }
