Gateway: an offer that may still be accepted is not removed

A gateway that is cut off from the others, but not from the store, offers a job. The others take it for silent, claim the job, find no items and remove the record, while the gateway writes the items and answers 202: the accepted job is lost.

Change: the next owner removes an offer without items only 20 s after its submission.

--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -402,6 +402,13 @@
                                      std::move(*problem));
   }
   const Result<void> kept = co_await StoreInputs(submission);
+  if (kept.has_value() &&
+      WallNow() - record.definition.submitted >= kOfferTime) {
+    // Another process may have removed the offer meanwhile.
+    EndOffer(*submission);
+    co_await ReadRecord(record.key);
+    co_return std::nullopt;
+  }
   if (kept.has_value()) {
     m_offers.erase(record.key);
     submission->offering = false;
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -117,7 +117,9 @@
     const DocumentName name = InputName(job, definition.digest, i);
     const Result<Document> document = co_await m_store.Get(kind, name);
     if (!document.has_value()) {
-      if (document.error().kind() == ErrorKind::kNotFound && !is_accepted) {
+      const bool is_given_up =
+          !is_accepted && WallNow() - definition.submitted >= 2 * kOfferTime;
+      if (document.error().kind() == ErrorKind::kNotFound && is_given_up) {
         co_await RemoveUnaccepted(job, version);
         co_return Error(ErrorKind::kConflict, "The job was never accepted.");
       }
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_JOBS_JOB_TYPES_H_
 #define SOURCE_JOBS_JOB_TYPES_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -103,6 +104,11 @@
   std::map<ItemId, ItemProgress> progress;
 };
 
+/// How long after its submission the process that offered a job may accept it
+/// without a write that says so. Other processes remove an offer without items
+/// only after twice that time, since clocks differ a little.
+inline constexpr std::chrono::seconds kOfferTime{10};
+
 /// \class JobRecord
 /// \brief A batch job as it is stored, with the version of its document.
 struct JobRecord {
