Gateway: a stream of unknown origin goes on only at a version known to be the only one

What callers saw: nothing yet on this system; the users report streams joined from two software versions after all gateways were killed during a release.

Cause: which versions a service has had was known to the processes alone. A gateway that had just started took the one version it saw for the one that began the stream.

Change: two gateways record the versions of each service with resumable streams in the store (VersionHistoryCore). A gateway that has watched the backend servers for less than 30 s reads the record before it resumes a stream whose origin nobody knows; without a record, or with several versions, the resumption is refused at once as not run.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -23,6 +23,7 @@
 class ShutdownNotice;
 class StartupGate;
 class StreamOriginDirectory;
+class VersionHistory;
 
 /// \class GatewayContext
 /// \brief State that the request handlers of one gateway share. The daemon owns
@@ -34,6 +35,7 @@
   AbortedRunTracker& aborted_runs;
   CrashSuspectCore& crash_suspects;
   StreamOriginDirectory& stream_origins;
+  VersionHistory& version_history;
   EventLog& log;
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -95,12 +95,18 @@
                        [this](const Endpoint& to, const std::string& bytes) {
                          m_gossip->SendTo(to, bytes);
                        }),
+      m_version_history(context,
+                        m_store,
+                        m_peer_table,
+                        m_log,
+                        VersionHistoryOptions{.self = m_settings.vm}),
       m_gateway{.io = context,
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
                 .aborted_runs = m_aborted_runs,
                 .crash_suspects = m_crash_suspects,
                 .stream_origins = m_stream_origins,
+                .version_history = m_version_history,
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
@@ -471,6 +477,7 @@
     m_job_acceptance.Tick(lag, m_settings.memory_bytes);
     HandleDirectoryEvent(DirectoryTick{});
     HandlePeerEvent(PeerTick{});
+    m_version_history.Handle(VersionHistoryTick{});
     HandleDivergenceEvent(DivergenceTick{});
     m_job_runner.Tick();
     MaybeLogIdleCloses();
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -24,6 +24,7 @@
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/startup_gate.h"
 #include "Gateway/stream_origin_directory.h"
+#include "Gateway/version_history.h"
 #include "Jobs/job_scheduler.h"
 #include "Net/http_server.h"
 #include "Peers/divergence_detector.h"
@@ -107,6 +108,8 @@
   /// Empty until all compared kinds were listed.
   StoreDigests OwnStoreDigests() const;
   void HandleDirectoryEvent(const DirectoryEvent& event);
+  /// Tells which services callers may resume streams of.
+  void UpdateResumableServices();
   /// Call it before the entry of a backend server is removed, or replaced by
   /// that of an incarnation that started at `successor`.
   void ReportVanished(const BackendId& id, std::optional<uint64_t> successor);
@@ -158,6 +161,7 @@
   StartupGate m_startup_gate;
   ShutdownNotice m_shutdown_notice;
   StreamOriginDirectory m_stream_origins;
+  VersionHistory m_version_history;
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
   JobRunner m_job_runner;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -167,6 +167,7 @@
                ApplyBackendChange(change);
              }
              m_backends_known = true;
+             m_version_history.Handle(VersionsListedCompletely{});
              MaybeOpenStartupGate();
            },
        .changed =
@@ -183,6 +184,7 @@
                         UpdatePeerTable();
                         if (!std::exchange(m_peers_known, true)) {
                           BeginRegistration(changes);
+                          UpdateResumableServices();
                         }
                         MaybeActivateJobs();
                       },
@@ -283,10 +285,27 @@
   m_log.Write("configuration_in_force",
               {{"version", version.value()},
                {"organisations", now.organisations().size()}});
+  UpdateResumableServices();
   MaybeOpenStartupGate();
   m_gossip->StateChanged();
 }
 
+void GatewayDaemon::UpdateResumableServices() {
+  // The recorders of a version are picked from the processes that live.
+  if (!m_peers_known || m_gateway.configuration == nullptr) {
+    return;
+  }
+  ResumableServicesChanged resumable;
+  for (const FleetRoute& route : m_gateway.configuration->routes()) {
+    if (route.kind == RequestKind::kStreaming && route.resumable) {
+      for (const TrafficShare& share : route.split) {
+        resumable.services.insert(share.service);
+      }
+    }
+  }
+  m_version_history.Handle(resumable);
+}
+
 // A limit that is forgotten must not count as one that was lifted.
 std::optional<RouteId> GatewayDaemon::RouteWithoutLimit(
     const FleetConfigurationParts& parts) const {
@@ -343,12 +362,17 @@
                            {"draining", usable.backend.draining}});
               ReportVanished(usable.backend.id, usable.backend.started_at_ms);
               m_dispatcher.HandleEvent(BackendAdded{usable.backend});
+              m_version_history.Handle(
+                  VersionListed{.backend = usable.backend.id,
+                                .service = usable.backend.service,
+                                .version = usable.backend.version});
             },
             [&](const BackendUnusable& unusable) {
               m_log.Write("backend_unusable",
                           {{"backend", unusable.id.value()}});
               ReportVanished(unusable.id, std::nullopt);
               m_dispatcher.HandleEvent(BackendRemoved{unusable.id});
+              m_version_history.Handle(VersionUnlisted{unusable.id});
             }},
         action);
   }
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -16,6 +16,7 @@
 #include "Gateway/stream_end.h"
 #include "Gateway/stream_move.h"
 #include "Gateway/stream_origin_directory.h"
+#include "Gateway/version_history.h"
 #include "Net/http_exchange.h"
 #include "Placement/aborted_run_tracker.h"
 #include "platform/request_headers.h"
@@ -112,11 +113,25 @@
       co_return m_request.route->SplitsTo(origin->service);
     }
   }
-  if (m_request.route->SplitsOnlyTo(m_request.service)) {
-    m_stream_version = m_gateway.dispatcher.placement_core().SoleVersion(
-        m_request.service, MonotonicClock::now());
+  if (!m_request.route->SplitsOnlyTo(m_request.service)) {
+    co_return false;
+  }
+  const ServiceId service = m_request.service;
+  const VersionHistoryCore::Verdict verdict =
+      co_await m_gateway.version_history.Judge(service);
+  const bool is_sole =
+      verdict.knowledge == VersionHistoryCore::Knowledge::kSoleVersion;
+  if (is_sole) {
+    m_stream_version = *verdict.versions.begin();
   }
-  co_return m_stream_version.has_value();
+  m_gateway.log.Write("stream_origin_unknown",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"resumes", m_request.caller.resumes.value()},
+                       {"service", service.value()},
+                       {"goes_on", is_sole},
+                       {"versions", verdict.versions},
+                       {"watched_ms", ToMillis(verdict.watched)}});
+  co_return is_sole;
 }
 
 awaitable<void> RelaySession::Run() {
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -44,9 +44,8 @@
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
 }
 
-void PlacementCore::Apply(const BackendAdded& event, MonotonicTime now) {
+void PlacementCore::Apply(const BackendAdded& event, MonotonicTime) {
   Backend& backend = m_backends[event.backend.id];
-  RememberVersion(backend.record, now);
   if (backend.record.started_at_ms != event.backend.started_at_ms) {
     // A new incarnation under the same id: the measurements and failures of the
     // earlier one do not apply to it.
@@ -55,12 +54,8 @@
   backend.record = event.backend;
 }
 
-void PlacementCore::Apply(const BackendRemoved& event, MonotonicTime now) {
-  const auto found = m_backends.find(event.id);
-  if (found != m_backends.end()) {
-    RememberVersion(found->second.record, now);
-    m_backends.erase(found);
-  }
+void PlacementCore::Apply(const BackendRemoved& event, MonotonicTime) {
+  m_backends.erase(event.id);
 }
 
 void PlacementCore::Apply(const BackendLeaving& event, MonotonicTime now) {
@@ -173,16 +168,6 @@
          !m_leaving.contains({record.id, record.started_at_ms});
 }
 
-void PlacementCore::RememberVersion(const BackendRecord& record,
-                                    MonotonicTime now) {
-  std::erase_if(m_former_versions, [&](const auto& former) {
-    return now - former.second > m_options.version_memory;
-  });
-  if (!record.service.empty()) {
-    m_former_versions[{record.service, record.version}] = now;
-  }
-}
-
 void PlacementCore::Apply(const AttemptStarted& event, MonotonicTime now) {
   const auto found = m_backends.find(event.backend);
   if (found != m_backends.end()) {
@@ -300,23 +285,6 @@
       });
 }
 
-std::optional<SoftwareVersion> PlacementCore::SoleVersion(
-    const ServiceId& service,
-    MonotonicTime now) const {
-  std::set<SoftwareVersion> versions;
-  for (const auto& [id, backend] : m_backends) {
-    if (backend.record.service == service) {
-      versions.insert(backend.record.version);
-    }
-  }
-  for (const auto& [former, gone_at] : m_former_versions) {
-    if (former.first == service && now - gone_at <= m_options.version_memory) {
-      versions.insert(former.second);
-    }
-  }
-  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
-}
-
 bool PlacementCore::IsUsable(const Backend& backend,
                              WorkClass work,
                              MonotonicTime now) const {
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -44,9 +44,6 @@
   /// A backend server is slow when its average interval between events exceeds
   /// the median of its service by this factor.
   double slow_factor = 2.5;
-  /// How long a software version counts after its last backend server has gone:
-  /// longer than any stream that it began can be resumed.
-  Duration version_memory = std::chrono::seconds(30);
   /// How long an incarnation that said that it leaves is remembered: longer
   /// than any graceful shutdown takes.
   Duration leaving_memory = std::chrono::minutes(10);
@@ -225,10 +222,6 @@
   /// Whether the service has a backend server of this version that accepts new
   /// requests, however loaded it is.
   bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
-  /// The software version of the service, if no backend server of another one
-  /// serves or has served within `version_memory`.
-  std::optional<SoftwareVersion> SoleVersion(const ServiceId& service,
-                                             MonotonicTime now) const;
   const BackendRecord* Find(const BackendId& id) const;
   /// Whether the incarnation is known to name a limit.
   bool IsLimited(const BackendId& id, uint64_t started_at_ms) const;
@@ -281,7 +274,6 @@
   void Apply(const SlotTimeMeasured& event, MonotonicTime now);
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
-  void RememberVersion(const BackendRecord& record, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
   static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
   /// Whether the backend server accepts new requests, however loaded it is.
@@ -316,9 +308,6 @@
   // Kept beyond the removal of an entry for the same reason.
   std::map<IncarnationKey, LimitState> m_limits;
   std::vector<VmId> m_members;
-  // When a backend server of the version was last removed or replaced.
-  std::map<std::pair<ServiceId, SoftwareVersion>, MonotonicTime>
-      m_former_versions;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -14,6 +14,7 @@
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/startup_gate.h"
 #include "Gateway/stream_origin_directory.h"
+#include "Gateway/version_history.h"
 #include "Jobs/job_documents.h"
 #include "Peers/peer_table.h"
 #include "Placement/aborted_run_tracker.h"
@@ -46,6 +47,7 @@
       io.get_executor(), StreamOriginOptions{.self = kSelf}, peers,
       [](const Endpoint&, const auto&) {}};
   EventLog log{EventLogOptions{.descriptor = null}};
+  VersionHistory version_history{io, store, peers, log, {.self = kSelf}};
   GatewayMetrics metrics;
   StartupGate startup_gate{io};
   ShutdownNotice shutdown_notice;
@@ -55,6 +57,7 @@
                          .aborted_runs = aborted_runs,
                          .crash_suspects = crash_suspects,
                          .stream_origins = stream_origins,
+                         .version_history = version_history,
                          .log = log,
                          .metrics = metrics,
                          .startup_gate = startup_gate,
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -92,22 +92,6 @@
   CHECK(core.PlaceOnline(kQuery, At(3s)).has_value());
 }
 
-TEST_CASE("A service has a sole version until another one has served lately") {
-  BackendRecord older = Record("a");
-  older.version = SoftwareVersion("v1");
-  PlacementCore core = MakePlacement({older, Record("b")});
-  core.Handle(BackendRemoved{BackendId("b")}, At(1s));
-  CHECK_FALSE(core.SoleVersion(kService, At(2s)).has_value());
-  CHECK(core.SoleVersion(kService, At(32s)) == older.version);
-  BackendRecord replaced = older;
-  replaced.version = SoftwareVersion("v2");
-  replaced.started_at_ms = 7;
-  core.Handle(BackendAdded{replaced}, At(40s));
-  CHECK_FALSE(core.SoleVersion(kService, At(41s)).has_value());
-  CHECK(core.SoleVersion(kService, At(71s)) == replaced.version);
-  CHECK_FALSE(core.SoleVersion(ServiceId("other"), At(71s)).has_value());
-}
-
 TEST_CASE("A draining, excluded or removed backend server is not selected") {
   PlacementCore core = MakePlacement({Record("a")});
   BackendRecord draining = Record("a");
