Placement: a backend server that may have restarted resumes nothing until its entry is current

Change: after a failed attempt a backend server gets no request that is bound to a version for 4 s, unless an entry with another start time arrives first.

Evidence: placement.cores "A backend server that may have restarted...". A gateway that had no attempt there still can't know; not closed.

--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -206,6 +206,7 @@
       const Duration backoff = std::min(
           m_options.max_backoff, m_options.initial_backoff * (1 << doublings));
       ++backend.failures;
+      backend.version_uncertain_until = now + m_options.restart_notice;
       // A single failure may be due to the request; two in a row are not.
       if (backend.failures > 1) {
         backend.backoff_until = std::max(backend.backoff_until, now + backoff);
@@ -268,11 +269,15 @@
   }
 }
 
-bool PlacementCore::MayRun(const BackendRecord& record,
-                           const PlacementQuery& query) {
-  return record.service == query.service &&
-         !query.exclude.contains(record.id) &&
-         (!query.version.has_value() || record.version == *query.version);
+bool PlacementCore::MayRun(const Backend& backend,
+                           const PlacementQuery& query,
+                           MonotonicTime now) {
+  const BackendRecord& record = backend.record;
+  if (record.service != query.service || query.exclude.contains(record.id)) {
+    return false;
+  }
+  return !query.version.has_value() || (record.version == *query.version &&
+                                        now >= backend.version_uncertain_until);
 }
 
 bool PlacementCore::Serves(const ServiceId& service,
@@ -325,7 +330,7 @@
   const double median = MedianEventInterval(query.service);
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
-    if (!MayRun(record, query) || backend.Total() >= max_load(backend) ||
+    if (!MayRun(backend, query, now) || backend.Total() >= max_load(backend) ||
         !IsUsable(backend, work, now)) {
       continue;
     }
@@ -410,7 +415,7 @@
   double slot_time = 0;
   uint32_t samples = 0;
   for (const auto& [id, backend] : m_backends) {
-    if (!MayRun(backend.record, query) ||
+    if (!MayRun(backend, query, now) ||
         !IsUsable(backend, WorkClass::kOnline, now)) {
       continue;
     }
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -44,6 +44,11 @@
   /// A backend server is slow when its average interval between events exceeds
   /// the median of its service by this factor.
   double slow_factor = 2.5;
+  /// How long a backend server at which an attempt failed gets no request that
+  /// is bound to its software version: it may have restarted at another version
+  /// under the same id, and service discovery shows that after up to three
+  /// heartbeats of 1.2 s each.
+  Duration restart_notice = std::chrono::seconds(4);
   /// How long an incarnation that said that it leaves is remembered: longer
   /// than any graceful shutdown takes.
   Duration leaving_memory = std::chrono::minutes(10);
@@ -251,6 +256,9 @@
     uint32_t failures = 0;
     MonotonicTime backoff_until;
     MonotonicTime batch_paused_until;
+    /// Until then, the version in `record` may be that of an incarnation that
+    /// has gone.
+    MonotonicTime version_uncertain_until;
     // Seconds; zero until there is a sample.
     double first_event = 0;
     double event_interval = 0;
@@ -275,7 +283,9 @@
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
-  static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
+  static bool MayRun(const Backend& backend,
+                     const PlacementQuery& query,
+                     MonotonicTime now);
   /// Whether the backend server accepts new requests, however loaded it is.
   bool AcceptsRequests(const BackendRecord& record) const;
   bool IsUsable(const Backend& backend,
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -73,6 +73,29 @@
   CHECK(core.Load(query, At(0s)).backends == 0);
 }
 
+TEST_CASE(
+    "A backend server that may have restarted at another version resumes "
+    "nothing until its entry is current") {
+  BackendRecord record = Record("a");
+  record.version = SoftwareVersion("v1");
+  PlacementCore core = MakePlacement({record});
+  PlacementQuery query = kQuery;
+  query.version = record.version;
+  StartAttempts(core, "a", WorkClass::kOnline, 1);
+  core.Handle(
+      AttemptEnded{BackendId("a"), WorkClass::kOnline, AttemptOutcome::kFailed},
+      At(0s));
+  CHECK_FALSE(core.PlaceOnline(query, At(1s)).has_value());
+  CHECK(core.PlaceOnline(kQuery, At(1s)).has_value());
+  CHECK(core.PlaceOnline(query, At(5s)).has_value());
+  core.Handle(
+      AttemptEnded{BackendId("a"), WorkClass::kOnline, AttemptOutcome::kFailed},
+      At(6s));
+  record.started_at_ms = 7;
+  core.Handle(BackendAdded{record}, At(7s));
+  CHECK(core.PlaceOnline(query, At(7s)).has_value());
+}
+
 TEST_CASE(
     "An incarnation that leaves is not selected, also when it is listed") {
   BackendRecord record = Record("a");
