--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -34,6 +34,10 @@
   Duration job_retention = std::chrono::seconds(120);
   /// The memory that this process may use; 0 if the settings name none.
   uint64_t memory_bytes = 0;
+  /// Maximum time from the platform's acknowledgement of an evacuation until
+  /// no request is sent to the zone; nullopt if the deployment has no
+  /// evacuations.
+  std::optional<Duration> evacuate_within;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/Tests/PlatformAdapter/settings_file_test.cc
+++ b/Tests/PlatformAdapter/settings_file_test.cc
@@ -58,6 +58,21 @@
   }
 }
 
+TEST_CASE("The bound of evacuations is optional, positive milliseconds") {
+  CHECK_FALSE(
+      platform::ParseSettings(kSettings).value().evacuate_within.has_value());
+  const std::string key = std::string(kSettings) + "bounds.evacuate_ms=";
+  const auto settings = platform::ParseSettings(key + "5000\n");
+  REQUIRE(settings.has_value());
+  CHECK(settings.value().evacuate_within == std::chrono::seconds(5));
+  for (const char* bad : {"soon", "-1", "0", "nan", "1e300", "5 000"}) {
+    const auto rejected = platform::ParseSettings(key + bad + "\n");
+    REQUIRE_FALSE(rejected.has_value());
+    CHECK(rejected.error().message.find("bounds.evacuate_ms") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("Random text does not crash the settings parser") {
   rc::check([](const std::string& text) {
     static_cast<void>(platform::ParseSettings(text));
