--- a/Source/Peers/peer_table.cc
+++ b/Source/Peers/peer_table.cc
@@ -115,6 +115,14 @@
   return {live.begin(), live.end()};
 }
 
+std::set<VmId> PeerTable::RegisteredPeers() const {
+  std::set<VmId> registered;
+  for (const auto& [vm, peer] : m_peers) {
+    registered.insert(vm);
+  }
+  return registered;
+}
+
 std::optional<Endpoint> PeerTable::AddressOf(const VmId& vm) const {
   const auto found = m_peers.find(vm);
   return found == m_peers.end() ? std::nullopt
--- a/Source/Peers/peer_table.h
+++ b/Source/Peers/peer_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -87,6 +88,8 @@
   /// The live processes that are not draining, including this one, sorted by
   /// name.
   std::vector<VmId> LiveProcesses() const;
+  /// The other processes that are registered, live or not.
+  std::set<VmId> RegisteredPeers() const;
   /// Where a registered peer receives datagrams and calls.
   std::optional<Endpoint> AddressOf(const VmId& vm) const;
   /// Addresses of all registered peers, to which datagrams are sent.
