Placement: backend servers of an evacuated zone accept no requests

What callers saw: nothing yet; no gateway sends the event. Change: PlacementCore gets EvacuatedZonesChanged; AcceptsRequests() excludes the zones, so that placement, load, batch slots and Serves() follow.

--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -164,7 +164,7 @@
 }
 
 bool PlacementCore::AcceptsRequests(const BackendRecord& record) const {
-  return !record.draining &&
+  return !record.draining && !IsEvacuated(record.zone) &&
          !m_leaving.contains({record.id, record.started_at_ms});
 }
 
@@ -268,6 +268,24 @@
   }
 }
 
+void PlacementCore::Apply(const EvacuatedZonesChanged& event, MonotonicTime) {
+  m_evacuated_zones = event.zones;
+}
+
+bool PlacementCore::AcceptsAny(const ServiceId& service) const {
+  return std::any_of(
+      m_backends.begin(), m_backends.end(), [&](const auto& entry) {
+        const BackendRecord& record = entry.second.record;
+        return record.service == service && AcceptsRequests(record);
+      });
+}
+
+size_t PlacementCore::CountInZone(const ZoneId& zone) const {
+  return static_cast<size_t>(std::count_if(
+      m_backends.begin(), m_backends.end(),
+      [&](const auto& entry) { return entry.second.record.zone == zone; }));
+}
+
 bool PlacementCore::MayRun(const BackendRecord& record,
                            const PlacementQuery& query) {
   return record.service == query.service &&
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -137,6 +137,10 @@
 struct PeerInFlightCleared {
   VmId vm;
 };
+/// The availability zones whose backend servers get no requests.
+struct EvacuatedZonesChanged {
+  std::set<ZoneId> zones;
+};
 using PlacementEvent = std::variant<BackendAdded,
                                     BackendRemoved,
                                     BackendLeaving,
@@ -149,7 +153,8 @@
                                     EventIntervalMeasured,
                                     SlotTimeMeasured,
                                     PeerInFlightReported,
-                                    PeerInFlightCleared>;
+                                    PeerInFlightCleared,
+                                    EvacuatedZonesChanged>;
 
 /// \class PlacementQuery
 /// \brief The requirements of a request on the selection of its backend server.
@@ -222,6 +227,14 @@
   /// Whether the service has a backend server of this version that accepts new
   /// requests, however loaded it is.
   bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
+  /// Whether any backend server of the service accepts new requests.
+  bool AcceptsAny(const ServiceId& service) const;
+  bool IsEvacuated(const ZoneId& zone) const {
+    return m_evacuated_zones.contains(zone);
+  }
+  /// The backend servers in the zone, whether they accept requests or not.
+  size_t CountInZone(const ZoneId& zone) const;
+  size_t backend_count() const { return m_backends.size(); }
   const BackendRecord* Find(const BackendId& id) const;
   /// Whether the incarnation is known to name a limit.
   bool IsLimited(const BackendId& id, uint64_t started_at_ms) const;
@@ -274,6 +287,7 @@
   void Apply(const SlotTimeMeasured& event, MonotonicTime now);
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
+  void Apply(const EvacuatedZonesChanged& event, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
   static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
   /// Whether the backend server accepts new requests, however loaded it is.
@@ -308,6 +322,7 @@
   // Kept beyond the removal of an entry for the same reason.
   std::map<IncarnationKey, LimitState> m_limits;
   std::vector<VmId> m_members;
+  std::set<ZoneId> m_evacuated_zones;
 };
 
 }  // namespace cowslip
