Peers: datagrams tell which zones are evacuated

What callers saw: nothing yet. Change: PeerMessage lists the evacuated zones with the version of the entry, removals, and what the sender has in flight there. Processes of earlier releases ignore the field.

--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -90,6 +90,29 @@
   return limit;
 }
 
+// The first element tells whether the sender knows the entries; the zones
+// follow, since the depth of a message is limited.
+json EncodeEvacuations(const PeerMessage& message) {
+  json encoded = json::array({message.knows_evacuations});
+  for (const EvacuatedZone& zone : message.evacuated_zones) {
+    encoded.push_back({zone.zone.value(), zone.version.value(), zone.removed,
+                       zone.in_flight});
+  }
+  return encoded;
+}
+
+void ReadEvacuations(const json& fields, PeerMessage& message) {
+  message.knows_evacuations = fields.at(0).get<bool>();
+  for (size_t i = 1; i < fields.size(); ++i) {
+    const json& zone = fields.at(i);
+    message.evacuated_zones.push_back(
+        {.zone = zone.at(0).get<ZoneId>(),
+         .version = ObjectVersion(zone.at(1).get<uint64_t>()),
+         .removed = zone.at(2).get<bool>(),
+         .in_flight = zone.at(3).get<uint32_t>()});
+  }
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -144,6 +167,9 @@
            .tokens = progress.at(2).get<uint64_t>()});
     }
   }
+  if (fields.size() > 19) {
+    ReadEvacuations(fields.at(19), message);
+  }
   return message;
 }
 
@@ -176,7 +202,7 @@
     job_progress.push_back(
         {progress.job.value(), progress.items, progress.tokens});
   }
-  return ToCbor(json::array(
+  json fields = json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
        message.sequence, ToMillis(message.uptime),
        message.configuration.value(), message.draining, message.reaches_store,
@@ -185,7 +211,9 @@
        EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
        EncodeLimits(message.backend_limits), std::move(held_back),
        std::move(completed_requests), message.ended_jobs,
-       std::move(job_progress)}));
+       std::move(job_progress)});
+  fields.push_back(EncodeEvacuations(message));
+  return ToCbor(fields);
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -16,6 +16,7 @@
 #include "Fleet/request_rate.h"
 #include "Peers/crash_evidence.h"
 #include "Peers/divergence_detector.h"
+#include "Peers/evacuated_zone.h"
 #include "Peers/job_progress.h"
 #include "Quota/quota_core.h"
 
@@ -90,6 +91,10 @@
   std::vector<JobKey> ended_jobs;
   /// The sender's unfinished jobs of which some items have results.
   std::vector<JobProgress> job_progress;
+  /// The sender has listed the evacuations, or has heard of them from a process
+  /// that has.
+  bool knows_evacuations = false;
+  std::vector<EvacuatedZone> evacuated_zones;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -142,11 +142,18 @@
       message.ended_jobs.push_back(JobKey(std::to_string(count)));
       message.job_progress.push_back(
           {JobKey(std::to_string(count)), count, uint64_t{count} << 20});
+      message.knows_evacuations = true;
+      message.evacuated_zones.push_back({.zone = ZoneId(std::to_string(count)),
+                                         .version = ObjectVersion(count),
+                                         .removed = count % 2 == 0,
+                                         .in_flight = count / 2});
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded.value().incarnation == message.incarnation);
     RC_ASSERT(decoded.value().sequence == sequence);
+    RC_ASSERT(decoded.value().knows_evacuations == !counts.empty());
+    RC_ASSERT(decoded.value().evacuated_zones == message.evacuated_zones);
     RC_ASSERT(decoded.value().usage.size() == counts.size());
     RC_ASSERT(decoded.value().in_flight.size() == counts.size());
     RC_ASSERT(decoded.value().aborted_runs.size() == counts.size());
