Gateway: evacuated zones get no requests

What callers saw: nothing yet on this system; requests reached a zone that the operators were evacuating. Cause: gateways did not know evacuation entries. Change: with bounds.evacuate_ms in the settings, Evacuations drives EvacuationCore from a watcher of the kind (polled and compared as the other kinds) and from the peers. Requests and items are placed only once the entries are known or could not be read for 500 ms. A request is checked again right before it is written to its connection. Requests that wait for a service without any accepting backend server are refused at once.

--- a/Source/Gateway/backend_attempt.cc
+++ b/Source/Gateway/backend_attempt.cc
@@ -29,6 +29,8 @@
                                              Duration timeout) {
   // The slot may be released while the call is under way.
   const auto client = m_lease->client();
+  m_abort->SetSendCondition(
+      [this] { return m_lease == nullptr || m_lease->BeginSend(); });
   Result<std::unique_ptr<HttpResponseStream>> opened =
       co_await client->Open(std::move(request), timeout, m_abort);
   if (!opened.has_value()) {
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -31,10 +31,12 @@
       m_record(RecordOf(dispatcher.placement_core(), backend)),
       m_work_class(work),
       m_client(dispatcher.ClientFor(backend)) {
+  ++m_dispatcher.m_zone_use[m_record.zone].in_flight;
   m_dispatcher.HandleEvent(AttemptStarted{backend, m_work_class});
 }
 
 AttemptLease::~AttemptLease() {
+  --m_dispatcher.m_zone_use[m_record.zone].in_flight;
   m_dispatcher.HandleEvent(AttemptEnded{m_record.id, m_work_class, m_outcome});
 }
 
@@ -42,9 +44,13 @@
 // set when the request was placed.
 struct Dispatcher::PendingWait {
   PendingWait(boost::asio::io_context& context,
+              ServiceId wanted_service,
               std::shared_ptr<const bool> is_cancelled)
-      : decided(context), cancelled(std::move(is_cancelled)) {}
+      : decided(context),
+        service(std::move(wanted_service)),
+        cancelled(std::move(is_cancelled)) {}
   boost::asio::steady_timer decided;
+  const ServiceId service;
   const std::shared_ptr<const bool> cancelled;
   std::unique_ptr<AttemptLease> lease;
 };
@@ -53,6 +59,16 @@
   m_dispatcher.HandleEvent(BackendLeaving{m_record.id, m_record.started_at_ms});
 }
 
+bool AttemptLease::BeginSend() {
+  m_withheld = m_dispatcher.placement_core().IsEvacuated(m_record.zone);
+  if (!m_withheld) {
+    ZoneUse& use = m_dispatcher.m_zone_use[m_record.zone];
+    use.last_backend = m_record.id;
+    use.last_sent = MonotonicClock::now();
+  }
+  return !m_withheld;
+}
+
 void AttemptLease::RecordLimit(const std::optional<RequestRate>& limit) {
   const bool was_limited = m_dispatcher.placement_core().IsLimited(
       m_record.id, m_record.started_at_ms);
@@ -87,6 +103,10 @@
           [&](const AttemptEnded&) { m_load_changed(); }, [](const auto&) {}},
       event);
   PlaceWaitingRequests();
+  if (std::holds_alternative<EvacuatedZonesChanged>(event)) {
+    EndHopelessWaits();
+    m_load_changed();
+  }
 }
 
 std::shared_ptr<HttpClient> Dispatcher::ClientFor(const BackendId& backend) {
@@ -158,7 +178,8 @@
   const MonotonicTime now = MonotonicClock::now();
   const PlacementQuery wanted = query;
   const TicketId ticket(++m_last_ticket);
-  const auto pending = std::make_shared<PendingWait>(m_context, cancelled);
+  const auto pending =
+      std::make_shared<PendingWait>(m_context, placement.service, cancelled);
   m_pending_waits[ticket] = pending;
   const WaitQueueEvent enqueued =
       RequestEnqueued{WaitingRequest{.ticket = ticket,
@@ -184,6 +205,14 @@
       .load = m_placement.Load(wanted, MonotonicClock::now())};
 }
 
+void Dispatcher::EndHopelessWaits() {
+  for (const auto& [ticket, pending] : m_pending_waits) {
+    if (!m_placement.AcceptsAny(pending->service)) {
+      pending->decided.cancel();
+    }
+  }
+}
+
 void Dispatcher::EndCancelledWaits() {
   for (const auto& [ticket, pending] : m_pending_waits) {
     if (*pending->cancelled) {
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -44,6 +44,12 @@
   /// The software version of the backend server when the slot was acquired.
   const SoftwareVersion& version() const { return m_record.version; }
   const std::shared_ptr<HttpClient>& client() const { return m_client; }
+  /// Call it right before the request is written to a connection. Returns false
+  /// if it must not be sent any more, because the backend server's zone is
+  /// being evacuated since the slot was acquired.
+  bool BeginSend();
+  /// Whether BeginSend() has returned false.
+  bool was_withheld() const { return m_withheld; }
   /// Records that the backend server has said in a response that it leaves.
   void MarkBackendLeaving();
   /// Records whether the backend server has named a limit in a response.
@@ -58,6 +64,17 @@
   const WorkClass m_work_class;
   std::shared_ptr<HttpClient> m_client;
   AttemptOutcome m_outcome = AttemptOutcome::kCancelled;
+  bool m_withheld = false;
+};
+
+/// \class ZoneUse
+/// \brief This process's requests at the backend servers of one zone.
+struct ZoneUse {
+  /// Slots held, also those of backend servers that are no longer listed.
+  uint32_t in_flight = 0;
+  /// Where and when the last request was sent; an empty id before the first.
+  BackendId last_backend;
+  MonotonicTime last_sent;
 };
 
 /// \class OnlinePlacementRequest
@@ -139,12 +156,15 @@
     m_max_connections[service] = max_connections;
   }
 
+  /// By zone of the backend server.
+  const std::map<ZoneId, ZoneUse>& zone_use() const { return m_zone_use; }
   const PlacementCore& placement_core() const { return m_placement; }
   AdmissionCore& admission_core() { return m_admission; }
   size_t waiting_count() const { return m_wait_queue.size(); }
   std::shared_ptr<HttpClient> ClientFor(const BackendId& backend);
 
  private:
+  friend class AttemptLease;
   struct PendingWait;
 
   boost::asio::awaitable<PlacementResult> Wait(
@@ -154,6 +174,8 @@
       std::shared_ptr<const bool> cancelled);
   size_t MaxIdleConnections(const ServiceId& service) const;
   void PlaceWaitingRequests();
+  /// Ends the waits of requests that no backend server accepts any more.
+  void EndHopelessWaits();
   /// Wakes the requests that the actions decide on. Returns true when at least
   /// one of them was placed.
   bool ApplyActions(const std::vector<WaitQueueAction>& actions);
@@ -173,6 +195,7 @@
   uint64_t m_last_ticket = 0;
   std::map<TicketId, std::shared_ptr<PendingWait>> m_pending_waits;
   std::map<BackendId, std::shared_ptr<HttpClient>> m_clients;
+  std::map<ZoneId, ZoneUse> m_zone_use;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -241,6 +241,9 @@
 void GatewayDaemon::ApplyAction(const PeerAppeared& appeared) {
   m_log.Write("peer_appeared", {{"peer", appeared.vm.value()},
                                 {"incarnation", appeared.incarnation.value()}});
+  if (m_evacuations != nullptr) {
+    m_evacuations->Handle(PeerEvacuationsForgotten{appeared.vm});
+  }
   m_dispatcher.HandleEvent(PeerInFlightCleared{appeared.vm});
   m_gossip->StateChanged();
 }
@@ -286,6 +289,9 @@
       now);
   m_crash_suspects.Handle(
       PeerCrashEvidenceReported{message.vm, message.crash_evidence}, now);
+  if (m_evacuations != nullptr) {
+    m_evacuations->HandlePeer(message);
+  }
   m_dispatcher.HandleEvent(PeerInFlightReported{message.vm, message.in_flight});
   for (BackendLimit limit : message.backend_limits) {
     // What is relayed is not as new as this process's own responses.
@@ -326,6 +332,9 @@
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
+  if (m_evacuations != nullptr) {
+    m_evacuations->AddTo(message);
+  }
   return message;
 }
 
@@ -451,6 +460,12 @@
   m_metrics.SetGauge("cowslip_configuration_current",
                      "1 while newer configurations would be heard of.",
                      m_gateway.configuration_is_current ? 1 : 0);
+  if (m_evacuations != nullptr) {
+    m_metrics.SetGauge(
+        "cowslip_evacuated_zones",
+        "Availability zones to which no requests are sent.",
+        static_cast<double>(m_evacuations->core().EvacuatedZones().size()));
+  }
 }
 
 void GatewayDaemon::UpdateJobGauges() {
@@ -478,6 +493,9 @@
     HandleDirectoryEvent(DirectoryTick{});
     HandlePeerEvent(PeerTick{});
     m_version_history.Handle(VersionHistoryTick{});
+    if (m_evacuations != nullptr) {
+      m_evacuations->Tick();
+    }
     HandleDivergenceEvent(DivergenceTick{});
     m_job_runner.Tick();
     MaybeLogIdleCloses();
@@ -505,6 +523,9 @@
   // most likely still there.
   m_backend_watcher->Refresh();
   m_peer_watcher->Refresh();
+  if (m_evacuation_watcher != nullptr) {
+    m_evacuation_watcher->AssumeStale(why);
+  }
 }
 
 void GatewayDaemon::Shutdown() {
@@ -573,6 +594,9 @@
                               m_peer_watcher, m_job_watcher}) {
     watcher->Stop();
   }
+  if (m_evacuation_watcher != nullptr) {
+    m_evacuation_watcher->Stop();
+  }
   m_gossip->Stop();
   m_poll_timer.cancel();
   if (m_options.on_stopped) {
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -15,6 +15,7 @@
 #include "Base/pause_detector.h"
 #include "Fleet/gateway_settings.h"
 #include "Gateway/dispatcher.h"
+#include "Gateway/evacuations.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/job_acceptance.h"
@@ -90,6 +91,8 @@
   /// Call UpdatePeerTable() after the last of several changes.
   void ApplyPeerChange(const DocumentChange& change);
   void ApplyJobChange(const DocumentChange& change, const char* source);
+  /// Does nothing unless the settings name a bound of evacuations.
+  void StartEvacuations();
   /// Call it with the first listing of the peers.
   void BeginRegistration(const std::vector<DocumentChange>& listed);
   void UpdatePeerTable();
@@ -101,7 +104,8 @@
   /// The time until this process's next turn to poll the store.
   Duration TimeUntilOwnPoll() const;
   void SchedulePoll();
-  /// The watchers of the kinds whose digests peers compare.
+  /// The watchers of the kinds whose digests peers compare, which are also
+  /// those that are polled.
   std::vector<DocumentWatcher*> ComparedWatchers() const;
   void ReportListing(const std::string& kind, MonotonicTime began);
   void HandleDivergenceEvent(const DivergenceEvent& event);
@@ -176,6 +180,11 @@
   std::shared_ptr<DocumentWatcher> m_backend_watcher;
   std::shared_ptr<DocumentWatcher> m_peer_watcher;
   std::shared_ptr<DocumentWatcher> m_job_watcher;
+  // These two are null unless the settings name a bound of evacuations.
+  std::unique_ptr<Evacuations> m_evacuations;
+  std::shared_ptr<DocumentWatcher> m_evacuation_watcher;
+  // The version of the last listing of evacuations.
+  ObjectVersion m_evacuations_as_of;
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_poll_timer;
   PauseDetector m_pause_detector;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -53,7 +53,11 @@
     changed(change);
     HandleDivergenceEvent(OwnDigestsChanged{OwnStoreDigests()});
   };
-  events.read_ended = [this, name](const StoreReadEnded& read) {
+  events.read_ended = [this, name, read_ended = std::move(events.read_ended)](
+                          const StoreReadEnded& read) {
+    if (read_ended) {
+      read_ended(read);
+    }
     if (read.listing) {
       ReportListing(name, MonotonicClock::now() - read.took);
       m_log.Write("store_listed", {{"kind", name},
@@ -91,8 +95,7 @@
     if (error || m_stopped) {
       return;
     }
-    for (const auto& watcher :
-         {m_configuration_watcher, m_backend_watcher, m_job_watcher}) {
+    for (DocumentWatcher* watcher : ComparedWatchers()) {
       watcher->Poll();
     }
     SchedulePoll();
@@ -100,8 +103,13 @@
 }
 
 std::vector<DocumentWatcher*> GatewayDaemon::ComparedWatchers() const {
-  return {m_configuration_watcher.get(), m_backend_watcher.get(),
-          m_job_watcher.get()};
+  std::vector<DocumentWatcher*> watchers = {m_configuration_watcher.get(),
+                                            m_backend_watcher.get(),
+                                            m_job_watcher.get()};
+  if (m_evacuation_watcher != nullptr) {
+    watchers.push_back(m_evacuation_watcher.get());
+  }
+  return watchers;
 }
 
 void GatewayDaemon::ReportListing(const std::string& kind,
@@ -209,6 +217,7 @@
            },
        .lost = [this](const Error&) { m_gateway.jobs_are_current = false; },
        .regained = [this] { m_gateway.jobs_are_current = true; }});
+  StartEvacuations();
 }
 
 void GatewayDaemon::ApplyJobChange(const DocumentChange& change,
@@ -221,14 +230,16 @@
 }
 
 void GatewayDaemon::MaybeActivateJobs() {
-  if (m_registered && m_peers_known && m_jobs_known) {
+  const bool may_place = m_evacuations == nullptr || m_evacuations->may_place();
+  if (m_registered && m_peers_known && m_jobs_known && may_place) {
     m_job_runner.HandleEvent(SchedulerActivated{});
   }
 }
 
 void GatewayDaemon::MaybeOpenStartupGate() {
   if (m_startup_gate.is_open() || m_gateway.configuration == nullptr ||
-      !m_backends_known) {
+      !m_backends_known ||
+      (m_evacuations != nullptr && !m_evacuations->may_place())) {
     return;
   }
   m_startup_gate.Open();
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -105,6 +105,7 @@
                           AttemptId(m_request.item.id.value()), call),
                       .body = m_request.item.body};
   m_abort = std::make_shared<HttpAbort>();
+  m_abort->SetSendCondition([&lease] { return lease.BeginSend(); });
   const auto client = lease.client();
   const Duration timeout = m_request.call.deadline;
   m_stall_watch.BeginRead();
@@ -113,7 +114,9 @@
   EndRead();
   if (!opened.has_value()) {
     if (opened.error().kind() == ErrorKind::kUnavailable && !m_stopped) {
-      lease.SetOutcome(AttemptOutcome::kFailed);
+      m_withheld = lease.was_withheld();
+      lease.SetOutcome(m_withheld ? AttemptOutcome::kCancelled
+                                  : AttemptOutcome::kFailed);
       m_failure_reason = opened.error().message;
       co_return ItemRunOutcome::kNotRun;
     }
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -60,6 +60,8 @@
   uint32_t events() const { return m_event_count; }
   /// Whether the connection failed during the run, or the response is
   /// malformed.
+  /// Whether the request was not sent because the zone is being evacuated.
+  bool was_withheld() const { return m_withheld; }
   bool broke_off() const { return m_broke_off; }
   /// Whether the body has neither a length nor chunks.
   bool ends_with_connection() const {
@@ -98,6 +100,7 @@
   bool m_gave_up = false;
   bool m_stopped = false;
   bool m_broke_off = false;
+  bool m_withheld = false;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -528,6 +528,9 @@
                              bool is_trial) {
   CrashSuspectCore& suspects = m_gateway.crash_suspects;
   const MonotonicTime now = MonotonicClock::now();
+  if (run.was_withheld()) {
+    return;
+  }
   if (outcome == ItemRunOutcome::kNotRun && !run.answer_began()) {
     suspects.Handle(BackendRefusedConnection{backend, started_at_ms}, now);
   } else if (run.broke_off()) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -536,7 +536,10 @@
     const Error& error = opened.error();
     if (error.kind() == ErrorKind::kUnavailable) {
       RecordRefusedConnection(lease);
-      co_return EndAttemptNotRun(AttemptOutcome::kFailed, error.message);
+      co_return EndAttemptNotRun(lease.was_withheld()
+                                     ? AttemptOutcome::kCancelled
+                                     : AttemptOutcome::kFailed,
+                                 error.message);
     }
     co_return HandleResponseError(error);
   }
@@ -544,6 +547,9 @@
 }
 
 void RelaySession::RecordRefusedConnection(const AttemptLease& lease) {
+  if (lease.was_withheld()) {
+    return;
+  }
   m_gateway.crash_suspects.Handle(
       BackendRefusedConnection{lease.backend(), lease.started_at_ms()},
       MonotonicClock::now());
--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -148,8 +148,12 @@
   } else {
     RecordResponse(other);
   }
-  lease.SetOutcome(refused.refused_connection ? AttemptOutcome::kFailed
-                                              : AttemptOutcome::kFull);
+  if (lease.was_withheld()) {
+    lease.SetOutcome(AttemptOutcome::kCancelled);
+  } else {
+    lease.SetOutcome(refused.refused_connection ? AttemptOutcome::kFailed
+                                                : AttemptOutcome::kFull);
+  }
   LogAttemptNotRun(lease, refused.why);
 }
 
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -310,6 +310,10 @@
                     "The call was given up before anything was sent.");
   }
   ConnectionPtr connection = std::move(acquired.value());
+  if (abort != nullptr && !abort->MaySend()) {
+    co_return Error(ErrorKind::kUnavailable,
+                    "The request was withdrawn before anything was sent.");
+  }
   const AbortBinding binding(abort, *connection);
   if (abort != nullptr) {
     abort->ReportSend();
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -55,6 +55,13 @@
   void SetSendCallback(std::function<void()> on_send) {
     m_on_send = std::move(on_send);
   }
+  /// `may_send` is called right before the request is sent. If it returns
+  /// false, nothing is sent and the call fails with kUnavailable.
+  void SetSendCondition(std::function<bool()> may_send) {
+    m_may_send = std::move(may_send);
+  }
+  /// Called by HttpClient.
+  bool MaySend() const { return !m_may_send || m_may_send(); }
   /// Called by HttpClient.
   void ReportSend() const {
     if (m_on_send) {
@@ -70,6 +77,7 @@
  private:
   std::function<void()> m_close;
   std::function<void()> m_on_send;
+  std::function<bool()> m_may_send;
   bool m_aborted = false;
 };
 
--- a/Source/Placement/evacuation_core.cc
+++ b/Source/Placement/evacuation_core.cc
@@ -96,7 +96,8 @@
   if (entry != m_entries.end() && entry->second.version > event.version) {
     // The removal is that of an earlier entry. A listing settles it if this
     // one is gone too.
-    if (event.source != EvacuationSource::kPeer) {
+    if (event.source != EvacuationSource::kPeer &&
+        entry->second.stored <= event.version) {
       entry->second.stored = ObjectVersion();
     }
     return;
