--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -90,6 +90,13 @@
        {"sequence", 1}});
 }
 
+void GatewayFixture::SetZone(size_t index, const std::string& zone) {
+  const std::string id = "i-" + std::to_string(index);
+  nlohmann::json entry = store.Find("servers", id)->content;
+  entry["zone"] = zone;
+  store.Put("servers", id, entry);
+}
+
 size_t GatewayFixture::AddGateway() {
   return AddGateway(server.port());
 }
@@ -144,6 +151,7 @@
                            .store = Endpoint{.port = store_port}};
   settings.first_internal_port = InternalPort();
   settings.stop_grace = stop_grace;
+  settings.evacuate_within = evacuate_within;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       gateway_context,
       GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,12 +86,16 @@
   void Publish();
   /// The grace time of gateways that are added from now on.
   Duration stop_grace = GatewaySettings().stop_grace;
+  /// The bound of evacuations of gateways that are added from now on.
+  std::optional<Duration> evacuate_within;
   /// Called when the shutdown of a gateway that is added from now on is
   /// complete: its process would exit.
   std::function<void()> on_stopped;
 
   GatewayDaemon& gateway(size_t index) { return *m_gateways[index]; }
   ModelServer& backend(size_t index) { return *m_backends[index]; }
+  /// Moves a backend server to another zone than `z`, where all are at first.
+  void SetZone(size_t index, const std::string& zone);
   size_t RequestsAt(size_t index) { return backend(index).received().size(); }
 
   boost::asio::io_context context;
