Placement: the sharing of a rate among gateways is a class of its own

RateShares holds what AttemptInterval() did for named limits, so that cold backend servers can use the same mechanism. Behaviour is unchanged: placement.backend_limits passes without a change.

--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -38,7 +38,7 @@
 }
 
 PlacementCore::PlacementCore(PlacementOptions options)
-    : m_options(std::move(options)), m_members{m_options.self} {}
+    : m_options(std::move(options)), m_rate_shares(m_options.self) {}
 
 void PlacementCore::Handle(const PlacementEvent& event, MonotonicTime now) {
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
@@ -100,7 +100,7 @@
 }
 
 void PlacementCore::Apply(const FleetMembersChanged& event, MonotonicTime) {
-  m_members = event.members;
+  m_rate_shares.SetMembers(event.members);
   for (auto& [incarnation, state] : m_limits) {
     if (state.limit.has_value()) {
       state.interval = AttemptInterval(incarnation.first, *state.limit);
@@ -137,16 +137,9 @@
 std::optional<Duration> PlacementCore::AttemptInterval(
     const BackendId& id,
     RequestRate limit) const {
-  const double rate = std::max(limit, m_options.min_limit).per_second;
-  const auto sharers =
-      static_cast<size_t>(std::min(2 * rate + m_options.limit_sharers,
-                                   static_cast<double>(m_members.size())));
-  const std::vector<VmId> picked =
-      RendezvousPick(id.value(), m_members, sharers);
-  if (std::find(picked.begin(), picked.end(), m_options.self) == picked.end()) {
-    return std::nullopt;
-  }
-  return FromSeconds(static_cast<double>(picked.size()) / rate);
+  const RequestRate rate = std::max(limit, m_options.min_limit);
+  return m_rate_shares.AttemptInterval(
+      id.value(), rate, 2 * rate.per_second + m_options.limit_sharers);
 }
 
 bool PlacementCore::IsWithinLimit(const BackendRecord& record,
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -16,6 +16,7 @@
 #include "Base/work_class.h"
 #include "Fleet/backend_record.h"
 #include "Peers/peer_message.h"
+#include "Placement/rate_shares.h"
 
 namespace cowslip {
 
@@ -307,7 +308,7 @@
   std::map<IncarnationKey, MonotonicTime> m_leaving;
   // Kept beyond the removal of an entry for the same reason.
   std::map<IncarnationKey, LimitState> m_limits;
-  std::vector<VmId> m_members;
+  RateShares m_rate_shares;
 };
 
 }  // namespace cowslip
