Platform: cold backend servers in settings, configuration, entries and responses

The settings bounds.cold_overage and bounds.cold_slack, the fields cold_per_s and cold_start_s of a service, cold_remaining_ms of a backend server's entry and the header Cold-Ms are decoded; nothing uses them yet. The remaining time is not part of BackendRecord: BackendDirectory forwards records that differ, and the same remaining time in a newer entry means that the server is cold again, which a comparison would hide.

--- a/Source/Fleet/caller_request.h
+++ b/Source/Fleet/caller_request.h
@@ -73,6 +73,9 @@
   /// How many requests the backend server takes from all callers together;
   /// nullopt if it names no limit.
   std::optional<RequestRate> limit;
+  /// How much longer the backend server says that it stays cold; nullopt if it
+  /// does not say.
+  std::optional<Duration> cold_remaining;
 };
 
 }  // namespace cowslip
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -13,6 +13,7 @@
 
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/request_rate.h"
 
 namespace cowslip {
 
@@ -98,6 +99,11 @@
   /// Maximum number of connections to one backend server, from all callers
   /// together.
   uint32_t max_connections = 100;
+  /// The requests per second that a cold backend server tolerates; zero if its
+  /// backend servers are never cold.
+  RequestRate cold_rate;
+  /// How long a backend server is cold after a start during traffic.
+  Duration cold_start{0};
 };
 
 /// \class FleetOrganisation
--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "Base/endpoint.h"
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/cold_bounds.h"
 
 namespace cowslip {
 
@@ -34,6 +35,9 @@
   Duration job_retention = std::chrono::seconds(120);
   /// The memory that this process may use; 0 if the settings name none.
   uint64_t memory_bytes = 0;
+  /// Bounds on the requests to cold backend servers; nullopt to treat them like
+  /// any others.
+  std::optional<ColdBounds> cold_bounds;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
