Placement: cold backend servers get no more than they tolerate

A backend server that is cold crashes at a rate well above cold_per_s. It may become cold at any moment, and gateways learn of it seconds apart or never, so shares of those who know leave no room for the others: with 19 gateways even one request a second each adds up to 14 beside the 15 of the sharers. ColdBackendCore keeps each gateway within its strict share of the bound at all times, and lets only a few go on where a server is known to be cold.

--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -38,7 +38,11 @@
 }
 
 PlacementCore::PlacementCore(PlacementOptions options)
-    : m_options(std::move(options)), m_rate_shares(m_options.self) {}
+    : m_options(std::move(options)),
+      m_rate_shares(m_options.self),
+      m_cold_backends(ColdBackendOptions{.self = m_options.self,
+                                         .bounds = m_options.cold_bounds},
+                      m_rate_shares) {}
 
 void PlacementCore::Handle(const PlacementEvent& event, MonotonicTime now) {
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
@@ -99,8 +103,9 @@
   state.heard = heard;
 }
 
-void PlacementCore::Apply(const FleetMembersChanged& event, MonotonicTime) {
+void PlacementCore::Apply(const FleetMembersChanged& event, MonotonicTime now) {
   m_rate_shares.SetMembers(event.members);
+  m_cold_backends.SetMembers(event.members, now);
   for (auto& [incarnation, state] : m_limits) {
     if (state.limit.has_value()) {
       state.interval = AttemptInterval(incarnation.first, *state.limit);
@@ -108,6 +113,26 @@
   }
 }
 
+void PlacementCore::Apply(const BackendColdHeard& event, MonotonicTime now) {
+  const BackendRecord* record = Find(event.coldness.backend);
+  if (event.service.empty() && record == nullptr) {
+    return;
+  }
+  m_cold_backends.Record(
+      {.service = event.service.empty() ? record->service : event.service,
+       .coldness = event.coldness,
+       .source = event.source},
+      now);
+}
+
+void PlacementCore::Apply(const ColdServicesChanged& event, MonotonicTime now) {
+  m_cold_backends.SetServices(event.services, now);
+}
+
+std::vector<ColdAction> PlacementCore::TakeColdActions(MonotonicTime now) {
+  return m_cold_backends.TakeActions(now);
+}
+
 bool PlacementCore::IsLimited(const BackendId& id,
                               uint64_t started_at_ms) const {
   const auto found = m_limits.find({id, started_at_ms});
@@ -171,6 +196,7 @@
     if (limit != m_limits.end()) {
       limit->second.last_attempt = now;
     }
+    m_cold_backends.RecordAttempt(record, event.work, now);
   }
 }
 
@@ -284,7 +310,8 @@
   const bool is_paused =
       work == WorkClass::kBatch && now < backend.batch_paused_until;
   return AcceptsRequests(backend.record) && now >= backend.backoff_until &&
-         !is_paused && IsWithinLimit(backend.record, work, now);
+         !is_paused && IsWithinLimit(backend.record, work, now) &&
+         m_cold_backends.HasTurn(backend.record, work, now);
 }
 
 double PlacementCore::MedianEventInterval(const ServiceId& service) const {
@@ -319,7 +346,8 @@
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
     if (!MayRun(record, query) || backend.Total() >= max_load(backend) ||
-        !IsUsable(backend, work, now)) {
+        !IsUsable(backend, work, now) ||
+        !m_cold_backends.MayAttempt(record, work, now)) {
       continue;
     }
     const bool has_slot = backend.Total() < record.slots;
@@ -354,12 +382,29 @@
 
 std::optional<BackendId> PlacementCore::PlaceBatch(const PlacementQuery& query,
                                                    MonotonicTime now) const {
+  if (!HasRoomForItem(query.service, now)) {
+    return std::nullopt;
+  }
   const auto max_load = [&](const Backend& backend) {
     return MaxLoadWithBatch(backend.record);
   };
   return PlaceBelowLoad(query, WorkClass::kBatch, now, max_load);
 }
 
+bool PlacementCore::HasRoomForItem(const ServiceId& service,
+                                   MonotonicTime now) const {
+  if (!m_cold_backends.MayBeCold(service)) {
+    return true;
+  }
+  std::vector<const BackendRecord*> backends;
+  for (const auto& [id, backend] : m_backends) {
+    if (backend.record.service == service && AcceptsRequests(backend.record)) {
+      backends.push_back(&backend.record);
+    }
+  }
+  return m_cold_backends.HasRoomForItem(backends, now);
+}
+
 uint32_t PlacementCore::MaxLoadWithBatch(const BackendRecord& record) const {
   const uint32_t slots = record.slots;
   return slots > m_options.batch_headroom ? slots - m_options.batch_headroom
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -16,6 +16,7 @@
 #include "Base/work_class.h"
 #include "Fleet/backend_record.h"
 #include "Peers/peer_message.h"
+#include "Placement/cold_backend_core.h"
 #include "Placement/rate_shares.h"
 
 namespace cowslip {
@@ -60,6 +61,9 @@
   Duration limit_end_report = std::chrono::seconds(5);
   /// Bounds a report to about 10 kB; the limits heard last are reported.
   size_t max_reported_limits = 256;
+  /// Bounds on the requests to backend servers that may be cold; nullopt to
+  /// treat them like any others.
+  std::optional<ColdBounds> cold_bounds{};
 };
 
 /// The outcome of an attempt to run a request at a backend server.
@@ -95,6 +99,19 @@
 struct BackendLimitHeard {
   BackendLimit limit;
 };
+/// A backend server's entry, one of its responses or another process says how
+/// much longer it stays cold. What another process says of a backend server
+/// that this one does not know is ignored.
+struct BackendColdHeard {
+  BackendColdness coldness;
+  ColdSource source = ColdSource::kEntry;
+  /// Empty for that of the known backend server.
+  ServiceId service{};
+};
+/// The services whose backend servers may be cold have changed.
+struct ColdServicesChanged {
+  std::map<ServiceId, ColdService> services;
+};
 /// The processes that share the backend servers, this one included.
 struct FleetMembersChanged {
   std::vector<VmId> members;
@@ -142,6 +159,8 @@
                                     BackendRemoved,
                                     BackendLeaving,
                                     BackendLimitHeard,
+                                    BackendColdHeard,
+                                    ColdServicesChanged,
                                     FleetMembersChanged,
                                     AttemptStarted,
                                     AttemptEnded,
@@ -228,6 +247,10 @@
   bool IsLimited(const BackendId& id, uint64_t started_at_ms) const;
   /// What is known of limits, for reports to the other processes.
   std::vector<BackendLimit> LimitsToReport(MonotonicTime now) const;
+  /// What is known of cold backend servers.
+  const ColdBackendCore& cold_backends() const { return m_cold_backends; }
+  /// What has happened to cold backend servers since the last call.
+  std::vector<ColdAction> TakeColdActions(MonotonicTime now);
   /// The requests in flight of this process, for reports to the others.
   std::vector<BackendUse> InFlight() const;
 
@@ -266,6 +289,8 @@
   void Apply(const BackendRemoved& event, MonotonicTime now);
   void Apply(const BackendLeaving& event, MonotonicTime now);
   void Apply(const BackendLimitHeard& event, MonotonicTime now);
+  void Apply(const BackendColdHeard& event, MonotonicTime now);
+  void Apply(const ColdServicesChanged& event, MonotonicTime now);
   void Apply(const FleetMembersChanged& event, MonotonicTime now);
   void Apply(const AttemptStarted& event, MonotonicTime now);
   void Apply(const AttemptEnded& event, MonotonicTime now);
@@ -292,6 +317,9 @@
   std::optional<Duration> AttemptInterval(const BackendId& id,
                                           RequestRate limit) const;
   bool IsSlow(const Backend& backend, double median) const;
+  /// Whether online requests leave room for one more item among backend servers
+  /// that may be cold.
+  bool HasRoomForItem(const ServiceId& service, MonotonicTime now) const;
   /// How many requests a backend server may run when a batch item is one.
   uint32_t MaxLoadWithBatch(const BackendRecord& record) const;
   double MedianEventInterval(const ServiceId& service) const;
@@ -309,6 +337,7 @@
   // Kept beyond the removal of an entry for the same reason.
   std::map<IncarnationKey, LimitState> m_limits;
   RateShares m_rate_shares;
+  ColdBackendCore m_cold_backends;
 };
 
 }  // namespace cowslip
