--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -109,6 +109,42 @@
   CHECK(configuration.keys_required());
 }
 
+TEST_CASE("The cold time of an entry is a whole number of milliseconds") {
+  const auto decode = [](const json& value) {
+    json entry = BackendEntry();
+    entry["cold_remaining_ms"] = value;
+    return platform::DecodeColdRemaining(Entry(entry));
+  };
+  CHECK(decode(2500).value() == Duration(2500ms));
+  CHECK(decode(0).value() == Duration(0s));
+  CHECK(platform::DecodeColdRemaining(Entry(json::object())).value() ==
+        Duration(0s));
+  for (const json& invalid :
+       {json(-1), json(1.5), json("1"), json(nullptr), json(1e15)}) {
+    CHECK_FALSE(decode(invalid).has_value());
+  }
+}
+
+TEST_CASE("The cold rate and the cold start of a service are numbers from 0") {
+  const auto decode = [](const char* field, const json& value) {
+    json spec = Configuration();
+    spec["services"] = {{{"name", "s"}, {field, value}}};
+    return platform::DecodeConfiguration(spec);
+  };
+  const auto rate = decode("cold_per_s", 10);
+  REQUIRE(rate.has_value());
+  CHECK(rate.value().services[0].cold_rate == RequestRate{10});
+  CHECK(decode("cold_start_s", 1.5).value().services[0].cold_start == 1500ms);
+  for (const char* field : {"cold_per_s", "cold_start_s"}) {
+    for (const json& invalid :
+         {json(-1), json("1"), json(nullptr), json(true), json(1e9)}) {
+      const auto parts = decode(field, invalid);
+      REQUIRE_FALSE(parts.has_value());
+      CHECK(parts.error().message.find(field) != std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("A limit on waiting tokens is a whole number up to 2^53") {
   const auto decode = [](const json& value) {
     json spec = Configuration();
--- a/Tests/PlatformAdapter/messages_test.cc
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -61,6 +61,19 @@
   CHECK_FALSE(platform::DecodeBackendResponse(200, {}).limit.has_value());
 }
 
+TEST_CASE("The cold time of a backend server is a whole number") {
+  const auto cold = [](const char* text, int status = 200) {
+    return platform::DecodeBackendResponse(status, {{"Cold-Ms", text}})
+        .cold_remaining;
+  };
+  CHECK(cold("2500") == Duration(2500ms));
+  CHECK(cold("0") == Duration(0s));
+  for (const char* text : {"", "-1", "1.5", "x", "99999999999999999999"}) {
+    CHECK_FALSE(cold(text).has_value());
+  }
+  CHECK_FALSE(cold("2500", 421).has_value());
+}
+
 TEST_CASE("A backend server receives neither the API key nor forged headers") {
   const BackendCall call{.organisation = OrganisationId("mill"),
                          .backend = BackendId("i-1"),
--- a/Tests/PlatformAdapter/settings_file_test.cc
+++ b/Tests/PlatformAdapter/settings_file_test.cc
@@ -36,6 +36,24 @@
   CHECK(settings.value().store.port == 8688);
 }
 
+TEST_CASE("Cold backend servers are bounded only with both settings") {
+  const auto parse = [](const std::string& lines) {
+    return platform::ParseSettings(kSettings + lines);
+  };
+  const auto both = parse("bounds.cold_overage=1.5\nbounds.cold_slack=5\n");
+  REQUIRE(both.has_value());
+  CHECK(both.value().cold_bounds == ColdBounds{.overage = 1.5, .slack = 5});
+  for (const char* lines :
+       {"", "bounds.cold_overage=1.5\n", "bounds.cold_slack=5\n"}) {
+    CHECK_FALSE(parse(lines).value().cold_bounds.has_value());
+  }
+  for (const char* lines :
+       {"bounds.cold_overage=x\n", "bounds.cold_overage=0.5\n",
+        "bounds.cold_slack=-1\n", "bounds.cold_slack=5s\n"}) {
+    CHECK_FALSE(parse(lines).has_value());
+  }
+}
+
 TEST_CASE("Settings without listen.front have no caller endpoint") {
   const auto settings = platform::ParseSettings(Without("listen.front"));
   REQUIRE(settings.has_value());
