Gateway: cold backend servers are learned from entries, responses and peers

The daemon passes the cold time of an entry on before the backend server becomes usable, with the store version of the entry, and that of responses. Datagrams list the cold backend servers with their remaining time (cold_backends, the 20th field; processes of earlier releases end before it), so a gateway whose store read is late learns of it from a peer. backend_cold, backend_warm and cold_time_rejected are logged, cowslip_cold_backends counts.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -64,6 +64,21 @@
   }
 }
 
+void AttemptLease::RecordColdness(const std::optional<Duration>& remaining) {
+  if (remaining.has_value()) {
+    m_dispatcher.HandleEvent(
+        BackendColdHeard{.coldness = {.backend = m_record.id,
+                                      .started_at_ms = m_record.started_at_ms,
+                                      .remaining = *remaining},
+                         .source = ColdSource::kResponse,
+                         .service = m_record.service});
+  }
+}
+
+std::vector<ColdAction> Dispatcher::TakeColdActions() {
+  return m_placement.TakeColdActions(MonotonicClock::now());
+}
+
 Dispatcher::Dispatcher(boost::asio::io_context& context,
                        DispatcherOptions options,
                        std::function<void()> load_changed)
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -48,6 +48,8 @@
   void MarkBackendLeaving();
   /// Records whether the backend server has named a limit in a response.
   void RecordLimit(const std::optional<RequestRate>& limit);
+  /// Records how much longer the backend server says that it stays cold.
+  void RecordColdness(const std::optional<Duration>& remaining);
   /// Sets how the attempt ended. Without a call, it counts as kCancelled.
   void SetOutcome(AttemptOutcome outcome) { m_outcome = outcome; }
 
@@ -139,6 +141,9 @@
     m_max_connections[service] = max_connections;
   }
 
+  /// What has happened to cold backend servers since the last call.
+  std::vector<ColdAction> TakeColdActions();
+
   const PlacementCore& placement_core() const { return m_placement; }
   AdmissionCore& admission_core() { return m_admission; }
   size_t waiting_count() const { return m_wait_queue.size(); }
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -56,7 +56,9 @@
 constexpr Duration kIdleClosesLogInterval = std::chrono::seconds(1);
 
 PlacementOptions PlacementOptionsFor(const GatewaySettings& settings) {
-  return PlacementOptions{.self = settings.vm, .zone = settings.zone};
+  return PlacementOptions{.self = settings.vm,
+                          .zone = settings.zone,
+                          .cold_bounds = settings.cold_bounds};
 }
 
 }  // namespace
@@ -292,6 +294,9 @@
     limit.age = std::max<Duration>(limit.age, std::chrono::milliseconds(1));
     m_dispatcher.HandleEvent(BackendLimitHeard{std::move(limit)});
   }
+  for (const BackendColdness& coldness : message.cold_backends) {
+    m_dispatcher.HandleEvent(BackendColdHeard{coldness, ColdSource::kPeer});
+  }
   m_job_runner.HandleReportedEnds(message.ended_jobs);
   if (!message.job_progress.empty()) {
     m_job_runner.HandleEvent(JobProgressReported{message.job_progress});
@@ -322,7 +327,9 @@
       .backend_limits =
           m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now()),
       .ended_jobs = m_scheduler.EndsToReport(MonotonicClock::now()),
-      .job_progress = m_scheduler.ProgressToReport()};
+      .job_progress = m_scheduler.ProgressToReport(),
+      .cold_backends = m_dispatcher.placement_core().cold_backends().ToReport(
+          MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
@@ -448,6 +455,12 @@
   m_metrics.SetGauge("cowslip_prompt_parts_blocked",
                      "Prompt parts that are taken to crash backend servers.",
                      static_cast<double>(m_crash_suspects.blocked_parts()));
+  m_metrics.SetGauge("cowslip_cold_backends",
+                     "Backend servers that are known to be cold.",
+                     static_cast<double>(m_dispatcher.placement_core()
+                                             .cold_backends()
+                                             .ToReport(MonotonicClock::now())
+                                             .size()));
   m_metrics.SetGauge("cowslip_configuration_current",
                      "1 while newer configurations would be heard of.",
                      m_gateway.configuration_is_current ? 1 : 0);
@@ -479,6 +492,7 @@
     HandlePeerEvent(PeerTick{});
     m_version_history.Handle(VersionHistoryTick{});
     HandleDivergenceEvent(DivergenceTick{});
+    LogColdBackends();
     m_job_runner.Tick();
     MaybeLogIdleCloses();
     m_log.Flush();
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -87,6 +87,12 @@
   std::optional<RouteId> RouteWithoutLimit(
       const FleetConfigurationParts& parts) const;
   void ApplyBackendChange(const DocumentChange& change);
+  /// Takes over whether the backend server is cold. Call it before the entry is
+  /// applied, so that the backend server is not taken for warm meanwhile.
+  void ApplyColdness(const DocumentChange& change,
+                     const BackendRecord& backend);
+  void ApplyColdServices();
+  void LogColdBackends();
   /// Call UpdatePeerTable() after the last of several changes.
   void ApplyPeerChange(const DocumentChange& change);
   void ApplyJobChange(const DocumentChange& change, const char* source);
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -276,6 +276,7 @@
   for (const FleetService& service : now.services()) {
     m_dispatcher.SetMaxConnections(service.id, service.max_connections);
   }
+  ApplyColdServices();
   const CallerLimits& limits = now.limits();
   m_caller_server->SetLimits(
       HttpServerLimits{.max_header_bytes = limits.max_header_bytes,
@@ -325,6 +326,7 @@
 void GatewayDaemon::ApplyBackendChange(const DocumentChange& change) {
   const auto backend = platform::DecodeBackend(change.document);
   if (!change.removed && backend.has_value()) {
+    ApplyColdness(change, *backend);
     HandleDirectoryEvent(BackendEntryWritten{*backend});
     return;
   }
@@ -336,6 +338,76 @@
       BackendEntryRemoved{BackendId(change.document.name.value())});
 }
 
+void GatewayDaemon::ApplyColdness(const DocumentChange& change,
+                                  const BackendRecord& backend) {
+  const Result<Duration> remaining =
+      platform::DecodeColdRemaining(change.document);
+  if (!remaining.has_value()) {
+    m_log.Write("cold_time_rejected", {{"backend", backend.id.value()},
+                                       {"why", remaining.error().message}});
+    return;
+  }
+  m_dispatcher.HandleEvent(BackendColdHeard{
+      .coldness = {.backend = backend.id,
+                   .started_at_ms = backend.started_at_ms,
+                   .remaining = remaining.value(),
+                   .entry_version = change.document.version.value()},
+      .source = ColdSource::kEntry,
+      .service = backend.service});
+}
+
+void GatewayDaemon::ApplyColdServices() {
+  ColdServicesChanged cold;
+  for (const FleetService& service : m_gateway.configuration->services()) {
+    cold.services[service.id] = {service.cold_rate, service.cold_start};
+  }
+  m_dispatcher.HandleEvent(cold);
+}
+
+void GatewayDaemon::LogColdBackends() {
+  const auto name_of = [](ColdSource source) {
+    switch (source) {
+      case ColdSource::kEntry:
+        return "entry";
+      case ColdSource::kResponse:
+        return "response";
+      case ColdSource::kPeer:
+        return "peer";
+    }
+    return "";
+  };
+  const auto log = Overloaded{
+      [&](const BackendTurnedCold& cold) {
+        nlohmann::json share = "none";
+        if (cold.interval.has_value()) {
+          share = ToMillis(*cold.interval);
+        }
+        m_log.Write("backend_cold",
+                    {{"backend", cold.coldness.backend.value()},
+                     {"remaining_ms", ToMillis(cold.coldness.remaining)},
+                     {"source", name_of(cold.source)},
+                     {"interval_ms", std::move(share)}});
+        m_gossip->StateChanged();
+      },
+      [&](const BackendTurnedWarm& warm) {
+        m_log.Write("backend_warm", {{"backend", warm.backend.value()}});
+      },
+      [&](const ColdStatementRejected& rejected) {
+        const BackendColdness& coldness = rejected.statement.coldness;
+        m_log.Write(
+            "cold_time_rejected",
+            {{"backend", coldness.backend.value()},
+             {"remaining_ms", ToMillis(coldness.remaining)},
+             {"max_ms", ToMillis(rejected.max_remaining)},
+             {"why",
+              "The cold time is far above the cold start of the service. "
+              "Correct it; what was known stays in force."}});
+      }};
+  for (const ColdAction& action : m_dispatcher.TakeColdActions()) {
+    std::visit(log, action);
+  }
+}
+
 // Crashes of backend servers that run nothing for this process are seen only
 // here.
 void GatewayDaemon::ReportVanished(const BackendId& id,
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -135,6 +135,7 @@
   }
   if (classified.from_backend) {
     lease.RecordLimit(classified.limit);
+    lease.RecordColdness(classified.cold_remaining);
   }
   switch (classified.kind) {
     case ResponseKind::kOtherRequest:
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -558,6 +558,7 @@
   }
   if (classified.from_backend) {
     lease.RecordLimit(classified.limit);
+    lease.RecordColdness(classified.cold_remaining);
   }
   if (classified.limit.has_value()) {
     m_gateway.log.Write("backend_limit_named",
--- a/Source/Gateway/response_classification.cc
+++ b/Source/Gateway/response_classification.cc
@@ -42,7 +42,8 @@
   return {.kind = kind,
           .is_leaving = from_backend && facts.is_leaving,
           .from_backend = from_backend,
-          .limit = from_backend ? facts.limit : std::nullopt};
+          .limit = from_backend ? facts.limit : std::nullopt,
+          .cold_remaining = from_backend ? facts.cold_remaining : std::nullopt};
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/response_classification.h
+++ b/Source/Gateway/response_classification.h
@@ -32,6 +32,8 @@
   bool from_backend = false;
   /// The limit that it names.
   std::optional<RequestRate> limit;
+  /// How much longer it says that it stays cold.
+  std::optional<Duration> cold_remaining;
 };
 
 /// Classifies the response to `attempt` by its status and headers.
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -90,6 +90,22 @@
   return limit;
 }
 
+json EncodeColdness(const std::vector<BackendColdness>& cold) {
+  json encoded = json::array();
+  for (const BackendColdness& coldness : cold) {
+    encoded.push_back({coldness.backend.value(), coldness.started_at_ms,
+                       ToMillis(coldness.remaining), coldness.entry_version});
+  }
+  return encoded;
+}
+
+BackendColdness ReadColdness(const json& fields) {
+  return {.backend = fields.at(0).get<BackendId>(),
+          .started_at_ms = fields.at(1).get<uint64_t>(),
+          .remaining = std::chrono::milliseconds(fields.at(2).get<uint32_t>()),
+          .entry_version = fields.at(3).get<uint64_t>()};
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -144,6 +160,11 @@
            .tokens = progress.at(2).get<uint64_t>()});
     }
   }
+  if (fields.size() > 19) {
+    for (const json& coldness : fields.at(19)) {
+      message.cold_backends.push_back(ReadColdness(coldness));
+    }
+  }
   return message;
 }
 
@@ -176,16 +197,26 @@
     job_progress.push_back(
         {progress.job.value(), progress.items, progress.tokens});
   }
-  return ToCbor(json::array(
-      {kLayout, message.vm.value(), message.incarnation.value(),
-       message.sequence, ToMillis(message.uptime),
-       message.configuration.value(), message.draining, message.reaches_store,
-       message.digests, std::move(usage), std::move(in_flight),
-       EncodeAbortedRuns(message.aborted_runs),
-       EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
-       EncodeLimits(message.backend_limits), std::move(held_back),
-       std::move(completed_requests), message.ended_jobs,
-       std::move(job_progress)}));
+  return ToCbor(json::array({kLayout,
+                             message.vm.value(),
+                             message.incarnation.value(),
+                             message.sequence,
+                             ToMillis(message.uptime),
+                             message.configuration.value(),
+                             message.draining,
+                             message.reaches_store,
+                             message.digests,
+                             std::move(usage),
+                             std::move(in_flight),
+                             EncodeAbortedRuns(message.aborted_runs),
+                             EncodeCrashes(message.crash_evidence.crashes),
+                             std::move(cleared),
+                             EncodeLimits(message.backend_limits),
+                             std::move(held_back),
+                             std::move(completed_requests),
+                             message.ended_jobs,
+                             std::move(job_progress),
+                             EncodeColdness(message.cold_backends)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -12,6 +12,7 @@
 #include "Base/json.h"
 #include "Base/result.h"
 #include "Base/time.h"
+#include "Fleet/backend_coldness.h"
 #include "Fleet/backend_record.h"
 #include "Fleet/request_rate.h"
 #include "Peers/crash_evidence.h"
@@ -90,6 +91,8 @@
   std::vector<JobKey> ended_jobs;
   /// The sender's unfinished jobs of which some items have results.
   std::vector<JobProgress> job_progress;
+  /// The backend servers that the sender knows to be cold.
+  std::vector<BackendColdness> cold_backends;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -78,16 +78,18 @@
   store.Put("config", "main", configuration);
 }
 
+nlohmann::json GatewayFixture::Entry(size_t index) const {
+  return {{"service", "s"},
+          {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"sequence", 1}};
+}
+
 void GatewayFixture::Register(size_t index) {
-  store.Put(
-      "servers", "i-" + std::to_string(index),
-      {{"service", "s"},
-       {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
-       {"zone", "z"},
-       {"version", "v1"},
-       {"slots", 8},
-       {"state", "ready"},
-       {"sequence", 1}});
+  store.Put("servers", "i-" + std::to_string(index), Entry(index));
 }
 
 size_t GatewayFixture::AddGateway() {
@@ -144,6 +146,7 @@
                            .store = Endpoint{.port = store_port}};
   settings.first_internal_port = InternalPort();
   settings.stop_grace = stop_grace;
+  settings.cold_bounds = cold_bounds;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       gateway_context,
       GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,10 @@
   void Publish();
   /// The grace time of gateways that are added from now on.
   Duration stop_grace = GatewaySettings().stop_grace;
+  /// The bounds at cold backend servers of gateways that are added from now on.
+  std::optional<ColdBounds> cold_bounds;
+  /// The entry of a backend server, as registered at first.
+  nlohmann::json Entry(size_t index) const;
   /// Called when the shutdown of a gateway that is added from now on is
   /// complete: its process would exit.
   std::function<void()> on_stopped;
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -142,6 +142,11 @@
       message.ended_jobs.push_back(JobKey(std::to_string(count)));
       message.job_progress.push_back(
           {JobKey(std::to_string(count)), count, uint64_t{count} << 20});
+      message.cold_backends.push_back(
+          {.backend = BackendId(std::to_string(count)),
+           .started_at_ms = count,
+           .remaining = std::chrono::milliseconds(count),
+           .entry_version = uint64_t{count} << 20});
     }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
@@ -166,6 +171,7 @@
     const auto& limits = decoded.value().backend_limits;
     RC_ASSERT(limits.size() == counts.size());
     RC_ASSERT(decoded.value().ended_jobs == message.ended_jobs);
+    RC_ASSERT(decoded.value().cold_backends == message.cold_backends);
     const auto& progress = decoded.value().job_progress;
     RC_ASSERT(progress.size() == counts.size());
     for (size_t i = 0; i < counts.size(); ++i) {
