--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -8,6 +8,7 @@
 #include "Base/endpoint.h"
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/cold_bounds.h"
 
 namespace cowslip {
 
@@ -38,6 +39,9 @@
   /// no request is sent to the zone; nullopt if the deployment has no
   /// evacuations.
   std::optional<Duration> evacuate_within;
+  /// Bounds on the requests to cold backend servers; nullopt to treat them like
+  /// any others.
+  std::optional<ColdBounds> cold_bounds;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -101,6 +101,15 @@
   return encoded;
 }
 
+json EncodeColdness(const std::vector<BackendColdness>& cold) {
+  json encoded = json::array();
+  for (const BackendColdness& coldness : cold) {
+    encoded.push_back({coldness.backend.value(), coldness.started_at_ms,
+                       ToMillis(coldness.remaining), coldness.entry_version});
+  }
+  return encoded;
+}
+
 void ReadEvacuations(const json& fields, PeerMessage& message) {
   message.knows_evacuations = fields.at(0).get<bool>();
   for (size_t i = 1; i < fields.size(); ++i) {
@@ -113,6 +122,13 @@
   }
 }
 
+BackendColdness ReadColdness(const json& fields) {
+  return {.backend = fields.at(0).get<BackendId>(),
+          .started_at_ms = fields.at(1).get<uint64_t>(),
+          .remaining = std::chrono::milliseconds(fields.at(2).get<uint32_t>()),
+          .entry_version = fields.at(3).get<uint64_t>()};
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -169,6 +185,9 @@
   }
   if (fields.size() > 19) {
     ReadEvacuations(fields.at(19), message);
+    for (const json& coldness : fields.at(20)) {
+      message.cold_backends.push_back(ReadColdness(coldness));
+    }
   }
   return message;
 }
@@ -213,6 +232,7 @@
        std::move(completed_requests), message.ended_jobs,
        std::move(job_progress)});
   fields.push_back(EncodeEvacuations(message));
+  fields.push_back(EncodeColdness(message.cold_backends));
   return ToCbor(fields);
 }
 
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -12,6 +12,7 @@
 #include "Base/json.h"
 #include "Base/result.h"
 #include "Base/time.h"
+#include "Fleet/backend_coldness.h"
 #include "Fleet/backend_record.h"
 #include "Fleet/request_rate.h"
 #include "Peers/crash_evidence.h"
@@ -95,6 +96,8 @@
   /// that has.
   bool knows_evacuations = false;
   std::vector<EvacuatedZone> evacuated_zones;
+  /// The backend servers that the sender knows to be cold.
+  std::vector<BackendColdness> cold_backends;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -78,16 +78,18 @@
   store.Put("config", "main", configuration);
 }
 
+nlohmann::json GatewayFixture::Entry(size_t index) const {
+  return {{"service", "s"},
+          {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"sequence", 1}};
+}
+
 void GatewayFixture::Register(size_t index) {
-  store.Put(
-      "servers", "i-" + std::to_string(index),
-      {{"service", "s"},
-       {"address", "127.0.0.1:" + std::to_string(m_backends[index]->port())},
-       {"zone", "z"},
-       {"version", "v1"},
-       {"slots", 8},
-       {"state", "ready"},
-       {"sequence", 1}});
+  store.Put("servers", "i-" + std::to_string(index), Entry(index));
 }
 
 void GatewayFixture::SetZone(size_t index, const std::string& zone) {
@@ -152,6 +154,7 @@
   settings.first_internal_port = InternalPort();
   settings.stop_grace = stop_grace;
   settings.evacuate_within = evacuate_within;
+  settings.cold_bounds = cold_bounds;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       gateway_context,
       GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -88,6 +88,10 @@
   Duration stop_grace = GatewaySettings().stop_grace;
   /// The bound of evacuations of gateways that are added from now on.
   std::optional<Duration> evacuate_within;
+  /// The bounds at cold backend servers of gateways that are added from now on.
+  std::optional<ColdBounds> cold_bounds;
+  /// The entry of a backend server, as registered at first.
+  nlohmann::json Entry(size_t index) const;
   /// Called when the shutdown of a gateway that is added from now on is
   /// complete: its process would exit.
   std::function<void()> on_stopped;
