Placement: ColdBackendCore has its own RateShares

A PlacementCore that is copied, as placement.burst_replay may do, would have kept a reference to the shares of the original. placement.cold_backends, cores, backend_limits and burst_replay pass.

--- a/Source/Placement/cold_backend_core.cc
+++ b/Source/Placement/cold_backend_core.cc
@@ -16,9 +16,8 @@
 
 }  // namespace
 
-ColdBackendCore::ColdBackendCore(ColdBackendOptions options,
-                                 const RateShares& shares)
-    : m_options(std::move(options)), m_shares(shares) {}
+ColdBackendCore::ColdBackendCore(ColdBackendOptions options)
+    : m_options(std::move(options)), m_shares(m_options.self) {}
 
 const ColdService* ColdBackendCore::FindService(
     const ServiceId& service) const {
@@ -85,6 +84,7 @@
   if (!m_options.bounds.has_value()) {
     return;
   }
+  m_shares.SetMembers(members);
   for (const VmId& member : members) {
     m_members[member] = now;
   }
--- a/Source/Placement/cold_backend_core.h
+++ b/Source/Placement/cold_backend_core.h
@@ -104,12 +104,12 @@
 /// Services without a cold rate are not affected.
 class ColdBackendCore {
  public:
-  ColdBackendCore(ColdBackendOptions options, const RateShares& shares);
+  explicit ColdBackendCore(ColdBackendOptions options);
 
   /// Sets the services whose backend servers may be cold.
   void SetServices(std::map<ServiceId, ColdService> services,
                    MonotonicTime now);
-  /// Call it after `shares` got the same members.
+  /// Sets the registered processes, this one included.
   void SetMembers(const std::vector<VmId>& members, MonotonicTime now);
   void Record(const ColdStatement& statement, MonotonicTime now);
   void RecordAttempt(const BackendRecord& record,
@@ -175,7 +175,7 @@
                         MonotonicTime now) const;
 
   const ColdBackendOptions m_options;
-  const RateShares& m_shares;
+  RateShares m_shares;
   std::map<ServiceId, ColdService> m_services;
   // The registered processes and those removed lately, with the time when each
   // was last registered; empty until the registrations are known.
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -41,8 +41,7 @@
     : m_options(std::move(options)),
       m_rate_shares(m_options.self),
       m_cold_backends(ColdBackendOptions{.self = m_options.self,
-                                         .bounds = m_options.cold_bounds},
-                      m_rate_shares) {}
+                                         .bounds = m_options.cold_bounds}) {}
 
 void PlacementCore::Handle(const PlacementEvent& event, MonotonicTime now) {
   std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
