Gateway: requests and jobs are kept in their home regions

What callers saw: operators could not keep the requests of a route or an organisation in some regions; any backend server or gateway could get them. Cause: neither the configuration nor placement knew regions. Change: `allowed_regions` of routes and organisations, the settings `region` and `zones.ZONE`; placement, acceptance, claims and relayed store calls follow them. Why it works: each place that hands a body to another VM checks one value, HomeRegions, which allows any region unless some are declared.

--- a/Source/Fleet/fleet_configuration.cc
+++ b/Source/Fleet/fleet_configuration.cc
@@ -21,6 +21,7 @@
   for (const FleetRoute& route : m_parts.routes) {
     m_routes_by_host[NormaliseHost(route.host)].push_back(&route);
     m_routes.emplace(route.id, &route);
+    m_declares_home_regions |= route.home_regions.is_restricted();
   }
   for (auto& [host, routes] : m_routes_by_host) {
     std::stable_sort(routes.begin(), routes.end(),
@@ -30,6 +31,7 @@
   }
   for (const FleetOrganisation& organisation : m_parts.organisations) {
     m_organisations[organisation.id] = &organisation;
+    m_declares_home_regions |= organisation.home_regions.is_restricted();
     for (const std::string& key : organisation.keys) {
       m_organisations_by_key[Sha256(key)] = &organisation;
     }
@@ -61,6 +63,21 @@
   return found == m_organisations.end() ? nullptr : found->second;
 }
 
+HomeRegions FleetConfiguration::HomeRegionsFor(
+    const RouteId& route,
+    const OrganisationId& organisation) const {
+  const FleetRoute* fleet_route = FindRoute(route);
+  const FleetOrganisation* fleet_organisation = FindOrganisation(organisation);
+  HomeRegions regions;
+  if (fleet_route != nullptr) {
+    regions = fleet_route->home_regions;
+  }
+  if (fleet_organisation != nullptr) {
+    regions = regions.Intersect(fleet_organisation->home_regions);
+  }
+  return regions;
+}
+
 const FleetOrganisation* FleetConfiguration::FindOrganisationByKey(
     std::string_view key) const {
   const auto found = m_organisations_by_key.find(Sha256(key));
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -13,6 +13,7 @@
 
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/home_regions.h"
 
 namespace cowslip {
 
@@ -71,6 +72,8 @@
   /// that have no result yet, over all gateways. 0 means no limit; nullopt if
   /// the route declares none.
   std::optional<uint64_t> max_waiting_tokens;
+  /// Where the requests of the route may run.
+  HomeRegions home_regions;
 
   /// Whether the route sends some requests to the service.
   bool SplitsTo(const ServiceId& service) const {
@@ -111,6 +114,8 @@
   double rate = 0;
   /// Number of requests above the rate that may arrive at once.
   double burst = 0;
+  /// Where the requests of the organisation may run.
+  HomeRegions home_regions;
 };
 
 /// \class CallerLimits
@@ -159,12 +164,19 @@
                               std::string_view path) const;
   const FleetRoute* FindRoute(const RouteId& id) const;
   const FleetOrganisation* FindOrganisation(const OrganisationId& id) const;
+  /// Where requests of the organisation on the route may run. What is not
+  /// declared restricts nothing.
+  HomeRegions HomeRegionsFor(const RouteId& route,
+                             const OrganisationId& organisation) const;
+  /// Whether any route or organisation has home regions.
+  bool declares_home_regions() const { return m_declares_home_regions; }
   /// Returns the organisation that has the API key, or null. Looks up the key's
   /// digest, so that the time of the lookup reveals nothing about other keys.
   const FleetOrganisation* FindOrganisationByKey(std::string_view key) const;
 
  private:
   FleetConfigurationParts m_parts;
+  bool m_declares_home_regions = false;
   std::unordered_map<std::string, std::vector<const FleetRoute*>>
       m_routes_by_host;
   std::unordered_map<RouteId, const FleetRoute*> m_routes;
--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -2,6 +2,7 @@
 #define SOURCE_FLEET_GATEWAY_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,10 @@
 struct GatewaySettings {
   VmId vm;
   ZoneId zone;
+  /// The region of this VM; empty if the settings do not tell it.
+  RegionId region;
+  /// The regions of availability zones.
+  std::map<ZoneId, RegionId> zone_regions;
   std::string address;
   /// Address on which callers connect; absent if the process serves no callers.
   std::optional<Endpoint> listen_callers;
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -124,7 +124,8 @@
   PlacementQuery query{.service = placement.service,
                        .shared_prompt = placement.shared_prompt,
                        .exclude = placement.exclude,
-                       .version = placement.version};
+                       .version = placement.version,
+                       .home_regions = placement.home_regions};
   const ServiceLoad load = m_placement.Load(query, now);
   const AdmissionDecision decision = m_admission.Handle(AdmissionRequested{
       .load = load,
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -71,6 +71,8 @@
   Duration latency_target{0};
   /// Time until the request's deadline.
   Duration remaining{0};
+  /// Where the request may run.
+  HomeRegions home_regions;
 };
 
 /// No slot was found in time: the request is to be refused.
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -40,6 +40,8 @@
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
   ShutdownNotice& shutdown_notice;
+  /// The region of this VM; empty if it is not known.
+  RegionId region;
   /// The configuration in force; null until the first one has been read.
   std::shared_ptr<const FleetConfiguration> configuration;
   /// Whether the watch on the configuration works, so that newer versions would
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -56,7 +56,9 @@
 constexpr Duration kIdleClosesLogInterval = std::chrono::seconds(1);
 
 PlacementOptions PlacementOptionsFor(const GatewaySettings& settings) {
-  return PlacementOptions{.self = settings.vm, .zone = settings.zone};
+  return PlacementOptions{.self = settings.vm,
+                          .zone = settings.zone,
+                          .zone_regions = settings.zone_regions};
 }
 
 }  // namespace
@@ -68,14 +70,14 @@
       m_settings(m_options.settings),
       m_log(EventLogOptions{.descriptor = m_options.log_descriptor}),
       m_direct_store(context.get_executor(), m_settings.store),
-      m_store(
-          context.get_executor(),
-          m_direct_store,
-          [this] { return m_peer_table.PickPeerReachingStore(m_random()); }),
+      m_store(context.get_executor(),
+              m_direct_store,
+              [this](const DocumentKind& kind) { return PickStorePeer(kind); }),
       m_random(m_options.incarnation.value()),
       m_quota(QuotaOptions{.failure_detection_time =
                                PeerTableOptions{}.silent_after}),
-      m_peer_table(PeerTableOptions{.self = m_settings.vm}),
+      m_peer_table(
+          PeerTableOptions{.self = m_settings.vm, .region = m_settings.region}),
       m_aborted_runs(
           AbortedRunTrackerOptions{.self = m_settings.vm,
                                    .incarnation = m_options.incarnation},
@@ -111,11 +113,13 @@
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
                 .shutdown_notice = m_shutdown_notice,
+                .region = m_settings.region,
                 .jobs_as_of = [this] { return m_job_watcher->as_of(); },
                 .refresh_jobs = [this] { m_job_watcher->Refresh(); },
                 .reported_state_changed = [this] { m_gossip->StateChanged(); }},
       m_scheduler(JobSchedulerOptions{.self = m_settings.vm,
-                                      .incarnation = m_options.incarnation},
+                                      .incarnation = m_options.incarnation,
+                                      .region = m_settings.region},
                   m_peer_table),
       m_job_runner(m_gateway, m_store, m_scheduler, JobRunnerOptions{}),
       m_job_acceptance(m_gateway, m_store, m_scheduler, m_job_runner),
@@ -352,7 +356,8 @@
       .vm = m_settings.vm,
       .address = Endpoint{.address = m_settings.address,
                           .port = m_settings.first_internal_port},
-      .incarnation = m_options.incarnation};
+      .incarnation = m_options.incarnation,
+      .region = m_settings.region};
   nlohmann::json content = EncodePeer(record);
   // Another attempt must not rely on it: the entry may have changed.
   std::optional<Document> known = std::exchange(m_own_entry, std::nullopt);
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -94,6 +94,9 @@
   void BeginRegistration(const std::vector<DocumentChange>& listed);
   void UpdatePeerTable();
   void MaybeActivateJobs();
+  void UpdateHomeRegions();
+  /// A peer through which documents of the kind may go to the store.
+  std::optional<Endpoint> PickStorePeer(const DocumentKind& kind);
   /// Opens the startup gate once the configuration and the backend servers have
   /// been read.
   void MaybeOpenStartupGate();
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -220,12 +220,44 @@
   }
 }
 
+// Without a configuration it is not known which jobs this process may claim.
 void GatewayDaemon::MaybeActivateJobs() {
-  if (m_registered && m_peers_known && m_jobs_known) {
+  if (m_registered && m_peers_known && m_jobs_known &&
+      m_gateway.configuration != nullptr) {
     m_job_runner.HandleEvent(SchedulerActivated{});
   }
 }
 
+void GatewayDaemon::UpdateHomeRegions() {
+  HomeRegionsChanged changed;
+  for (const FleetRoute& route : m_gateway.configuration->routes()) {
+    changed.routes[route.id] = route.home_regions;
+  }
+  for (const FleetOrganisation& organisation :
+       m_gateway.configuration->organisations()) {
+    changed.organisations[organisation.id] = organisation.home_regions;
+  }
+  m_job_runner.HandleEvent(changed);
+}
+
+// The items and the output of jobs stay in this VM's region once the operators
+// declare home regions. A document does not tell whether its job has some, so
+// the rule applies to the documents of all jobs.
+std::optional<Endpoint> GatewayDaemon::PickStorePeer(const DocumentKind& kind) {
+  if (m_gateway.configuration == nullptr ||
+      !m_gateway.configuration->declares_home_regions()) {
+    return m_peer_table.PickPeerReachingStore(m_random());
+  }
+  const std::optional<Endpoint> near =
+      m_peer_table.PickNearPeerReachingStore(m_random());
+  const bool must_be_near = kind.value() == kInputKind ||
+                            kind.value() == kResultKind ||
+                            kind.value() == kProgressKind;
+  return near.has_value() || must_be_near
+             ? near
+             : m_peer_table.PickPeerReachingStore(m_random());
+}
+
 void GatewayDaemon::MaybeOpenStartupGate() {
   if (m_startup_gate.is_open() || m_gateway.configuration == nullptr ||
       !m_backends_known) {
@@ -273,6 +305,8 @@
   }
   m_quota.Handle(quotas, MonotonicClock::now());
   m_job_acceptance.ApplyLimits(now);
+  UpdateHomeRegions();
+  MaybeActivateJobs();
   for (const FleetService& service : now.services()) {
     m_dispatcher.SetMaxConnections(service.id, service.max_connections);
   }
--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -99,7 +99,10 @@
   if (m_scheduler.Find(job) != nullptr || route.split.empty()) {
     co_return std::nullopt;
   }
-  std::optional<Problem> problem = CheckProcessLoad();
+  std::optional<Problem> problem = CheckHomeRegions(route.id, organisation);
+  if (!problem.has_value()) {
+    problem = CheckProcessLoad();
+  }
   if (!problem.has_value()) {
     const WallTime now = WallNow();
     const auto after = [now](Duration duration) {
@@ -226,10 +229,31 @@
                  .retry_after = kOverloadedRetryAfter};
 }
 
+std::optional<Problem> JobAcceptance::CheckHomeRegions(
+    const RouteId& route,
+    const OrganisationId& organisation) const {
+  const auto configuration = m_gateway.configuration;
+  if (configuration == nullptr ||
+      configuration->HomeRegionsFor(route, organisation)
+          .Allows(m_gateway.region)) {
+    return std::nullopt;
+  }
+  return Problem{.kind = ProblemKind::kNoBackend,
+                 .detail =
+                     "This VM is in no home region of the job. Submit the job "
+                     "to a VM in one of them.",
+                 .not_run = true,
+                 .retry_after = kOverloadedRetryAfter};
+}
+
 std::optional<Problem> JobAcceptance::CheckBeforeWrite(
     JobSubmission& submission) {
   JobRecord& record = submission.record;
-  std::optional<Problem> problem = CheckProcessLoad();
+  std::optional<Problem> problem =
+      CheckHomeRegions(record.definition.route, record.definition.organisation);
+  if (!problem.has_value()) {
+    problem = CheckProcessLoad();
+  }
   // An outdated view would reject jobs that fit.
   if (!problem.has_value() && m_gateway.jobs_are_current) {
     problem = CheckWaitingTokens(submission, record, false);
@@ -472,6 +496,12 @@
     Submission submission,
     JobRecord known) {
   submission->in_doubt = true;
+  if (CheckHomeRegions(known.definition.route, known.definition.organisation)
+          .has_value()) {
+    // The process that offered the job, or another one in its home regions,
+    // decides.
+    co_return std::nullopt;
+  }
   const bool is_known = co_await WaitForView(known.version, Limit(*submission));
   if (!is_known) {
     co_return std::nullopt;
--- a/Source/Gateway/job_acceptance.h
+++ b/Source/Gateway/job_acceptance.h
@@ -93,6 +93,10 @@
   /// is written.
   std::optional<Problem> CheckBeforeWrite(JobSubmission& submission);
   std::optional<Problem> CheckProcessLoad() const;
+  /// Whether this VM is in a home region of the job.
+  std::optional<Problem> CheckHomeRegions(
+      const RouteId& route,
+      const OrganisationId& organisation) const;
   /// Sets `spare_slots_only` of a job that fits but would be late.
   std::optional<Problem> CheckDeadline(JobDefinition& definition,
                                        const ServiceId& service,
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -1,6 +1,7 @@
 #include "Gateway/job_runner.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -344,12 +345,13 @@
 
 std::optional<SoftwareVersion> JobRunner::VersionToResume(
     const RunnableItem& item,
-    const ServiceId& service) {
+    const ServiceId& service,
+    const HomeRegions& regions) {
   if (item.progress->last_event == 0) {
     return std::nullopt;
   }
   const SoftwareVersion version = item.progress->version;
-  if (m_gateway.dispatcher.placement_core().Serves(service, version)) {
+  if (m_gateway.dispatcher.placement_core().Serves(service, version, regions)) {
     return version;
   }
   m_gateway.log.Write("item_restarted", {{"job", item.job.value()},
@@ -396,8 +398,9 @@
   size_t started = 0;
   m_blocked_in_pass.clear();
   std::map<ServiceId, int64_t> allowed = ItemsAllowed(now);
-  // Services, or single versions of them, without a free slot.
-  std::set<std::pair<ServiceId, std::optional<SoftwareVersion>>> full;
+  // Services, or single versions of them, without a free slot in the regions.
+  std::set<std::tuple<ServiceId, std::optional<SoftwareVersion>, HomeRegions>>
+      full;
   for (const RunnableItem& runnable : m_scheduler.RunnableItems(now)) {
     if (started >= m_options.max_starts_per_pass) {
       break;
@@ -409,23 +412,26 @@
     }
     const auto service = ServiceOf(open->second, *record);
     const auto item = open->second.items.find(runnable.item);
-    if (!service.has_value() || full.contains({*service, std::nullopt}) ||
+    const HomeRegions regions = HomeRegionsOf(*record);
+    if (!service.has_value() ||
+        full.contains({*service, std::nullopt, regions}) ||
         item == open->second.items.end() || allowed[*service] <= 0) {
       continue;
     }
     const std::optional<SoftwareVersion> version =
-        VersionToResume(runnable, *service);
-    if (full.contains({*service, version})) {
+        VersionToResume(runnable, *service, regions);
+    if (full.contains({*service, version, regions})) {
       continue;
     }
     std::shared_ptr<PromptTrial> trial;
     if (!MayRunPrompt(runnable.job, item->second, trial)) {
       continue;
     }
-    std::unique_ptr<AttemptLease> lease = m_gateway.dispatcher.PlaceBatch(
-        PlacementQuery{.service = *service, .version = version});
+    std::unique_ptr<AttemptLease> lease =
+        m_gateway.dispatcher.PlaceBatch(PlacementQuery{
+            .service = *service, .version = version, .home_regions = regions});
     if (lease == nullptr) {
-      full.insert({*service, version});
+      full.insert({*service, version, regions});
       continue;
     }
     ++started;
@@ -445,9 +451,11 @@
 }
 
 bool JobRunner::MayMove(const AttemptLease& lease,
-                        const ItemProgress& progress) const {
+                        const ItemProgress& progress,
+                        const HomeRegions& home_regions) const {
   PlacementQuery query{.service = lease.service(),
-                       .exclude = {lease.backend()}};
+                       .exclude = {lease.backend()},
+                       .home_regions = home_regions};
   if (progress.last_event > 0) {
     query.version = progress.version;
   }
@@ -456,6 +464,14 @@
       .has_value();
 }
 
+HomeRegions JobRunner::HomeRegionsOf(const JobRecord& record) const {
+  const auto& configuration = m_gateway.configuration;
+  return configuration == nullptr
+             ? HomeRegions()
+             : configuration->HomeRegionsFor(record.definition.route,
+                                             record.definition.organisation);
+}
+
 bool JobRunner::MayRunPrompt(const JobKey& job,
                              const JobItem& item,
                              std::shared_ptr<PromptTrial>& trial) {
@@ -586,14 +602,15 @@
               },
           .in_doubt_runs = in_doubt_runs,
           .may_move =
-              [this, &held = *lease, trial](const ItemProgress& reached) {
+              [this, &held = *lease, trial,
+               regions = HomeRegionsOf(*record)](const ItemProgress& reached) {
                 // Other items with the prompt part need not wait for a silent
                 // run.
                 if (trial != nullptr) {
                   trial->MarkRun();
                   trial->End();
                 }
-                return MayMove(held, reached);
+                return MayMove(held, reached, regions);
               }});
   m_runs[key] = run;
   m_gateway.log.Write("item_run_began",
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "Fleet/home_regions.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/item_run.h"
 #include "Jobs/job_scheduler.h"
@@ -156,14 +157,18 @@
   /// has not begun. An item whose version no longer serves is
   /// restarted from the beginning.
   std::optional<SoftwareVersion> VersionToResume(const RunnableItem& item,
-                                                 const ServiceId& service);
+                                                 const ServiceId& service,
+                                                 const HomeRegions& regions);
   void StartItems(ClockReadings now);
   /// How many more items this process may run at each service, by its share of
   /// the fleet's backlog.
   std::map<ServiceId, int64_t> ItemsAllowed(ClockReadings now) const;
   /// Whether another backend server than the lease's has a free slot for an
   /// item with this progress.
-  bool MayMove(const AttemptLease& lease, const ItemProgress& progress) const;
+  bool MayMove(const AttemptLease& lease,
+               const ItemProgress& progress,
+               const HomeRegions& home_regions) const;
+  HomeRegions HomeRegionsOf(const JobRecord& record) const;
   /// Whether an item with this prompt may be run; one that may not stays owed.
   /// Sets `trial` if the prompt is blocked and the item is to test that.
   bool MayRunPrompt(const JobKey& job,
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -170,7 +170,8 @@
         .version = m_stream_version,
         .priority = m_request.priority,
         .latency_target = m_request.route->target_latency,
-        .remaining = RemainingTime()};
+        .remaining = RemainingTime(),
+        .home_regions = m_request.home_regions};
     PlacementResult placed = co_await m_gateway.dispatcher.PlaceOnline(
         std::move(placement), m_stopped);
     if (*m_stopped) {
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -43,6 +43,8 @@
   int priority = 0;
   ServiceId service;
   MonotonicTime arrived;
+  /// Where the request may run.
+  HomeRegions home_regions;
 };
 
 /// \class RelaySession
--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -75,7 +75,8 @@
       PlacementQuery{.service = m_request.service,
                      .shared_prompt = m_request.caller.shared_prompt,
                      .exclude = std::move(exclude),
-                     .version = m_stream_version});
+                     .version = m_stream_version,
+                     .home_regions = m_request.home_regions});
   if (lease == nullptr) {
     return;
   }
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -212,6 +212,10 @@
   }
   const FleetOrganisation* fleet_organisation =
       m_gateway.configuration->FindOrganisation(organisation);
+  HomeRegions home_regions =
+      fleet_organisation == nullptr
+          ? route.home_regions
+          : route.home_regions.Intersect(fleet_organisation->home_regions);
   const bool own_priority =
       fleet_organisation != nullptr && fleet_organisation->priority >= 0;
   RelayRequest request{
@@ -221,7 +225,8 @@
       .organisation = std::move(organisation),
       .priority = own_priority ? fleet_organisation->priority : route.priority,
       .service = PickService(route),
-      .arrived = arrived};
+      .arrived = arrived,
+      .home_regions = std::move(home_regions)};
   RelaySession session(m_gateway, exchange, std::move(request));
   co_await session.Run();
 }
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -257,6 +257,40 @@
   return unfinished;
 }
 
+void JobScheduler::Apply(const HomeRegionsChanged& event, ClockReadings) {
+  for (const auto& [route, regions] : event.routes) {
+    m_route_regions[route] = regions;
+  }
+  for (const auto& [organisation, regions] : event.organisations) {
+    m_organisation_regions[organisation] = regions;
+  }
+  for (auto& [key, job] : m_jobs) {
+    if (job.ownership == Ownership::kOpen && !MayOwn(job)) {
+      StopItems(job);
+      MaybeHandBack(job);
+    }
+  }
+}
+
+HomeRegions JobScheduler::HomeRegionsOf(const Job& job) const {
+  const JobDefinition& definition = job.record.definition;
+  const auto route = m_route_regions.find(definition.route);
+  const auto organisation =
+      m_organisation_regions.find(definition.organisation);
+  HomeRegions regions;
+  if (route != m_route_regions.end()) {
+    regions = route->second;
+  }
+  if (organisation != m_organisation_regions.end()) {
+    regions = regions.Intersect(organisation->second);
+  }
+  return regions;
+}
+
+bool JobScheduler::MayOwn(const Job& job) const {
+  return HomeRegionsOf(job).Allows(m_options.region);
+}
+
 void JobScheduler::Apply(const SchedulerActivated&, ClockReadings now) {
   if (!m_active_since.has_value()) {
     m_active_since = now.monotonic;
@@ -285,6 +319,10 @@
 }
 
 void JobScheduler::Open(Job& job) {
+  if (!MayOwn(job)) {
+    HandBackUnread(job);
+    return;
+  }
   job.ownership = Ownership::kOpening;
   job.finish_requested = false;
   m_actions.push_back(OpenJob{job.record.key});
@@ -546,7 +584,8 @@
 
 // A job is handed back once none of its items run and all results are written.
 void JobScheduler::MaybeHandBack(Job& job) {
-  if (!m_stopping || job.ownership != Ownership::kOpen || job.writing ||
+  const bool must_leave = m_stopping || (!MayOwn(job) && !AllRecorded(job));
+  if (!must_leave || job.ownership != Ownership::kOpen || job.writing ||
       !job.unwritten_results.empty()) {
     return;
   }
@@ -566,6 +605,30 @@
   }
 }
 
+void JobScheduler::HandBackUnread(Job& job) {
+  job.ownership = Ownership::kNone;
+  job.handed_back = true;
+  job.handing_back = true;
+  m_actions.push_back(HandBackJob{.job = job.record.key,
+                                  .progress = job.record.status.progress});
+}
+
+// The job's document still names this process, which lives, so no other one
+// would claim the job.
+void JobScheduler::MaybeRetryHandBack(Job& job, ClockReadings now) {
+  if (m_stopping || !job.handed_back || job.handing_back || IsOver(job) ||
+      !IsOwner(job) || job.ownership != Ownership::kNone ||
+      now.monotonic < job.next_claim_at) {
+    return;
+  }
+  job.handed_back = false;
+  if (job.items.empty()) {
+    MaybeOpen(job);
+  } else {
+    job.ownership = Ownership::kOpen;
+  }
+}
+
 std::map<ItemId, ItemProgress> JobScheduler::CollectProgress(const Job& job) {
   std::map<ItemId, ItemProgress> progress;
   for (const auto& [id, item] : job.items) {
@@ -623,10 +686,15 @@
   }
 }
 
-void JobScheduler::Apply(const HandBackEnded& event, ClockReadings) {
+void JobScheduler::Apply(const HandBackEnded& event, ClockReadings now) {
   Job* job = FindJob(event.job);
-  if (job != nullptr) {
-    job->handing_back = false;
+  if (job == nullptr) {
+    return;
+  }
+  job->handing_back = false;
+  job->next_claim_at = now.monotonic + m_options.claim_backoff;
+  if (!m_stopping && !IsOwner(*job) && job->ownership == Ownership::kNone) {
+    m_actions.push_back(CloseJob{event.job});
   }
 }
 
@@ -661,6 +729,7 @@
   ForgetOldEnds(now.monotonic);
   for (auto& [key, job] : m_jobs) {
     MaybeTakeOver(job, now);
+    MaybeRetryHandBack(job, now);
     DeadLetterExpired(job, now);
     MaybeWriteResults(job, now);
     MaybeSaveProgress(job, now);
@@ -671,9 +740,14 @@
 
 bool JobScheduler::IsClaimCandidate(const Job& job,
                                     Duration orphaned_for) const {
-  const std::vector<VmId> live = m_peers.LiveProcesses();
   const auto turns =
       static_cast<size_t>(orphaned_for / m_options.takeover_window) + 1;
+  return IsAmongFirst(job, m_peers.LiveProcessesIn(HomeRegionsOf(job)), turns);
+}
+
+bool JobScheduler::IsAmongFirst(const Job& job,
+                                const std::vector<VmId>& live,
+                                size_t turns) const {
   const std::vector<VmId> order =
       RendezvousPick(job.record.key.value(), live, turns);
   return std::find(order.begin(), order.end(), m_options.self) != order.end();
@@ -710,7 +784,7 @@
                    std::chrono::duration_cast<std::chrono::milliseconds>(
                        m_options.retention));
   if (job.delete_requested || !IsOver(job) || now.wall < expires ||
-      !IsClaimCandidate(job, Duration::zero())) {
+      !IsAmongFirst(job, m_peers.LiveProcesses(), 1)) {
     return;
   }
   job.delete_requested = true;
@@ -749,7 +823,8 @@
       continue;
     }
     Share& share = shares[job.record.definition.organisation];
-    const bool open = job.ownership == Ownership::kOpen && !IsOver(job);
+    const bool open =
+        job.ownership == Ownership::kOpen && !IsOver(job) && MayOwn(job);
     for (const auto& [id, item] : job.items) {
       share.running += item.phase == ItemPhase::kRunning ? 1 : 0;
       if (open && item.phase == ItemPhase::kPending &&
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Fleet/backend_record.h"
+#include "Fleet/home_regions.h"
 #include "Jobs/job_order.h"
 #include "Jobs/job_types.h"
 #include "Jobs/job_work.h"
@@ -25,6 +26,8 @@
 struct JobSchedulerOptions {
   VmId self;
   Incarnation incarnation;
+  /// The region of this VM; empty if it is not known.
+  RegionId region{};
   /// How long the preferred process may take to claim an orphaned job before
   /// the next one in the order tries too: a few store calls and a retry.
   Duration takeover_window = std::chrono::milliseconds(1500);
@@ -98,6 +101,12 @@
 struct JobOfferEnded {
   JobKey job;
 };
+/// A configuration is in force: where the jobs of each route and of each
+/// organisation may run.
+struct HomeRegionsChanged {
+  std::map<RouteId, HomeRegions> routes;
+  std::map<OrganisationId, HomeRegions> organisations;
+};
 /// This process is registered, and has read the list of the other ones.
 struct SchedulerActivated {};
 /// This process is shutting down: it starts no more items and hands its jobs
@@ -185,6 +194,7 @@
                                        JobProgressReported,
                                        JobOffered,
                                        JobOfferEnded,
+                                       HomeRegionsChanged,
                                        SchedulerActivated,
                                        SchedulerStopping,
                                        ClaimEnded,
@@ -378,6 +388,7 @@
   void Apply(const JobProgressReported& event, ClockReadings now);
   void Apply(const JobOffered& event, ClockReadings now);
   void Apply(const JobOfferEnded& event, ClockReadings now);
+  void Apply(const HomeRegionsChanged& event, ClockReadings now);
   void Apply(const SchedulerActivated&, ClockReadings now);
   void Apply(const SchedulerStopping&, ClockReadings now);
   void Apply(const ClaimEnded& event, ClockReadings now);
@@ -423,6 +434,10 @@
   void MaybeWriteResults(Job& job, ClockReadings now);
   void MaybeFinish(Job& job);
   void MaybeHandBack(Job& job);
+  /// Hands a job back whose items this process has not read.
+  void HandBackUnread(Job& job);
+  /// Hands a job back again if the last try has failed.
+  void MaybeRetryHandBack(Job& job, ClockReadings now);
   void MaybeSaveProgress(Job& job, ClockReadings now);
   void AddUnsavedEvents(Job& job, uint64_t events, ClockReadings now);
   /// Replaces the progress of a pending item by its entry in `known` if that is
@@ -434,7 +449,15 @@
   static std::map<ItemId, ItemProgress> CollectProgress(const Job& job);
   void MaybeTakeOver(Job& job, ClockReadings now);
   void MaybeDelete(Job& job, ClockReadings now);
+  HomeRegions HomeRegionsOf(const Job& job) const;
+  /// Whether this VM is in a home region of the job.
+  bool MayOwn(const Job& job) const;
+  /// Whether it is this process's turn among those that may own the job.
   bool IsClaimCandidate(const Job& job, Duration orphaned_for) const;
+  /// Whether this process is among the first `turns` of `live` for the job.
+  bool IsAmongFirst(const Job& job,
+                    const std::vector<VmId>& live,
+                    size_t turns) const;
   bool AllRecorded(const Job& job) const;
   Job* FindJob(const JobKey& key);
 
@@ -447,6 +470,9 @@
   /// When this process has acknowledged ends.
   std::map<JobKey, MonotonicTime> m_acknowledged_ends;
   std::set<JobKey> m_offers;
+  /// Those of removed routes are kept, since their jobs may be unfinished.
+  std::map<RouteId, HomeRegions> m_route_regions;
+  std::map<OrganisationId, HomeRegions> m_organisation_regions;
   Duration m_item_time;
   double m_item_events;
   Duration m_item_span;
--- a/Source/Peers/peer_table.cc
+++ b/Source/Peers/peer_table.cc
@@ -26,6 +26,7 @@
     const auto [entry, is_new] = m_peers.try_emplace(record.vm);
     Peer& peer = entry->second;
     peer.address = record.address;
+    peer.region = record.region;
     if (is_new || peer.incarnation != record.incarnation) {
       peer.last_received = now;
       peer.sequence = 0;
@@ -106,9 +107,16 @@
 }
 
 std::vector<VmId> PeerTable::LiveProcesses() const {
-  std::set<VmId> live = {m_options.self};
+  return LiveProcessesIn(HomeRegions());
+}
+
+std::vector<VmId> PeerTable::LiveProcessesIn(const HomeRegions& regions) const {
+  std::set<VmId> live;
+  if (regions.Allows(m_options.region)) {
+    live.insert(m_options.self);
+  }
   for (const auto& [vm, peer] : m_peers) {
-    if (!peer.silent && !peer.draining) {
+    if (!peer.silent && !peer.draining && regions.Allows(peer.region)) {
       live.insert(vm);
     }
   }
@@ -123,9 +131,24 @@
 
 std::optional<Endpoint> PeerTable::PickPeerReachingStore(
     uint64_t random) const {
+  return PickReachingStore(HomeRegions(), random);
+}
+
+std::optional<Endpoint> PeerTable::PickNearPeerReachingStore(
+    uint64_t random) const {
+  if (m_options.region.empty()) {
+    return std::nullopt;
+  }
+  const HomeRegions own(std::set<RegionId>{m_options.region});
+  return PickReachingStore(own, random);
+}
+
+std::optional<Endpoint> PeerTable::PickReachingStore(const HomeRegions& regions,
+                                                     uint64_t random) const {
   std::vector<Endpoint> candidates;
   for (const auto& [vm, peer] : m_peers) {
-    if (!peer.silent && !peer.draining && peer.reaches_store) {
+    if (!peer.silent && !peer.draining && peer.reaches_store &&
+        regions.Allows(peer.region)) {
       candidates.push_back(peer.address);
     }
   }
--- a/Source/Peers/peer_table.h
+++ b/Source/Peers/peer_table.h
@@ -11,6 +11,7 @@
 #include "Base/endpoint.h"
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Fleet/home_regions.h"
 #include "Peers/peer_message.h"
 
 namespace cowslip {
@@ -22,6 +23,8 @@
   /// Address at which it receives datagrams.
   Endpoint address;
   Incarnation incarnation;
+  /// The region of its VM; empty if it is not known.
+  RegionId region{};
 
   friend bool operator==(const PeerRecord&, const PeerRecord&) = default;
 };
@@ -30,6 +33,8 @@
 /// \brief Timeouts after which a peer counts as silent and is removed.
 struct PeerTableOptions {
   VmId self;
+  /// The region of this VM; empty if it is not known.
+  RegionId region{};
   /// Four heartbeats, so that lost datagrams do not count as silence.
   Duration silent_after = std::chrono::milliseconds(1000);
   /// Longer than any restart. A VM that is silent for this long is taken to be
@@ -87,6 +92,8 @@
   /// The live processes that are not draining, including this one, sorted by
   /// name.
   std::vector<VmId> LiveProcesses() const;
+  /// Those of them that are in these regions.
+  std::vector<VmId> LiveProcessesIn(const HomeRegions& regions) const;
   /// Where a registered peer receives datagrams and calls.
   std::optional<Endpoint> AddressOf(const VmId& vm) const;
   /// Addresses of all registered peers, to which datagrams are sent.
@@ -94,12 +101,15 @@
   /// The address of a live peer that reaches the store, selected by the random
   /// number `random`; nullopt when there is none.
   std::optional<Endpoint> PickPeerReachingStore(uint64_t random) const;
+  /// As above, among the peers in the region of this VM.
+  std::optional<Endpoint> PickNearPeerReachingStore(uint64_t random) const;
   size_t members() const { return m_peers.size() + 1; }
 
  private:
   struct Peer {
     Endpoint address;
     Incarnation incarnation;
+    RegionId region;
     uint64_t sequence = 0;
     MonotonicTime last_received;
     bool silent = false;
@@ -114,6 +124,8 @@
   void MarkLive(const VmId& vm, Peer& peer, Incarnation incarnation);
   void UpdateCounts();
   bool IsFirstLive() const;
+  std::optional<Endpoint> PickReachingStore(const HomeRegions& regions,
+                                            uint64_t random) const;
 
   const PeerTableOptions m_options;
   std::map<VmId, Peer> m_peers;
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -269,19 +269,31 @@
 }
 
 bool PlacementCore::MayRun(const BackendRecord& record,
-                           const PlacementQuery& query) {
+                           const PlacementQuery& query) const {
   return record.service == query.service &&
          !query.exclude.contains(record.id) &&
-         (!query.version.has_value() || record.version == *query.version);
+         (!query.version.has_value() || record.version == *query.version) &&
+         IsInRegions(record, query.home_regions);
+}
+
+bool PlacementCore::IsInRegions(const BackendRecord& record,
+                                const HomeRegions& home_regions) const {
+  if (!home_regions.is_restricted()) {
+    return true;
+  }
+  const auto region = m_options.zone_regions.find(record.zone);
+  return region != m_options.zone_regions.end() &&
+         home_regions.Allows(region->second);
 }
 
 bool PlacementCore::Serves(const ServiceId& service,
-                           const SoftwareVersion& version) const {
+                           const SoftwareVersion& version,
+                           const HomeRegions& home_regions) const {
   return std::any_of(
       m_backends.begin(), m_backends.end(), [&](const auto& entry) {
         const BackendRecord& record = entry.second.record;
         return record.service == service && record.version == version &&
-               AcceptsRequests(record);
+               IsInRegions(record, home_regions) && AcceptsRequests(record);
       });
 }
 
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -15,6 +15,7 @@
 #include "Base/time.h"
 #include "Base/work_class.h"
 #include "Fleet/backend_record.h"
+#include "Fleet/home_regions.h"
 #include "Peers/peer_message.h"
 
 namespace cowslip {
@@ -24,6 +25,9 @@
 struct PlacementOptions {
   VmId self;
   ZoneId zone;
+  /// The regions of availability zones. A backend server in another zone is in
+  /// no home region.
+  std::map<ZoneId, RegionId> zone_regions;
   /// Slots of a backend server that batch items leave free for the online
   /// requests that arrive before the next peer report.
   uint32_t batch_headroom = 2;
@@ -165,6 +169,8 @@
   std::optional<SoftwareVersion> version;
   /// Maximum number of requests queued at a backend server beyond its slots.
   uint32_t queue_allowance = 0;
+  /// Where the request may run.
+  HomeRegions home_regions;
 };
 
 /// \class ServiceLoad
@@ -219,9 +225,11 @@
   /// The slots of the service that batch items may use at this moment, those
   /// that they use already included.
   uint32_t BatchSlots(const ServiceId& service, MonotonicTime now) const;
-  /// Whether the service has a backend server of this version that accepts new
-  /// requests, however loaded it is.
-  bool Serves(const ServiceId& service, const SoftwareVersion& version) const;
+  /// Whether the service has a backend server of this version in these regions
+  /// that accepts new requests, however loaded it is.
+  bool Serves(const ServiceId& service,
+              const SoftwareVersion& version,
+              const HomeRegions& home_regions = HomeRegions()) const;
   const BackendRecord* Find(const BackendId& id) const;
   /// Whether the incarnation is known to name a limit.
   bool IsLimited(const BackendId& id, uint64_t started_at_ms) const;
@@ -275,7 +283,9 @@
   void Apply(const PeerInFlightReported& event, MonotonicTime now);
   void Apply(const PeerInFlightCleared& event, MonotonicTime now);
   void UpdateAverage(double& average, Duration sample) const;
-  static bool MayRun(const BackendRecord& record, const PlacementQuery& query);
+  bool MayRun(const BackendRecord& record, const PlacementQuery& query) const;
+  bool IsInRegions(const BackendRecord& record,
+                   const HomeRegions& home_regions) const;
   /// Whether the backend server accepts new requests, however loaded it is.
   bool AcceptsRequests(const BackendRecord& record) const;
   bool IsUsable(const Backend& backend,
--- a/Source/Platform/relayed_store.cc
+++ b/Source/Platform/relayed_store.cc
@@ -24,6 +24,10 @@
          !std::holds_alternative<WatchDocuments>(request);
 }
 
+DocumentKind KindOf(const StoreRequest& request) {
+  return std::visit([](const auto& call) { return call.kind; }, request);
+}
+
 Duration WaitOf(const StoreRequest& request) {
   const auto* watch = std::get_if<WatchDocuments>(&request);
   return watch == nullptr ? Duration::zero() : watch->wait;
@@ -78,7 +82,7 @@
   const bool avoid = MonotonicClock::now() < m_avoid_until;
   std::optional<Endpoint> peer;
   if (avoid) {
-    peer = m_pick_peer();
+    peer = m_pick_peer(KindOf(request));
   }
   if (!peer.has_value()) {
     StoreRequest copy = request;
@@ -87,7 +91,7 @@
     if (!IsUnavailable(store_response)) {
       co_return store_response;
     }
-    peer = m_pick_peer();
+    peer = m_pick_peer(KindOf(request));
     if (!peer.has_value()) {
       co_return store_response;
     }
--- a/Source/Platform/relayed_store.h
+++ b/Source/Platform/relayed_store.h
@@ -38,7 +38,9 @@
 class RelayedStore final : public DocumentStore {
  public:
   /// Returns the endpoint of a process that reaches the store, or nullopt.
-  using PickPeer = std::function<std::optional<Endpoint>()>;
+  /// Documents of the kind pass through that process.
+  using PickPeer =
+      std::function<std::optional<Endpoint>(const DocumentKind& kind)>;
 
   RelayedStore(boost::asio::any_io_executor executor,
                DocumentStore& direct,
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -144,6 +144,8 @@
                            .store = Endpoint{.port = store_port}};
   settings.first_internal_port = InternalPort();
   settings.stop_grace = stop_grace;
+  settings.region = region;
+  settings.zone_regions = zone_regions;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       gateway_context,
       GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -2,6 +2,7 @@
 #define TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -85,6 +86,10 @@
   void Publish();
   /// The grace time of gateways that are added from now on.
   Duration stop_grace = GatewaySettings().stop_grace;
+  /// The region of gateways that are added from now on, and the regions of
+  /// zones in their settings.
+  RegionId region;
+  std::map<ZoneId, RegionId> zone_regions;
   /// Called when the shutdown of a gateway that is added from now on is
   /// complete: its process would exit.
   std::function<void()> on_stopped;
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -101,6 +101,40 @@
   CHECK(table.LiveProcesses() == std::vector<VmId>{VmId("a"), VmId("b")});
 }
 
+// Guards against a document that passes through a VM of another region.
+TEST_CASE("A peer in the own region is picked, or none") {
+  PeerTable table({.self = VmId("a"), .region = RegionId("north")});
+  PeerRecord near = Record("b", 1);
+  near.region = RegionId("north");
+  near.address.port = 7001;
+  PeerRecord far = Record("c", 1);
+  far.region = RegionId("south");
+  table.Handle(PeerListRead{{near, far, Record("d", 1)}}, At(0s));
+  for (const char* vm : {"c", "d"}) {
+    PeerMessageReceived message = MessageFrom(vm, 1, 1);
+    message.message.reaches_store = true;
+    table.Handle(message, At(100ms));
+  }
+  CHECK_FALSE(table.PickNearPeerReachingStore(0).has_value());
+  CHECK(table.PickPeerReachingStore(0).has_value());
+  PeerMessageReceived message = MessageFrom("b", 1, 1);
+  message.message.reaches_store = true;
+  table.Handle(message, At(100ms));
+  for (uint64_t random = 0; random < 10; ++random) {
+    CHECK(table.PickNearPeerReachingStore(random) == near.address);
+  }
+  const HomeRegions south(std::set<RegionId>{RegionId("south")});
+  CHECK(table.LiveProcessesIn(south) == std::vector<VmId>{VmId("c")});
+  CHECK(table.LiveProcesses().size() == 4);
+  // Without a region of its own, a process has no near peers.
+  PeerTable unknown({.self = VmId("e")});
+  unknown.Handle(PeerListRead{{Record("d", 1)}}, At(0s));
+  PeerMessageReceived reaching = MessageFrom("d", 1, 1);
+  reaching.message.reaches_store = true;
+  unknown.Handle(reaching, At(100ms));
+  CHECK_FALSE(unknown.PickNearPeerReachingStore(0).has_value());
+}
+
 TEST_CASE("A peer message is unchanged by encoding and decoding") {
   rc::check([](uint64_t incarnation, uint64_t sequence, uint64_t version,
                bool draining, const std::vector<uint32_t>& counts) {
--- a/Tests/Placement/placement_test.cc
+++ b/Tests/Placement/placement_test.cc
@@ -52,6 +52,33 @@
   CHECK(core.PlaceOnline(kQuery, At(0s)) == BackendId("far"));
 }
 
+// Guards against a request that leaves its home regions because they are full,
+// slow or gone, or through a zone whose region is not known.
+TEST_CASE("A request is placed only in its home regions") {
+  PlacementCore core({.self = VmId("vm-b"),
+                      .zone = ZoneId("z1"),
+                      .zone_regions = {{ZoneId("z1"), RegionId("north")},
+                                       {ZoneId("z2"), RegionId("south")}}});
+  core.Handle(BackendAdded{Record("north", "z1")}, At(0s));
+  core.Handle(BackendAdded{Record("unknown", "z3")}, At(0s));
+  PlacementQuery query = kQuery;
+  query.home_regions = HomeRegions(std::set<RegionId>{RegionId("south")});
+  CHECK_FALSE(core.PlaceOnline(query, At(0s)).has_value());
+  CHECK(core.Load(query, At(0s)).backends == 0);
+  core.Handle(BackendAdded{Record("south", "z2")}, At(0s));
+  CHECK(core.PlaceOnline(query, At(0s)) == BackendId("south"));
+  CHECK(core.PlaceBatch(query, At(0s)) == BackendId("south"));
+  CHECK(core.Load(query, At(0s)).slots == 4);
+  CHECK(core.Load(kQuery, At(0s)).slots == 12);
+  CHECK(core.Serves(kService, SoftwareVersion(), query.home_regions));
+  StartAttempts(core, "south", WorkClass::kOnline, 4);
+  CHECK_FALSE(core.PlaceOnline(query, At(0s)).has_value());
+  CHECK_FALSE(core.PlaceBatch(query, At(0s)).has_value());
+  core.Handle(BackendRemoved{BackendId("south")}, At(0s));
+  CHECK_FALSE(core.Serves(kService, SoftwareVersion(), query.home_regions));
+  CHECK(core.Serves(kService, SoftwareVersion()));
+}
+
 TEST_CASE("A request that resumes a stream is placed only at its version") {
   BackendRecord older = Record("a");
   older.version = SoftwareVersion("v1");
--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -132,6 +132,55 @@
   CHECK_FALSE(none.value().routes[1].max_waiting_tokens.has_value());
 }
 
+TEST_CASE("Home regions are decoded, and both restrict a request") {
+  json spec = Configuration();
+  spec["routes"][0]["allowed_regions"] = {"north", "south"};
+  spec["tenants"][0]["allowed_regions"] = {"south", "west"};
+  auto parts = platform::DecodeConfiguration(spec);
+  REQUIRE(parts.has_value());
+  const FleetConfiguration configuration(std::move(parts.value()));
+  CHECK(configuration.declares_home_regions());
+  const HomeRegions both =
+      configuration.HomeRegionsFor(RouteId("r1"), OrganisationId("t1"));
+  CHECK(both == HomeRegions(std::set<RegionId>{RegionId("south")}));
+  CHECK_FALSE(configuration.HomeRegionsFor(RouteId("r2"), OrganisationId())
+                  .is_restricted());
+  const FleetConfiguration without(
+      platform::DecodeConfiguration(Configuration()).value());
+  CHECK_FALSE(without.declares_home_regions());
+}
+
+TEST_CASE("Home regions without a common one allow none") {
+  const HomeRegions north(std::set<RegionId>{RegionId("north")});
+  const HomeRegions south(std::set<RegionId>{RegionId("south")});
+  const HomeRegions none = north.Intersect(south);
+  CHECK(none.is_restricted());
+  CHECK_FALSE(none.Allows(RegionId("north")));
+  CHECK_FALSE(none.Allows(RegionId()));
+  CHECK_FALSE(north.Allows(RegionId()));
+  CHECK(HomeRegions().Allows(RegionId()));
+}
+
+// Guards against a malformed list that lifts the restriction.
+TEST_CASE("Malformed home regions are rejected and their owner is named") {
+  for (const json& invalid :
+       {json("north"), json(nullptr), json::object(), json(1),
+        json({"north", 1}), json({"north", ""}), json({json::array()})}) {
+    json route = Configuration();
+    route["routes"][1]["allowed_regions"] = invalid;
+    const auto of_route = platform::DecodeConfiguration(route);
+    REQUIRE_FALSE(of_route.has_value());
+    CHECK(of_route.error().message.find("allowed_regions") !=
+          std::string::npos);
+    CHECK(of_route.error().message.find("route r2") != std::string::npos);
+    json tenant = Configuration();
+    tenant["tenants"][0]["allowed_regions"] = invalid;
+    const auto of_tenant = platform::DecodeConfiguration(tenant);
+    REQUIRE_FALSE(of_tenant.has_value());
+    CHECK(of_tenant.error().message.find("tenant t1") != std::string::npos);
+  }
+}
+
 TEST_CASE("A configuration without organisations requires no API key") {
   json spec = Configuration();
   spec.erase("tenants");
--- a/Tests/PlatformAdapter/settings_file_test.cc
+++ b/Tests/PlatformAdapter/settings_file_test.cc
@@ -36,6 +36,26 @@
   CHECK(settings.value().store.port == 8688);
 }
 
+TEST_CASE("The regions of zones and of the VM are parsed") {
+  const auto none = platform::ParseSettings(kSettings);
+  CHECK(none.value().region.empty());
+  CHECK(none.value().zone_regions.empty());
+  const std::string zones =
+      kSettings + std::string("zones.a=north\nzones.b.1=south\n");
+  const auto derived = platform::ParseSettings(zones);
+  REQUIRE(derived.has_value());
+  CHECK(derived.value().zone_regions ==
+        std::map<ZoneId, RegionId>{{ZoneId("a"), RegionId("north")},
+                                   {ZoneId("b.1"), RegionId("south")}});
+  CHECK(derived.value().region == RegionId("north"));
+  const auto stated = platform::ParseSettings(zones + "region=south\n");
+  CHECK(stated.value().region == RegionId("south"));
+  for (const char* line : {"zones.b=\n", "zones.=north\n", "region=\n"}) {
+    CHECK_FALSE(
+        platform::ParseSettings(kSettings + std::string(line)).has_value());
+  }
+}
+
 TEST_CASE("Settings without listen.front have no caller endpoint") {
   const auto settings = platform::ParseSettings(Without("listen.front"));
   REQUIRE(settings.has_value());
