Gateway: home regions are tested with gateways of two regions

Cause: the tests of the change before evaluated co_await inside assertions. Change: named values; a killed owner, home regions declared while a job runs, and a gateway that reaches the store only through peers. Evidence: gateway.home_regions and peers.table pass. Why it works: the backend servers' and the store's records show what went where.

--- a/Tests/Gateway/home_region_test.cc
+++ b/Tests/Gateway/home_region_test.cc
@@ -54,12 +54,14 @@
     for (int i = 0; i < 10; ++i) {
       HttpRequest request =
           f.Request("GET", "/safe/x", "a" + std::to_string(i));
-      CHECK(co_await f.StatusOf(0, std::move(request)) == 200);
+      const int served = co_await f.StatusOf(0, std::move(request));
+      CHECK(served == 200);
     }
     CHECK(f.RequestsAt(0) == 0);
     CHECK(f.RequestsAt(1) == 10);
     HttpRequest request = f.Request("POST", "/unsafe/x", "b");
-    CHECK(co_await f.StatusOf(0, std::move(request)) == 200);
+    const int elsewhere = co_await f.StatusOf(0, std::move(request));
+    CHECK(elsewhere == 200);
     CHECK(f.RequestsAt(0) == 1);
   });
 }
@@ -88,16 +90,20 @@
   f.AddGatewayIn(kNorth);
   f.AddGatewayIn(kSouth);
   const size_t lost = f.AddKillableGateway();
+  // The items are not completed before the gateway is lost.
+  f.backend(1).behaviour().pause = 250ms;
   f.Run([&]() -> awaitable<void> {
     co_await f.WaitUntilReady();
     co_await f.Sleep(1500ms);
     for (int i = 0; i < kJobs; ++i) {
       const std::string job = "j" + std::to_string(i);
       HttpRequest outside = f.Submission(job, kItems);
-      CHECK(co_await f.StatusOf(0, std::move(outside)) == 503);
+      const int refused = co_await f.StatusOf(0, std::move(outside));
+      CHECK(refused == 503);
       CHECK(f.store.Find(kJobKind, job + ".mill") == nullptr);
       HttpRequest inside = f.Submission(job, kItems);
-      CHECK(co_await f.StatusOf(lost, std::move(inside)) == 202);
+      const int accepted = co_await f.StatusOf(lost, std::move(inside));
+      CHECK(accepted == 202);
     }
     f.KillGateway();
     for (int i = 0; i < kJobs; ++i) {
@@ -106,10 +112,57 @@
       CHECK(results.size() == kItems);
     }
     CHECK(f.RequestsAt(0) == 0);
-    CHECK(f.RequestsAt(1) >= kJobs * kItems);
+    CHECK(f.RequestsAt(1) > kJobs * kItems);
+    for (int i = 0; i < kJobs; ++i) {
+      const std::string name = "j" + std::to_string(i) + ".mill";
+      CHECK(f.store.Find(kJobKind, name)->status.at("owner") == "gateway-1");
+    }
   });
 }
 
+// Guards against a job that stays at an owner which may no longer run it.
+TEST_CASE("A job moves to home regions that are declared after it began") {
+  constexpr size_t kItems = 3;
+  Fixture f;
+  f.SetHome("north");
+  f.AddGatewayIn(kNorth);
+  f.AddGatewayIn(kSouth);
+  f.backend(0).behaviour() = {.events = 40, .pause = 250ms};
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.Sleep(1500ms);
+    HttpRequest submission = f.Submission("j", kItems);
+    const int accepted = co_await f.StatusOf(0, std::move(submission));
+    CHECK(accepted == 202);
+    co_await f.Sleep(300ms);
+    CHECK(f.RequestsAt(0) == kItems);
+    f.SetHome("south");
+    const auto results = co_await f.ReadAllResults(1, "j");
+    CHECK(results.size() == kItems);
+    CHECK(f.RequestsAt(0) == kItems);
+    CHECK(f.RequestsAt(1) == kItems);
+  });
+}
+
+// Guards against items of a job that pass through a VM of another region.
+TEST_CASE("A job goes to the store only through a gateway of the own region") {
+  for (const bool has_near_peer : {false, true}) {
+    Fixture f;
+    f.AddGatewayIn(has_near_peer ? kSouth : kNorth);
+    f.region = kSouth;
+    const size_t cut_off = f.AddGateway(f.other_server.port());
+    f.Run([&]() -> awaitable<void> {
+      co_await f.WaitUntilReady();
+      co_await f.Sleep(500ms);
+      f.other_server.SetFault(ServerFault::kReset);
+      HttpRequest submission = f.Submission("j", 1);
+      const int status = co_await f.StatusOf(cut_off, std::move(submission));
+      CHECK(status == (has_near_peer ? 202 : 503));
+      CHECK((f.store.Find(kJobKind, "j.mill") != nullptr) == has_near_peer);
+    });
+  }
+}
+
 TEST_CASE("The entry of a gateway without a region is read") {
   const PeerRecord record{.vm = VmId("a"), .incarnation = Incarnation(3)};
   Document document{.name = DocumentName("a"), .content = EncodePeer(record)};
