Jobs: a hand-back outside the home regions does not accept an offered job

What callers saw: nothing yet; a job that was offered, never accepted and claimed while its home regions changed could have been marked as accepted without items. Cause: each hand-back sets `accepted`, which was right while only opened jobs were handed back. Change: only a job that was opened here is marked; a job that can't be read is handed back too once this VM is outside its home regions; memory of an ended one is released. Evidence: jobs.home_regions, jobs.scheduler and gateway.home_regions pass. The case of the offered job has no test. Why it works: an opened job has its items in memory, read from the store.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -190,7 +190,8 @@
   const JobRecord* record = m_scheduler.Find(action.job);
   JobStatus status = record->status;
   status.owner = VmId();
-  status.accepted = true;
+  // An offered job that was not opened here may have no items in the store.
+  status.accepted = status.accepted || m_open_jobs.contains(action.job);
   status.progress.clear();
   m_gateway.log.Write(
       "job_handed_back",
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -392,7 +392,7 @@
 void JobScheduler::Apply(const JobOpenFailed& event, ClockReadings) {
   Job* job = FindJob(event.job);
   if (job != nullptr && job->ownership == Ownership::kOpening) {
-    m_actions.push_back(OpenJob{event.job});
+    Open(*job);
   }
 }
 
@@ -693,7 +693,8 @@
   }
   job->handing_back = false;
   job->next_claim_at = now.monotonic + m_options.claim_backoff;
-  if (!m_stopping && !IsOwner(*job) && job->ownership == Ownership::kNone) {
+  const bool is_released = !IsOwner(*job) || IsOver(*job);
+  if (!m_stopping && is_released && job->ownership == Ownership::kNone) {
     m_actions.push_back(CloseJob{event.job});
   }
 }
--- a/Tests/Jobs/job_home_region_test.cc
+++ b/Tests/Jobs/job_home_region_test.cc
@@ -153,10 +153,21 @@
   CHECK(Count<OpenJob>(ended) == 0);
   CHECK(Count<HandBackJob>(ended) == 1);
   f.Handle(HandBackEnded{kJob}, 2300ms);
+  // Neither a retry of the hand-back nor one of the opening reads the job.
   const auto retried = f.Handle(SchedulerTick{}, 3s);
   CHECK(Count<OpenJob>(retried) == 0);
   CHECK(Count<HandBackJob>(retried) == 1);
 }
 
+TEST_CASE("A job that can't be read is handed back outside its home regions") {
+  Fixture f(kNorth);
+  CHECK(Count<OpenJob>(f.Handle(JobUpdated{Record(kJob, "vm1", 1)}, 0s)) == 1);
+  CHECK(Count<OpenJob>(f.Handle(JobOpenFailed{kJob}, 1s)) == 1);
+  f.DeclareHome(kSouth, 2s);
+  const auto failed = f.Handle(JobOpenFailed{kJob}, 3s);
+  CHECK(Count<OpenJob>(failed) == 0);
+  CHECK(Count<HandBackJob>(failed) == 1);
+}
+
 }  // namespace
 }  // namespace cowslip
