--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -307,22 +307,34 @@
 
 bool PlacementCore::MayRun(const Backend& backend,
                            const PlacementQuery& query,
-                           MonotonicTime now) {
+                           MonotonicTime now) const {
   const BackendRecord& record = backend.record;
-  if (record.service != query.service || query.exclude.contains(record.id)) {
+  if (record.service != query.service || query.exclude.contains(record.id) ||
+      !IsInRegions(record, query.home_regions)) {
     return false;
   }
   return !query.version.has_value() || (record.version == *query.version &&
                                         now >= backend.version_uncertain_until);
 }
 
+bool PlacementCore::IsInRegions(const BackendRecord& record,
+                                const HomeRegions& home_regions) const {
+  if (!home_regions.is_restricted()) {
+    return true;
+  }
+  const auto region = m_options.zone_regions.find(record.zone);
+  return region != m_options.zone_regions.end() &&
+         home_regions.Allows(region->second);
+}
+
 bool PlacementCore::Serves(const ServiceId& service,
-                           const SoftwareVersion& version) const {
+                           const SoftwareVersion& version,
+                           const HomeRegions& home_regions) const {
   return std::any_of(
       m_backends.begin(), m_backends.end(), [&](const auto& entry) {
         const BackendRecord& record = entry.second.record;
         return record.service == service && record.version == version &&
-               AcceptsRequests(record);
+               IsInRegions(record, home_regions) && AcceptsRequests(record);
       });
 }
 
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -155,6 +155,8 @@
   settings.stop_grace = stop_grace;
   settings.evacuate_within = evacuate_within;
   settings.cold_bounds = cold_bounds;
+  settings.region = region;
+  settings.zone_regions = zone_regions;
   m_gateways.push_back(std::make_unique<GatewayDaemon>(
       gateway_context,
       GatewayDaemonOptions{.settings = settings,
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -2,6 +2,7 @@
 #define TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -92,6 +93,10 @@
   std::optional<ColdBounds> cold_bounds;
   /// The entry of a backend server, as registered at first.
   nlohmann::json Entry(size_t index) const;
+  /// The region of gateways that are added from now on, and the regions of
+  /// zones in their settings.
+  RegionId region;
+  std::map<ZoneId, RegionId> zone_regions;
   /// Called when the shutdown of a gateway that is added from now on is
   /// complete: its process would exit.
   std::function<void()> on_stopped;
