--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -90,6 +90,17 @@
   return limit;
 }
 
+json EncodeAge(const std::optional<Duration>& age) {
+  return age.has_value() ? json(ToMillis(*age)) : json();
+}
+
+std::optional<Duration> ReadAge(const json& field) {
+  if (field.is_null()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(field.get<uint32_t>());
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -144,6 +155,11 @@
            .tokens = progress.at(2).get<uint64_t>()});
     }
   }
+  if (fields.size() > 19) {
+    const json& poll = fields.at(19);
+    message.poll = {.completed_age = ReadAge(poll.at(0)),
+                    .running_age = ReadAge(poll.at(1))};
+  }
   return message;
 }
 
@@ -176,6 +192,8 @@
     job_progress.push_back(
         {progress.job.value(), progress.items, progress.tokens});
   }
+  json poll = json::array({EncodeAge(message.poll.completed_age),
+                           EncodeAge(message.poll.running_age)});
   return ToCbor(json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
        message.sequence, ToMillis(message.uptime),
@@ -185,7 +203,7 @@
        EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
        EncodeLimits(message.backend_limits), std::move(held_back),
        std::move(completed_requests), message.ended_jobs,
-       std::move(job_progress)}));
+       std::move(job_progress), std::move(poll)}));
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -17,6 +17,7 @@
 #include "Peers/crash_evidence.h"
 #include "Peers/divergence_detector.h"
 #include "Peers/job_progress.h"
+#include "Peers/poll_report.h"
 #include "Quota/quota_core.h"
 
 namespace cowslip {
@@ -90,6 +91,8 @@
   std::vector<JobKey> ended_jobs;
   /// The sender's unfinished jobs of which some items have results.
   std::vector<JobProgress> job_progress;
+  /// The sender's own polls of the store.
+  PollReport poll;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -143,8 +143,12 @@
       message.job_progress.push_back(
           {JobKey(std::to_string(count)), count, uint64_t{count} << 20});
     }
+    if (!counts.empty()) {
+      message.poll.completed_age = std::chrono::milliseconds(counts.size());
+    }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().poll == message.poll);
     RC_ASSERT(decoded.value().incarnation == message.incarnation);
     RC_ASSERT(decoded.value().sequence == sequence);
     RC_ASSERT(decoded.value().usage.size() == counts.size());
