Platform: a read of the store never waits for a pending watch

A listing that failed beside a silent watch ended the polls of that kind until the watch timed out, a refresh that failed or hung was not repeated, and a store without history got a listing and a watch in every round trip.

Polls list once the history is gone and report whether they have read everything; a late refresh is repeated; watches without history pause; an old watch that has missed a change is replaced. Watches wait for 20 s. The stand-in can forget its history, delay its answers, and leaves new watches without an answer while it is deaf.

--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -19,6 +19,10 @@
 // The shortest wait of a watch: it returns the changes that are available.
 constexpr Duration kPollWait = std::chrono::milliseconds(1);
 
+// A connected watcher that cannot list three times in a row leaves it to the
+// next poll.
+constexpr uint32_t kMaxRefreshAttempts = 3;
+
 /// \class ReadInProgress
 /// \brief Tells a view when a read begins and when its response was applied.
 class ReadInProgress {
@@ -50,7 +54,8 @@
 void DocumentWatcher::Start() {
   const auto self = shared_from_this();
   boost::asio::co_spawn(
-      m_executor, [self] { return self->Run(); }, boost::asio::detached);
+      m_executor, [self, run = ++m_run] { return self->Run(run); },
+      boost::asio::detached);
 }
 
 void DocumentWatcher::Stop() {
@@ -59,13 +64,28 @@
 }
 
 void DocumentWatcher::Refresh() {
-  if (m_refreshing || m_stopped) {
+  const MonotonicTime now = MonotonicClock::now();
+  if (m_stopped || (m_refresh_began.has_value() &&
+                    now - *m_refresh_began < m_options.read_timeout)) {
     return;
   }
-  m_refreshing = true;
+  m_refresh_began = now;
+  const uint64_t refresh = ++m_refresh;
   const auto self = shared_from_this();
   boost::asio::co_spawn(
-      m_executor, [self] { return self->ListOnce(); }, boost::asio::detached);
+      m_executor, [self, refresh] { return self->ListOnce(refresh); },
+      boost::asio::detached);
+  boost::asio::co_spawn(
+      m_executor, [self, refresh] { return self->RepeatLateRefresh(refresh); },
+      boost::asio::detached);
+}
+
+awaitable<void> DocumentWatcher::RepeatLateRefresh(uint64_t refresh) {
+  co_await SleepFor(m_options.read_timeout);
+  // During an outage, ListOnce() tries again by itself.
+  if (refresh == m_refresh && m_refresh_began.has_value() && m_connected) {
+    Refresh();
+  }
 }
 
 void DocumentWatcher::AssumeStale(const Error& why) {
@@ -77,62 +97,117 @@
   Refresh();
 }
 
-void DocumentWatcher::Poll() {
-  if (m_refreshing || m_polling || m_stopped || m_must_list) {
+void DocumentWatcher::Poll(PollEnded ended) {
+  const MonotonicTime now = MonotonicClock::now();
+  const bool is_polling =
+      m_poll_began.has_value() && now - *m_poll_began < m_options.read_timeout;
+  // During an outage, Run() tries again by itself.
+  if (is_polling || m_stopped || !m_connected) {
+    if (ended) {
+      ended(false);
+    }
     return;
   }
-  m_polling = true;
+  m_poll_began = now;
   const auto self = shared_from_this();
   boost::asio::co_spawn(
-      m_executor, [self] { return self->PollOnce(); }, boost::asio::detached);
+      m_executor,
+      [self, ended = std::move(ended)] { return self->PollOnce(ended); },
+      boost::asio::detached);
 }
 
-awaitable<void> DocumentWatcher::PollOnce() {
+awaitable<void> DocumentWatcher::PollOnce(PollEnded ended) {
+  const uint64_t poll = ++m_poll;
   // A failure is only reported here: if it lasts, the pending watch or the next
   // poll meets it too.
   const Duration wait = kPollWait;
-  Result<void> outcome = co_await WatchOnce(wait);
-  if (outcome.has_value() && m_must_list) {
+  Result<void> outcome = Ok();
+  bool must_list = m_must_list || m_history_lost;
+  if (!must_list) {
+    outcome = co_await WatchOnce(wait);
+    must_list = !outcome.has_value() &&
+                outcome.error().kind() == ErrorKind::kHistoryLost;
+  }
+  if (must_list) {
     outcome = co_await ListAll();
   }
   if (!outcome.has_value()) {
     ReportError(outcome.error());
   }
-  m_polling = false;
+  if (poll == m_poll) {
+    m_poll_began.reset();
+  }
+  if (ended && !m_stopped) {
+    ended(outcome.has_value());
+  }
 }
 
-awaitable<void> DocumentWatcher::ListOnce() {
+awaitable<void> DocumentWatcher::ListOnce(uint64_t refresh) {
+  uint32_t failures = 0;
   bool done = false;
-  while (!done && !m_stopped) {
+  while (!done && !m_stopped && refresh == m_refresh) {
     const uint32_t read_epoch = m_read_epoch;
+    const uint64_t before = digest();
     const Result<void> listed = co_await ListAll();
     if (listed.has_value()) {
+      if (digest() != before) {
+        RenewSilentWatch();
+      }
       done = read_epoch == m_read_epoch;
-    } else if (m_connected) {
-      done = true;
     } else {
       // Retries here because the pending watch may never get a response.
       ReportError(listed.error());
-      co_await SleepFor(m_options.max_backoff);
+      ++failures;
+      done = m_connected && failures >= kMaxRefreshAttempts;
+      Duration pause = m_options.max_backoff;
+      if (m_connected) {
+        pause = m_options.initial_backoff;
+      }
+      if (!done) {
+        co_await SleepFor(pause);
+      }
     }
   }
-  m_refreshing = false;
+  if (refresh == m_refresh) {
+    m_refresh_began.reset();
+  }
+}
+
+void DocumentWatcher::RenewSilentWatch() {
+  const MonotonicTime now = MonotonicClock::now();
+  if (!m_stopped && m_watch_began.has_value() &&
+      now - *m_watch_began >= m_options.wait / 2) {
+    Start();
+  }
 }
 
-awaitable<void> DocumentWatcher::Run() {
-  while (!m_stopped) {
+awaitable<void> DocumentWatcher::Run(uint64_t run) {
+  while (!m_stopped && run == m_run) {
     Result<void> outcome = Ok();
-    if (m_must_list) {
+    const bool listing = m_must_list;
+    if (listing) {
       outcome = co_await ListAll();
     } else {
+      m_watch_began = MonotonicClock::now();
       outcome = co_await WatchOnce(m_options.wait);
     }
-    if (m_stopped) {
+    if (m_stopped || run != m_run) {
       co_return;
     }
-    if (!outcome.has_value()) {
+    m_watch_began.reset();
+    if (outcome.has_value()) {
+      m_history_losses = listing ? m_history_losses : 0;
+    } else if (outcome.error().kind() == ErrorKind::kHistoryLost) {
+      // Lists at once, unless a listing has not helped.
+      m_must_list = true;
+      ++m_history_losses;
+      const bool may_pause = m_options.max_history_backoff > Duration::zero();
+      if (may_pause && m_history_losses > 1) {
+        co_await BackOff(m_history_losses - 1, m_options.max_history_backoff);
+      }
+    } else {
       HandleFailure(outcome.error());
-      co_await BackOff();
+      co_await BackOff(m_failures, m_options.max_backoff);
     }
   }
 }
@@ -188,11 +263,11 @@
   if (!changes.has_value()) {
     if (changes.error().kind() == ErrorKind::kHistoryLost) {
       ReportError(changes.error());
-      m_must_list = true;
-      co_return Ok();
+      m_history_lost = true;
     }
     co_return changes.error();
   }
+  m_history_lost = false;
   ReportRead({.documents = changes.value().changes.size(),
               .as_of = changes.value().as_of,
               .took = MonotonicClock::now() - began});
@@ -240,10 +315,10 @@
   }
 }
 
-awaitable<void> DocumentWatcher::BackOff() {
-  const uint32_t doublings = std::min(m_failures, 6U) - 1;
-  const Duration backoff = std::min(
-      m_options.max_backoff, m_options.initial_backoff * (1 << doublings));
+awaitable<void> DocumentWatcher::BackOff(uint32_t failures, Duration longest) {
+  const uint32_t doublings = std::clamp(failures, 1U, 6U) - 1;
+  const Duration backoff =
+      std::min(longest, m_options.initial_backoff * (1 << doublings));
   std::uniform_real_distribution<double> jitter(0.7, 1.0);
   m_timer.expires_after(
       std::chrono::duration_cast<Duration>(backoff * jitter(m_random)));
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -23,12 +24,20 @@
   /// How long one watch waits for changes. Every call is charged, which favours
   /// long waits; but a watch that the store has dropped silently reports no
   /// changes until it is renewed, see Poll().
-  Duration wait = std::chrono::seconds(10);
+  Duration wait = std::chrono::seconds(20);
   /// The backoff after the first failure; it doubles up to `max_backoff`.
   Duration initial_backoff = std::chrono::milliseconds(150);
   /// Refused calls are charged too, but the end of an outage must be detected
   /// within one second.
   Duration max_backoff = std::chrono::milliseconds(800);
+  /// The longest pause between watches whose history the store has forgotten
+  /// again; no pause if zero. The polls of the processes report changes
+  /// meanwhile. Without a pause, a store that keeps no history gets a listing
+  /// and a watch in every round trip.
+  Duration max_history_backoff{0};
+  /// A poll or a refresh without a response is repeated after this time, over
+  /// another connection; the late response counts too.
+  Duration read_timeout = std::chrono::milliseconds(1500);
   uint64_t seed = 1;
 };
 
@@ -84,7 +93,10 @@
   /// Stops the watcher; results of pending calls are discarded.
   void Stop();
   /// Fetches changes now, in parallel with the pending watch.
-  void Poll();
+  /// `ended` is told whether everything was read that was written before the
+  /// call; null if nobody asks.
+  using PollEnded = std::function<void(bool has_read_everything)>;
+  void Poll(PollEnded ended = nullptr);
   /// Lists again now. Call it when a change may have been missed.
   void Refresh();
   /// Treats the known state as stale until the store has been read again.
@@ -100,12 +112,18 @@
   ObjectVersion as_of() const { return m_view.as_of(); }
 
  private:
-  boost::asio::awaitable<void> Run();
+  /// Ends when another run has begun.
+  boost::asio::awaitable<void> Run(uint64_t run);
   boost::asio::awaitable<Result<void>> ListAll();
   boost::asio::awaitable<Result<void>> WatchOnce(Duration wait);
-  boost::asio::awaitable<void> PollOnce();
-  boost::asio::awaitable<void> ListOnce();
-  boost::asio::awaitable<void> BackOff();
+  boost::asio::awaitable<void> PollOnce(PollEnded ended);
+  boost::asio::awaitable<void> ListOnce(uint64_t refresh);
+  /// Repeats a refresh that gets no response.
+  boost::asio::awaitable<void> RepeatLateRefresh(uint64_t refresh);
+  /// Replaces the pending watch if it has waited for long: it has missed a
+  /// change.
+  void RenewSilentWatch();
+  boost::asio::awaitable<void> BackOff(uint32_t failures, Duration longest);
   /// A call that was started in `read_epoch` has succeeded.
   void HandleSuccess(uint32_t read_epoch);
   void ReportRead(const StoreReadEnded& read);
@@ -122,9 +140,19 @@
   bool m_stopped = false;
   bool m_connected = false;
   bool m_must_list = true;
-  bool m_refreshing = false;
-  bool m_polling = false;
+  // The run, refresh and poll in progress, each counted from 1.
+  uint64_t m_run = 0;
+  uint64_t m_refresh = 0;
+  uint64_t m_poll = 0;
+  // The watch of the newest run that is pending.
+  std::optional<MonotonicTime> m_watch_began;
+  std::optional<MonotonicTime> m_refresh_began;
+  std::optional<MonotonicTime> m_poll_began;
+  // The newest watch or poll was told that its history is gone: polls list.
+  bool m_history_lost = false;
   uint32_t m_failures = 0;
+  // Watches in a row whose history was gone.
+  uint32_t m_history_losses = 0;
   // Incremented by AssumeStale(): responses to calls that were started earlier
   // may be stale too.
   uint32_t m_read_epoch = 0;
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -125,11 +125,12 @@
 
 /// Watches the documents of kKind. Records their names and counts the events.
 struct WatchRecorder {
-  explicit WatchRecorder(Fixture& f) {
+  explicit WatchRecorder(Fixture& f, DocumentWatcherOptions options = {}) {
+    options.kind = kKind;
+    options.wait = 2s;
+    options.initial_backoff = 20ms;
     watcher = std::make_shared<DocumentWatcher>(
-        f.context.get_executor(), *f.client,
-        DocumentWatcherOptions{
-            .kind = kKind, .wait = 2s, .initial_backoff = 20ms},
+        f.context.get_executor(), *f.client, std::move(options),
         DocumentWatcherEvents{
             .listed =
                 [this](const std::vector<DocumentChange>& changes) {
@@ -256,5 +257,100 @@
   });
 }
 
+// A store that keeps no history answers each watch at once.
+TEST_CASE(
+    "A watcher pauses between watches without history and stays current") {
+  Fixture f;
+  WatchRecorder recorder(f, {.max_history_backoff = 2s});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kNoHistory);
+    co_await f.Sleep(1s);
+    size_t calls = 0;
+    for (const auto& [call, count] : f.server.calls()) {
+      calls += count;
+    }
+    CHECK(calls <= 20);
+    f.store.Put("things", "a", {{"x", 1}});
+    bool has_read_everything = false;
+    recorder.watcher->Poll([&](bool ended) { has_read_everything = ended; });
+    co_await f.Sleep(50ms);
+    CHECK(has_read_everything);
+    CHECK(recorder.names == std::set<std::string>{"a"});
+  });
+}
+
+// The late response must not hold up what has changed since.
+TEST_CASE("A refresh without a response is repeated") {
+  Fixture f;
+  WatchRecorder recorder(f, {.read_timeout = 100ms});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kDeafWatches);
+    f.store.Put("things", "a", {{"x", 1}});
+    f.server.SetDelay(10s);
+    recorder.watcher->Refresh();
+    co_await f.Sleep(50ms);
+    f.server.SetDelay(0s);
+    co_await f.Sleep(100ms);
+    CHECK(recorder.names == std::set<std::string>{"a"});
+  });
+}
+
+TEST_CASE("A refresh that fails is repeated although a watch is pending") {
+  Fixture f;
+  WatchRecorder recorder(f, {});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kDeafWatches);
+    f.store.Put("things", "a", {{"x", 1}});
+    co_await f.Sleep(20ms);  // The pending watch has looked at the change.
+    f.store.FailNext(StoreFault::kRefuse);
+    recorder.watcher->Refresh();
+    co_await f.Sleep(200ms);
+    CHECK(recorder.names == std::set<std::string>{"a"});
+  });
+}
+
+TEST_CASE("A poll lists after a listing has failed beside a silent watch") {
+  Fixture f;
+  WatchRecorder recorder(f, {});
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    f.server.SetFault(ServerFault::kDeafWithoutHistory);
+    f.store.Put("things", "a", {{"x", 1}});
+    // The poll is told that its history is gone, and cannot list.
+    co_await f.Sleep(20ms);  // The pending watch has looked at the change.
+    f.store.FailNext(StoreFault::kRefuse);
+    std::vector<bool> ends;
+    recorder.watcher->Poll([&](bool ended) { ends.push_back(ended); });
+    co_await f.Sleep(50ms);
+    recorder.watcher->Poll([&](bool ended) { ends.push_back(ended); });
+    co_await f.Sleep(50ms);
+    CHECK(ends == std::vector<bool>{false, true});
+    CHECK(recorder.names == std::set<std::string>{"a"});
+  });
+}
+
+// Otherwise each later change costs a listing until the watch times out.
+TEST_CASE("A watch that has missed a change is replaced when it is old") {
+  Fixture f;
+  WatchRecorder recorder(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(1100ms);
+    f.server.SetFault(ServerFault::kDeafWatches);
+    f.store.Put("things", "a", {{"x", 1}});
+    co_await f.Sleep(20ms);
+    const size_t before = f.server.calls().at("watch things");
+    recorder.watcher->Refresh();
+    co_await f.Sleep(50ms);
+    CHECK(f.server.calls().at("watch things") == before + 1);
+    f.store.Put("things", "b", {{"x", 1}});
+    recorder.watcher->Refresh();
+    co_await f.Sleep(50ms);
+    CHECK(f.server.calls().at("watch things") == before + 1);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -125,6 +125,10 @@
     exchange.Abort();
     co_return;
   }
+  if (m_delay > Duration::zero()) {
+    boost::asio::steady_timer pause(m_context, m_delay);
+    co_await pause.async_wait(boost::asio::use_awaitable);
+  }
   (void)co_await exchange.Respond(std::move(response));
 }
 
@@ -174,17 +178,26 @@
   const ObjectVersion since(Number(request, "watch"));
   const auto until = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(Number(request, "wait_ms"));
+  const bool wants_to_wait = Number(request, "wait_ms") > 1;
   bool waited = false;
   while (true) {
+    if (m_fault == ServerFault::kNoHistory ||
+        (m_fault == ServerFault::kDeafWithoutHistory && !waited)) {
+      co_return HttpResponse{.status = 410};
+    }
     const Result<DocumentChanges> changes =
         co_await m_store.Watch(kind, since, Duration::zero());
     if (!changes.has_value()) {
       co_return FromError(changes.error());
     }
     const bool is_late = std::chrono::steady_clock::now() >= until;
-    const bool is_deaf = m_fault == ServerFault::kDeafWatches && waited;
+    const bool is_deaf = m_fault == ServerFault::kDeafWatches ||
+                         m_fault == ServerFault::kDeafWithoutHistory;
     const bool has_news = !changes.value().changes.empty();
-    if (!is_deaf && (has_news || is_late || m_fault != ServerFault::kNone)) {
+    // A deaf server still answers a watch that does not want to wait.
+    const bool answers_at_once =
+        m_fault != ServerFault::kNone && (!is_deaf || !wants_to_wait);
+    if (!(is_deaf && waited) && (has_news || is_late || answers_at_once)) {
       json events = json::array();
       for (const DocumentChange& change : changes.value().changes) {
         events.push_back({{"removed", change.removed},
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -28,6 +28,10 @@
   kSlow,
   /// Status 503 to reads; writes are carried out and answered.
   kReadsBusy,
+  /// The history is forgotten all the time: status 410 to every watch.
+  kNoHistory,
+  /// As kNoHistory for new watches, while those that wait hear nothing.
+  kDeafWithoutHistory,
 };
 
 /// How long a slow server takes.
@@ -44,6 +48,8 @@
   uint16_t port() const { return m_server.port(); }
   /// With `kind`, only calls about that kind meet the fault.
   void SetFault(ServerFault fault, std::string kind = "");
+  /// From now on every answer is sent this long after it was composed.
+  void SetDelay(Duration delay) { m_delay = delay; }
   /// The calls so far by method or way of reading and kind of document, such as
   /// "list servers", "watch servers", "get servers" or "POST peers".
   const std::map<std::string, size_t>& calls() const { return m_calls; }
@@ -69,6 +75,7 @@
   std::set<boost::asio::steady_timer*> m_waiting;
   ServerFault m_fault = ServerFault::kNone;
   std::string m_fault_kind;
+  Duration m_delay{0};
   std::map<std::string, size_t> m_calls;
 };
 
