Gateway, Docs: changes are in force by the bound of the settings without watches

The bounds config_apply_ms and drain_ms of the settings are read; the shorter one sets the poll turns and the time limits of reads.

--- a/Source/Fleet/gateway_settings.h
+++ b/Source/Fleet/gateway_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Base/endpoint.h"
 #include "Base/ids.h"
@@ -32,6 +33,11 @@
   Duration stop_grace = std::chrono::seconds(8);
   /// Time for which results stay readable after the submission of a job.
   Duration job_retention = std::chrono::seconds(120);
+  /// Time within which a new configuration, and a backend server's drain, must
+  /// be in force at every process.
+  Duration apply_bound = std::chrono::milliseconds(2000);
+  /// One message for each value that cannot be used; the default applies.
+  std::vector<std::string> unusable_values;
   /// The memory that this process may use; 0 if the settings name none.
   uint64_t memory_bytes = 0;
 
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -146,6 +146,9 @@
                           {"zone", m_settings.zone.value()},
                           {"incarnation", m_options.incarnation.value()},
                           {"version", COWSLIP_VERSION}});
+  for (const std::string& why : m_settings.unusable_values) {
+    m_log.Write("setting_unusable", {{"why", why}});
+  }
   StartWatchers();
   const Result<void> gossip = m_gossip->Start();
   if (!gossip.has_value()) {
@@ -298,6 +301,7 @@
   }
   m_job_runner.SchedulePass();
   if (message.reaches_store) {
+    HandlePollEvent(PeerPollReported{message.vm, message.poll});
     HandleDivergenceEvent(PeerDigestsReceived{message.vm, message.digests});
   } else {
     HandleDivergenceEvent(PeerDigestsInvalidated{message.vm});
@@ -322,7 +326,8 @@
       .backend_limits =
           m_dispatcher.placement_core().LimitsToReport(MonotonicClock::now()),
       .ended_jobs = m_scheduler.EndsToReport(MonotonicClock::now()),
-      .job_progress = m_scheduler.ProgressToReport()};
+      .job_progress = m_scheduler.ProgressToReport(),
+      .poll = m_poll_turns.Report(MonotonicClock::now())};
   if (m_gateway.configuration != nullptr) {
     message.configuration = m_gateway.configuration->version();
   }
@@ -477,6 +482,7 @@
     m_job_acceptance.Tick(lag, m_settings.memory_bytes);
     HandleDirectoryEvent(DirectoryTick{});
     HandlePeerEvent(PeerTick{});
+    HandlePollEvent(PollersChanged{m_peer_table.LiveProcesses()});
     m_version_history.Handle(VersionHistoryTick{});
     HandleDivergenceEvent(DivergenceTick{});
     m_job_runner.Tick();
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -30,6 +30,8 @@
 #include "Peers/divergence_detector.h"
 #include "Peers/peer_gossip.h"
 #include "Peers/peer_table.h"
+#include "Peers/poll_turn_core.h"
+#include "Peers/staleness_budget.h"
 #include "Placement/aborted_run_tracker.h"
 #include "Placement/backend_directory.h"
 #include "Placement/crash_suspect_core.h"
@@ -98,9 +100,9 @@
   /// been read.
   void MaybeOpenStartupGate();
   void OnLoadChanged();
-  /// The time until this process's next turn to poll the store.
-  Duration TimeUntilOwnPoll() const;
+  void HandlePollEvent(const PollTurnEvent& event);
   void SchedulePoll();
+  void PollStore(const BeginPoll& begin);
   /// The watchers of the kinds whose digests peers compare.
   std::vector<DocumentWatcher*> ComparedWatchers() const;
   void ReportListing(const std::string& kind, MonotonicTime began);
@@ -179,7 +181,17 @@
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_poll_timer;
   PauseDetector m_pause_detector;
-  DivergenceDetector m_divergence_detector{DivergenceOptions{}};
+  // From the bounds of the settings that the process has started with.
+  const StalenessBudget m_staleness{
+      DivideBound(m_options.settings.apply_bound)};
+  PollTurnCore m_poll_turns{
+      PollTurnOptions{.self = m_options.settings.vm,
+                      .interval = m_staleness.poll_interval,
+                      .run_time = m_staleness.read_timeout},
+      MonotonicClock::now()};
+  MonotonicTime m_next_poll;
+  DivergenceDetector m_divergence_detector{
+      DivergenceOptions{.grace_period = m_staleness.grace_period}};
   const MonotonicTime m_start_time = MonotonicClock::now();
   MonotonicTime m_shutdown_start;
   HttpIdleCloses m_logged_idle_closes;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include "Base/overloaded.h"
 #include "Gateway/peer_documents.h"
@@ -20,11 +21,9 @@
 
 namespace {
 
-// A change that a silently dropped watch has missed is detected within this
-// interval plus the time that DivergenceDetector waits. Together they stay
-// below the two seconds within which configurations and drains must be in
-// force.
-constexpr Duration kPollInterval = std::chrono::milliseconds(1000);
+// Every process reads as often while the store keeps no history, so this
+// bounds the calls of a fleet; the polls report changes meanwhile.
+constexpr Duration kMaxHistoryBackoff = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -63,42 +62,66 @@
                                    {"ms", ToMillis(read.took)}});
     }
   };
+  DocumentWatcherOptions options{.kind = DocumentKind(name),
+                                 .seed = m_options.incarnation.value()};
+  options.max_history_backoff = kMaxHistoryBackoff;
+  // A listing of all jobs may take longer, and has no bound.
+  if (name != kJobKind) {
+    options.read_timeout = m_staleness.read_timeout;
+  }
   auto watcher = std::make_shared<DocumentWatcher>(
-      m_context.get_executor(), m_store,
-      DocumentWatcherOptions{.kind = DocumentKind(name),
-                             .seed = m_options.incarnation.value()},
-      std::move(events));
+      m_context.get_executor(), m_store, std::move(options), std::move(events));
   watcher->Start();
   return watcher;
 }
 
-// The live processes poll the store in turn, one per kPollInterval, so that the
-// number of calls does not grow with the fleet.
-Duration GatewayDaemon::TimeUntilOwnPoll() const {
-  const std::vector<VmId> live = m_peer_table.LiveProcesses();
-  const auto self = std::find(live.begin(), live.end(), m_settings.vm);
-  const int64_t turn = std::distance(live.begin(), self);
-  const Duration round =
-      kPollInterval * static_cast<int64_t>(std::max<size_t>(live.size(), 1));
-  const Duration now = WallNow().time_since_epoch();
-  const Duration left = (kPollInterval * turn - now % round + round) % round;
-  return left < kPollInterval / 2 ? left + round : left;
+void GatewayDaemon::HandlePollEvent(const PollTurnEvent& event) {
+  const std::vector<PollTurnAction> actions =
+      m_poll_turns.Handle(event, MonotonicClock::now());
+  for (const PollTurnAction& action : actions) {
+    PollStore(std::get<BeginPoll>(action));
+  }
+  if (m_poll_turns.NextTurn() != m_next_poll) {
+    SchedulePoll();
+  }
 }
 
 void GatewayDaemon::SchedulePoll() {
-  m_poll_timer.expires_after(TimeUntilOwnPoll());
+  m_next_poll = m_poll_turns.NextTurn();
+  m_poll_timer.expires_after(m_next_poll - MonotonicClock::now());
   m_poll_timer.async_wait([this](const boost::system::error_code& error) {
-    if (error || m_stopped) {
-      return;
-    }
-    for (const auto& watcher :
-         {m_configuration_watcher, m_backend_watcher, m_job_watcher}) {
-      watcher->Poll();
+    if (!error && !m_stopped) {
+      HandlePollEvent(PollTurnTick{});
     }
-    SchedulePoll();
   });
 }
 
+void GatewayDaemon::PollStore(const BeginPoll& begin) {
+  struct Poll {
+    size_t remaining = 0;
+    bool failed = false;
+  };
+  // Peers that hear of the poll leave the turn to this process.
+  m_gossip->StateChanged();
+  auto poll = std::make_shared<Poll>();
+  const auto watchers = {m_configuration_watcher, m_backend_watcher,
+                         m_job_watcher};
+  poll->remaining = watchers.size();
+  for (const auto& watcher : watchers) {
+    watcher->Poll([this, poll, began = begin.began](bool has_read_everything) {
+      poll->failed = poll->failed || !has_read_everything;
+      if (--poll->remaining == 0) {
+        boost::asio::post(m_context, [this, poll, began] {
+          if (!m_stopped) {
+            HandlePollEvent(OwnPollEnded{began, !poll->failed});
+            m_gossip->StateChanged();
+          }
+        });
+      }
+    });
+  }
+}
+
 std::vector<DocumentWatcher*> GatewayDaemon::ComparedWatchers() const {
   return {m_configuration_watcher.get(), m_backend_watcher.get(),
           m_job_watcher.get()};
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -121,6 +121,12 @@
   m_gateways[m_killable].reset();
 }
 
+// The gateway is leaked with the context, as the destructor does.
+void GatewayFixture::FreezeGateway() {
+  REQUIRE(m_killable_context != nullptr);
+  static_cast<void>(m_killable_context.release());
+}
+
 void GatewayFixture::RunFor(Duration limit) {
   const MonotonicTime end = MonotonicClock::now() + limit;
   while (!context.stopped() && MonotonicClock::now() < end) {
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -44,6 +44,9 @@
   /// Destroys the killable gateway without a shutdown, as a crash would: none
   /// of its handlers runs any more.
   void KillGateway();
+  /// The killable gateway stands still from now on: its connections stay open,
+  /// and none of its handlers runs.
+  void FreezeGateway();
 
   template <class Body>
   void Run(Body body) {
--- a/Tests/PlatformAdapter/settings_file_test.cc
+++ b/Tests/PlatformAdapter/settings_file_test.cc
@@ -36,6 +36,26 @@
   CHECK(settings.value().store.port == 8688);
 }
 
+TEST_CASE("The shorter bound on changes counts, and an unusable one does not") {
+  const auto bound = [](const std::string& lines) {
+    const auto settings = platform::ParseSettings(kSettings + lines);
+    REQUIRE(settings.has_value());
+    return ToMillis(settings.value().apply_bound);
+  };
+  CHECK(bound("") == 2000);
+  CHECK(bound("bounds.config_apply_ms=3000\n") == 3000);
+  CHECK(bound("bounds.config_apply_ms=3000\nbounds.drain_ms=1500\n") == 1500);
+  for (const char* value : {"soon", "-1", "0", "1e9", "nan"}) {
+    const std::string line = std::string("bounds.drain_ms=") + value + "\n";
+    CHECK(bound(line) == 2000);
+    CHECK(bound("bounds.config_apply_ms=3000\n" + line) == 3000);
+    const auto settings = platform::ParseSettings(kSettings + line);
+    REQUIRE(settings.value().unusable_values.size() == 1);
+    CHECK(settings.value().unusable_values[0].find("bounds.drain_ms") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("Settings without listen.front have no caller endpoint") {
   const auto settings = platform::ParseSettings(Without("listen.front"));
   REQUIRE(settings.has_value());
