--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -192,9 +192,7 @@
     job_progress.push_back(
         {progress.job.value(), progress.items, progress.tokens});
   }
-  json poll = json::array({EncodeAge(message.poll.completed_age),
-                           EncodeAge(message.poll.running_age)});
-  return ToCbor(json::array(
+  json fields = json::array(
       {kLayout, message.vm.value(), message.incarnation.value(),
        message.sequence, ToMillis(message.uptime),
        message.configuration.value(), message.draining, message.reaches_store,
@@ -203,7 +201,10 @@
        EncodeCrashes(message.crash_evidence.crashes), std::move(cleared),
        EncodeLimits(message.backend_limits), std::move(held_back),
        std::move(completed_requests), message.ended_jobs,
-       std::move(job_progress), std::move(poll)}));
+       std::move(job_progress)});
+  fields.push_back(json::array({EncodeAge(message.poll.completed_age),
+                                EncodeAge(message.poll.running_age)}));
+  return ToCbor(fields);
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
