--- a/Source/Peers/peer_message.cc
+++ b/Source/Peers/peer_message.cc
@@ -129,6 +129,17 @@
           .entry_version = fields.at(3).get<uint64_t>()};
 }
 
+json EncodeAge(const std::optional<Duration>& age) {
+  return age.has_value() ? json(ToMillis(*age)) : json();
+}
+
+std::optional<Duration> ReadAge(const json& field) {
+  if (field.is_null()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(field.get<uint32_t>());
+}
+
 PeerMessage ReadFields(const json& fields) {
   PeerMessage message;
   message.vm = VmId(fields.at(1).get<std::string>());
@@ -189,6 +200,11 @@
       message.cold_backends.push_back(ReadColdness(coldness));
     }
   }
+  if (fields.size() > 21) {
+    const json& poll = fields.at(21);
+    message.poll = {.completed_age = ReadAge(poll.at(0)),
+                    .running_age = ReadAge(poll.at(1))};
+  }
   return message;
 }
 
@@ -233,6 +249,8 @@
        std::move(job_progress)});
   fields.push_back(EncodeEvacuations(message));
   fields.push_back(EncodeColdness(message.cold_backends));
+  fields.push_back(json::array({EncodeAge(message.poll.completed_age),
+                                EncodeAge(message.poll.running_age)}));
   return ToCbor(fields);
 }
 
--- a/Source/Peers/peer_message.h
+++ b/Source/Peers/peer_message.h
@@ -19,6 +19,7 @@
 #include "Peers/divergence_detector.h"
 #include "Peers/evacuated_zone.h"
 #include "Peers/job_progress.h"
+#include "Peers/poll_report.h"
 #include "Quota/quota_core.h"
 
 namespace cowslip {
@@ -98,6 +99,8 @@
   std::vector<EvacuatedZone> evacuated_zones;
   /// The backend servers that the sender knows to be cold.
   std::vector<BackendColdness> cold_backends;
+  /// The sender's own polls of the store.
+  PollReport poll;
 };
 
 /// The largest payload of a UDP datagram over IPv4.
--- a/Tests/Peers/peers_test.cc
+++ b/Tests/Peers/peers_test.cc
@@ -187,8 +187,12 @@
            .remaining = std::chrono::milliseconds(count),
            .entry_version = uint64_t{count} << 20});
     }
+    if (!counts.empty()) {
+      message.poll.completed_age = std::chrono::milliseconds(counts.size());
+    }
     const auto decoded = DecodePeerMessage(EncodePeerMessage(message));
     RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded.value().poll == message.poll);
     RC_ASSERT(decoded.value().incarnation == message.incarnation);
     RC_ASSERT(decoded.value().sequence == sequence);
     RC_ASSERT(decoded.value().knows_evacuations == !counts.empty());
