Placement, Gateway: findings of the review of the recorded versions

A write in doubt is repeated until the record has moved; a read that began before the listing does not count; a pause of the process interrupts what was watched; a caller is not woken by the read of another service. Tests: placement.version_history.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -58,8 +58,8 @@
 PlacementOptions PlacementOptionsFor(const GatewaySettings& settings) {
   return PlacementOptions{.self = settings.vm,
                           .zone = settings.zone,
-                          .cold_bounds = settings.cold_bounds,
-                          .zone_regions = settings.zone_regions};
+                          .zone_regions = settings.zone_regions,
+                          .cold_bounds = settings.cold_bounds};
 }
 
 }  // namespace
@@ -545,6 +545,7 @@
   m_job_watcher->AssumeStale(why);
   // The backend servers known so far stay in use until the refresh: they are
   // most likely still there.
+  m_version_history.Handle(VersionWatchInterrupted{});
   m_backend_watcher->Refresh();
   m_peer_watcher->Refresh();
   if (m_evacuation_watcher != nullptr) {
--- a/Source/Gateway/version_history.cc
+++ b/Source/Gateway/version_history.cc
@@ -64,35 +64,37 @@
       m_core.Judge(service, MonotonicClock::now());
   if (verdict.knowledge == Knowledge::kRecordNeeded) {
     boost::asio::steady_timer timer(m_context, kReadTimeout);
-    m_waiting.insert(&timer);
+    const auto waiting = m_waiting.emplace(service, &timer);
     Handle(VersionRecordNeeded{service});
     boost::system::error_code ignored;
     co_await timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    m_waiting.erase(&timer);
+    m_waiting.erase(waiting);
     verdict = m_core.Judge(service, MonotonicClock::now());
   }
   co_return verdict;
 }
 
-void VersionHistory::WakeWaiting() {
-  for (boost::asio::steady_timer* timer : m_waiting) {
-    timer->cancel();
+void VersionHistory::WakeWaiting(const ServiceId& service) {
+  const auto [begin, end] = m_waiting.equal_range(service);
+  for (auto at = begin; at != end; ++at) {
+    at->second->cancel();
   }
 }
 
 awaitable<void> VersionHistory::Read(ServiceId service) {
   const DocumentKind kind(kServiceVersionsKind);
   const DocumentName name(service.value());
+  const MonotonicTime began = MonotonicClock::now();
   const Result<Document> read = co_await m_store.Get(kind, name);
   if (read.has_value()) {
-    HandleRecord(service, read.value());
+    HandleRecord(service, read.value(), began);
   } else if (read.error().kind() == ErrorKind::kNotFound) {
-    Handle(VersionRecordKnown{service, std::nullopt});
+    Handle(VersionRecordKnown{service, std::nullopt, began});
   } else {
     Fail(service, "read", read.error());
   }
-  WakeWaiting();
+  WakeWaiting(service);
 }
 
 awaitable<void> VersionHistory::Write(ServiceId service,
@@ -101,6 +103,7 @@
   const DocumentName name(service.value());
   nlohmann::json content = EncodeServiceVersions(record);
   const ObjectVersion expected = record.revision;
+  const MonotonicTime began = MonotonicClock::now();
   Result<Document> written = Error(ErrorKind::kUnavailable, "not sent");
   // Two statements: GCC 12 destroys the temporaries of a conditional expression
   // with two awaits twice.
@@ -114,18 +117,19 @@
     m_log.Write("service_versions_recorded", {{"service", service.value()},
                                               {"versions", record.versions},
                                               {"writes", record.writes}});
-    Handle(VersionRecordKnown{service, std::move(record)});
+    Handle(VersionRecordKnown{service, std::move(record), began});
   } else {
     Fail(service, "write", written.error());
   }
-  WakeWaiting();
+  WakeWaiting(service);
 }
 
 void VersionHistory::HandleRecord(const ServiceId& service,
-                                  const Document& document) {
+                                  const Document& document,
+                                  MonotonicTime began) {
   Result<ServiceVersions> record = DecodeServiceVersions(document);
   if (record.has_value()) {
-    Handle(VersionRecordKnown{service, std::move(record.value())});
+    Handle(VersionRecordKnown{service, std::move(record.value()), began});
   } else {
     Fail(service, "read", record.error());
   }
--- a/Source/Gateway/version_history.h
+++ b/Source/Gateway/version_history.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,16 +37,20 @@
  private:
   boost::asio::awaitable<void> Read(ServiceId service);
   boost::asio::awaitable<void> Write(ServiceId service, ServiceVersions record);
-  void HandleRecord(const ServiceId& service, const Document& document);
+  /// `began` is when the read began.
+  void HandleRecord(const ServiceId& service,
+                    const Document& document,
+                    MonotonicTime began);
   void Fail(const ServiceId& service, const char* call, const Error& why);
-  void WakeWaiting();
+  /// Ends the waits of Judge() for the service.
+  void WakeWaiting(const ServiceId& service);
 
   boost::asio::io_context& m_context;
   DocumentStore& m_store;
   EventLog& m_log;
   VersionHistoryCore m_core;
-  // The timers of Judge(); cancelled when a call has ended.
-  std::set<boost::asio::steady_timer*> m_waiting;
+  // The timers of Judge(), by service.
+  std::multimap<ServiceId, boost::asio::steady_timer*> m_waiting;
 };
 
 }  // namespace cowslip
--- a/Source/Placement/version_history_core.cc
+++ b/Source/Placement/version_history_core.cc
@@ -72,6 +72,10 @@
   m_watched_since = now;
 }
 
+void VersionHistoryCore::Apply(const VersionWatchInterrupted&, MonotonicTime) {
+  m_watched_since.reset();
+}
+
 void VersionHistoryCore::Apply(const ResumableServicesChanged& event,
                                MonotonicTime now) {
   m_resumable = event.services;
@@ -84,7 +88,11 @@
   service.call_pending = false;
   service.record = event.record.value_or(ServiceVersions());
   service.record_known = true;
-  service.record_read = now;
+  service.record_read = event.began;
+  if (service.in_doubt.has_value() &&
+      service.record.revision != *service.in_doubt) {
+    service.in_doubt.reset();
+  }
   service.next_check = now;
   MaybeRecord(event.service, service, now);
 }
@@ -94,7 +102,9 @@
   Service& service = m_services[event.service];
   service.call_pending = false;
   service.record_known = false;
-  service.must_write |= event.in_doubt;
+  if (event.in_doubt) {
+    service.in_doubt = service.record.revision;
+  }
   service.next_check = now + m_options.retry_interval;
 }
 
@@ -128,7 +138,8 @@
     return;
   }
   const std::set<SoftwareVersion> wanted = Wanted(service, now);
-  const bool is_recorded = service.record_known && !service.must_write &&
+  const bool is_recorded = service.record_known &&
+                           !service.in_doubt.has_value() &&
                            service.record.versions == wanted;
   if (is_recorded || service.seen.empty()) {
     return;
@@ -156,7 +167,6 @@
     return;
   }
   service.call_pending = true;
-  service.must_write = false;
   m_actions.push_back(
       WriteVersionRecord{.service = id,
                          .record = {.versions = wanted,
--- a/Source/Placement/version_history_core.h
+++ b/Source/Placement/version_history_core.h
@@ -49,6 +49,8 @@
 /// All entries of backend servers have been read. Versions that came and went
 /// before may have been missed.
 struct VersionsListedCompletely {};
+/// Changes may be missed from now on, until all entries are read again.
+struct VersionWatchInterrupted {};
 /// The services whose streams callers may resume; no others are recorded.
 struct ResumableServicesChanged {
   std::set<ServiceId> services;
@@ -58,6 +60,8 @@
   ServiceId service;
   /// nullopt if there is none.
   std::optional<ServiceVersions> record;
+  /// When the call began: versions recorded later are not in it.
+  MonotonicTime began;
 };
 /// A read or a write of the record has failed. A write may have taken effect,
 /// or may still do so.
@@ -73,6 +77,7 @@
 using VersionHistoryEvent = std::variant<VersionListed,
                                          VersionUnlisted,
                                          VersionsListedCompletely,
+                                         VersionWatchInterrupted,
                                          ResumableServicesChanged,
                                          VersionRecordKnown,
                                          VersionRecordCallFailed,
@@ -113,7 +118,8 @@
     kSeveralVersions,
     /// The record must be read first.
     kRecordNeeded,
-    /// The backend servers were not listed yet, or there is no record.
+    /// The backend servers were not listed yet, or not since an interruption,
+    /// or there is no record.
     kUnknown,
   };
   struct Verdict {
@@ -139,10 +145,12 @@
     /// The stored record as last known; a revision of 0 if there is none.
     ServiceVersions record;
     bool record_known = false;
-    /// When the read that last told the record ended.
+    /// When the call that last told the record began.
     MonotonicTime record_read;
     bool call_pending = false;
-    bool must_write = false;
+    /// The revision at which a write got no response. It may still take effect
+    /// while the record is at that revision.
+    std::optional<ObjectVersion> in_doubt;
     MonotonicTime changed;
     MonotonicTime next_check;
   };
@@ -150,6 +158,7 @@
   void Apply(const VersionListed& event, MonotonicTime now);
   void Apply(const VersionUnlisted& event, MonotonicTime now);
   void Apply(const VersionsListedCompletely&, MonotonicTime now);
+  void Apply(const VersionWatchInterrupted&, MonotonicTime now);
   void Apply(const ResumableServicesChanged& event, MonotonicTime now);
   void Apply(const VersionRecordKnown& event, MonotonicTime now);
   void Apply(const VersionRecordCallFailed& event, MonotonicTime now);
--- a/Tests/Placement/version_history_test.cc
+++ b/Tests/Placement/version_history_test.cc
@@ -63,13 +63,13 @@
     for (const VersionHistoryAction& action : m_core.Handle(event, now)) {
       if (std::holds_alternative<ReadVersionRecord>(action)) {
         ++m_store.reads;
-        Handle(VersionRecordKnown{kService, m_store.record}, now);
+        Handle(VersionRecordKnown{kService, m_store.record, now}, now);
         continue;
       }
       ++m_store.writes;
       ServiceVersions record = std::get<WriteVersionRecord>(action).record;
       if (m_store.Write(record)) {
-        Handle(VersionRecordKnown{kService, m_store.record}, now);
+        Handle(VersionRecordKnown{kService, m_store.record, now}, now);
       } else {
         Handle(VersionRecordCallFailed{kService, false}, now);
       }
@@ -172,6 +172,28 @@
   CHECK(store.reads == reads + 1);
 }
 
+TEST_CASE("While changes may be missed no version is the only one") {
+  RecordStore store;
+  HistoryProcess process(store, "g0", 1);
+  process.Start({kNew}, At(0s));
+  process.TickUntil(0s, 40s);
+  process.Handle(VersionWatchInterrupted{}, At(41s));
+  CHECK(process.Judge(At(41s)) == Knowledge::kUnknown);
+  process.Handle(VersionsListedCompletely{}, At(42s));
+  CHECK(process.Judge(At(42s)) == Knowledge::kSoleVersion);
+}
+
+TEST_CASE("A record that was read before the listing began does not count") {
+  RecordStore store;
+  store.record = ServiceVersions{{kNew}, 1, ObjectVersion(3)};
+  PeerTable peers(PeerTableOptions{.self = VmId("g0")});
+  VersionHistoryCore core(VersionHistoryOptions{.self = VmId("g0")}, peers);
+  core.Handle(VersionListed{BackendId("n"), kService, kNew}, At(1s));
+  core.Handle(VersionsListedCompletely{}, At(1s));
+  core.Handle(VersionRecordKnown{kService, store.record, At(0s)}, At(2s));
+  CHECK(core.Judge(kService, At(2s)).knowledge == Knowledge::kRecordNeeded);
+}
+
 TEST_CASE("A version is recorded as soon as it appears, by one process") {
   constexpr int kMembers = 19;
   RecordStore store;
@@ -222,7 +244,7 @@
   core.Handle(VersionListed{BackendId("n"), kService, kNew}, At(0s));
   core.Handle(VersionsListedCompletely{}, At(0s));
   core.Handle(ResumableServicesChanged{{kService}}, At(0s));
-  core.Handle(VersionRecordKnown{kService, store.record}, At(0s));
+  core.Handle(VersionRecordKnown{kService, store.record, At(0s)}, At(0s));
   const auto drop = core.Handle(VersionHistoryTick{}, At(31s));
   REQUIRE(drop.size() == 1);
   const auto delayed = std::get<WriteVersionRecord>(drop[0]);
@@ -235,8 +257,15 @@
   CHECK(std::holds_alternative<ReadVersionRecord>(read[0]));
   // The record already names both versions. It is written nevertheless, so
   // that the delayed write fails its condition.
-  const auto again =
-      core.Handle(VersionRecordKnown{kService, store.record}, At(33s));
+  const VersionRecordKnown unchanged{kService, store.record, At(33s)};
+  auto again = core.Handle(unchanged, At(33s));
+  REQUIRE(again.size() == 1);
+  // That write is turned away without an effect, and is repeated.
+  core.Handle(VersionRecordCallFailed{kService, false}, At(33s));
+  again = core.Handle(VersionHistoryTick{}, At(35s));
+  REQUIRE(again.size() == 1);
+  CHECK(std::holds_alternative<ReadVersionRecord>(again[0]));
+  again = core.Handle(unchanged, At(35s));
   REQUIRE(again.size() == 1);
   CHECK(store.Write(std::get<WriteVersionRecord>(again[0]).record));
   CHECK_FALSE(store.Write(delayed.record));
