--- a/Source/Placement/cold_backend_core.cc
+++ b/Source/Placement/cold_backend_core.cc
@@ -296,7 +296,11 @@
   if (service == nullptr) {
     return true;
   }
-  if (now - *m_began < m_options.window) {
+  // An earlier process on this VM may have used the share. Callers come back
+  // all at once after a loss of many gateways, so only the backend servers that
+  // are known to be cold are spared.
+  if (now - *m_began < m_options.window &&
+      IsCold(record.id, record.started_at_ms, now)) {
     return false;
   }
   const int windows = work == WorkClass::kOnline ? 1 : 2;
