Placement: shares at cold backend servers cost less in large fleets

Suspected cause, not yet measured: each registration of a gateway cleared the computed shares of all backend servers, whose new computation hashes all gateways for each; and each look for a slot for an item visited all backend servers twice.

Change: computed shares stay while the members are the same, the share of a backend server is looked up only if it would be chosen, and the room for items only if there is a free slot.

--- a/Source/Placement/cold_backend_core.cc
+++ b/Source/Placement/cold_backend_core.cc
@@ -44,7 +44,6 @@
 }
 
 void ColdBackendCore::UpdateIntervals() {
-  m_strict_shares.clear();
   for (auto& [incarnation, state] : m_states) {
     state.interval = Interval(incarnation.first, state.service);
   }
@@ -76,6 +75,7 @@
     }
     return is_absurd;
   });
+  m_strict_shares.clear();
   UpdateIntervals();
 }
 
@@ -91,9 +91,15 @@
   std::erase_if(m_members, [&](const auto& member) {
     return now - member.second > m_options.member_memory;
   });
-  m_counted_members.clear();
+  std::vector<VmId> counted;
   for (const auto& [vm, registered_at] : m_members) {
-    m_counted_members.push_back(vm);
+    counted.push_back(vm);
+  }
+  // Each restart of a gateway is reported here. With hundreds of gateways and
+  // thousands of backend servers it takes long to compute all shares again.
+  if (counted != m_counted_members) {
+    m_counted_members = std::move(counted);
+    m_strict_shares.clear();
   }
   UpdateIntervals();
 }
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -380,8 +380,7 @@
   for (const auto& [id, backend] : m_backends) {
     const BackendRecord& record = backend.record;
     if (!MayRun(backend, query, now) || backend.Total() >= max_load(backend) ||
-        !IsUsable(backend, work, now) ||
-        !m_cold_backends.MayAttempt(record, work, now)) {
+        !IsUsable(backend, work, now)) {
       continue;
     }
     const bool has_slot = backend.Total() < record.slots;
@@ -393,7 +392,10 @@
     const Order order(!has_slot, IsSlow(backend, median),
                       record.zone != m_options.zone, load,
                       ~RendezvousScore(seed, id.value()));
-    if (!best.has_value() || order < best->first) {
+    // The share is looked up last: its first computation for a backend server
+    // hashes all gateways.
+    if ((!best.has_value() || order < best->first) &&
+        m_cold_backends.MayAttempt(record, work, now)) {
       best = {order, id};
     }
   }
@@ -416,13 +418,17 @@
 
 std::optional<BackendId> PlacementCore::PlaceBatch(const PlacementQuery& query,
                                                    MonotonicTime now) const {
-  if (!HasRoomForItem(query.service, now)) {
-    return std::nullopt;
-  }
   const auto max_load = [&](const Backend& backend) {
     return MaxLoadWithBatch(backend.record);
   };
-  return PlaceBelowLoad(query, WorkClass::kBatch, now, max_load);
+  const std::optional<BackendId> placed =
+      PlaceBelowLoad(query, WorkClass::kBatch, now, max_load);
+  // Under a backlog there is seldom a free slot, and this looks at all backend
+  // servers.
+  if (placed.has_value() && !HasRoomForItem(query.service, now)) {
+    return std::nullopt;
+  }
+  return placed;
 }
 
 bool PlacementCore::HasRoomForItem(const ServiceId& service,
