Platform: retirements and evacuations share the status that reports completion

Cause: the entry of an evacuation repeated the two functions of the entry of a retirement.

Change: both use platform/completed_status; nothing else changes.

Evidence: platform_adapter.entries and gateway.evacuation pass.

--- a/Source/Gateway/evacuations.cc
+++ b/Source/Gateway/evacuations.cc
@@ -8,7 +8,7 @@
 #include "Base/event_log.h"
 #include "Gateway/dispatcher.h"
 #include "Peers/peer_message.h"
-#include "platform/evacuation_entry.h"
+#include "platform/completed_status.h"
 #include "platform/wire_names.h"
 
 namespace cowslip {
@@ -34,12 +34,11 @@
 }
 
 EvacuationWritten EntryOf(const Document& document, EvacuationSource source) {
-  return EvacuationWritten{
-      .zone = ZoneId(document.name.value()),
-      .version = document.version,
-      .created = document.created,
-      .completed = platform::IsEvacuationCompleted(document),
-      .source = source};
+  return EvacuationWritten{.zone = ZoneId(document.name.value()),
+                           .version = document.version,
+                           .created = document.created,
+                           .completed = platform::IsCompleted(document),
+                           .source = source};
 }
 
 }  // namespace
@@ -185,7 +184,7 @@
 awaitable<void> Evacuations::WriteStatus(WriteEvacuationStatus write) {
   const DocumentKind kind(platform::kEvacuationKind);
   const DocumentName name(write.zone.value());
-  nlohmann::json status = platform::EncodeEvacuationCompleted();
+  nlohmann::json status = platform::EncodeCompletedStatus();
   const ObjectVersion expected = write.version;
   const Result<Document> written =
       co_await m_store.ReplaceStatus(kind, name, std::move(status), expected);
--- a/Source/Gateway/storage_daemon.cc
+++ b/Source/Gateway/storage_daemon.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "Net/sleep_for.h"
-#include "platform/retirement_entry.h"
+#include "platform/completed_status.h"
 #include "platform/wire_names.h"
 
 namespace cowslip {
@@ -67,7 +67,7 @@
   const Document& document = change.document;
   const bool is_ours = document.name.value() == m_options.settings.vm.value();
   if (change.removed || !is_ours || m_reporting ||
-      platform::IsRetired(document)) {
+      platform::IsCompleted(document)) {
     return;
   }
   m_reporting = true;
@@ -79,9 +79,9 @@
 
 awaitable<void> StorageDaemon::ReportEmpty(Document document) {
   const DocumentKind kind(platform::kRetirementKind);
-  while (!platform::IsRetired(document)) {
+  while (!platform::IsCompleted(document)) {
     const DocumentName name = document.name;
-    nlohmann::json status = platform::EncodeRetired();
+    nlohmann::json status = platform::EncodeCompletedStatus();
     const ObjectVersion version = document.version;
     const Result<Document> reported =
         co_await m_store.ReplaceStatus(kind, name, std::move(status), version);
--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -2,8 +2,8 @@
 #include <catch2/catch.hpp>
 
 #include "platform/backend_entry.h"
+#include "platform/completed_status.h"
 #include "platform/configuration_entry.h"
-#include "platform/retirement_entry.h"
 #include "platform/store_documents.h"
 
 namespace cowslip {
@@ -299,11 +299,11 @@
 
 TEST_CASE("A VM is retired once its status reports completion") {
   Document entry;
-  CHECK_FALSE(platform::IsRetired(entry));
+  CHECK_FALSE(platform::IsCompleted(entry));
   entry.status = {{"state", "running"}};
-  CHECK_FALSE(platform::IsRetired(entry));
-  entry.status = platform::EncodeRetired();
-  CHECK(platform::IsRetired(entry));
+  CHECK_FALSE(platform::IsCompleted(entry));
+  entry.status = platform::EncodeCompletedStatus();
+  CHECK(platform::IsCompleted(entry));
 }
 
 }  // namespace
