--- a/Tests/Placement/cold_backend_test.cc
+++ b/Tests/Placement/cold_backend_test.cc
@@ -55,6 +55,19 @@
   CHECK_FALSE(IsCold(*core, 5s));
 }
 
+// Guards against refusals when all callers come back to gateways that have just
+// started together.
+TEST_CASE("A gateway that has just started spares only cold servers") {
+  const auto core = MakeCore(0, 19, 10s);
+  core->Handle(Entry(0, kColdStart, 1), At(10s));
+  core->Handle(BackendAdded{Record(0, 8)}, At(10s));
+  core->Handle(BackendAdded{Record(1, 8)}, At(10s));
+  const auto placed = core->PlaceOnline(kQuery, At(10s));
+  REQUIRE(placed == Record(1, 8).id);
+  core->Handle(AttemptStarted{*placed, WorkClass::kOnline}, At(10s));
+  CHECK_FALSE(core->PlaceOnline(kQuery, At(10s + 900ms)).has_value());
+}
+
 TEST_CASE("The same cold time in a newer entry counts again, repeated not") {
   const auto core = MakeCore(0, 1, 0s);
   core->Handle(BackendAdded{Record(0, 8)}, At(0s));
