--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,6 +1,6 @@
-// An entry of another writer stands among the runners while the runner of the
-// service is replaced, as in a release. Plays three such entries at the same
-// time, each in a deployment of its own.
+// An entry of another writer stands among the runners while the gateways are
+// stopped and started in turn. Plays three such entries at the same time, each
+// in a deployment of its own.
 #include "harness.h"
 
 using namespace review;
@@ -15,18 +15,27 @@
   std::string broken;
 };
 
+constexpr int kItems = 40;
+
+void Restart(Gateway& gateway) {
+  gateway.Terminate();
+  gateway.Start();
+  SleepFor(2);
+}
+
 void Play(Variant& variant, bool trouble) {
   const std::string name = variant.name;
-  const std::string last_byte = std::to_string(variant.first_gateway);
-  const std::string store_ip = "127.0.10.2" + last_byte;
+  const std::string digit = std::to_string(variant.first_gateway);
+  const std::string store_ip = "127.0.10.2" + digit;
   Store store(store_ip);
   store.Put("config", "main", Configuration(1).dump());
-  const std::string old_id = "i-old-" + name;
-  const std::string new_id = "i-new-" + name;
-  auto old_runner = std::make_unique<Runner>("127.0.10.3" + last_byte,
-                                             Runner::Options{.id = old_id});
-  Runner new_runner("127.0.10.4" + last_byte, Runner::Options{.id = new_id});
-  store.Put("servers", old_id, old_runner->Entry());
+  // Items take 3 s, 16 at a time.
+  Runner first("127.0.10.3" + digit,
+               {.id = "i-1-" + name, .events = 60, .pause_s = 0.05});
+  Runner second("127.0.10.4" + digit,
+                {.id = "i-2-" + name, .events = 60, .pause_s = 0.05});
+  store.Put("servers", "i-1-" + name, first.Entry());
+  store.Put("servers", "i-2-" + name, second.Entry());
   const std::string address = store_ip + ":" + std::to_string(store.port());
   Gateway one(variant.first_gateway, address, TempFolder());
   Gateway two(variant.first_gateway + 1, address, TempFolder());
@@ -40,48 +49,34 @@
     TheRecord().Line(name + ": the odd entry is written to servers");
     store.Put("servers", "odd", variant.entry);
   }
-  SleepFor(5);
-  // A release: the new runner comes first, then the old one drains and leaves.
-  TheRecord().Line(name + ": the new runner registers, the old one drains");
-  store.Put("servers", new_id, new_runner.Entry());
-  SleepFor(1);
-  store.Put("servers", old_id, old_runner->Entry("draining"));
-  SleepFor(6);
-  store.Remove("servers", old_id);
-  old_runner.reset();
-  TheRecord().Line(name + ": the old runner has left");
   SleepFor(1);
-
-  const std::string job = "7c41e09b52d6a3f" + last_byte;
+  const std::string job = "7c41e09b52d6a3f" + digit;
   std::vector<Json> items;
-  for (int i = 0; i < 4; ++i) {
-    items.push_back(Item("e5b2907c14da6f" + last_byte + std::to_string(i),
-                         "/job/3/91c" + std::to_string(i)));
+  for (int i = 0; i < kItems; ++i) {
+    items.push_back(Item("e5b2907c14da6" + digit + std::to_string(100 + i),
+                         "/job/3/" + std::to_string(i)));
   }
   const int status = SubmitJob({&one, &two}, job, JobBody(items));
-  int served = 0;
-  for (int i = 0; i < 10; ++i) {
-    const Answer answer =
-        Call(i % 2 == 0 ? one : two, "POST", "/stream/" + std::to_string(i),
-             {{"Host", "h.example"},
-              {"Key", "key1"},
-              {"Attempt-Id", "9c41d07be2a35f" + last_byte + std::to_string(i)},
-              {"Deadline-Ms", "5000"},
-              {"Model", "m"},
-              {"Token-Usage", "350,200"}},
-             "question");
-    served += answer.status == 200 ? 1 : 0;
-  }
-  // finish_s is 18; nothing else happens meanwhile.
-  SleepFor(20);
+  SleepFor(1);
+  Restart(one);
+  Restart(two);
+  one.WaitReady(5);
+  two.WaitReady(5);
+  // finish_s is 18; nothing happens in that time.
+  SleepFor(24);
+  const int running = first.running() + second.running();
   const JobView view = ReadJob(two, job);
   const std::string seen =
       "the job was answered " + std::to_string(status) + ", " +
-      std::to_string(view.results.size()) + " of 4 items are listed after 20 "
-      "s, " + std::to_string(served) + " of 10 requests were served, with a "
-      "sound idle runner";
+      std::to_string(view.results.size()) + " of " + std::to_string(kItems) +
+      " items are listed 24 s after the restarts, " + std::to_string(running) +
+      " are at the two runners; ready: " + std::to_string(one.Ready()) + ", " +
+      std::to_string(two.Ready());
   TheRecord().Line(name + ": " + seen);
-  if (status == 202 && view.results.size() < 4) {
+  if (status != 202) {
+    End(kCouldNotRun, name + ": the job was not accepted");
+  }
+  if (view.status != 200 || (view.results.size() < kItems && running == 0)) {
     variant.broken = name + ": LOST: " + seen;
   }
 }
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -865,6 +865,15 @@
   m_pid = -1;
 }
 
+void Gateway::Terminate(double grace_s) {
+  Signal(SIGTERM);
+  const double end = Now() + grace_s;
+  while (Now() < end && Runs()) {
+    SleepFor(0.02);
+  }
+  Kill();
+}
+
 bool Gateway::Runs() {
   int status = 0;
   if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -238,6 +238,8 @@
   void Signal(int signal);
   // Sends SIGKILL and waits for the end.
   void Kill();
+  // Sends SIGTERM, and SIGKILL after the grace time, and waits for the end.
+  void Terminate(double grace_s = 8);
   // Whether the process still runs.
   bool Runs();
   bool Ready() const;
