--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -458,9 +458,10 @@
                                         : std::optional(found->second.status);
 }
 
-void Store::SetJudge(Judge judge) {
+void Store::SetJudge(Judge judge, double late_s) {
   const std::lock_guard lock(m_mutex);
   m_judge = std::move(judge);
+  m_late_s = late_s;
 }
 
 void Store::Serve(Connection& connection) {
@@ -468,9 +469,11 @@
   while (!m_stop && connection.ReadMessage(request, false, 60)) {
     int status = 200;
     std::string body;
+    SleepFor(m_latency_s / 2);
     if (!Answer(request, status, body) || m_stop) {
       return;
     }
+    SleepFor(m_latency_s / 2);
     const std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
                              Reason(status) +
                              "\r\nContent-Type: application/json\r\n"
@@ -482,7 +485,10 @@
   }
 }
 
-bool Store::Answer(const Message& request, int& status, std::string& body) {
+bool Store::Answer(const Message& request,
+                   int& status,
+                   std::string& body,
+                   bool is_judged) {
   const std::string& method = request.first;
   const std::string path = request.second.substr(0, request.second.find('?'));
   std::vector<std::string> parts;
@@ -549,11 +555,25 @@
            ",\"as_of\":" + std::to_string(m_revision) + "}";
     return true;
   }
-  const Fate fate = m_judge ? m_judge(method, path) : Fate::kDo;
+  ++m_writes;
+  const Fate fate = is_judged && m_judge ? m_judge(method, path) : Fate::kDo;
   if (fate == Fate::kRefuse) {
     status = 503;
     return true;
   }
+  if (fate == Fate::kLoseAndDoLate) {
+    TheRecord().Line("store: " + method + " " + path +
+                     " is not answered; it is done later");
+    std::thread([this, request, late_s = m_late_s] {
+      SleepFor(late_s);
+      int late_status = 200;
+      std::string ignored;
+      Answer(request, late_status, ignored, false);
+      TheRecord().Line("store: " + request.first + " " + request.second +
+                       " is done late: " + std::to_string(late_status));
+    }).detach();
+    return false;
+  }
   const bool answered = fate == Fate::kDo;
   const Json sent = Json::parse(request.body, nullptr, false);
   std::optional<uint64_t> expected;
@@ -1035,7 +1055,8 @@
   job["completion_target_ms"] = 18000;
   job["retention_s"] = 60;
   return {{"version", version},
-          {"routes", {stream, route("safe", "/safe/", "safe"),
+          {"routes", {stream, route("once", "/once/", "streaming"),
+                      route("safe", "/safe/", "safe"),
                       route("unsafe", "/unsafe/", "unsafe"), job}},
           {"services",
            {{{"name", "s"}, {"max_connections", 370}, {"health_path", "/health"}}}},
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -125,11 +125,17 @@
                                   const std::string& name);
   std::optional<std::string> Status(const std::string& kind,
                                     const std::string& name);
-  // Called under a lock before a write is carried out.
-  enum class Fate { kDo, kDoAndLose, kRefuse };
+  // Called under a lock before a write is carried out. kDoAndLose carries it
+  // out and closes the connection without an answer; kLoseAndDoLate closes the
+  // connection, and carries it out after `late_s` if its condition still holds;
+  // kRefuse answers 503.
+  enum class Fate { kDo, kDoAndLose, kLoseAndDoLate, kRefuse };
   using Judge = std::function<
       Fate(const std::string& method, const std::string& path)>;
-  void SetJudge(Judge judge);
+  void SetJudge(Judge judge, double late_s = 0);
+  // How long each call takes, half of it before it is carried out.
+  void SetLatency(double seconds) { m_latency_s = seconds; }
+  size_t writes() const { return m_writes; }
 
  private:
   struct Object {
@@ -145,7 +151,10 @@
   };
   void Serve(Connection& connection);
   // Returns false if the connection is to be closed without an answer.
-  bool Answer(const Message& request, int& status, std::string& body);
+  bool Answer(const Message& request,
+              int& status,
+              std::string& body,
+              bool is_judged = true);
   std::string Text(const std::string& name, const Object& object) const;
   void Changed(const std::string& kind,
                const std::string& name,
@@ -158,6 +167,9 @@
   std::map<std::string, std::map<std::string, Object>> m_objects;
   std::vector<Event> m_events;
   Judge m_judge;
+  double m_late_s = 0;
+  std::atomic<double> m_latency_s{0};
+  std::atomic<size_t> m_writes{0};
   std::atomic<bool> m_stop{false};
   std::unique_ptr<Server> m_server;
 
@@ -290,8 +302,8 @@
 Json Item(const std::string& id, const std::string& path);
 std::string JobBody(const std::vector<Json>& items);
 
-// A configuration with a `safe`, an `unsafe`, a `streaming` and a `batch` route
-// to service s, and the tenants mill (key1) and studio (key2).
+// A configuration with a `safe`, an `unsafe` and a `batch` route and two
+// `streaming` ones (stream may be resumed, once may not), all to service s, and the tenants mill (key1) and studio (key2).
 Json Configuration(uint64_t version);
 
 std::string EncodeBase64(const std::string& bytes);
