--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // A batch job whose items carry line breaks in a header and in a path.
-#include "harness.h"
+#include "../harness/harness.h"
 
 using namespace review;
 
@@ -8,8 +8,7 @@
 // What an item's sender hides behind a line break: a whole request of its own,
 // in the name of another tenant. `own_id` is the item's id.
 std::string Hidden(const std::string& id, const std::string& path) {
-  return "POST " + path +
-         " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
+  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id +
          "\r\nTenant: studio\r\nModel: m\r\nToken-Usage: 350,200"
          "\r\nContent-Length: 0\r\n\r\n";
 }
@@ -37,12 +36,13 @@
   if (trouble) {
     items[1]["headers"]["Length-Hint"] =
         "200\r\nContent-Length: 0\r\n\r\n" +
-        Hidden("0000000000000bad", "/job/hidden/1") + "GET /health HTTP/1.1\r\nX: 1";
-    items[2]["path"] = "/job/3/91c2 HTTP/1.1\r\nHost: h.example\r\n"
-                       "Attempt-Id: e5b2907c14da6f32\r\nTenant: mill\r\n"
-                       "Content-Length: 0\r\n\r\n" +
-                       Hidden("0000000000001bad", "/job/hidden/2") +
-                       "GET /health";
+        Hidden("0000000000000bad", "/job/hidden/1") +
+        "GET /health HTTP/1.1\r\nX: 1";
+    items[2]["path"] =
+        "/job/3/91c2 HTTP/1.1\r\nHost: h.example\r\n"
+        "Attempt-Id: e5b2907c14da6f32\r\nTenant: mill\r\n"
+        "Content-Length: 0\r\n\r\n" +
+        Hidden("0000000000001bad", "/job/hidden/2") + "GET /health";
   }
   const int status = SubmitJob({&gateway}, job, JobBody(items));
   TheRecord().Line("client: the job of tenant mill is answered " +
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,7 +1,7 @@
 // An entry of another writer stands among the runners while the gateways are
 // stopped and started in turn. Plays three such entries at the same time, each
 // in a deployment of its own.
-#include "harness.h"
+#include "../harness/harness.h"
 
 using namespace review;
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
 // A job that does not fit is withdrawn, and the store loses the answer to the
 // removal of its record and carries it out some seconds later. Meanwhile the
 // job fits.
-#include "harness.h"
+#include "../harness/harness.h"
 
 using namespace review;
 
@@ -20,8 +20,8 @@
 std::string Body(const Job& job) {
   std::vector<Json> items;
   for (int i = 0; i < job.items; ++i) {
-    items.push_back(Item(job.id + std::to_string(100 + i),
-                         "/job/3/" + std::to_string(i)));
+    items.push_back(
+        Item(job.id + std::to_string(100 + i), "/job/3/" + std::to_string(i)));
   }
   return JobBody(items);
 }
@@ -118,8 +118,7 @@
     lost_count = static_cast<int>(removals_lost.size());
   }
   TheRecord().Line("the store lost " + std::to_string(lost_count) + " of " +
-                   std::to_string(store.writes() - writes_before) +
-                   " writes");
+                   std::to_string(store.writes() - writes_before) + " writes");
   SleepFor(5);
   int unreadable = 0;
   int undone = 0;
@@ -134,10 +133,10 @@
                      std::to_string(view.status) + ", " +
                      std::to_string(view.results.size()) + " results");
   }
-  const std::string seen =
-      "of " + std::to_string(accepted.size()) + " accepted jobs " +
-      std::to_string(unreadable) + " are answered 404 and " +
-      std::to_string(undone) + " are not done";
+  const std::string seen = "of " + std::to_string(accepted.size()) +
+                           " accepted jobs " + std::to_string(unreadable) +
+                           " are answered 404 and " + std::to_string(undone) +
+                           " are not done";
   if (unreadable > 0) {
     End(kBroken, "LOST: " + seen);
   }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,6 +1,6 @@
 // A batch route is split between two services, and the only runner of the one
 // that stands first is lost for good.
-#include "harness.h"
+#include "../harness/harness.h"
 
 using namespace review;
 
@@ -13,13 +13,12 @@
   store.Put("config", "main", configuration.dump());
   // One runner of six is lost.
   auto canary = std::make_unique<Runner>(
-      "127.0.10.30",
-      Runner::Options{.id = "i-canary", .service = "canary"});
+      "127.0.10.30", Runner::Options{.id = "i-canary", .service = "canary"});
   std::vector<std::unique_ptr<Runner>> runners;
   for (int i = 1; i <= 5; ++i) {
     const std::string id = "i-" + std::to_string(i);
-    runners.push_back(std::make_unique<Runner>(
-        "127.0.10.3" + std::to_string(i), Runner::Options{.id = id}));
+    runners.push_back(std::make_unique<Runner>("127.0.10.3" + std::to_string(i),
+                                               Runner::Options{.id = id}));
     store.Put("servers", id, runners.back()->Entry());
   }
   store.Put("servers", "i-canary", canary->Entry());
@@ -71,10 +70,11 @@
     arrived += runner->arrivals().size();
   }
   const JobView view = ReadJob(two, job);
-  const std::string seen =
-      std::to_string(view.results.size()) + " of 10 accepted items are listed "
-      "after 25 s; the five runners of service s got " +
-      std::to_string(arrived) + " requests and run " + std::to_string(running);
+  const std::string seen = std::to_string(view.results.size()) +
+                           " of 10 accepted items are listed "
+                           "after 25 s; the five runners of service s got " +
+                           std::to_string(arrived) + " requests and run " +
+                           std::to_string(running);
   TheRecord().Line(seen);
   if (view.status != 200 || (view.results.size() < 10 && running == 0)) {
     End(kBroken, "LOST: " + seen);
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -51,9 +51,8 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   const sockaddr_in address = Address(ip, port);
-  const bool free =
-      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
-      0;
+  const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                         sizeof(address)) == 0;
   close(fd);
   return free;
 }
@@ -144,9 +143,9 @@
 }
 
 void SleepUntil(double seconds) {
-  std::this_thread::sleep_until(
-      kStart + std::chrono::duration_cast<Clock::duration>(
-                   std::chrono::duration<double>(seconds)));
+  std::this_thread::sleep_until(kStart +
+                                std::chrono::duration_cast<Clock::duration>(
+                                    std::chrono::duration<double>(seconds)));
 }
 
 void SleepFor(double seconds) {
@@ -287,8 +286,8 @@
 bool Connection::Write(const std::string& bytes) {
   size_t sent = 0;
   while (sent < bytes.size()) {
-    const ssize_t n = send(m_fd, bytes.data() + sent, bytes.size() - sent,
-                           MSG_NOSIGNAL);
+    const ssize_t n =
+        send(m_fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       return false;
     }
@@ -514,9 +513,9 @@
   if (method == "GET" && !Query(request.second, "watch").empty()) {
     const uint64_t since = std::stoull(Query(request.second, "watch"));
     const double end =
-        Now() + std::min(30.0, std::atof(Query(request.second, "wait_ms")
-                                             .c_str()) /
-                                   1000);
+        Now() +
+        std::min(30.0,
+                 std::atof(Query(request.second, "wait_ms").c_str()) / 1000);
     std::string events;
     while (true) {
       for (const Event& event : m_events) {
@@ -527,8 +526,8 @@
       if (!events.empty() || Now() >= end || m_stop) {
         break;
       }
-      m_changed.wait_for(lock, std::chrono::duration<double>(
-                                   std::max(0.001, end - Now())));
+      m_changed.wait_for(
+          lock, std::chrono::duration<double>(std::max(0.001, end - Now())));
     }
     body = "{\"events\":[" + events +
            "],\"as_of\":" + std::to_string(m_revision) + "}";
@@ -550,8 +549,8 @@
       items += (items.empty() ? "" : ",") + Text(name, object);
       ++count;
     }
-    body = "{\"items\":[" + items + "],\"has_more\":" +
-           (more ? "true" : "false") +
+    body = "{\"items\":[" + items +
+           "],\"has_more\":" + (more ? "true" : "false") +
            ",\"as_of\":" + std::to_string(m_revision) + "}";
     return true;
   }
@@ -696,12 +695,11 @@
       index = m_arrivals.size();
       m_arrivals.push_back(arrival);
     }
-    TheRecord().Line("runner " + m_options.id + " gets " + arrival.method +
-                     " " + arrival.path + " id=" + arrival.id +
-                     " tenant=" + arrival.tenant +
-                     (arrival.last_event.empty()
-                          ? ""
-                          : " last_event=" + arrival.last_event));
+    TheRecord().Line(
+        "runner " + m_options.id + " gets " + arrival.method + " " +
+        arrival.path + " id=" + arrival.id + " tenant=" + arrival.tenant +
+        (arrival.last_event.empty() ? ""
+                                    : " last_event=" + arrival.last_event));
     if (m_options.instead && m_options.instead(request, connection)) {
       continue;
     }
@@ -736,8 +734,8 @@
     const std::lock_guard lock(m_mutex);
     m_arrivals[index].ran = true;
   }
-  uint64_t event = std::strtoull(request.Header("Last-Event-Id").c_str(),
-                                 nullptr, 10);
+  uint64_t event =
+      std::strtoull(request.Header("Last-Event-Id").c_str(), nullptr, 10);
   std::string head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " +
       id + "\r\nResponse-Signature: " + Hex(id).substr(0, 8) + "." +
@@ -745,8 +743,8 @@
   while (event < m_options.events) {
     SleepFor(m_options.pause_s);
     ++event;
-    const std::string text = "id: " + std::to_string(event) +
-                             "\ndata: " + Data(id, event) + "\n\n";
+    const std::string text =
+        "id: " + std::to_string(event) + "\ndata: " + Data(id, event) + "\n\n";
     char size[32];
     std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
     // A runner drops a request when its channel closes.
@@ -814,8 +812,7 @@
 }
 
 bool Gateway::Start() {
-  const std::string settings =
-      m_folder + "/" + m_name + ".conf";
+  const std::string settings = m_folder + "/" + m_name + ".conf";
   std::ofstream(settings)
       << "node_name=" << m_name
       << "\nrole=entry\nmachine_class=edge\nserves=edge\nip=" << m_ip
@@ -842,8 +839,8 @@
       << "\nplatform.form=objects\nplatform.writes_per_s=400\n"
          "platform.reads_per_s=2000\nplatform.history_s=20\n"
          "platform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n";
-  const std::string log = m_folder + "/" + m_name + "." +
-                          std::to_string(++m_starts) + ".log";
+  const std::string log =
+      m_folder + "/" + m_name + "." + std::to_string(++m_starts) + ".log";
   const std::string variable = "COWSLIPHOLLOW_NODE_FILE=" + settings;
   const std::string home = std::string("HOME=") + m_folder;
   m_pid = fork();
@@ -943,9 +940,9 @@
     request += name + ": " + value + "\r\n";
   }
   request += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-  const bool complete = connection != nullptr &&
-                        connection->Write(request + body) &&
-                        connection->ReadMessage(answer.message, true, timeout_s);
+  const bool complete =
+      connection != nullptr && connection->Write(request + body) &&
+      connection->ReadMessage(answer.message, true, timeout_s);
   answer.status = complete ? answer.message.status() : 0;
   TheRecord().Line("client: " + method + " " + path.substr(0, 80) + " at " +
                    gateway.name() + " -> " +
@@ -1003,9 +1000,9 @@
   for (size_t i = 0; i < bytes.size(); i += 3) {
     uint32_t group = 0;
     for (size_t k = 0; k < 3; ++k) {
-      group = group << 8 |
-              (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k])
-                                    : 0);
+      group =
+          group << 8 |
+          (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
     }
     for (size_t k = 0; k < 4; ++k) {
       text += i + k > bytes.size() ? '=' : digits[group >> (18 - 6 * k) & 63];
@@ -1032,16 +1029,11 @@
 Json Configuration(uint64_t version) {
   const auto route = [](const char* name, const char* prefix,
                         const char* kind) -> Json {
-    return {{"name", name},
-            {"host", "h.example"},
-            {"path_prefix", prefix},
-            {"kind", kind},
-            {"timeout_ms", 5000},
-            {"target_latency_ms", 300},
-            {"gap_target_ms", 400},
-            {"priority", 0},
-            {"service", "s"},
-            {"max_attempts", 2},
+    return {{"name", name},          {"host", "h.example"},
+            {"path_prefix", prefix}, {"kind", kind},
+            {"timeout_ms", 5000},    {"target_latency_ms", 300},
+            {"gap_target_ms", 400},  {"priority", 0},
+            {"service", "s"},        {"max_attempts", 2},
             {"public", false}};
   };
   Json stream = route("stream", "/stream/", "streaming");
@@ -1054,20 +1046,22 @@
   job["max_attempts"] = 3;
   job["completion_target_ms"] = 18000;
   job["retention_s"] = 60;
-  return {{"version", version},
-          {"routes", {stream, route("once", "/once/", "streaming"),
-                      route("safe", "/safe/", "safe"),
-                      route("unsafe", "/unsafe/", "unsafe"), job}},
-          {"services",
-           {{{"name", "s"}, {"max_connections", 370}, {"health_path", "/health"}}}},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 4194304},
-            {"header_timeout_ms", 5000},
-            {"idle_timeout_ms", 15000}}},
-          {"tenants",
-           {{{"name", "mill"}, {"api_keys", {"key1"}}},
-            {{"name", "studio"}, {"api_keys", {"key2"}}}}}};
+  return {
+      {"version", version},
+      {"routes",
+       {stream, route("once", "/once/", "streaming"),
+        route("safe", "/safe/", "safe"), route("unsafe", "/unsafe/", "unsafe"),
+        job}},
+      {"services",
+       {{{"name", "s"}, {"max_connections", 370}, {"health_path", "/health"}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 4194304},
+        {"header_timeout_ms", 5000},
+        {"idle_timeout_ms", 15000}}},
+      {"tenants",
+       {{{"name", "mill"}, {"api_keys", {"key1"}}},
+        {{"name", "studio"}, {"api_keys", {"key2"}}}}}};
 }
 
 std::string TempFolder() {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -130,8 +130,8 @@
   // connection, and carries it out after `late_s` if its condition still holds;
   // kRefuse answers 503.
   enum class Fate { kDo, kDoAndLose, kLoseAndDoLate, kRefuse };
-  using Judge = std::function<
-      Fate(const std::string& method, const std::string& path)>;
+  using Judge =
+      std::function<Fate(const std::string& method, const std::string& path)>;
   void SetJudge(Judge judge, double late_s = 0);
   // How long each call takes, half of it before it is carried out.
   void SetLatency(double seconds) { m_latency_s = seconds; }
@@ -303,7 +303,8 @@
 std::string JobBody(const std::vector<Json>& items);
 
 // A configuration with a `safe`, an `unsafe` and a `batch` route and two
-// `streaming` ones (stream may be resumed, once may not), all to service s, and the tenants mill (key1) and studio (key2).
+// `streaming` ones (stream may be resumed, once may not), all to service s, and
+// the tenants mill (key1) and studio (key2).
 Json Configuration(uint64_t version);
 
 std::string EncodeBase64(const std::string& bytes);
