--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -463,6 +463,18 @@
   m_late_s = late_s;
 }
 
+void Store::SilenceWatches() {
+  const std::lock_guard lock(m_mutex);
+  ++m_silenced;
+  TheRecord().Line("store: the waiting watches hear nothing more");
+}
+
+void Store::DropHistory() {
+  const std::lock_guard lock(m_mutex);
+  m_history_from = m_revision;
+  TheRecord().Line("store: the history is dropped");
+}
+
 void Store::Serve(Connection& connection) {
   Message request;
   while (!m_stop && connection.ReadMessage(request, false, 60)) {
@@ -512,14 +524,16 @@
   }
   if (method == "GET" && !Query(request.second, "watch").empty()) {
     const uint64_t since = std::stoull(Query(request.second, "watch"));
+    const uint64_t silenced = m_silenced;
     const double end =
         Now() +
         std::min(30.0,
                  std::atof(Query(request.second, "wait_ms").c_str()) / 1000);
     std::string events;
-    while (true) {
+    while (since >= m_history_from || silenced != m_silenced) {
       for (const Event& event : m_events) {
-        if (event.revision > since && event.kind == kind) {
+        if (event.revision > since && event.kind == kind &&
+            silenced == m_silenced) {
           events += (events.empty() ? "" : ",") + event.text;
         }
       }
@@ -529,6 +543,11 @@
       m_changed.wait_for(
           lock, std::chrono::duration<double>(std::max(0.001, end - Now())));
     }
+    if (since < m_history_from) {
+      status = 410;
+      body = "{}";
+      return true;
+    }
     body = "{\"events\":[" + events +
            "],\"as_of\":" + std::to_string(m_revision) + "}";
     return true;
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -136,6 +136,11 @@
   // How long each call takes, half of it before it is carried out.
   void SetLatency(double seconds) { m_latency_s = seconds; }
   size_t writes() const { return m_writes; }
+  // Watches that wait hear nothing more until their wait ends; calls that begin
+  // later are answered.
+  void SilenceWatches();
+  // Drops the history: a watch from before is answered 410.
+  void DropHistory();
 
  private:
   struct Object {
@@ -166,6 +171,8 @@
   uint64_t m_revision = 100;
   std::map<std::string, std::map<std::string, Object>> m_objects;
   std::vector<Event> m_events;
+  uint64_t m_silenced = 0;
+  uint64_t m_history_from = 0;
   Judge m_judge;
   double m_late_s = 0;
   std::atomic<double> m_latency_s{0};
