--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -1065,6 +1065,8 @@
   job["max_attempts"] = 3;
   job["completion_target_ms"] = 18000;
   job["retention_s"] = 60;
+  // The limit of kgs-castle-tickets.
+  job["max_count"] = 1200000;
   return {
       {"version", version},
       {"routes",
@@ -1087,9 +1089,9 @@
   return the_folder;
 }
 
-bool Begin(const std::string& folder) {
+bool Begin(const std::string& record_path) {
   signal(SIGPIPE, SIG_IGN);
-  the_record = std::make_unique<Record>(folder + "/record.txt");
+  the_record = std::make_unique<Record>(record_path);
   std::string pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   the_folder = mkdtemp(pattern.data());
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -316,10 +316,10 @@
 
 std::string EncodeBase64(const std::string& bytes);
 
-// Parses the environment, opens record.txt in `folder`, and ends the script
-// with kCouldNotRun if it lasts too long. Returns whether the disruption is to
-// be played (TROUBLE is not 0).
-bool Begin(const std::string& folder);
+// Opens the record at `record_path`, and ends the script with kCouldNotRun if
+// it lasts too long. Returns whether the disruption is to be played (TROUBLE is
+// not 0).
+bool Begin(const std::string& record_path);
 std::string TempFolder();
 // Ends the processes, removes the temporary folder and exits.
 [[noreturn]] void End(int code, const std::string& why);
