Gateway: logs tell the age of the view and the incarnation of a backend server

Change: stream_origin_unknown has view_age_ms, the time since the entries of the backend servers were last read from the store; request_ended and attempt_in_doubt have the incarnation (the start time) of the backend server.

--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -205,7 +205,12 @@
            [this](const DocumentChange& change) { ApplyBackendChange(change); },
        .lost =
            [this](const Error&) { HandleDirectoryEvent(DirectoryStoreLost{}); },
-       .regained = [this] { HandleDirectoryEvent(DirectoryStoreRegained{}); }});
+       .regained = [this] { HandleDirectoryEvent(DirectoryStoreRegained{}); },
+       .read_ended =
+           [this](const StoreReadEnded& read) {
+             m_version_history.Handle(
+                 VersionsReadUpTo{MonotonicClock::now() - read.took});
+           }});
   m_peer_watcher = StartWatcher(
       kPeerKind, {.listed =
                       [this](const std::vector<DocumentChange>& changes) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -124,13 +124,16 @@
   if (is_sole) {
     m_stream_version = *verdict.versions.begin();
   }
-  m_gateway.log.Write("stream_origin_unknown",
-                      {{"id", m_request.caller.attempt.value()},
-                       {"resumes", m_request.caller.resumes.value()},
-                       {"service", service.value()},
-                       {"goes_on", is_sole},
-                       {"versions", verdict.versions},
-                       {"watched_ms", ToMillis(verdict.watched)}});
+  m_gateway.log.Write(
+      "stream_origin_unknown",
+      {{"id", m_request.caller.attempt.value()},
+       {"resumes", m_request.caller.resumes.value()},
+       {"service", service.value()},
+       {"goes_on", is_sole},
+       {"versions", verdict.versions},
+       {"watched_ms", ToMillis(verdict.watched)},
+       {"view_age_ms",
+        verdict.view_age.has_value() ? ToMillis(*verdict.view_age) : -1}});
   co_return is_sole;
 }
 
@@ -329,6 +332,7 @@
                       {{"id", m_request.caller.attempt.value()},
                        {"backend", lease.backend().value()},
                        {"version", lease.version().value()},
+                       {"incarnation", lease.started_at_ms()},
                        {"why", why},
                        {"last_event", m_last_event_id},
                        {"attempts_in_doubt", m_in_doubt_attempts},
@@ -516,6 +520,7 @@
   m_tried_backends.insert(lease.backend());
   m_last_backend = lease.backend();
   m_last_version = lease.version();
+  m_last_incarnation = lease.started_at_ms();
   m_event_reader = SseReader();
   m_attempt_event_count = 0;
   m_stall_watch->BeginRead();
@@ -822,6 +827,7 @@
        {"configuration", m_request.configuration->version().value()},
        {"backend", m_last_backend.value()},
        {"version", m_last_version.value()},
+       {"incarnation", m_last_incarnation},
        {"resumes", m_request.caller.resumes.value()},
        {"resumed_after", m_request.caller.last_event},
        {"in_doubt", m_in_doubt_attempts},
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -208,6 +208,8 @@
   BackendId m_silent_backend;
   BackendId m_last_backend;
   SoftwareVersion m_last_version;
+  // See BackendRecord::started_at_ms.
+  uint64_t m_last_incarnation = 0;
   std::optional<RunBlocked> m_blocked_prompt;
   std::optional<Duration> m_blocked_for;
   // Whether the next attempt tries a request that is blocked.
--- a/Source/Placement/version_history_core.cc
+++ b/Source/Placement/version_history_core.cc
@@ -76,6 +76,10 @@
   m_watched_since.reset();
 }
 
+void VersionHistoryCore::Apply(const VersionsReadUpTo& event, MonotonicTime) {
+  m_read_up_to = std::max(m_read_up_to.value_or(event.began), event.began);
+}
+
 void VersionHistoryCore::Apply(const ResumableServicesChanged& event,
                                MonotonicTime now) {
   m_resumable = event.services;
@@ -204,6 +208,9 @@
 VersionHistoryCore::Verdict VersionHistoryCore::Judge(const ServiceId& service,
                                                       MonotonicTime now) const {
   Verdict verdict;
+  if (m_read_up_to.has_value()) {
+    verdict.view_age = now - *m_read_up_to;
+  }
   const auto found = m_services.find(service);
   if (!m_watched_since.has_value() || found == m_services.end()) {
     return verdict;
--- a/Source/Placement/version_history_core.h
+++ b/Source/Placement/version_history_core.h
@@ -51,6 +51,11 @@
 struct VersionsListedCompletely {};
 /// Changes may be missed from now on, until all entries are read again.
 struct VersionWatchInterrupted {};
+/// The store was read: each entry that was written before the read began is
+/// known.
+struct VersionsReadUpTo {
+  MonotonicTime began;
+};
 /// The services whose streams callers may resume; no others are recorded.
 struct ResumableServicesChanged {
   std::set<ServiceId> services;
@@ -78,6 +83,7 @@
                                          VersionUnlisted,
                                          VersionsListedCompletely,
                                          VersionWatchInterrupted,
+                                         VersionsReadUpTo,
                                          ResumableServicesChanged,
                                          VersionRecordKnown,
                                          VersionRecordCallFailed,
@@ -128,6 +134,8 @@
     std::set<SoftwareVersion> versions;
     /// Since when this process has watched without a gap.
     Duration watched{0};
+    /// The age of the newest read of the entries; nullopt before the first.
+    std::optional<Duration> view_age;
   };
 
   VersionHistoryCore(VersionHistoryOptions options, const PeerTable& peers);
@@ -159,6 +167,7 @@
   void Apply(const VersionUnlisted& event, MonotonicTime now);
   void Apply(const VersionsListedCompletely&, MonotonicTime now);
   void Apply(const VersionWatchInterrupted&, MonotonicTime now);
+  void Apply(const VersionsReadUpTo& event, MonotonicTime now);
   void Apply(const ResumableServicesChanged& event, MonotonicTime now);
   void Apply(const VersionRecordKnown& event, MonotonicTime now);
   void Apply(const VersionRecordCallFailed& event, MonotonicTime now);
@@ -186,6 +195,7 @@
   std::map<ServiceId, Service> m_services;
   std::set<ServiceId> m_resumable;
   std::optional<MonotonicTime> m_watched_since;
+  std::optional<MonotonicTime> m_read_up_to;
   std::vector<VersionHistoryAction> m_actions;
 };
 
