Placement: a version is the only one only if the store was read since

That shows which versions there were, not that there are no others. The class: a decision that needs a fact about all, taken from what one process has seen.

Change: with one known version, the entries of the backend servers are read from the store before the verdict, by a read that begins after the caller asked. Resumptions share reads, 50 ms apart at the earliest.

Why it works: whatever began the stream was listed before its caller resumed it, and the read is linearizable.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -98,11 +98,15 @@
                        [this](const Endpoint& to, const std::string& bytes) {
                          m_gossip->SendTo(to, bytes);
                        }),
-      m_version_history(context,
-                        m_store,
-                        m_peer_table,
-                        m_log,
-                        VersionHistoryOptions{.self = m_settings.vm}),
+      m_version_history(
+          context,
+          m_store,
+          m_peer_table,
+          m_log,
+          [this](std::function<void(bool)> ended) {
+            m_backend_watcher->CatchUp(std::move(ended));
+          },
+          VersionHistoryOptions{.self = m_settings.vm}),
       m_gateway{.io = context,
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
--- a/Source/Gateway/version_history.cc
+++ b/Source/Gateway/version_history.cc
@@ -28,10 +28,12 @@
                                DocumentStore& store,
                                const PeerTable& peers,
                                EventLog& log,
+                               CatchUp catch_up,
                                VersionHistoryOptions options)
     : m_context(context),
       m_store(store),
       m_log(log),
+      m_catch_up(std::move(catch_up)),
       m_core(std::move(options), peers) {}
 
 VersionHistory::~VersionHistory() = default;
@@ -60,21 +62,56 @@
 awaitable<VersionHistoryCore::Verdict> VersionHistory::Judge(
     ServiceId service) {
   using Knowledge = VersionHistoryCore::Knowledge;
-  VersionHistoryCore::Verdict verdict =
-      m_core.Judge(service, MonotonicClock::now());
-  if (verdict.knowledge == Knowledge::kRecordNeeded) {
-    boost::asio::steady_timer timer(m_context, kReadTimeout);
-    const auto waiting = m_waiting.emplace(service, &timer);
-    Handle(VersionRecordNeeded{service});
-    boost::system::error_code ignored;
-    co_await timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    m_waiting.erase(waiting);
-    verdict = m_core.Judge(service, MonotonicClock::now());
+  const MonotonicTime asked = MonotonicClock::now();
+  const MonotonicTime give_up = asked + kReadTimeout;
+  VersionHistoryCore::Verdict verdict = m_core.Judge(service, asked, asked);
+  bool is_current = true;
+  if (verdict.knowledge == Knowledge::kViewOutdated ||
+      verdict.knowledge == Knowledge::kRecordNeeded) {
+    is_current = co_await ReadEntries(give_up);
+    if (is_current) {
+      Handle(VersionsReadUpTo{asked});
+    }
+    verdict = m_core.Judge(service, asked, MonotonicClock::now());
+  }
+  // The entries may have been listed anew, so the record is read last.
+  if (verdict.knowledge == Knowledge::kRecordNeeded && is_current) {
+    co_await WaitForRecord(service, give_up);
+    verdict = m_core.Judge(service, asked, MonotonicClock::now());
   }
   co_return verdict;
 }
 
+awaitable<bool> VersionHistory::ReadEntries(MonotonicTime give_up) {
+  struct Wait {
+    explicit Wait(boost::asio::io_context& context) : timer(context) {}
+    boost::asio::steady_timer timer;
+    bool is_current = false;
+  };
+  const auto wait = std::make_shared<Wait>(m_context);
+  wait->timer.expires_after(give_up - MonotonicClock::now());
+  m_catch_up([wait](bool is_current) {
+    wait->is_current = is_current;
+    // Ends a wait that begins later, too.
+    wait->timer.expires_after(Duration::zero());
+  });
+  boost::system::error_code ignored;
+  co_await wait->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  co_return wait->is_current;
+}
+
+awaitable<void> VersionHistory::WaitForRecord(ServiceId service,
+                                              MonotonicTime give_up) {
+  boost::asio::steady_timer timer(m_context, give_up - MonotonicClock::now());
+  const auto waiting = m_waiting.emplace(service, &timer);
+  Handle(VersionRecordNeeded{service});
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  m_waiting.erase(waiting);
+}
+
 void VersionHistory::WakeWaiting(const ServiceId& service) {
   const auto [begin, end] = m_waiting.equal_range(service);
   for (auto at = begin; at != end; ++at) {
--- a/Source/Placement/version_history_core.cc
+++ b/Source/Placement/version_history_core.cc
@@ -114,7 +114,7 @@
 
 void VersionHistoryCore::Apply(const VersionRecordNeeded& event,
                                MonotonicTime now) {
-  if (Judge(event.service, now).knowledge == Knowledge::kRecordNeeded) {
+  if (JudgeKnown(event.service, now).knowledge == Knowledge::kRecordNeeded) {
     Read(event.service, m_services[event.service]);
   }
 }
@@ -206,11 +206,23 @@
 }
 
 VersionHistoryCore::Verdict VersionHistoryCore::Judge(const ServiceId& service,
+                                                      MonotonicTime asked,
                                                       MonotonicTime now) const {
-  Verdict verdict;
+  Verdict verdict = JudgeKnown(service, now);
   if (m_read_up_to.has_value()) {
     verdict.view_age = now - *m_read_up_to;
   }
+  const bool is_current = m_read_up_to.has_value() && *m_read_up_to >= asked;
+  if (verdict.knowledge == Knowledge::kSoleVersion && !is_current) {
+    verdict.knowledge = Knowledge::kViewOutdated;
+  }
+  return verdict;
+}
+
+VersionHistoryCore::Verdict VersionHistoryCore::JudgeKnown(
+    const ServiceId& service,
+    MonotonicTime now) const {
+  Verdict verdict;
   const auto found = m_services.find(service);
   if (!m_watched_since.has_value() || found == m_services.end()) {
     return verdict;
--- a/Source/Placement/version_history_core.h
+++ b/Source/Placement/version_history_core.h
@@ -115,6 +115,12 @@
 /// for `memory`; it is read by a recorder that starts, and by a process that
 /// has watched for less than `memory` when a stream of unknown origin is
 /// resumed.
+///
+/// Answers a process that is behind, too: it stood still, is cut off, or its
+/// watch is silent, while versions join that begin streams at other processes.
+/// What it has seen tells which versions there were, but not that there are no
+/// others. A version counts as the only one only if the store was read after
+/// the caller asked: whatever began the stream was listed by then.
 class VersionHistoryCore {
  public:
   /// What is known about the versions of a service.
@@ -124,6 +130,9 @@
     kSeveralVersions,
     /// The record must be read first.
     kRecordNeeded,
+    /// Only one version is known, but the store must be read first: others may
+    /// have been listed before the caller asked.
+    kViewOutdated,
     /// The backend servers were not listed yet, or not since an interruption,
     /// or there is no record.
     kUnknown,
@@ -143,7 +152,11 @@
   std::vector<VersionHistoryAction> Handle(const VersionHistoryEvent& event,
                                            MonotonicTime now);
 
-  Verdict Judge(const ServiceId& service, MonotonicTime now) const;
+  /// What is known about the versions that may have begun a stream whose
+  /// caller asked at the time `asked`.
+  Verdict Judge(const ServiceId& service,
+                MonotonicTime asked,
+                MonotonicTime now) const;
 
  private:
   struct Service {
@@ -188,6 +201,8 @@
   std::set<SoftwareVersion> Wanted(const Service& service,
                                    MonotonicTime now) const;
   bool HasWatchedLongEnough(MonotonicTime now) const;
+  /// What is known from the entries and the record, up to the newest read.
+  Verdict JudgeKnown(const ServiceId& service, MonotonicTime now) const;
 
   const VersionHistoryOptions m_options;
   const PeerTable& m_peers;
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -19,6 +19,11 @@
 // The shortest wait of a watch: it returns the changes that are available.
 constexpr Duration kPollWait = std::chrono::milliseconds(1);
 
+// The shortest time between two reads for CatchUp(). A fleet of 640 processes
+// that all catch up stays within the calls that the store allows, and a caller
+// who waits loses a sixth of a latency target of 300 ms.
+constexpr Duration kCatchUpInterval = std::chrono::milliseconds(50);
+
 // A connected watcher that cannot list three times in a row leaves it to the
 // next poll.
 constexpr uint32_t kMaxRefreshAttempts = 3;
@@ -118,6 +123,16 @@
 
 awaitable<void> DocumentWatcher::PollOnce(PollEnded ended) {
   const uint64_t poll = ++m_poll;
+  const Result<void> outcome = co_await ReadChanges();
+  if (poll == m_poll) {
+    m_poll_began.reset();
+  }
+  if (ended && !m_stopped) {
+    ended(outcome.has_value());
+  }
+}
+
+awaitable<Result<void>> DocumentWatcher::ReadChanges() {
   // A failure is only reported here: if it lasts, the pending watch or the next
   // poll meets it too.
   const Duration wait = kPollWait;
@@ -134,12 +149,43 @@
   if (!outcome.has_value()) {
     ReportError(outcome.error());
   }
-  if (poll == m_poll) {
-    m_poll_began.reset();
+  co_return outcome;
+}
+
+void DocumentWatcher::CatchUp(PollEnded ended) {
+  // During an outage, Run() tries again by itself.
+  if (m_stopped || !m_connected) {
+    ended(false);
+    return;
   }
-  if (ended && !m_stopped) {
-    ended(outcome.has_value());
+  m_catch_ups.push_back(std::move(ended));
+  // A read without a response must not hold up those that wait behind it.
+  const MonotonicTime now = MonotonicClock::now();
+  const bool is_stuck = m_catching_up && m_catch_up_began.has_value() &&
+                        now - *m_catch_up_began >= m_options.read_timeout;
+  if (!std::exchange(m_catching_up, true) || is_stuck) {
+    boost::asio::co_spawn(
+        m_executor,
+        [self = shared_from_this()] { return self->CatchUpWaiting(); },
+        boost::asio::detached);
+  }
+}
+
+awaitable<void> DocumentWatcher::CatchUpWaiting() {
+  while (!m_catch_ups.empty()) {
+    if (m_catch_up_began.has_value()) {
+      const Duration pause =
+          *m_catch_up_began + kCatchUpInterval - MonotonicClock::now();
+      co_await SleepFor(std::max(pause, Duration::zero()));
+    }
+    const std::vector<PollEnded> catch_ups = std::exchange(m_catch_ups, {});
+    m_catch_up_began = MonotonicClock::now();
+    const Result<void> read = co_await ReadChanges();
+    for (const PollEnded& ended : catch_ups) {
+      ended(read.has_value() && !m_stopped);
+    }
   }
+  m_catching_up = false;
 }
 
 awaitable<void> DocumentWatcher::ListOnce(uint64_t refresh) {
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -97,6 +97,9 @@
   /// call; null if nobody asks.
   using PollEnded = std::function<void(bool has_read_everything)>;
   void Poll(PollEnded ended = nullptr);
+  /// Reads what was written before this call; `ended` is told whether that is
+  /// known then. Calls that come while a read is under way share the next one.
+  void CatchUp(PollEnded ended);
   /// Lists again now. Call it when a change may have been missed.
   void Refresh();
   /// Treats the known state as stale until the store has been read again.
@@ -117,6 +120,10 @@
   boost::asio::awaitable<Result<void>> ListAll();
   boost::asio::awaitable<Result<void>> WatchOnce(Duration wait);
   boost::asio::awaitable<void> PollOnce(PollEnded ended);
+  /// Reads the changes that are available, or lists if there is no history.
+  boost::asio::awaitable<Result<void>> ReadChanges();
+  /// Reads for the calls of CatchUp() until none waits.
+  boost::asio::awaitable<void> CatchUpWaiting();
   boost::asio::awaitable<void> ListOnce(uint64_t refresh);
   /// Repeats a refresh that gets no response.
   boost::asio::awaitable<void> RepeatLateRefresh(uint64_t refresh);
@@ -148,6 +155,10 @@
   std::optional<MonotonicTime> m_watch_began;
   std::optional<MonotonicTime> m_refresh_began;
   std::optional<MonotonicTime> m_poll_began;
+  // The newest read for CatchUp(), also when it has ended.
+  std::optional<MonotonicTime> m_catch_up_began;
+  bool m_catching_up = false;
+  std::vector<PollEnded> m_catch_ups;
   // The newest watch or poll was told that its history is gone: polls list.
   bool m_history_lost = false;
   uint32_t m_failures = 0;
--- a/Tests/Placement/version_history_test.cc
+++ b/Tests/Placement/version_history_test.cc
@@ -95,9 +95,11 @@
       Handle(VersionHistoryTick{}, At(at));
     }
   }
+  // Asks and reads the entries and the record, as far as they are needed.
   Knowledge Judge(MonotonicTime now) {
+    Handle(VersionsReadUpTo{now}, now);
     Handle(VersionRecordNeeded{kService}, now);
-    return m_core.Judge(kService, now).knowledge;
+    return m_core.Judge(kService, now, now).knowledge;
   }
   VersionHistoryCore& core() { return m_core; }
 
@@ -120,8 +122,35 @@
   process.List("b0", kNew, At(80s));
   CHECK(process.Judge(At(81s)) == Knowledge::kSeveralVersions);
   CHECK(process.Judge(At(111s)) == Knowledge::kSoleVersion);
-  CHECK(process.core().Judge(ServiceId("other"), At(111s)).knowledge ==
-        Knowledge::kUnknown);
+  CHECK(
+      process.core().Judge(ServiceId("other"), At(111s), At(111s)).knowledge ==
+      Knowledge::kUnknown);
+}
+
+TEST_CASE(
+    "What a process has seen by itself does not show that there is no other "
+    "version") {
+  RecordStore store;
+  HistoryProcess process(store, "g0", 1);
+  process.Start({kOld}, At(0s));
+  process.TickUntil(0s, 40s);
+  process.Handle(VersionsReadUpTo{At(40s)}, At(40s));
+  const VersionHistoryCore& core = process.core();
+  CHECK(core.Judge(kService, At(40s), At(41s)).knowledge ==
+        Knowledge::kSoleVersion);
+  // The process stands still or is cut off, and a caller asks afterwards.
+  CHECK(core.Judge(kService, At(45s), At(45s)).knowledge ==
+        Knowledge::kViewOutdated);
+  // A read that began before that tells nothing.
+  process.Handle(VersionsReadUpTo{At(44s)}, At(46s));
+  CHECK(core.Judge(kService, At(45s), At(46s)).knowledge ==
+        Knowledge::kViewOutdated);
+  process.Handle(VersionsReadUpTo{At(45s)}, At(46s));
+  CHECK(core.Judge(kService, At(45s), At(46s)).knowledge ==
+        Knowledge::kSoleVersion);
+  process.List("b1", kNew, At(47s));
+  CHECK(core.Judge(kService, At(48s), At(48s)).knowledge ==
+        Knowledge::kSeveralVersions);
 }
 
 TEST_CASE("A process that starts counts versions that only the record names") {
@@ -191,7 +220,8 @@
   core.Handle(VersionListed{BackendId("n"), kService, kNew}, At(1s));
   core.Handle(VersionsListedCompletely{}, At(1s));
   core.Handle(VersionRecordKnown{kService, store.record, At(0s)}, At(2s));
-  CHECK(core.Judge(kService, At(2s)).knowledge == Knowledge::kRecordNeeded);
+  CHECK(core.Judge(kService, At(2s), At(2s)).knowledge ==
+        Knowledge::kRecordNeeded);
 }
 
 TEST_CASE("A version is recorded as soon as it appears, by one process") {
