Gateway: a stream that ends with its connection needs a writer that still runs

The caller got status 200, some of the events and a regular end; an item of a batch job was completed with a part of its output.

Cause: the kernel closes the connections of a killed process as the process does at the end of an answer. The end of the body was taken as proof that its writer had ended it.

Change: when a stream ends with its connection, the report of the backend server is asked for. If nothing accepts the connection or another start is named than in the entry, the stream is in doubt: resumed, or the caller's connection is closed without the last chunk.

Why it works: a process that has ended neither accepts connections nor names its start.

--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -197,7 +197,8 @@
           lease, "the events are malformed, out of order or too long");
     }
   }
-  const Result<void> complete = CheckStreamEnd(*m_response, m_event_reader);
+  const Result<void> complete =
+      co_await ConfirmStreamEnd(*m_response, m_event_reader, lease);
   if (!complete.has_value()) {
     co_return EndAfterError(lease, complete.error());
   }
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -663,7 +663,8 @@
     }
   }
   if (m_request.route->kind == RequestKind::kStreaming) {
-    const Result<void> complete = CheckStreamEnd(response, m_event_reader);
+    const Result<void> complete =
+        co_await ConfirmStreamEnd(response, m_event_reader, m_attempt->lease());
     if (!complete.has_value()) {
       co_return HandleResponseError(complete.error());
     }
--- a/Source/Gateway/stream_end.cc
+++ b/Source/Gateway/stream_end.cc
@@ -1,10 +1,34 @@
 #include "Gateway/stream_end.h"
 
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "Gateway/dispatcher.h"
 #include "Net/http_client.h"
 #include "Net/sse_reader.h"
+#include "platform/backend_report.h"
 
 namespace cowslip {
 
+namespace {
+
+using boost::asio::awaitable;
+
+// The caller has all events and waits only for the end of the stream. A report
+// needs no slot and takes a round trip; a pause of 300 ms is late for a caller.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(200);
+
+Error ProcessEnded(const std::string& why) {
+  return Error(ErrorKind::kInDoubt,
+               "The stream ended with its connection, and the process that "
+               "wrote it has ended: " +
+                   why + " Resume the stream after its last event.");
+}
+
+}  // namespace
+
 Result<void> CheckStreamEnd(const HttpResponseStream& response,
                             const SseReader& events) {
   if (!events.partial_event().empty()) {
@@ -21,4 +45,34 @@
   return Ok();
 }
 
+awaitable<Result<void>> ConfirmStreamEnd(const HttpResponseStream& response,
+                                         const SseReader& events,
+                                         const AttemptLease& lease) {
+  const Result<void> complete = CheckStreamEnd(response, events);
+  if (!complete.has_value() || !response.ends_with_connection() ||
+      lease.started_at_ms() == 0) {
+    co_return complete;
+  }
+  // The entry may change meanwhile.
+  const auto client = lease.client();
+  const uint64_t expected = lease.started_at_ms();
+  HttpRequest call = platform::EncodeReportCall();
+  const Duration timeout = kReportTimeout;
+  const Result<HttpResponse> report =
+      co_await client->Send(std::move(call), timeout);
+  if (!report.has_value()) {
+    // Whoever accepts a connection and does not respond in time still runs.
+    co_return report.error().kind() == ErrorKind::kUnavailable
+        ? Result<void>(ProcessEnded(report.error().message))
+        : Ok();
+  }
+  const Result<std::optional<uint64_t>> start =
+      platform::DecodeReportedStart(report.value());
+  if (start.has_value() && start.value().has_value() &&
+      *start.value() != expected) {
+    co_return ProcessEnded("Another incarnation runs there.");
+  }
+  co_return Ok();
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/stream_end.h
+++ b/Source/Gateway/stream_end.h
@@ -1,10 +1,13 @@
 #ifndef SOURCE_GATEWAY_STREAM_END_H_
 #define SOURCE_GATEWAY_STREAM_END_H_
 
+#include <boost/asio/awaitable.hpp>
+
 #include "Base/result.h"
 
 namespace cowslip {
 
+class AttemptLease;
 class HttpResponseStream;
 class SseReader;
 
@@ -17,6 +20,17 @@
 Result<void> CheckStreamEnd(const HttpResponseStream& response,
                             const SseReader& events);
 
+/// As CheckStreamEnd(), and asks whether the process that wrote the stream
+/// still runs if the body ends with its connection: the kernel closes the
+/// connections of a process that is killed as the process does at the end of a
+/// stream. Errors: also kInDoubt when nothing accepts connections there any
+/// more or another incarnation of the backend server does. A backend server
+/// whose entry or report does not tell its start is not asked about.
+boost::asio::awaitable<Result<void>> ConfirmStreamEnd(
+    const HttpResponseStream& response,
+    const SseReader& events,
+    const AttemptLease& lease);
+
 }  // namespace cowslip
 
 #endif  // SOURCE_GATEWAY_STREAM_END_H_
--- a/Tests/Gateway/raw_backend.cc
+++ b/Tests/Gateway/raw_backend.cc
@@ -24,6 +24,11 @@
       m_context, [this] { return Accept(); }, asio::detached);
 }
 
+void RawBackend::Stop() {
+  boost::system::error_code ignored;
+  m_acceptor.close(ignored);
+}
+
 awaitable<void> RawBackend::Accept() {
   while (true) {
     boost::system::error_code error;
--- a/Tests/Gateway/raw_backend.h
+++ b/Tests/Gateway/raw_backend.h
@@ -36,6 +36,8 @@
   RawBackend(boost::asio::io_context& context, Script script);
 
   uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  /// Accepts no connection any more, as a process that has ended.
+  void Stop();
   /// The endless answers that are being written.
   size_t endless_answers() const { return m_endless_answers; }
 
