--- a/Tests/Placement/version_history_test.cc
+++ b/Tests/Placement/version_history_test.cc
@@ -266,6 +266,29 @@
   CHECK(store.record->versions == std::set{kOld});
 }
 
+// A recorder dropped a version that the other one had recorded and that its own
+// silent watch had missed.
+TEST_CASE("A recorder whose view is old removes no version from the record") {
+  const SoftwareVersion older("v0");
+  RecordStore store;
+  store.record = ServiceVersions{{older, kOld}, 1, ObjectVersion(3)};
+  const std::vector<VmId> recorders =
+      RendezvousPick(kService.value(), {VmId("g0"), VmId("g1")}, 2);
+  HistoryProcess first(store, recorders[0].value(), 2);
+  HistoryProcess second(store, recorders[1].value(), 2);
+  first.Start({kOld}, At(0s));
+  second.Start({kOld}, At(20s));
+  first.TickUntil(0s, 29s);
+  second.TickUntil(20s, 29s);
+  second.List("n", kNew, At(29300ms));
+  second.TickUntil(29300ms, 29900ms);
+  REQUIRE(store.record->versions.contains(kNew));
+  // The first recorder drops the older version: its write conflicts, and it
+  // reads the record and writes again.
+  first.TickUntil(30s, 32s);
+  CHECK(store.record->versions.contains(kNew));
+}
+
 TEST_CASE("A delayed write does not remove a version that has come back") {
   PeerTable peers(PeerTableOptions{.self = VmId("g0")});
   VersionHistoryCore core(VersionHistoryOptions{.self = VmId("g0")}, peers);
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -215,6 +215,31 @@
   });
 }
 
+// Each caller after a quiet time started a read of its own.
+TEST_CASE("Calls of CatchUp that come together share a read") {
+  Fixture f;
+  WatchRecorder recorder(f);
+  f.Run([&]() -> awaitable<void> {
+    co_await f.Sleep(50ms);
+    size_t ended = 0;
+    const auto catch_up = [&] {
+      recorder.watcher->CatchUp([&](bool is_current) { ended += is_current; });
+    };
+    for (const Duration quiet : {0ms, 1600ms}) {
+      co_await f.Sleep(quiet);
+      const size_t before = f.server.calls().at("watch things");
+      ended = 0;
+      constexpr size_t kCallers = 20;
+      for (size_t i = 0; i < kCallers; ++i) {
+        catch_up();
+      }
+      co_await f.Sleep(200ms);
+      CHECK(ended == kCallers);
+      CHECK(f.server.calls().at("watch things") - before <= 2);
+    }
+  });
+}
+
 TEST_CASE("A watcher reports the start and the end of an outage once") {
   Fixture f;
   WatchRecorder recorder(f);
