Tests: a catch-up after a watch that has lost a change

platform_adapter.overtaken_listings "CatchUp finds a change..." fails: a watch loses a change and reaches beyond it (a fault that this test program plays already), and CatchUp() then reports the view as current without the entry. No logic is changed.

--- a/Tests/PlatformAdapter/overtaken_listing_test.cc
+++ b/Tests/PlatformAdapter/overtaken_listing_test.cc
@@ -236,6 +236,25 @@
   CHECK(f.regained == 2);
 }
 
+// A watch lost a change and reached beyond it, and the next one said that all
+// was known.
+TEST_CASE("CatchUp finds a change that an earlier watch has lost") {
+  Fixture f("servers");
+  f.Put("a", Server("ready"));
+  f.WatchUntilListed();
+  REQUIRE(f.store.pending() == 1);
+  f.Put("b", Server("ready"));
+  f.store.LoseNextChanges();
+  f.store.Complete(0);
+  REQUIRE_FALSE(f.usable_backends.contains("b"));
+  bool is_current = false;
+  f.watcher->CatchUp([&](bool told) { is_current = told; });
+  f.store.RunReady();
+  f.CatchUp();
+  REQUIRE(is_current);
+  CHECK(f.usable_backends.contains("b"));
+}
+
 // Each number is one step: a call that goes on, a change in the store, or a
 // read that the owner of the watcher asks for.
 void TakeStep(Fixture& f, uint32_t step, bool may_lose_changes) {
