Tests: resumptions that come together read the store once each

gateway.outdated_views "Resumptions that come together..." fails: 40 resumptions about a second after the last read make 33 and 34 watches of the entries (expected: 10 at most), in 3 of 3 runs. No logic is changed.

--- a/Tests/Gateway/outdated_view_test.cc
+++ b/Tests/Gateway/outdated_view_test.cc
@@ -123,5 +123,34 @@
   });
 }
 
+TEST_CASE("Resumptions that come together share reads of the store") {
+  GatewayFixture f(1);
+  f.backend(0).behaviour().events = kEvents;
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await f.Sleep(300ms);
+    for (int round = 0; round < 3; ++round) {
+      constexpr size_t kCallers = 40;
+      size_t ended = 0;
+      const size_t before = f.server.calls().at("watch servers");
+      for (size_t i = 0; i < kCallers; ++i) {
+        boost::asio::co_spawn(
+            f.context,
+            [&]() -> awaitable<void> {
+              const auto response = co_await Resume(f, 0);
+              ended += response.has_value();
+            },
+            boost::asio::detached);
+      }
+      co_await f.Sleep(400ms);
+      CHECK(ended == kCallers);
+      // A read each 50 ms, and the polls meanwhile.
+      CHECK(f.server.calls().at("watch servers") - before <= 8 + 2);
+      co_await f.Sleep(1s);
+    }
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
