Platform: callers that catch up together after a quiet time share a read

Cause: a run was taken to be stuck by the age of the last read, also when a new run had just been started for the first caller.

Change: the age of the run counts; a new run takes the place of one whose read gets no response.

Evidence: platform_adapter.store_client "Calls of CatchUp..." failed before (21 calls) and passes now (2 at most).

--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -161,18 +161,21 @@
   m_catch_ups.push_back(std::move(ended));
   // A read without a response must not hold up those that wait behind it.
   const MonotonicTime now = MonotonicClock::now();
-  const bool is_stuck = m_catching_up && m_catch_up_began.has_value() &&
-                        now - *m_catch_up_began >= m_options.read_timeout;
-  if (!std::exchange(m_catching_up, true) || is_stuck) {
+  const bool is_stuck = m_catch_up_run_began.has_value() &&
+                        now - *m_catch_up_run_began >= m_options.read_timeout;
+  if (!m_catch_up_run_began.has_value() || is_stuck) {
+    m_catch_up_run_began = now;
     boost::asio::co_spawn(
         m_executor,
-        [self = shared_from_this()] { return self->CatchUpWaiting(); },
+        [self = shared_from_this(), run = ++m_catch_up_run] {
+          return self->CatchUpWaiting(run);
+        },
         boost::asio::detached);
   }
 }
 
-awaitable<void> DocumentWatcher::CatchUpWaiting() {
-  while (!m_catch_ups.empty()) {
+awaitable<void> DocumentWatcher::CatchUpWaiting(uint64_t run) {
+  while (run == m_catch_up_run && !m_catch_ups.empty()) {
     if (m_catch_up_began.has_value()) {
       const Duration pause =
           *m_catch_up_began + kCatchUpInterval - MonotonicClock::now();
@@ -180,12 +183,17 @@
     }
     const std::vector<PollEnded> catch_ups = std::exchange(m_catch_ups, {});
     m_catch_up_began = MonotonicClock::now();
+    if (run == m_catch_up_run) {
+      m_catch_up_run_began = m_catch_up_began;
+    }
     const Result<void> read = co_await ReadChanges();
     for (const PollEnded& ended : catch_ups) {
       ended(read.has_value() && !m_stopped);
     }
   }
-  m_catching_up = false;
+  if (run == m_catch_up_run) {
+    m_catch_up_run_began.reset();
+  }
 }
 
 awaitable<void> DocumentWatcher::ListOnce(uint64_t refresh) {
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -122,8 +122,9 @@
   boost::asio::awaitable<void> PollOnce(PollEnded ended);
   /// Reads the changes that are available, or lists if there is no history.
   boost::asio::awaitable<Result<void>> ReadChanges();
-  /// Reads for the calls of CatchUp() until none waits.
-  boost::asio::awaitable<void> CatchUpWaiting();
+  /// Reads for the calls of CatchUp() until none waits or another run has begun
+  /// because a read of this one got no response.
+  boost::asio::awaitable<void> CatchUpWaiting(uint64_t run);
   boost::asio::awaitable<void> ListOnce(uint64_t refresh);
   /// Repeats a refresh that gets no response.
   boost::asio::awaitable<void> RepeatLateRefresh(uint64_t refresh);
@@ -155,10 +156,14 @@
   std::optional<MonotonicTime> m_watch_began;
   std::optional<MonotonicTime> m_refresh_began;
   std::optional<MonotonicTime> m_poll_began;
+  // The calls of CatchUp() that no read answers yet.
+  std::vector<PollEnded> m_catch_ups;
   // The newest read for CatchUp(), also when it has ended.
   std::optional<MonotonicTime> m_catch_up_began;
-  bool m_catching_up = false;
-  std::vector<PollEnded> m_catch_ups;
+  // The newest run of CatchUpWaiting(), counted from 1, and when it or its last
+  // read began; nullopt while none is under way.
+  uint64_t m_catch_up_run = 0;
+  std::optional<MonotonicTime> m_catch_up_run_began;
   // The newest watch or poll was told that its history is gone: polls list.
   bool m_history_lost = false;
   uint32_t m_failures = 0;
