Placement: a recorder keeps versions that it has only read from the record

Cause: a process that has watched for 30 s wrote what it had seen itself, though its watch may have missed a version.

Change: a version that the record names and this process has not seen counts as listed until the record was read, so it stays for 30 s.

Evidence: placement.version_history "A recorder whose view is old..." failed before and passes now; the other cases pass unchanged.

--- a/Source/Placement/version_history_core.cc
+++ b/Source/Placement/version_history_core.cc
@@ -93,6 +93,11 @@
   service.record = event.record.value_or(ServiceVersions());
   service.record_known = true;
   service.record_read = event.began;
+  // Another recorder has seen what this process has missed: such a version
+  // counts as one that was listed until now.
+  for (const SoftwareVersion& version : service.record.versions) {
+    service.seen.try_emplace(version, now);
+  }
   if (service.in_doubt.has_value() &&
       service.record.revision != *service.in_doubt) {
     service.in_doubt.reset();
