Jobs: an item goes on only at the service that began it

Cause: the progress of an item held the version and not the service, though versions of different services have nothing in common but their names.

Change: the progress holds the service too; an item whose route leads elsewhere starts anew. Progress that an earlier release wrote has no service and is resumed as before.

Evidence: gateway.moved_routes "An item does not go on..." failed before (resumed with Last-Event-Id at the other service) and passes now.

--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -218,6 +218,7 @@
     }
     progress.output += *event.data;
     progress.version = m_request.version;
+    progress.service = m_request.service;
     progress.last_event = *event.id;
   }
   const uint32_t before = m_event_count;
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -27,8 +27,9 @@
   JobItem item;
   std::string host;
   BackendCall call;
-  /// The software version of the backend server that is called.
+  /// The software version and the service of the backend server that is called.
   SoftwareVersion version;
+  ServiceId service;
   ItemProgress progress;
   /// Called with the number of events that this run has received, before and
   /// after more have come.
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -352,12 +352,17 @@
     return std::nullopt;
   }
   const SoftwareVersion version = item.progress->version;
-  if (m_gateway.dispatcher.placement_core().Serves(service, version, regions)) {
+  const ServiceId& began_at = item.progress->service;
+  const bool is_same_service = began_at.empty() || began_at == service;
+  if (is_same_service &&
+      m_gateway.dispatcher.placement_core().Serves(service, version, regions)) {
     return version;
   }
   m_gateway.log.Write("item_restarted", {{"job", item.job.value()},
                                          {"item", item.item.value()},
-                                         {"version", version.value()}});
+                                         {"version", version.value()},
+                                         {"began_at", began_at.value()},
+                                         {"service", service.value()}});
   HandleEvent(ItemVersionGone{item.job, item.item});
   return std::nullopt;
 }
@@ -599,6 +604,7 @@
                    .backend = backend,
                    .deadline = kItemDeadline},
           .version = version,
+          .service = lease->service(),
           .progress = std::move(progress),
           .on_events =
               [this, parts](uint32_t before, uint32_t events) {
--- a/Source/Jobs/job_documents.cc
+++ b/Source/Jobs/job_documents.cc
@@ -87,14 +87,17 @@
 std::map<ItemId, ItemProgress> ReadProgress(const json& entries) {
   std::map<ItemId, ItemProgress> progress;
   for (const json& entry : entries) {
-    // Processes of earlier releases write no version.
+    // Processes of earlier releases write neither version nor service.
     const SoftwareVersion version = entry.size() > 4
                                         ? entry.at(4).get<SoftwareVersion>()
                                         : SoftwareVersion();
+    const ServiceId service =
+        entry.size() > 5 ? entry.at(5).get<ServiceId>() : ServiceId();
     progress[entry.at(0).get<ItemId>()] =
         ItemProgress{.last_event = entry.at(1).get<uint64_t>(),
                      .output = entry.at(2).get<std::string>(),
                      .version = version,
+                     .service = service,
                      .failed_runs = entry.at(3).get<uint32_t>()};
   }
   return progress;
@@ -104,7 +107,8 @@
   json entries = json::array();
   for (const auto& [item, done] : progress) {
     entries.push_back({item.value(), done.last_event, done.output,
-                       done.failed_runs, done.version.value()});
+                       done.failed_runs, done.version.value(),
+                       done.service.value()});
   }
   return entries;
 }
--- a/Source/Jobs/job_types.h
+++ b/Source/Jobs/job_types.h
@@ -39,6 +39,9 @@
   /// The software version of the backend servers that wrote the events; no
   /// other version can resume the item.
   SoftwareVersion version;
+  /// The service of these backend servers; versions of different services have
+  /// nothing in common but their names. Empty if an earlier release wrote it.
+  ServiceId service;
   /// Number of runs that a backend server has failed.
   uint32_t failed_runs = 0;
 };
