Gateway: a stream of unknown origin stays at the service of its route

A resumption whose origin no gateway knew went on at the new service with status 200; a gateway whose configuration was old resumed at the old service what had begun at the new one.

Cause: only the configuration in force at this gateway was asked where the route leads.

What remains: after the loss of all gateways the routes of before are not known.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -20,6 +20,7 @@
 class FleetConfiguration;
 class GatewayMetrics;
 class QuotaCore;
+class RouteHistory;
 class ShutdownNotice;
 class StartupGate;
 class StreamOriginDirectory;
@@ -36,6 +37,7 @@
   CrashSuspectCore& crash_suspects;
   StreamOriginDirectory& stream_origins;
   VersionHistory& version_history;
+  RouteHistory& route_history;
   EventLog& log;
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -104,7 +104,7 @@
           m_peer_table,
           m_log,
           [this](std::function<void(bool)> ended) {
-            m_backend_watcher->CatchUp(std::move(ended));
+            CatchUpForResumption(std::move(ended));
           },
           VersionHistoryOptions{.self = m_settings.vm}),
       m_gateway{.io = context,
@@ -114,6 +114,7 @@
                 .crash_suspects = m_crash_suspects,
                 .stream_origins = m_stream_origins,
                 .version_history = m_version_history,
+                .route_history = m_route_history,
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -36,6 +36,7 @@
 #include "Placement/aborted_run_tracker.h"
 #include "Placement/backend_directory.h"
 #include "Placement/crash_suspect_core.h"
+#include "Placement/route_history.h"
 #include "Platform/document_watcher.h"
 #include "Platform/relayed_store.h"
 #include "Quota/quota_core.h"
@@ -115,6 +116,9 @@
   void HandlePollEvent(const PollTurnEvent& event);
   void SchedulePoll();
   void PollStore(const BeginPoll& begin);
+  /// Reads the configuration and the entries of the backend servers, which tell
+  /// together where a stream may have begun.
+  void CatchUpForResumption(std::function<void(bool is_current)> ended);
   /// The watchers of the kinds whose digests peers compare, which are also
   /// those that are polled.
   std::vector<DocumentWatcher*> ComparedWatchers() const;
@@ -177,6 +181,7 @@
   ShutdownNotice m_shutdown_notice;
   StreamOriginDirectory m_stream_origins;
   VersionHistory m_version_history;
+  RouteHistory m_route_history;
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
   JobRunner m_job_runner;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -125,6 +125,24 @@
   }
 }
 
+void GatewayDaemon::CatchUpForResumption(
+    std::function<void(bool is_current)> ended) {
+  struct Reads {
+    size_t remaining = 2;
+    bool failed = false;
+  };
+  const auto reads = std::make_shared<Reads>();
+  for (DocumentWatcher* watcher :
+       {m_configuration_watcher.get(), m_backend_watcher.get()}) {
+    watcher->CatchUp([reads, ended](bool is_current) {
+      reads->failed = reads->failed || !is_current;
+      if (--reads->remaining == 0) {
+        ended(!reads->failed);
+      }
+    });
+  }
+}
+
 std::vector<DocumentWatcher*> GatewayDaemon::ComparedWatchers() const {
   std::vector<DocumentWatcher*> watchers = {m_configuration_watcher.get(),
                                             m_backend_watcher.get(),
@@ -337,6 +355,7 @@
   m_gateway.configuration =
       std::make_shared<const FleetConfiguration>(std::move(parts.value()));
   const FleetConfiguration& now = *m_gateway.configuration;
+  m_route_history.Apply(now.routes(), MonotonicClock::now());
   QuotasChanged quotas;
   for (const FleetOrganisation& organisation : now.organisations()) {
     quotas.quotas.push_back(
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -19,6 +19,7 @@
 #include "Gateway/version_history.h"
 #include "Net/http_exchange.h"
 #include "Placement/aborted_run_tracker.h"
+#include "Placement/route_history.h"
 #include "platform/request_headers.h"
 
 namespace cowslip {
@@ -119,8 +120,11 @@
   const ServiceId service = m_request.service;
   const VersionHistoryCore::Verdict verdict =
       co_await m_gateway.version_history.Judge(service);
+  // A newer configuration may have been read meanwhile.
   const bool is_sole =
-      verdict.knowledge == VersionHistoryCore::Knowledge::kSoleVersion;
+      verdict.knowledge == VersionHistoryCore::Knowledge::kSoleVersion &&
+      m_gateway.route_history.LedOnlyTo(m_request.route->id, service,
+                                        MonotonicClock::now());
   if (is_sole) {
     m_stream_version = *verdict.versions.begin();
   }
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -19,6 +19,7 @@
 #include "Peers/peer_table.h"
 #include "Placement/aborted_run_tracker.h"
 #include "Placement/crash_suspect_core.h"
+#include "Placement/route_history.h"
 #include "Quota/quota_core.h"
 #include "Utilities/StandIns/MetadataStore/fake_document_store.h"
 
@@ -47,7 +48,13 @@
       io.get_executor(), StreamOriginOptions{.self = kSelf}, peers,
       [](const Endpoint&, const auto&) {}};
   EventLog log{EventLogOptions{.descriptor = null}};
-  VersionHistory version_history{io, store, peers, log, {.self = kSelf}};
+  VersionHistory version_history{io,
+                                 store,
+                                 peers,
+                                 log,
+                                 [](const auto& ended) { ended(false); },
+                                 {.self = kSelf}};
+  RouteHistory route_history;
   GatewayMetrics metrics;
   StartupGate startup_gate{io};
   ShutdownNotice shutdown_notice;
@@ -58,6 +65,7 @@
                          .crash_suspects = crash_suspects,
                          .stream_origins = stream_origins,
                          .version_history = version_history,
+                         .route_history = route_history,
                          .log = log,
                          .metrics = metrics,
                          .startup_gate = startup_gate,
