Platform: a read tells when it began

Change: StoreReadEnded holds the time. Evidence: gateway.outdated_views and gateway.stream_versions pass; the pause itself has no test.

--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -58,7 +58,7 @@
       read_ended(read);
     }
     if (read.listing) {
-      ReportListing(name, MonotonicClock::now() - read.took);
+      ReportListing(name, read.began);
       m_log.Write("store_listed", {{"kind", name},
                                    {"documents", read.documents},
                                    {"changes", read.changes},
@@ -226,8 +226,7 @@
        .regained = [this] { HandleDirectoryEvent(DirectoryStoreRegained{}); },
        .read_ended =
            [this](const StoreReadEnded& read) {
-             m_version_history.Handle(
-                 VersionsReadUpTo{MonotonicClock::now() - read.took});
+             m_version_history.Handle(VersionsReadUpTo{read.began});
            }});
   m_peer_watcher = StartWatcher(
       kPeerKind, {.listed =
--- a/Source/Platform/document_watcher.cc
+++ b/Source/Platform/document_watcher.cc
@@ -297,6 +297,7 @@
               .documents = documents,
               .changes = changes.size(),
               .as_of = as_of,
+              .began = began,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
   m_must_list = false;
@@ -324,6 +325,7 @@
   m_history_lost = false;
   ReportRead({.documents = changes.value().changes.size(),
               .as_of = changes.value().as_of,
+              .began = began,
               .took = MonotonicClock::now() - began});
   HandleSuccess(read_epoch);
   m_view.AdvanceTo(changes.value().as_of);
--- a/Source/Platform/document_watcher.h
+++ b/Source/Platform/document_watcher.h
@@ -50,6 +50,8 @@
   /// Changes that were not known before the listing; zero for a watch.
   size_t changes = 0;
   ObjectVersion as_of;
+  /// What was written before is known now.
+  MonotonicTime began;
   Duration took{0};
 };
 
