Platform: Decode each document of the store by itself

Callers saw: after another writer had left one odd entry among those of the backend servers (bytes that are no UTF-8, 1e400, lists nested 80 deep), gateways that started were never ready and those that ran learned of no change; accepted jobs were not finished (LOST).

Cause: StoreClient parsed a listing or watch response as a whole. One value that the parser rejects made all its documents unusable, and DocumentWatcher repeated the read for ever. The error counted as an unreachable store.

Change: json_extents finds the extents of the parts of a response without looking into them and without recursion; store_documents parses name, revision, spec and status of each document by themselves. Unreadable content becomes null. A document without a readable name or revision is left out of a listing, and is removed by a watch event if it has a name. The stand-in of the store sends content as raw text on request.

Why it works: what can't be read in one document no longer decides on the others, and its name and revision still order its later changes.

Tests: DecodePage, DecodeChanges and DecodeDocument take text now; the cases in entries_test.cc that passed parsed values pass the same values as text.

--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -1,9 +1,12 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include "Platform/store_relay_messages.h"
+#include "Tests/PlatformAdapter/odd_content.h"
 #include "platform/backend_entry.h"
 #include "platform/completed_status.h"
 #include "platform/configuration_entry.h"
+#include "platform/json_extents.h"
 #include "platform/store_documents.h"
 
 namespace cowslip {
@@ -281,7 +284,7 @@
                    {"has_more", false},
                    {"as_of", 5}};
       ReplaceValue(page, steps, with);
-      static_cast<void>(platform::DecodePage(page));
+      static_cast<void>(platform::DecodePage(page.dump()));
     }
   }
 }
@@ -289,12 +292,12 @@
 TEST_CASE("A store document decodes to what was encoded") {
   const std::string body =
       platform::EncodeContent(DocumentName("n"), ObjectVersion(12), {{"a", 1}});
-  const auto document = platform::DecodeDocument(json::parse(body));
+  const auto document = platform::DecodeDocument(body);
   REQUIRE(document.has_value());
   CHECK(document.value().name == DocumentName("n"));
   CHECK(document.value().version == ObjectVersion(12));
   CHECK(document.value().content == json{{"a", 1}});
-  CHECK_FALSE(platform::DecodeChanges(json::object()).has_value());
+  CHECK_FALSE(platform::DecodeChanges("{}").has_value());
 }
 
 TEST_CASE("A VM is retired once its status reports completion") {
@@ -306,5 +309,240 @@
   CHECK(platform::IsCompleted(entry));
 }
 
+std::string ObjectText(const std::string& metadata, const std::string& spec) {
+  return R"({"metadata":)" + metadata + R"(,"spec":)" + spec +
+         R"(,"status":{"y":2}})";
+}
+
+std::string Metadata(const std::string& name, uint64_t revision) {
+  return R"({"name":")" + name + R"(","revision":)" + std::to_string(revision) +
+         R"(,"created":1,"finalizers":[],"deleting":false})";
+}
+
+std::string PageText(const std::vector<std::string>& objects,
+                     const std::string& has_more = "false") {
+  std::string text;
+  for (const std::string& object : objects) {
+    text += (text.empty() ? "" : ", ") + object;
+  }
+  return R"({"items": [)" + text + R"(], "has_more": )" + has_more +
+         R"(, "as_of":100})";
+}
+
+std::string EventText(const std::string& object, bool removed) {
+  return R"({"object":)" + object + R"(,"removed":)" +
+         (removed ? "true" : "false") + "}";
+}
+
+std::string ChangesText(const std::vector<std::string>& events) {
+  std::string text;
+  for (const std::string& event : events) {
+    text += (text.empty() ? "" : ",") + event;
+  }
+  return R"({"events":[)" + text + R"(],"as_of":100})";
+}
+
+std::vector<std::string> NamesOf(const DocumentPage& page) {
+  std::vector<std::string> names;
+  for (const Document& document : page.documents) {
+    names.push_back(document.name.value());
+  }
+  return names;
+}
+
+// One such document made the whole response unusable.
+TEST_CASE("A document that cannot be read names no backend server") {
+  const std::string sound = BackendEntry().dump();
+  for (const std::string& odd : OddContents()) {
+    INFO(odd.substr(0, 200));
+    const std::vector<std::string> objects = {
+        ObjectText(Metadata("a", 5), sound), ObjectText(Metadata("b", 6), odd),
+        ObjectText(Metadata("c", 7), sound)};
+    const auto page = platform::DecodePage(PageText(objects));
+    REQUIRE(page.has_value());
+    CHECK(page.value().as_of == ObjectVersion(100));
+    CHECK(NamesOf(page.value()) == std::vector<std::string>{"a", "b", "c"});
+    for (const Document& document : page.value().documents) {
+      const bool is_odd = document.name.value() == "b";
+      CHECK(platform::DecodeBackend(document).has_value() == !is_odd);
+      CHECK(document.status == json{{"y", 2}});
+    }
+    const auto changes = platform::DecodeChanges(ChangesText(
+        {EventText(objects[0], false), EventText(objects[1], false),
+         EventText(objects[1], true), EventText(objects[2], false)}));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes.value().changes.size() == 4);
+    CHECK_FALSE(platform::DecodeBackend(changes.value().changes[1].document)
+                    .has_value());
+    CHECK(changes.value().changes[2].removed);
+    CHECK(changes.value().changes[2].document.version == ObjectVersion(6));
+    CHECK(platform::DecodeBackend(changes.value().changes[3].document)
+              .has_value());
+  }
+}
+
+TEST_CASE("Random content leaves the documents beside it as they are") {
+  rc::check([](const std::string& bytes) {
+    // A store closes strings and brackets; within them are any bytes.
+    std::string odd = "{\"a\":\"";
+    for (const char c : bytes) {
+      odd += c == '"' || c == '\\' ? std::string("\\") + c : std::string(1, c);
+    }
+    odd += "\"}";
+    const std::vector<std::string> objects = {
+        ObjectText(Metadata("a", 5), odd),
+        ObjectText(Metadata("b", 6), R"({"x":1})")};
+    const auto page = platform::DecodePage(PageText(objects));
+    RC_ASSERT(page.has_value());
+    RC_ASSERT(NamesOf(page.value()) == (std::vector<std::string>{"a", "b"}));
+    RC_ASSERT((page.value().documents[1].content == json{{"x", 1}}));
+  });
+}
+
+TEST_CASE("A random response of the store is decoded or rejected") {
+  const std::string sound = PageText(
+      {ObjectText(Metadata("a", 5), "{}"), ObjectText(Metadata("b", 6), "[]")});
+  rc::check([&](const std::string& bytes) {
+    static_cast<void>(platform::DecodePage(bytes));
+    static_cast<void>(platform::DecodeChanges(bytes));
+    static_cast<void>(platform::DecodeDocument(bytes));
+    const auto at = *rc::gen::inRange<size_t>(0, sound.size());
+    std::string changed = sound;
+    changed.replace(at, 1, bytes);
+    static_cast<void>(platform::DecodePage(changed));
+    RC_ASSERT(!platform::DecodePage(sound.substr(0, at)).has_value());
+  });
+}
+
+TEST_CASE("A document with unreadable metadata is left out of a listing") {
+  for (const char* metadata :
+       {"null", "{}", "[]", "7", R"({"name":"b"})", R"({"revision":6})",
+        R"({"name":7,"revision":6})", R"({"name":"","revision":6})",
+        R"({"name":"\ud800","revision":6})", R"({"name":"b","revision":-6})",
+        R"({"name":"b","revision":1e400})", R"({"name":"b","revision":6.5})",
+        R"({"name":"b","revision":18446744073709551615})",
+        R"({"name":"b","revision":99999999999999999999999})"}) {
+    INFO(metadata);
+    const auto page = platform::DecodePage(PageText(
+        {ObjectText(Metadata("a", 5), "{}"), ObjectText(metadata, "{}"), "17",
+         ObjectText(Metadata("c", 7), "{}")},
+        "true"));
+    REQUIRE(page.has_value());
+    CHECK(NamesOf(page.value()) == std::vector<std::string>{"a", "c"});
+    CHECK(page.value().has_more);
+    // The names of what follows are not known.
+    CHECK_FALSE(
+        platform::DecodePage(PageText({ObjectText(metadata, "{}")}, "true"))
+            .has_value());
+  }
+}
+
+TEST_CASE("An unreadable field of the metadata leaves the others") {
+  const auto document = platform::DecodeDocument(ObjectText(
+      "{\"finalizers\":[\"\xff\",1e400],\"created\":-1,\"revision\":6,"
+      "\"name\":\"x\",\"name\":\"b\"}",
+      "{}"));
+  REQUIRE(document.has_value());
+  CHECK(document.value().name == DocumentName("b"));
+  CHECK(document.value().version == ObjectVersion(6));
+  CHECK(document.value().created == ObjectVersion());
+}
+
+// The document's earlier state must not stay in force.
+TEST_CASE("A change to an unreadable revision removes the document") {
+  const std::string odd = R"({"name":"b","revision":1e400})";
+  const auto changes = platform::DecodeChanges(ChangesText(
+      {EventText(ObjectText(Metadata("a", 40), "{}"), false),
+       EventText(ObjectText(odd, "{}"), false), "null", R"({"removed":true})",
+       EventText(ObjectText(Metadata("b", 50), "{}"), false),
+       EventText(ObjectText(odd, "{}"), false)}));
+  REQUIRE(changes.has_value());
+  const std::vector<DocumentChange>& list = changes.value().changes;
+  REQUIRE(list.size() == 4);
+  CHECK(list[0].document.name == DocumentName("a"));
+  CHECK(list[1].removed);
+  CHECK(list[1].document.version == ObjectVersion(49));
+  CHECK_FALSE(list[2].removed);
+  CHECK(list[3].removed);
+  CHECK(list[3].document.version == ObjectVersion(100));
+}
+
+// Such an id would end the header that names the backend server.
+TEST_CASE("An id that no header can carry names no backend server") {
+  for (const std::string& id :
+       {std::string(), std::string("i\r\nTenant: other"), std::string("i 1"),
+        std::string("i\0x", 3), std::string("\xff"), std::string("\x7f")}) {
+    Document entry = Entry(BackendEntry());
+    entry.name = DocumentName(id);
+    CHECK_FALSE(platform::DecodeBackend(entry).has_value());
+  }
+}
+
+std::string ReencodedResponse(const StoreResponse& response) {
+  const auto decoded = DecodeStoreResponse(EncodeStoreResponse(response));
+  REQUIRE(decoded.has_value());
+  return EncodeStoreResponse(decoded.value());
+}
+
+// The messages between gateways have limits of their own.
+TEST_CASE("What is decoded can be relayed to another gateway") {
+  std::vector<std::string> contents = OddContents();
+  for (size_t depth = 1; depth < 70; ++depth) {
+    contents.push_back(std::string(depth, '[') + std::string(depth, ']'));
+  }
+  for (const std::string& content : contents) {
+    INFO(content.substr(0, 200));
+    const std::string object = ObjectText(Metadata("a\xff", 5), content);
+    const auto page = platform::DecodePage(PageText({object}));
+    const auto changes =
+        platform::DecodeChanges(ChangesText({EventText(object, false)}));
+    const auto document = platform::DecodeDocument(object);
+    REQUIRE(page.has_value());
+    REQUIRE(changes.has_value());
+    REQUIRE(document.has_value());
+    for (const StoreResponse& response :
+         {StoreResponse(page.value()), StoreResponse(changes.value()),
+          StoreResponse(document.value())}) {
+      CHECK(ReencodedResponse(response) == EncodeStoreResponse(response));
+    }
+  }
+}
+
+TEST_CASE("A name that is no UTF-8 is kept as it is") {
+  const auto page = platform::DecodePage(
+      PageText({ObjectText(Metadata("a\xff", 5), BackendEntry().dump())}));
+  REQUIRE(page.has_value());
+  CHECK(NamesOf(page.value()) == std::vector<std::string>{"a\xff"});
+  CHECK_FALSE(
+      platform::DecodeBackend(page.value().documents.at(0)).has_value());
+}
+
+TEST_CASE("JSON texts are split without looking into their parts") {
+  const auto members = platform::SplitObject(
+      " { \"a\" : [1, {\"x\":\"}]\\\"\"}] , \"b\":tru, \"a\":\"\xff\" } ");
+  REQUIRE(members.has_value());
+  REQUIRE(members->size() == 3);
+  CHECK(platform::FindMember(*members, "a") == "\"\xff\"");
+  CHECK(platform::FindMember(*members, "b") == "tru");
+  CHECK_FALSE(platform::FindMember(*members, "c").has_value());
+  CHECK(platform::SplitObject("{}")->empty());
+  CHECK(platform::SplitArray("[ ]")->empty());
+  CHECK(platform::SplitArray("[1,[2,3],\"]\"]")->size() == 3);
+  for (const char* text :
+       {"", "{", "{\"a\"}", "{\"a\":}", "{\"a\":1,}", "{a:1}", "{}x", "[]",
+        "{\"a\":\"}", "{\"a\":\"\\\"}", "{\"a\":[}"}) {
+    INFO(text);
+    CHECK_FALSE(platform::SplitObject(text).has_value());
+  }
+  for (const char* text :
+       {"", "[", "[1", "[1,]", "[,1]", "[1]]", "{}", "[\"]"}) {
+    INFO(text);
+    CHECK_FALSE(platform::SplitArray(text).has_value());
+  }
+  const std::string deep(4'000'000, '[');
+  CHECK_FALSE(platform::SplitArray(deep).has_value());
+  CHECK(platform::SplitArray(deep + std::string(4'000'000, ']')).has_value());
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include "Platform/document_watcher.h"
+#include "Tests/PlatformAdapter/odd_content.h"
 #include "Utilities/StandIns/MetadataStore/metadata_server.h"
 #include "platform/store_client.h"
 
@@ -45,6 +46,14 @@
     context.run_for(20s);
     CHECK(done);
   }
+  /// Returns when `condition` holds, or after two seconds.
+  template <class Condition>
+  awaitable<void> WaitUntil(Condition condition) {
+    const Duration pause = 5ms;
+    for (int i = 0; i < 400 && !condition(); ++i) {
+      co_await Sleep(pause);
+    }
+  }
   awaitable<void> Sleep(Duration pause) {
     boost::asio::steady_timer timer(context, pause);
     co_await timer.async_wait(boost::asio::use_awaitable);
@@ -147,9 +156,11 @@
   void Apply(const DocumentChange& change) {
     const std::string name = change.document.name.value();
     change.removed ? (void)names.erase(name) : (void)names.insert(name);
+    contents[name] = change.document.content;
   }
   std::shared_ptr<DocumentWatcher> watcher;
   std::set<std::string> names;
+  std::map<std::string, nlohmann::json> contents;
   int listings = 0;
   int lost = 0;
   int regained = 0;
@@ -352,5 +363,81 @@
   });
 }
 
+// An unreadable content made the whole listing or watch unusable.
+TEST_CASE("A watcher passes documents whose content cannot be read") {
+  Fixture f;
+  const std::vector<std::string> odd = OddContents();
+  const size_t variant = GENERATE_COPY(range(size_t{0}, odd.size()));
+  INFO(odd[variant].substr(0, 200));
+  for (const char* name : {"a", "c", "e", "g"}) {
+    f.store.Put("things", name, {{"x", 1}});
+  }
+  f.store.Put("things", "b", RawContent(odd[variant]));
+  WatchRecorder recorder(f);
+  using Names = std::set<std::string>;
+  f.Run([&]() -> awaitable<void> {
+    const Names listed = {"a", "b", "c", "e", "g"};
+    co_await f.WaitUntil([&] { return recorder.names == listed; });
+    CHECK(recorder.names == listed);
+    f.store.Put("things", "d", RawContent(odd[variant]));
+    f.store.Put("things", "a", RawContent(odd[variant]));
+    f.store.Erase("things", "d");
+    f.store.Put("things", "f", {{"x", 1}});
+    const Names changed = {"a", "b", "c", "e", "f", "g"};
+    co_await f.WaitUntil([&] { return recorder.names == changed; });
+    CHECK(recorder.names == changed);
+    CHECK(recorder.contents["f"] == nlohmann::json{{"x", 1}});
+    f.store.Put("things", "a", {{"x", 2}});
+    f.store.Erase("things", "b");
+    const Names removed = {"a", "c", "e", "f", "g"};
+    co_await f.WaitUntil([&] { return recorder.names == removed; });
+    CHECK(recorder.names == removed);
+    CHECK(recorder.contents["a"] == nlohmann::json{{"x", 2}});
+    CHECK(recorder.listings == 1);
+    CHECK(recorder.lost == 0);
+  });
+}
+
+TEST_CASE("A write beside an unreadable status is not in doubt") {
+  Fixture f;
+  f.Run([&]() -> awaitable<void> {
+    const DocumentName name("a");
+    f.store.Put("things", "a", RawContent("{\"x\":1e400}"));
+    auto got = co_await f.client->Get(kKind, name);
+    REQUIRE(got.has_value());
+    CHECK(got.value().content.is_null());
+    nlohmann::json status = {{"state", "running"}};
+    auto reported = co_await f.client->ReplaceStatus(
+        kKind, name, std::move(status), got.value().version);
+    REQUIRE(reported.has_value());
+    nlohmann::json content = {{"x", 1}};
+    auto replaced = co_await f.client->Replace(kKind, name, std::move(content),
+                                               reported.value().version);
+    REQUIRE(replaced.has_value());
+    CHECK(replaced.value().content == nlohmann::json{{"x", 1}});
+  });
+}
+
+// Names that another writer chose are sent back in the `after` of a listing.
+TEST_CASE("A watcher lists past names with odd characters") {
+  Fixture f;
+  const std::vector<std::string> names = {std::string("a\0b", 3),
+                                          "b/&?=#%41+ ",
+                                          "c\r\nX: y",
+                                          "d\"\\",
+                                          "\xc3\xa9",
+                                          "\xf0\x9f\x8c\xbc",
+                                          "z"};
+  for (const std::string& name : names) {
+    f.store.Put("things", name, {{"x", 1}});
+  }
+  WatchRecorder recorder(f);
+  f.Run([&]() -> awaitable<void> {
+    const std::set<std::string> all(names.begin(), names.end());
+    co_await f.WaitUntil([&] { return recorder.names == all; });
+    CHECK(recorder.names == all);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -1,6 +1,8 @@
 #include "Utilities/StandIns/MetadataStore/metadata_server.h"
 
+#include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,21 +18,37 @@
 using boost::asio::awaitable;
 using nlohmann::json;
 
-json ToObject(const Document& document) {
-  return {{"metadata",
-           {{"name", document.name.value()},
-            {"revision", document.version.value()},
-            {"created", document.created.value()},
-            {"finalizers", json::array()},
-            {"deleting", false}}},
-          {"spec", document.content},
-          {"status", document.status}};
+constexpr char kRawContentField[] = "raw content";
+
+std::string ContentText(const json& content) {
+  return content.is_object() && content.contains(kRawContentField)
+             ? content[kRawContentField].get<std::string>()
+             : DumpJson(content);
+}
+
+std::string ObjectText(const Document& document) {
+  const json metadata = {{"name", document.name.value()},
+                         {"revision", document.version.value()},
+                         {"created", document.created.value()},
+                         {"finalizers", json::array()},
+                         {"deleting", false}};
+  return R"({"metadata":)" + DumpJson(metadata) + R"(,"spec":)" +
+         ContentText(document.content) + R"(,"status":)" +
+         ContentText(document.status) + "}";
+}
+
+std::string ArrayText(const std::vector<std::string>& elements) {
+  std::string text;
+  for (const std::string& element : elements) {
+    text += (text.empty() ? "[" : ",") + element;
+  }
+  return text.empty() ? "[]" : text + "]";
 }
 
-HttpResponse FromJson(int status, const json& body) {
+HttpResponse FromText(int status, std::string body) {
   return HttpResponse{.status = status,
                       .headers = {{"Content-Type", "application/json"}},
-                      .body = DumpJson(body)};
+                      .body = std::move(body)};
 }
 
 HttpResponse FromError(const Error& error) {
@@ -38,7 +56,7 @@
     case ErrorKind::kNotFound:
       return HttpResponse{.status = 404};
     case ErrorKind::kConflict:
-      return FromJson(409, json::object());
+      return FromText(409, "{}");
     case ErrorKind::kHistoryLost:
       return HttpResponse{.status = 410};
     default:
@@ -47,7 +65,7 @@
 }
 
 HttpResponse FromDocument(const Result<Document>& document) {
-  return document.has_value() ? FromJson(200, ToObject(document.value()))
+  return document.has_value() ? FromText(200, ObjectText(document.value()))
                               : FromError(document.error());
 }
 
@@ -61,6 +79,10 @@
 
 }  // namespace
 
+json RawContent(std::string text) {
+  return {{kRawContentField, std::move(text)}};
+}
+
 MetadataServer::MetadataServer(boost::asio::io_context& context,
                                FakeDocumentStore& store)
     : m_store(store),
@@ -164,13 +186,15 @@
   if (!page.has_value()) {
     co_return FromError(page.error());
   }
-  json items = json::array();
+  std::vector<std::string> items;
   for (const Document& document : page.value().documents) {
-    items.push_back(ToObject(document));
+    items.push_back(ObjectText(document));
   }
-  co_return FromJson(200, {{"items", std::move(items)},
-                           {"has_more", page.value().has_more},
-                           {"as_of", page.value().as_of.value()}});
+  std::string body = R"({"items":)" + ArrayText(items) + R"(,"has_more":)" +
+                     (page.value().has_more ? "true" : "false") +
+                     R"(,"as_of":)" +
+                     std::to_string(page.value().as_of.value()) + "}";
+  co_return FromText(200, std::move(body));
 }
 
 awaitable<HttpResponse> MetadataServer::WatchKind(const HttpRequest& request,
@@ -198,13 +222,15 @@
     const bool answers_at_once =
         m_fault != ServerFault::kNone && (!is_deaf || !wants_to_wait);
     if (!(is_deaf && waited) && (has_news || is_late || answers_at_once)) {
-      json events = json::array();
+      std::vector<std::string> events;
       for (const DocumentChange& change : changes.value().changes) {
-        events.push_back({{"removed", change.removed},
-                          {"object", ToObject(change.document)}});
+        events.push_back(std::string(R"({"removed":)") +
+                         (change.removed ? "true" : "false") + R"(,"object":)" +
+                         ObjectText(change.document) + "}");
       }
-      co_return FromJson(200, {{"events", std::move(events)},
-                               {"as_of", changes.value().as_of.value()}});
+      std::string body = R"({"events":)" + ArrayText(events) + R"(,"as_of":)" +
+                         std::to_string(changes.value().as_of.value()) + "}";
+      co_return FromText(200, std::move(body));
     }
     waited = true;
     boost::asio::steady_timer timer(m_context, is_late ? kNever : until);
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include "Net/http_server.h"
 #include "Utilities/StandIns/MetadataStore/fake_document_store.h"
@@ -37,6 +38,10 @@
 /// How long a slow server takes.
 inline constexpr Duration kSlowAnswer = std::chrono::milliseconds(150);
 
+/// Returns a content that a MetadataServer sends as this text, as if another
+/// writer had stored it.
+nlohmann::json RawContent(std::string text);
+
 /// \class MetadataServer
 /// \brief Speaks the platform's metadata protocol over HTTP, for a
 /// FakeDocumentStore.
