Net: a connection carries each attempt id once

Callers saw: nothing was seen here. A report about a system like ours tells of backend servers that write an earlier refusal once more on a kept connection, so that requests that had run were answered 503 or sent to a second backend server.

Cause: a response that names the attempt's id counts as its answer, also when an earlier request on the same connection had that id. A batch item keeps its id and went on over the connection of its last run when that had ended inside an event, in an answer framed as complete; an online request needs a caller that repeats ids.

Change: HttpClient::Open() takes an opaque tag, which is the attempt's id. A connection keeps the hashes of the tags that it has carried, is not used for one of them again, and is closed after 512 requests. BackendAttempt and ItemRun pass the id. RawBackend tells connections apart and writes late bytes.

Why it works: a copy is written on a connection that carried the earlier request, and it names that request's attempt.

--- a/Source/Gateway/backend_attempt.cc
+++ b/Source/Gateway/backend_attempt.cc
@@ -16,9 +16,11 @@
 using asio::awaitable;
 
 BackendAttempt::BackendAttempt(asio::io_context& context,
-                               std::unique_ptr<AttemptLease> lease)
+                               std::unique_ptr<AttemptLease> lease,
+                               AttemptId attempt)
     : m_context(context),
       m_lease(std::move(lease)),
+      m_attempt_id(std::move(attempt)),
       m_start(MonotonicClock::now()),
       m_abort(std::make_shared<HttpAbort>()),
       m_ready_timer(context) {}
@@ -31,8 +33,9 @@
   const auto client = m_lease->client();
   m_abort->SetSendCondition(
       [this] { return m_lease == nullptr || m_lease->BeginSend(); });
-  Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await client->Open(std::move(request), timeout, m_abort);
+  RequestTag tag(m_attempt_id.value());
+  Result<std::unique_ptr<HttpResponseStream>> opened = co_await client->Open(
+      std::move(request), timeout, m_abort, std::move(tag));
   if (!opened.has_value()) {
     co_return opened.error();
   }
--- a/Source/Gateway/backend_attempt.h
+++ b/Source/Gateway/backend_attempt.h
@@ -13,6 +13,7 @@
 
 #include "Base/result.h"
 #include "Base/time.h"
+#include "Fleet/caller_request.h"
 #include "Net/http_client.h"
 #include "Net/http_message.h"
 
@@ -42,7 +43,8 @@
   };
 
   BackendAttempt(boost::asio::io_context& context,
-                 std::unique_ptr<AttemptLease> lease);
+                 std::unique_ptr<AttemptLease> lease,
+                 AttemptId attempt);
   ~BackendAttempt();
   BackendAttempt(const BackendAttempt&) = delete;
   BackendAttempt& operator=(const BackendAttempt&) = delete;
@@ -86,6 +88,7 @@
 
   boost::asio::io_context& m_context;
   std::unique_ptr<AttemptLease> m_lease;
+  const AttemptId m_attempt_id;
   const MonotonicTime m_start;
   const std::shared_ptr<HttpAbort> m_abort;
   std::unique_ptr<HttpResponseStream> m_response;
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -109,8 +109,9 @@
   const auto client = lease.client();
   const Duration timeout = m_request.call.deadline;
   m_stall_watch.BeginRead();
-  Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await client->Open(std::move(request), timeout, m_abort);
+  RequestTag tag(m_request.item.id.value());
+  Result<std::unique_ptr<HttpResponseStream>> opened = co_await client->Open(
+      std::move(request), timeout, m_abort, std::move(tag));
   EndRead();
   if (!opened.has_value()) {
     if (opened.error().kind() == ErrorKind::kUnavailable && !m_stopped) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -491,7 +491,8 @@
 
 awaitable<RelaySession::AttemptResult> RelaySession::RunAttempts(
     std::unique_ptr<AttemptLease> lease) {
-  m_attempt = std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease));
+  m_attempt = std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease),
+                                               m_request.caller.attempt);
   while (true) {
     WatchForSilence();
     const AttemptResult result = co_await RunAttempt();
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,11 @@
 // heads itself, but neither chunk extensions nor trailers.
 constexpr size_t kMaxBufferedBytes = 128 * 1024;
 
+// A connection that has carried this many tagged requests is not reused. Their
+// hashes take 4 KB; with one connection to each of 4,900 backend servers, 20 MB
+// of the 32 MB that a node has for control (docs/developers.md).
+constexpr size_t kMaxTaggedRequests = 512;
+
 struct ClientConnection {
   explicit ClientConnection(const asio::any_io_executor& executor)
       : stream(executor), buffer(kMaxBufferedBytes) {}
@@ -30,6 +36,14 @@
   bool reused = false;
   /// Set on release: the connection is not reused from this time on.
   MonotonicTime idle_until;
+  /// The hashes of the tags of all requests that it has carried. Tags whose
+  /// hashes are equal count as equal, which costs a connection at most.
+  std::vector<size_t> carried;
+
+  bool HasCarried(const RequestTag& tag) const {
+    return std::find(carried.begin(), carried.end(),
+                     std::hash<RequestTag>()(tag)) != carried.end();
+  }
 };
 
 using ConnectionPtr = std::unique_ptr<ClientConnection>;
@@ -102,12 +116,14 @@
   const HttpClientOptions& options() const { return m_options; }
   const Endpoint& endpoint() const { return m_endpoint; }
 
-  asio::awaitable<Result<ConnectionPtr>> Acquire();
+  // Returns a connection that has not carried a request of this tag.
+  asio::awaitable<Result<ConnectionPtr>> Acquire(RequestTag tag);
   // Returns the connection to the idle pool. It is closed instead when the pool
-  // is full or when it holds bytes beyond the response, which belong to no
-  // request.
+  // is full, when it has carried too many requests or when it holds bytes
+  // beyond the response, which belong to no request.
   void Release(ConnectionPtr connection, const HttpHeaders& headers) {
     if (m_idle.size() >= m_options.max_idle_connections ||
+        connection->carried.size() >= kMaxTaggedRequests ||
         connection->buffer.size() > 0) {
       return;
     }
@@ -130,10 +146,15 @@
   std::vector<ConnectionPtr> m_idle;
 };
 
-asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Acquire() {
-  while (!m_idle.empty()) {
-    ConnectionPtr connection = std::move(m_idle.back());
-    m_idle.pop_back();
+asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Acquire(
+    RequestTag tag) {
+  for (size_t i = m_idle.size(); i > 0; --i) {
+    const auto at = m_idle.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    if (!tag.empty() && (*at)->HasCarried(tag)) {
+      continue;
+    }
+    ConnectionPtr connection = std::move(*at);
+    m_idle.erase(at);
     if (MonotonicClock::now() < connection->idle_until &&
         IsOpenAndIdle(connection->stream.socket())) {
       co_return connection;
@@ -299,9 +320,11 @@
 asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> HttpClient::Open(
     HttpRequest request,
     Duration timeout,
-    std::shared_ptr<HttpAbort> abort) {
+    std::shared_ptr<HttpAbort> abort,
+    RequestTag tag) {
   const auto impl = m_impl;
-  Result<ConnectionPtr> acquired = co_await impl->Acquire();
+  RequestTag wanted = tag;
+  Result<ConnectionPtr> acquired = co_await impl->Acquire(std::move(wanted));
   if (!acquired.has_value()) {
     co_return acquired.error();
   }
@@ -314,6 +337,9 @@
     co_return Error(ErrorKind::kUnavailable,
                     "The request was withdrawn before anything was sent.");
   }
+  if (!tag.empty()) {
+    connection->carried.push_back(std::hash<RequestTag>()(tag));
+  }
   const AbortBinding binding(abort, *connection);
   if (abort != nullptr) {
     abort->ReportSend();
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -14,11 +14,16 @@
 
 #include "Base/endpoint.h"
 #include "Base/result.h"
+#include "Base/strong_id.h"
 #include "Base/time.h"
 #include "Net/http_message.h"
 
 namespace cowslip {
 
+/// Names what a request is about, as far as its response may name it. The
+/// client compares tags and does not interpret them.
+using RequestTag = StrongId<struct RequestTagTag>;
+
 /// \class HttpClientOptions
 /// \brief Limits on calls and on idle persistent connections.
 struct HttpClientOptions {
@@ -111,6 +116,10 @@
 /// server; kInDoubt when some may have; kTimeout when the timeout passed after
 /// sending began. The client never sends a request twice. An idle connection
 /// that is found closed before anything was written is replaced by another.
+///
+/// A server may write an earlier response once more. So that such a copy cannot
+/// name the request that is under way, no connection carries two requests of
+/// one tag.
 class HttpClient {
  public:
   HttpClient(boost::asio::any_io_executor executor,
@@ -126,11 +135,13 @@
   boost::asio::awaitable<Result<HttpResponse>> Send(HttpRequest request,
                                                     Duration timeout);
   /// Sends a request and returns once the response's header is read. An abort
-  /// before anything was sent is kUnavailable, a later one kInDoubt.
+  /// before anything was sent is kUnavailable, a later one kInDoubt. An empty
+  /// `tag` is equal to no other one.
   boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> Open(
       HttpRequest request,
       Duration timeout,
-      std::shared_ptr<HttpAbort> abort = nullptr);
+      std::shared_ptr<HttpAbort> abort = nullptr,
+      RequestTag tag = RequestTag());
 
  private:
   std::shared_ptr<Impl> m_impl;
--- a/Tests/Gateway/evacuation_test.cc
+++ b/Tests/Gateway/evacuation_test.cc
@@ -143,7 +143,7 @@
     for (const bool is_evacuated : {true, false}) {
       auto lease = dispatcher.TryPlaceOnline({.service = ServiceId("s")});
       REQUIRE(lease != nullptr);
-      BackendAttempt attempt(f.context, std::move(lease));
+      BackendAttempt attempt(f.context, std::move(lease), AttemptId("a"));
       CHECK(dispatcher.zone_use().at(ZoneId("a")).in_flight == 1);
       EvacuatedZonesChanged evacuated;
       if (is_evacuated) {
--- a/Tests/Gateway/raw_backend.cc
+++ b/Tests/Gateway/raw_backend.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Net/sleep_for.h"
 #include "raw_request.h"
 
 namespace cowslip {
@@ -32,11 +33,12 @@
     if (error) {
       co_return;
     }
-    asio::co_spawn(m_context, Serve(std::move(socket)), asio::detached);
+    asio::co_spawn(m_context, Serve(std::move(socket), m_connections++),
+                   asio::detached);
   }
 }
 
-awaitable<void> RawBackend::Serve(tcp::socket socket) {
+awaitable<void> RawBackend::Serve(tcp::socket socket, size_t connection) {
   std::string received;
   while (true) {
     const std::optional<HttpRequest> request =
@@ -44,8 +46,9 @@
     if (!request.has_value()) {
       co_return;
     }
+    m_connection = connection;
     const RawAnswer answer = m_script(*request);
-    const bool written = co_await WriteRaw(socket, answer.bytes);
+    bool written = co_await WriteRaw(socket, answer.bytes);
     if (answer.endless != nullptr) {
       ++m_endless_answers;
       bool open = written;
@@ -56,6 +59,10 @@
       --m_endless_answers;
       co_return;
     }
+    if (!answer.late_bytes.empty()) {
+      co_await SleepFor(answer.late_by);
+      written = co_await WriteRaw(socket, answer.late_bytes);
+    }
     if (answer.end == ConnectionEnd::kKeptOpen && written) {
       continue;
     }
--- a/Tests/Gateway/raw_backend.h
+++ b/Tests/Gateway/raw_backend.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "Base/time.h"
 #include "Net/http_message.h"
 
 namespace cowslip {
@@ -24,6 +25,10 @@
   /// When set, what it returns for 0, 1, 2, ... follows `bytes` without end,
   /// until the caller closes the connection.
   std::function<std::string(uint64_t number)> endless;
+  /// Written on a connection that is kept open, this long after `bytes` and
+  /// before the next request is read.
+  std::string late_bytes;
+  Duration late_by{0};
 };
 
 /// \class RawBackend
@@ -38,14 +43,20 @@
   uint16_t port() const { return m_acceptor.local_endpoint().port(); }
   /// The endless answers that are being written.
   size_t endless_answers() const { return m_endless_answers; }
+  /// The number of the connection, from 0 on, that brought the request for
+  /// which the script is called.
+  size_t connection() const { return m_connection; }
 
  private:
   boost::asio::awaitable<void> Accept();
-  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket,
+                                     size_t connection);
 
   boost::asio::io_context& m_context;
   const Script m_script;
   size_t m_endless_answers = 0;
+  size_t m_connections = 0;
+  size_t m_connection = 0;
   boost::asio::ip::tcp::acceptor m_acceptor;
 };
 
--- a/Tests/Gateway/silent_move_test.cc
+++ b/Tests/Gateway/silent_move_test.cc
@@ -337,7 +337,8 @@
   REQUIRE(lease != nullptr);
   int decisions = 0;
   auto move = std::make_unique<StreamMove>(
-      io, std::make_shared<BackendAttempt>(io, std::move(lease)),
+      io,
+      std::make_shared<BackendAttempt>(io, std::move(lease), AttemptId("a")),
       StreamMoveOptions{}, [&decisions](const MoveOutcome&) { ++decisions; });
   move->Start(HttpRequest{}, 1s);
   move.reset();
