Net: a reset during the request is not the end of a response

Callers saw: nothing was seen. A response with neither length nor chunks that is reset while the request's body is still being sent was relayed as complete.

Cause: the operating system reports a connection's error once. The write consumes the reset, the response is read nevertheless, since a server may respond early, and the read that follows sees a regular end.

Change: the connection keeps the error of a failed send. A body that ends with its connection is then kInDoubt, and the connection is never pooled.

Evidence: net.reset_responses resets a loopback connection (SO_LINGER 0) after the head and 18 bytes, with 32 MB of request body under way. On the code before, the response was complete in 3 of 3 runs; now it is an error in 5 of 5. An early response with a length is whole before and after. net.http, gateway.repeated_refusals, gateway.stream_ends and gateway.online pass. Not run under the sanitizers.

Why it works: without a length, only a connection without an error proves that the body is whole, and the send is the only other call that can consume the error.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -36,6 +36,10 @@
   bool reused = false;
   /// Set on release: the connection is not reused from this time on.
   MonotonicTime idle_until;
+  /// Why the last request could not be sent whole. The operating system reports
+  /// the reset of a connection once: after this error, a read sees the end of
+  /// the connection instead.
+  boost::system::error_code send_error;
   /// The hashes of the tags of all requests that it has carried. Tags whose
   /// hashes are equal count as equal, which costs a connection at most.
   std::vector<size_t> carried;
@@ -247,6 +251,10 @@
       if (error == http::error::need_buffer) {
         error = {};
       }
+      const bool has_ended = !error && m_parser->is_done();
+      if (has_ended && m_ends_with_connection && m_connection->send_error) {
+        error = m_connection->send_error;
+      }
       if (error) {
         m_connection.reset();
         co_return CallError(error, "reading the body");
@@ -274,7 +282,7 @@
       return;
     }
     m_connection->stream.expires_never();
-    if (m_parser->keep_alive()) {
+    if (m_parser->keep_alive() && !m_connection->send_error) {
       m_client->Release(std::move(m_connection), m_headers);
     }
     m_connection.reset();
@@ -351,8 +359,10 @@
   http::request_serializer<http::string_body> serializer(message);
   co_await http::async_write(connection->stream, serializer, token);
   // A server may respond and close before it has read a long body, so the
-  // response is read even when sending failed.
+  // response is read even when sending failed. A body that ends with the
+  // connection is then an error, see ReadSome().
   const boost::system::error_code send_error = error;
+  connection->send_error = send_error;
   if (send_error == beast::error::timeout ||
       send_error == asio::error::operation_aborted) {
     co_return CallError(send_error, "sending");
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -102,7 +102,8 @@
   /// the connection was reset.
   virtual bool ends_with_connection() const = 0;
   /// Returns the next chunk, or nullopt at the regular end of the body. Errors:
-  /// kInDoubt when the body is truncated, kTimeout.
+  /// kInDoubt when the body is truncated, or ends with its connection although
+  /// the request could not be sent whole; kTimeout.
   virtual boost::asio::awaitable<Result<std::optional<std::string>>> ReadSome(
       Duration timeout) = 0;
   /// Closes the connection at once; a pending ReadSome fails.
