Gateway: verify the incarnation behind a connection before versions matter

What callers saw: a stream or an item's output whose first part is of one software version and whose rest is of another (rule ORDER), after a backend server restarted under its id at another version and before the gateway had read its new entry.

Cause: the version comes from service discovery, the request goes to an address. Expect-Instance names only the id, which the restarted process has, too. PlacementOptions::restart_notice covers only gateways that had a failed attempt there, for 4 s.

Change: HttpClient can require a check of a connection before the first such request is sent over it. The gateway's check is GET /report: its start time must be the listed one. It precedes streams that may be resumed, resumptions, moves and items, once for each connection. A failed check is "not run": the request goes elsewhere, and it counts neither as an attempt in doubt nor as evidence of a crash. A mismatch is logged and service discovery is polled. Servers that do not tell their start are used as before, logged once.

Why it works: a TCP connection does not outlive the process at its end, so what was heard over it names the process that gets the request.

Tests: two stand-ins listed a start time that they did not report (gateway.online's RegisterIncarnation, CrashingBackends), unlike the platform's servers, whose `born` is the same in all that they say. Streams to them were turned away, and the tests failed; they report it now. No check is changed.

--- a/Source/Gateway/backend_attempt.cc
+++ b/Source/Gateway/backend_attempt.cc
@@ -16,9 +16,11 @@
 using asio::awaitable;
 
 BackendAttempt::BackendAttempt(asio::io_context& context,
-                               std::unique_ptr<AttemptLease> lease)
+                               std::unique_ptr<AttemptLease> lease,
+                               PeerCheck check)
     : m_context(context),
       m_lease(std::move(lease)),
+      m_check(check),
       m_start(MonotonicClock::now()),
       m_abort(std::make_shared<HttpAbort>()),
       m_ready_timer(context) {}
@@ -32,8 +34,11 @@
   m_abort->SetSendCondition(
       [this] { return m_lease == nullptr || m_lease->BeginSend(); });
   Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await client->Open(std::move(request), timeout, m_abort);
+      co_await client->Open(std::move(request), timeout, m_abort, m_check);
   if (!opened.has_value()) {
+    if (m_abort->check_failed() && m_lease != nullptr) {
+      m_lease->MarkUnverified();
+    }
     co_return opened.error();
   }
   m_response = std::move(opened.value());
--- a/Source/Gateway/backend_attempt.h
+++ b/Source/Gateway/backend_attempt.h
@@ -42,7 +42,8 @@
   };
 
   BackendAttempt(boost::asio::io_context& context,
-                 std::unique_ptr<AttemptLease> lease);
+                 std::unique_ptr<AttemptLease> lease,
+                 PeerCheck check = PeerCheck::kNotNeeded);
   ~BackendAttempt();
   BackendAttempt(const BackendAttempt&) = delete;
   BackendAttempt& operator=(const BackendAttempt&) = delete;
@@ -86,6 +87,7 @@
 
   boost::asio::io_context& m_context;
   std::unique_ptr<AttemptLease> m_lease;
+  const PeerCheck m_check;
   const MonotonicTime m_start;
   const std::shared_ptr<HttpAbort> m_abort;
   std::unique_ptr<HttpResponseStream> m_response;
--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -129,13 +129,17 @@
   std::shared_ptr<HttpClient>& client = m_clients[backend];
   if (client == nullptr) {
     const Endpoint endpoint = record == nullptr ? Endpoint() : record->address;
+    const bool has_check =
+        record != nullptr && m_options.connection_check != nullptr;
     client = std::make_shared<HttpClient>(
         m_context.get_executor(), endpoint,
         HttpClientOptions{
             .max_idle_connections =
                 record == nullptr ? 0 : MaxIdleConnections(record->service),
             .connect_timeout = m_options.connect_timeout,
-            .dead_peer_timeout = m_options.dead_peer_timeout});
+            .dead_peer_timeout = m_options.dead_peer_timeout,
+            .check =
+                has_check ? m_options.connection_check(*record) : nullptr});
   }
   return client;
 }
--- a/Source/Gateway/dispatcher.h
+++ b/Source/Gateway/dispatcher.h
@@ -22,6 +22,7 @@
 
 namespace cowslip {
 
+struct ConnectionCheck;
 class Dispatcher;
 class HttpClient;
 
@@ -50,6 +51,10 @@
   bool BeginSend();
   /// Whether BeginSend() has returned false.
   bool was_withheld() const { return m_withheld; }
+  /// Records that the request was not sent, because the connection failed its
+  /// check: another incarnation may run at the backend server's address.
+  void MarkUnverified() { m_unverified = true; }
+  bool was_unverified() const { return m_unverified; }
   /// Records that the backend server has said in a response that it leaves.
   void MarkBackendLeaving();
   /// Records whether the backend server has named a limit in a response.
@@ -67,6 +72,7 @@
   std::shared_ptr<HttpClient> m_client;
   AttemptOutcome m_outcome = AttemptOutcome::kCancelled;
   bool m_withheld = false;
+  bool m_unverified = false;
 };
 
 /// \class ZoneUse
@@ -121,6 +127,10 @@
   Duration dead_peer_timeout = std::chrono::seconds(1);
   /// Idle connections kept per backend server: its slots and a few more.
   size_t max_idle_connections = 16;
+  /// Returns the check of connections to a backend server, null for none. May
+  /// be null itself.
+  std::function<std::shared_ptr<const ConnectionCheck>(const BackendRecord&)>
+      connection_check{};
 };
 
 /// \class Dispatcher
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -86,10 +86,15 @@
       m_crash_suspects(CrashSuspectOptions{.self = m_settings.vm},
                        m_peer_table),
       m_backend_directory(BackendDirectoryOptions{}),
+      m_incarnation_verifier(m_log, [this] { m_backend_watcher->Poll(); }),
       m_dispatcher(context,
                    DispatcherOptions{
                        .placement = PlacementOptionsFor(m_settings),
-                       .admission = {.seed = m_options.incarnation.value()}},
+                       .admission = {.seed = m_options.incarnation.value()},
+                       .connection_check =
+                           [this](const BackendRecord& record) {
+                             return m_incarnation_verifier.CheckFor(record);
+                           }},
                    [this] { OnLoadChanged(); }),
       m_startup_gate(context),
       m_stream_origins(context.get_executor(),
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -18,6 +18,7 @@
 #include "Gateway/evacuations.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/gateway_metrics.h"
+#include "Gateway/incarnation_verifier.h"
 #include "Gateway/job_acceptance.h"
 #include "Gateway/job_handler.h"
 #include "Gateway/job_runner.h"
@@ -172,6 +173,7 @@
   std::map<VmId, PeerRecord> m_peer_records;
   BackendDirectory m_backend_directory;
   std::unique_ptr<PeerGossip> m_gossip;
+  IncarnationVerifier m_incarnation_verifier;
   Dispatcher m_dispatcher;
   StartupGate m_startup_gate;
   ShutdownNotice m_shutdown_notice;
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -109,12 +109,13 @@
   const auto client = lease.client();
   const Duration timeout = m_request.call.deadline;
   m_stall_watch.BeginRead();
-  Result<std::unique_ptr<HttpResponseStream>> opened =
-      co_await client->Open(std::move(request), timeout, m_abort);
+  Result<std::unique_ptr<HttpResponseStream>> opened = co_await client->Open(
+      std::move(request), timeout, m_abort, PeerCheck::kNeeded);
   EndRead();
   if (!opened.has_value()) {
     if (opened.error().kind() == ErrorKind::kUnavailable && !m_stopped) {
       m_withheld = lease.was_withheld();
+      m_unverified = m_abort->check_failed();
       lease.SetOutcome(m_withheld ? AttemptOutcome::kCancelled
                                   : AttemptOutcome::kFailed);
       m_failure_reason = opened.error().message;
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -58,10 +58,12 @@
   bool answer_began() const { return m_response != nullptr; }
   /// The number of whole events that this run has received.
   uint32_t events() const { return m_event_count; }
-  /// Whether the connection failed during the run, or the response is
-  /// malformed.
   /// Whether the request was not sent because the zone is being evacuated.
   bool was_withheld() const { return m_withheld; }
+  /// Whether the request was not sent because the connection failed its check.
+  bool was_unverified() const { return m_unverified; }
+  /// Whether the connection failed during the run, or the response is
+  /// malformed.
   bool broke_off() const { return m_broke_off; }
   /// Whether the body has neither a length nor chunks.
   bool ends_with_connection() const {
@@ -101,6 +103,7 @@
   bool m_stopped = false;
   bool m_broke_off = false;
   bool m_withheld = false;
+  bool m_unverified = false;
 };
 
 }  // namespace cowslip
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -548,6 +548,9 @@
   if (run.was_withheld()) {
     return;
   }
+  if (outcome == ItemRunOutcome::kNotRun && run.was_unverified()) {
+    return;
+  }
   if (outcome == ItemRunOutcome::kNotRun && !run.answer_began()) {
     suspects.Handle(BackendRefusedConnection{backend, started_at_ms}, now);
   } else if (run.broke_off()) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -60,6 +60,13 @@
   return m_gateway.shutdown_notice.Limit(m_deadline) - MonotonicClock::now();
 }
 
+PeerCheck RelaySession::NeededCheck() const {
+  const bool depends_on_version =
+      m_request.route->kind == RequestKind::kStreaming &&
+      (m_request.route->resumable || m_stream_version.has_value());
+  return depends_on_version ? PeerCheck::kNeeded : PeerCheck::kNotNeeded;
+}
+
 // The end of this process does not shorten the time that the caller has.
 Duration RelaySession::RetryDelay() const {
   return m_gateway.dispatcher.admission_core().RetryDelay(
@@ -491,7 +498,8 @@
 
 awaitable<RelaySession::AttemptResult> RelaySession::RunAttempts(
     std::unique_ptr<AttemptLease> lease) {
-  m_attempt = std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease));
+  m_attempt = std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease),
+                                               NeededCheck());
   while (true) {
     WatchForSilence();
     const AttemptResult result = co_await RunAttempt();
@@ -548,7 +556,7 @@
 }
 
 void RelaySession::RecordRefusedConnection(const AttemptLease& lease) {
-  if (lease.was_withheld()) {
+  if (lease.was_withheld() || lease.was_unverified()) {
     return;
   }
   m_gateway.crash_suspects.Handle(
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -17,6 +17,7 @@
 #include "Gateway/response_classification.h"
 #include "Gateway/stall_watch.h"
 #include "Gateway/stream_move.h"
+#include "Net/http_client.h"
 #include "Net/sse_reader.h"
 #include "Placement/crash_suspect_core.h"
 #include "Placement/placement_core.h"
@@ -107,6 +108,9 @@
   bool AdvanceEventSequence(const std::vector<SseEvent>& events);
   bool MayRetry() const;
   Duration RemainingTime() const;
+  /// Whether the backend server must run the listed software version: the
+  /// response may be resumed, or resumes another one.
+  PeerCheck NeededCheck() const;
   /// What this request's caller is told to wait before the next attempt.
   Duration RetryDelay() const;
   void WatchForSilence();
--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -88,7 +88,8 @@
   LogStall({.outcome = "asked_other", .silent = silent, .other = other});
   m_move = std::make_unique<StreamMove>(
       m_gateway.io,
-      std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease)),
+      std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease),
+                                       NeededCheck()),
       StreamMoveOptions{.attempt = m_request.caller.attempt,
                         .last_event = m_last_event_id},
       [this, silent](const MoveOutcome& outcome) {
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Net/beast.h"
+#include "Net/connection_check.h"
 
 namespace cowslip {
 
@@ -21,6 +22,10 @@
 // heads itself, but neither chunk extensions nor trailers.
 constexpr size_t kMaxBufferedBytes = 128 * 1024;
 
+// How many new connections are checked for one request: a server closes one
+// now and then after a complete response.
+constexpr int kMaxNewChecked = 2;
+
 struct ClientConnection {
   explicit ClientConnection(const asio::any_io_executor& executor)
       : stream(executor), buffer(kMaxBufferedBytes) {}
@@ -28,6 +33,8 @@
   beast::flat_buffer buffer;
   /// True when it was idle before and has carried an earlier response.
   bool reused = false;
+  /// True when it has passed HttpClientOptions::check.
+  bool checked = false;
   /// Set on release: the connection is not reused from this time on.
   MonotonicTime idle_until;
 };
@@ -88,6 +95,57 @@
   ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
 }
 
+// Makes an HttpAbort close the connection while this object exists.
+class AbortBinding {
+ public:
+  AbortBinding(std::shared_ptr<HttpAbort> abort, ClientConnection& connection)
+      : m_abort(std::move(abort)) {
+    if (m_abort != nullptr) {
+      m_abort->SetCloseCallback([&connection] {
+        boost::system::error_code ignored;
+        connection.stream.socket().close(ignored);
+      });
+    }
+  }
+  ~AbortBinding() {
+    if (m_abort != nullptr) {
+      m_abort->SetCloseCallback(nullptr);
+    }
+  }
+  AbortBinding(const AbortBinding&) = delete;
+  AbortBinding& operator=(const AbortBinding&) = delete;
+
+ private:
+  const std::shared_ptr<HttpAbort> m_abort;
+};
+
+Error WithdrawnError() {
+  return Error(ErrorKind::kUnavailable,
+               "The request was withdrawn before anything was sent.");
+}
+
+Error GivenUpError() {
+  return Error(ErrorKind::kUnavailable,
+               "The call was given up before the request was sent.");
+}
+
+http::request<http::string_body> ToBeast(HttpRequest request,
+                                         const Endpoint& endpoint) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  if (!FindHeader(request.headers, "Host").has_value()) {
+    message.set(http::field::host, endpoint.ToString());
+  }
+  for (const HttpHeader& header : request.headers) {
+    message.insert(header.name, header.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
 }  // namespace
 
 class HttpClient::Impl {
@@ -103,6 +161,9 @@
   const Endpoint& endpoint() const { return m_endpoint; }
 
   asio::awaitable<Result<ConnectionPtr>> Acquire();
+  // Returns a connection that has passed the check. Errors: kUnavailable.
+  asio::awaitable<Result<ConnectionPtr>> AcquireChecked(
+      std::shared_ptr<HttpAbort> abort);
   // Returns the connection to the idle pool. It is closed instead when the pool
   // is full or when it holds bytes beyond the response, which belong to no
   // request.
@@ -123,6 +184,13 @@
 
  private:
   asio::awaitable<Result<ConnectionPtr>> Connect();
+  // Returns null when there is no idle connection.
+  ConnectionPtr TakeIdle();
+  // Returns false when the check has passed and the server closes the
+  // connection.
+  asio::awaitable<Result<bool>> RunCheck(ClientConnection& connection,
+                                         Duration timeout,
+                                         std::shared_ptr<HttpAbort> abort);
 
   const asio::any_io_executor m_executor;
   const Endpoint m_endpoint;
@@ -130,18 +198,121 @@
   std::vector<ConnectionPtr> m_idle;
 };
 
-asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Acquire() {
+ConnectionPtr HttpClient::Impl::TakeIdle() {
   while (!m_idle.empty()) {
     ConnectionPtr connection = std::move(m_idle.back());
     m_idle.pop_back();
     if (MonotonicClock::now() < connection->idle_until &&
         IsOpenAndIdle(connection->stream.socket())) {
-      co_return connection;
+      return connection;
     }
   }
+  return nullptr;
+}
+
+asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Acquire() {
+  if (ConnectionPtr connection = TakeIdle()) {
+    co_return connection;
+  }
   co_return co_await Connect();
 }
 
+asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::AcquireChecked(
+    std::shared_ptr<HttpAbort> abort) {
+  std::stable_partition(
+      m_idle.begin(), m_idle.end(),
+      [](const ConnectionPtr& idle) { return !idle->checked; });
+  std::optional<MonotonicTime> deadline;
+  int new_connections = 0;
+  while (true) {
+    Result<ConnectionPtr> acquired = co_await Acquire();
+    if (!acquired.has_value()) {
+      co_return acquired.error();
+    }
+    ConnectionPtr connection = std::move(acquired.value());
+    if (connection->checked) {
+      co_return connection;
+    }
+    if (abort != nullptr && abort->aborted()) {
+      co_return GivenUpError();
+    }
+    if (abort != nullptr && !abort->MaySend()) {
+      co_return WithdrawnError();
+    }
+    const MonotonicTime now = MonotonicClock::now();
+    deadline = deadline.value_or(now + m_options.check->timeout);
+    const Duration timeout = *deadline - now;
+    Result<bool> passed = co_await RunCheck(*connection, timeout, abort);
+    if (abort != nullptr && abort->aborted()) {
+      co_return GivenUpError();
+    }
+    if (passed.has_value() && passed.value()) {
+      connection->checked = true;
+      co_return connection;
+    }
+    const bool is_new = !connection->reused;
+    new_connections += is_new ? 1 : 0;
+    const bool may_repeat =
+        passed.has_value()
+            ? new_connections < kMaxNewChecked
+            : !is_new && passed.error().kind() != ErrorKind::kConflict &&
+                  passed.error().kind() != ErrorKind::kTimeout;
+    if (!may_repeat) {
+      if (abort != nullptr) {
+        abort->ReportFailedCheck();
+      }
+      co_return Error(
+          ErrorKind::kUnavailable,
+          "The request was not sent, because the check of the "
+          "connection failed: " +
+              (passed.has_value() ? std::string("The server closes it.")
+                                  : passed.error().message));
+    }
+  }
+}
+
+asio::awaitable<Result<bool>> HttpClient::Impl::RunCheck(
+    ClientConnection& connection,
+    Duration timeout,
+    std::shared_ptr<HttpAbort> abort) {
+  const ConnectionCheck& check = *m_options.check;
+  const AbortBinding binding(abort, connection);
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  const auto message = ToBeast(check.request, m_endpoint);
+  connection.stream.expires_after(timeout);
+  http::request_serializer<http::string_body> serializer(message);
+  co_await http::async_write(connection.stream, serializer, token);
+  if (error) {
+    co_return CallError(error, "sending the check");
+  }
+  std::unique_ptr<http::response_parser<http::string_body>> parser;
+  do {
+    parser = std::make_unique<http::response_parser<http::string_body>>();
+    parser->body_limit(check.max_response_bytes);
+    co_await http::async_read(connection.stream, connection.buffer, *parser,
+                              token);
+  } while (!error && parser->get().result_int() < 200);
+  if (error) {
+    co_return CallError(error, "waiting for the response to the check");
+  }
+  connection.stream.expires_never();
+  HttpResponse response;
+  response.status = parser->get().result_int();
+  response.headers = ToHeaders(parser->get());
+  response.body = std::move(parser->get().body());
+  const Result<void> judged = check.judge(response);
+  if (!judged.has_value()) {
+    co_return judged.error();
+  }
+  if (connection.buffer.size() > 0) {
+    co_return Error(ErrorKind::kMalformedMessage,
+                    "Bytes follow the response to the check. Use another "
+                    "connection.");
+  }
+  co_return parser->keep_alive();
+}
+
 asio::awaitable<Result<ConnectionPtr>> HttpClient::Impl::Connect() {
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -168,30 +339,6 @@
 
 namespace {
 
-// Makes an HttpAbort close the connection while this object exists.
-class AbortBinding {
- public:
-  AbortBinding(std::shared_ptr<HttpAbort> abort, ClientConnection& connection)
-      : m_abort(std::move(abort)) {
-    if (m_abort != nullptr) {
-      m_abort->SetCloseCallback([&connection] {
-        boost::system::error_code ignored;
-        connection.stream.socket().close(ignored);
-      });
-    }
-  }
-  ~AbortBinding() {
-    if (m_abort != nullptr) {
-      m_abort->SetCloseCallback(nullptr);
-    }
-  }
-  AbortBinding(const AbortBinding&) = delete;
-  AbortBinding& operator=(const AbortBinding&) = delete;
-
- private:
-  const std::shared_ptr<HttpAbort> m_abort;
-};
-
 class ResponseStream final : public HttpResponseStream {
  public:
   ResponseStream(
@@ -268,23 +415,6 @@
   std::array<char, kReadBytes> m_read_buffer;
 };
 
-http::request<http::string_body> ToBeast(HttpRequest request,
-                                         const Endpoint& endpoint) {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  if (!FindHeader(request.headers, "Host").has_value()) {
-    message.set(http::field::host, endpoint.ToString());
-  }
-  for (const HttpHeader& header : request.headers) {
-    message.insert(header.name, header.value);
-  }
-  message.body() = std::move(request.body);
-  message.prepare_payload();
-  return message;
-}
-
 }  // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -299,20 +429,32 @@
 asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> HttpClient::Open(
     HttpRequest request,
     Duration timeout,
-    std::shared_ptr<HttpAbort> abort) {
+    std::shared_ptr<HttpAbort> abort,
+    PeerCheck check) {
   const auto impl = m_impl;
-  Result<ConnectionPtr> acquired = co_await impl->Acquire();
-  if (!acquired.has_value()) {
-    co_return acquired.error();
+  const bool is_checked =
+      check == PeerCheck::kNeeded && impl->options().check != nullptr;
+  const MonotonicTime began = MonotonicClock::now();
+  ConnectionPtr connection;
+  if (is_checked) {
+    Result<ConnectionPtr> acquired = co_await impl->AcquireChecked(abort);
+    if (!acquired.has_value()) {
+      co_return acquired.error();
+    }
+    connection = std::move(acquired.value());
+    timeout -= MonotonicClock::now() - began;
+  } else {
+    Result<ConnectionPtr> acquired = co_await impl->Acquire();
+    if (!acquired.has_value()) {
+      co_return acquired.error();
+    }
+    connection = std::move(acquired.value());
   }
   if (abort != nullptr && abort->aborted()) {
-    co_return Error(ErrorKind::kUnavailable,
-                    "The call was given up before anything was sent.");
+    co_return GivenUpError();
   }
-  ConnectionPtr connection = std::move(acquired.value());
   if (abort != nullptr && !abort->MaySend()) {
-    co_return Error(ErrorKind::kUnavailable,
-                    "The request was withdrawn before anything was sent.");
+    co_return WithdrawnError();
   }
   const AbortBinding binding(abort, *connection);
   if (abort != nullptr) {
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -19,6 +19,8 @@
 
 namespace cowslip {
 
+struct ConnectionCheck;
+
 /// \class HttpClientOptions
 /// \brief Limits on calls and on idle persistent connections.
 struct HttpClientOptions {
@@ -34,8 +36,15 @@
   /// time. Rounded down to whole seconds, at least one. A network failure that
   /// drops packets without closing the connection is detected in no other way.
   Duration dead_peer_timeout = Duration::zero();
+  /// Requests with PeerCheck::kNeeded are sent only over connections that have
+  /// passed this check; null for none.
+  std::shared_ptr<const ConnectionCheck> check{};
 };
 
+/// Whether a request is bound to the peer that HttpClientOptions::check looks
+/// for.
+enum class PeerCheck { kNotNeeded, kNeeded };
+
 /// \class HttpAbort
 /// \brief Cancels a call of HttpClient::Open() that still waits for the
 /// response's header.
@@ -55,11 +64,15 @@
   void SetSendCallback(std::function<void()> on_send) {
     m_on_send = std::move(on_send);
   }
-  /// `may_send` is called right before the request is sent. If it returns
-  /// false, nothing is sent and the call fails with kUnavailable.
+  /// `may_send` is called right before the request, or a check, is sent. If it
+  /// returns false, nothing is sent and the call fails with kUnavailable.
   void SetSendCondition(std::function<bool()> may_send) {
     m_may_send = std::move(may_send);
   }
+  /// Whether the request was not sent because the connection failed its check.
+  bool check_failed() const { return m_check_failed; }
+  /// Called by HttpClient.
+  void ReportFailedCheck() { m_check_failed = true; }
   /// Called by HttpClient.
   bool MaySend() const { return !m_may_send || m_may_send(); }
   /// Called by HttpClient.
@@ -79,6 +92,7 @@
   std::function<void()> m_on_send;
   std::function<bool()> m_may_send;
   bool m_aborted = false;
+  bool m_check_failed = false;
 };
 
 /// \class HttpResponseStream
@@ -126,11 +140,13 @@
   boost::asio::awaitable<Result<HttpResponse>> Send(HttpRequest request,
                                                     Duration timeout);
   /// Sends a request and returns once the response's header is read. An abort
-  /// before anything was sent is kUnavailable, a later one kInDoubt.
+  /// before the request was sent is kUnavailable, a later one kInDoubt. A
+  /// failed check of the connection is kUnavailable, too.
   boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>>> Open(
       HttpRequest request,
       Duration timeout,
-      std::shared_ptr<HttpAbort> abort = nullptr);
+      std::shared_ptr<HttpAbort> abort = nullptr,
+      PeerCheck check = PeerCheck::kNotNeeded);
 
  private:
   std::shared_ptr<Impl> m_impl;
--- a/Tests/Gateway/crashing_backends.cc
+++ b/Tests/Gateway/crashing_backends.cc
@@ -68,7 +68,7 @@
                {"slots", 8},
                {"state", "ready"},
                {"version", "v1"},
-               {"born", 1000 + backend.starts}});
+               {"born", StartOf(index)}});
   asio::co_spawn(
       m_context, [this, index] { return Accept(index); }, asio::detached);
 }
@@ -96,6 +96,13 @@
     if (!request.has_value()) {
       break;
     }
+    if (request->target == "/report") {
+      const bool reported = co_await Report(index, socket);
+      if (!reported) {
+        break;
+      }
+      continue;
+    }
     HttpRequest answered = *request;
     AttemptRuns& runs =
         m_runs[FindHeader(request->headers, "Attempt-Id").value_or("")];
@@ -112,6 +119,19 @@
   m_backends[index].connections.erase(socket);
 }
 
+awaitable<bool> CrashingBackends::Report(size_t index, Socket socket) {
+  const std::string body = R"({"born":)" + std::to_string(StartOf(index)) + "}";
+  std::string bytes =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  co_return co_await WriteRaw(*socket, std::move(bytes));
+}
+
+uint64_t CrashingBackends::StartOf(size_t index) const {
+  return 1000 + m_backends[index].starts;
+}
+
 awaitable<bool> CrashingBackends::Answer(size_t index,
                                          Socket socket,
                                          HttpRequest request) {
--- a/Tests/Gateway/crashing_backends.h
+++ b/Tests/Gateway/crashing_backends.h
@@ -73,6 +73,10 @@
   boost::asio::awaitable<void> Accept(size_t index);
   boost::asio::awaitable<void> Serve(size_t index, Socket socket);
   /// Answers a request; false when the connection has ended.
+  /// Answers `GET /report`. Returns false when the connection is closed.
+  boost::asio::awaitable<bool> Report(size_t index, Socket socket);
+  /// The time of its last start, in Unix milliseconds.
+  uint64_t StartOf(size_t index) const;
   boost::asio::awaitable<bool> Answer(size_t index,
                                       Socket socket,
                                       HttpRequest request);
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -311,6 +311,7 @@
 
 // Registers an incarnation of backend server 0 that started at `born`.
 void RegisterIncarnation(GatewayFixture& f, uint64_t born) {
+  f.backend(0).SetIncarnation({.started_at_ms = born});
   nlohmann::json entry = f.store.Find("servers", "i-1")->content;
   entry["address"] = "127.0.0.1:" + std::to_string(f.backend(0).port());
   entry["born"] = born;
--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "platform/backend_entry.h"
+#include "platform/backend_report.h"
 #include "platform/completed_status.h"
 #include "platform/configuration_entry.h"
 #include "platform/store_documents.h"
@@ -28,6 +29,43 @@
   return Document{.name = DocumentName("i-1"), .content = std::move(content)};
 }
 
+HttpResponse Report(int status, std::string body) {
+  return HttpResponse{.status = status, .body = std::move(body)};
+}
+
+TEST_CASE("The start of a backend server is decoded from its report") {
+  const auto told = platform::DecodeReportedStart(
+      Report(200, R"({"stage":"both","born":1700000000000})"));
+  REQUIRE(told.has_value());
+  CHECK(told.value() == 1700000000000);
+  const auto other_notation =
+      platform::DecodeReportedStart(Report(200, R"({"born":1.7e12})"));
+  REQUIRE(other_notation.has_value());
+  CHECK(other_notation.value() == 1700000000000);
+  // Such a backend server does not tell.
+  for (const auto& silent : {Report(404, ""), Report(200, "{}")}) {
+    const auto start = platform::DecodeReportedStart(silent);
+    REQUIRE(start.has_value());
+    CHECK_FALSE(start.value().has_value());
+  }
+}
+
+TEST_CASE("A response that is no report is an error") {
+  const std::string deep = std::string(100, '[') + std::string(100, ']');
+  const std::string start = R"({"born":1700000000000})";
+  for (const auto& response :
+       {Report(503, start), Report(200, ""), Report(200, "[1]"),
+        Report(200, R"({"born":"x"})"), Report(200, R"({"born":-1})"),
+        Report(200, R"({"born":1.5})"), Report(200, R"({"a":)" + deep + "}"),
+        Report(200, start + std::string(platform::kMaxReportBytes, ' '))}) {
+    CHECK_FALSE(platform::DecodeReportedStart(response).has_value());
+  }
+  // A delayed response to an earlier request.
+  HttpResponse delayed = Report(404, "");
+  delayed.headers = {{"Attempt-Id", "a"}};
+  CHECK_FALSE(platform::DecodeReportedStart(delayed).has_value());
+}
+
 TEST_CASE("A service discovery entry of a backend server is decoded") {
   const auto backend = platform::DecodeBackend(Entry(BackendEntry()));
   REQUIRE(backend.has_value());
--- a/Utilities/StandIns/ModelServer/model_server.cc
+++ b/Utilities/StandIns/ModelServer/model_server.cc
@@ -23,26 +23,43 @@
   return true;
 }
 
-std::string Event(const std::string& attempt, uint64_t number) {
+std::string Event(const std::string& attempt,
+                  uint64_t number,
+                  const std::string& version) {
   return "id: " + std::to_string(number) + "\ndata: " + attempt + "-" +
-         std::to_string(number) + "\n\n";
+         std::to_string(number) + (version.empty() ? "" : "@" + version) +
+         "\n\n";
 }
 
+// Larger than any report.
+constexpr size_t kEndlessBytes = 4 << 20;
+
 }  // namespace
 
 ModelServer::ModelServer(boost::asio::io_context& context, std::string id)
-    : m_id(std::move(id)),
-      m_context(context),
-      m_server(context, HttpServerOptions{}, [this](HttpExchange& exchange) {
-        return Handle(exchange);
-      }) {}
+    : m_id(std::move(id)), m_context(context), m_server(MakeServer(0)) {}
+
+std::unique_ptr<HttpServer> ModelServer::MakeServer(uint16_t port) {
+  return std::make_unique<HttpServer>(
+      m_context, HttpServerOptions{.listen = {.port = port}},
+      [this](HttpExchange& exchange) { return Handle(exchange); });
+}
+
+Result<void> ModelServer::Restart(ModelIncarnation incarnation) {
+  const uint16_t port = m_server->port();
+  m_server.reset();
+  m_incarnation = std::move(incarnation);
+  m_server = MakeServer(port);
+  return m_server->Start();
+}
 
 std::string ModelServer::Body(const std::string& attempt,
                               uint64_t first,
-                              uint64_t last) {
+                              uint64_t last,
+                              const std::string& version) {
   std::string body;
   for (uint64_t number = first; number <= last; ++number) {
-    body += Event(attempt, number);
+    body += Event(attempt, number, version);
   }
   return body;
 }
@@ -63,7 +80,57 @@
   return headers;
 }
 
+awaitable<void> ModelServer::Report(HttpExchange& exchange) {
+  ++m_reports;
+  const std::string start = std::to_string(m_incarnation.started_at_ms);
+  HttpResponse response{.headers = {{"Content-Type", "application/json"}},
+                        .body = R"({"stage":"both","born":)" + start + "}"};
+  const ReportAnswer answer =
+      Take(m_behaviour.reports) ? m_behaviour.report : ReportAnswer::kStart;
+  switch (answer) {
+    case ReportAnswer::kStart:
+      break;
+    case ReportAnswer::kWithoutStart:
+      response.body = R"({"stage":"both"})";
+      break;
+    case ReportAnswer::kNotFound:
+      response = {.status = 404};
+      break;
+    case ReportAnswer::kUnavailable:
+      response.status = 503;
+      break;
+    case ReportAnswer::kMalformed:
+      response.body = "born";
+      break;
+    case ReportAnswer::kEndless:
+      response.body.append(kEndlessBytes, ' ');
+      break;
+    case ReportAnswer::kStartAndClose:
+      m_server->DisableKeepAlive();
+      break;
+    case ReportAnswer::kBreaks:
+      exchange.Abort();
+      co_return;
+    case ReportAnswer::kSilent: {
+      boost::asio::steady_timer timer(m_context);
+      timer.expires_at(std::chrono::steady_clock::time_point::max());
+      exchange.OnClientDisconnected([&timer] { timer.cancel(); });
+      boost::system::error_code ignored;
+      co_await timer.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+      exchange.OnClientDisconnected(nullptr);
+      co_return;
+    }
+  }
+  (void)co_await exchange.Respond(std::move(response));
+}
+
 awaitable<void> ModelServer::Handle(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  if (request.method == "GET" && request.target == "/report") {
+    co_await Report(exchange);
+    co_return;
+  }
   m_received.push_back(exchange.request());
   m_arrivals.push_back(MonotonicClock::now());
   const HttpHeaders& headers = exchange.request().headers;
@@ -158,7 +225,7 @@
     if (!goes_on) {
       co_return;
     }
-    std::string event = Event(attempt, number);
+    std::string event = Event(attempt, number, m_incarnation.version);
     const Result<void> written = co_await exchange.WriteChunk(std::move(event));
     if (!written.has_value()) {
       co_return;
--- a/Utilities/StandIns/ModelServer/model_server.h
+++ b/Utilities/StandIns/ModelServer/model_server.h
@@ -2,9 +2,12 @@
 #define UTILITIES_STANDINS_MODELSERVER_MODEL_SERVER_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +18,25 @@
 
 namespace cowslip {
 
+/// How a server answers `GET /report`.
+enum class ReportAnswer {
+  /// With the time of its start.
+  kStart,
+  kWithoutStart,
+  kNotFound,
+  kUnavailable,
+  /// With bytes that are not JSON.
+  kMalformed,
+  /// With more bytes than any report has.
+  kEndless,
+  /// With its start; from then on each answer ends with its connection.
+  kStartAndClose,
+  /// Closes the connection without an answer.
+  kBreaks,
+  /// Never.
+  kSilent,
+};
+
 /// \class ModelBehaviour
 /// \brief How the next requests are treated. Counters tick down to zero.
 struct ModelBehaviour {
@@ -50,6 +72,18 @@
   /// The requests per second that it names as its limit in every answer; 0 for
   /// none.
   double limit = 0;
+  /// How `reports` calls are answered, and all others with the start.
+  ReportAnswer report = ReportAnswer::kStart;
+  int reports = 1'000'000;
+};
+
+/// \class ModelIncarnation
+/// \brief One start of a server.
+struct ModelIncarnation {
+  /// In Unix milliseconds.
+  uint64_t started_at_ms = 0;
+  /// Ends the data of each event unless it is empty.
+  std::string version;
 };
 
 /// \class ModelServer
@@ -59,21 +93,32 @@
  public:
   ModelServer(boost::asio::io_context& context, std::string id);
 
-  Result<void> Start() { return m_server.Start(); }
-  uint16_t port() const { return m_server.port(); }
+  Result<void> Start() { return m_server->Start(); }
+  uint16_t port() const { return m_server->port(); }
+  void SetIncarnation(ModelIncarnation incarnation) {
+    m_incarnation = std::move(incarnation);
+  }
+  /// Closes all connections and comes back at once at the same port.
+  Result<void> Restart(ModelIncarnation incarnation);
   ModelBehaviour& behaviour() { return m_behaviour; }
-  /// Every request that reached this server, in order.
+  /// Every request that reached this server, in order, without the calls of
+  /// `GET /report`.
   const std::vector<HttpRequest>& received() const { return m_received; }
   /// When each of them arrived.
   const std::vector<MonotonicTime>& arrivals() const { return m_arrivals; }
-  size_t active() const { return m_server.active_requests(); }
+  /// The number of calls of `GET /report`.
+  size_t reports() const { return m_reports; }
+  size_t active() const { return m_server->active_requests(); }
   /// What a whole answer to an attempt looks like.
   static std::string Body(const std::string& attempt,
                           uint64_t first,
-                          uint64_t last);
+                          uint64_t last,
+                          const std::string& version = "");
 
  private:
+  std::unique_ptr<HttpServer> MakeServer(uint16_t port);
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
+  boost::asio::awaitable<void> Report(HttpExchange& exchange);
   boost::asio::awaitable<bool> Misbehave(HttpExchange& exchange);
   boost::asio::awaitable<void> StreamEvents(HttpExchange& exchange,
                                             std::string attempt);
@@ -85,8 +130,10 @@
 
   const std::string m_id;
   boost::asio::io_context& m_context;
-  HttpServer m_server;
+  std::unique_ptr<HttpServer> m_server;
   ModelBehaviour m_behaviour;
+  ModelIncarnation m_incarnation;
+  size_t m_reports = 0;
   std::vector<HttpRequest> m_received;
   std::vector<MonotonicTime> m_arrivals;
 };
