--- a/Source/Gateway/backend_attempt.cc
+++ b/Source/Gateway/backend_attempt.cc
@@ -17,10 +17,12 @@
 
 BackendAttempt::BackendAttempt(asio::io_context& context,
                                std::unique_ptr<AttemptLease> lease,
-                               AttemptId attempt)
+                               AttemptId attempt,
+                               PeerCheck check)
     : m_context(context),
       m_lease(std::move(lease)),
       m_attempt_id(std::move(attempt)),
+      m_check(check),
       m_start(MonotonicClock::now()),
       m_abort(std::make_shared<HttpAbort>()),
       m_ready_timer(context) {}
@@ -35,8 +37,11 @@
       [this] { return m_lease == nullptr || m_lease->BeginSend(); });
   RequestTag tag(m_attempt_id.value());
   Result<std::unique_ptr<HttpResponseStream>> opened = co_await client->Open(
-      std::move(request), timeout, m_abort, std::move(tag));
+      std::move(request), timeout, m_abort, std::move(tag), m_check);
   if (!opened.has_value()) {
+    if (m_abort->check_failed() && m_lease != nullptr) {
+      m_lease->MarkUnverified();
+    }
     co_return opened.error();
   }
   m_response = std::move(opened.value());
--- a/Source/Gateway/backend_attempt.h
+++ b/Source/Gateway/backend_attempt.h
@@ -44,7 +44,8 @@
 
   BackendAttempt(boost::asio::io_context& context,
                  std::unique_ptr<AttemptLease> lease,
-                 AttemptId attempt);
+                 AttemptId attempt,
+                 PeerCheck check = PeerCheck::kNotNeeded);
   ~BackendAttempt();
   BackendAttempt(const BackendAttempt&) = delete;
   BackendAttempt& operator=(const BackendAttempt&) = delete;
@@ -89,6 +90,7 @@
   boost::asio::io_context& m_context;
   std::unique_ptr<AttemptLease> m_lease;
   const AttemptId m_attempt_id;
+  const PeerCheck m_check;
   const MonotonicTime m_start;
   const std::shared_ptr<HttpAbort> m_abort;
   std::unique_ptr<HttpResponseStream> m_response;
--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -111,11 +111,12 @@
   m_stall_watch.BeginRead();
   RequestTag tag(m_request.item.id.value());
   Result<std::unique_ptr<HttpResponseStream>> opened = co_await client->Open(
-      std::move(request), timeout, m_abort, std::move(tag));
+      std::move(request), timeout, m_abort, std::move(tag), PeerCheck::kNeeded);
   EndRead();
   if (!opened.has_value()) {
     if (opened.error().kind() == ErrorKind::kUnavailable && !m_stopped) {
       m_withheld = lease.was_withheld();
+      m_unverified = m_abort->check_failed();
       lease.SetOutcome(m_withheld ? AttemptOutcome::kCancelled
                                   : AttemptOutcome::kFailed);
       m_failure_reason = opened.error().message;
--- a/Source/Gateway/relay_session_moves.cc
+++ b/Source/Gateway/relay_session_moves.cc
@@ -89,7 +89,7 @@
   m_move = std::make_unique<StreamMove>(
       m_gateway.io,
       std::make_shared<BackendAttempt>(m_gateway.io, std::move(lease),
-                                       m_request.caller.attempt),
+                                       m_request.caller.attempt, NeededCheck()),
       StreamMoveOptions{.attempt = m_request.caller.attempt,
                         .last_event = m_last_event_id},
       [this, silent](const MoveOutcome& outcome) {
