Net: a response inside a stream is not an event

A copy of an earlier refusal that a backend server writes between two events of a stream with neither length nor chunks, or behind its last event, was relayed to the caller in a 200.

Cause: the empty line after the copy's head ends an event, and a reader of events ignores fields that it does not know.

Change: SseReader fails with kMalformedMessage at a line that begins an HTTP response.

Why it works: no field of an event begins so. A failure of the reader ends the attempt in doubt: a resumable stream goes on elsewhere after its last event, others are broken off.

--- a/Source/Net/sse_reader.cc
+++ b/Source/Net/sse_reader.cc
@@ -6,6 +6,13 @@
 
 namespace cowslip {
 
+namespace {
+
+// Begins the head of an HTTP response, and no field of an event.
+constexpr std::string_view kStatusLineBegin = "HTTP/1.";
+
+}  // namespace
+
 Result<std::vector<std::string>> SseReader::Feed(std::string_view bytes) {
   Result<std::vector<SseEvent>> events = FeedEvents(bytes);
   if (!events.has_value()) {
@@ -38,6 +45,11 @@
     }
     std::string_view line(m_event.raw);
     line = line.substr(m_line_begin, line.size() - m_line_begin - 1);
+    if (line.starts_with(kStatusLineBegin)) {
+      return Error(ErrorKind::kMalformedMessage,
+                   "The backend server sent a response inside the events of "
+                   "another one. Check that it writes each response once.");
+    }
     const bool ended = ParseLine(line);
     m_line_begin = m_event.raw.size();
     if (ended) {
--- a/Source/Net/sse_reader.h
+++ b/Source/Net/sse_reader.h
@@ -32,9 +32,10 @@
   static constexpr size_t kMaxEventBytes = 1 << 20;
 
   /// Returns the data of the events that these bytes complete, leaving out
-  /// events without data. Errors: kTooLarge.
+  /// events without data. Errors as for FeedEvents().
   Result<std::vector<std::string>> Feed(std::string_view bytes);
-  /// Returns the events that these bytes complete. Errors: kTooLarge.
+  /// Returns the events that these bytes complete. Errors: kTooLarge;
+  /// kMalformedMessage when a line begins an HTTP response.
   Result<std::vector<SseEvent>> FeedEvents(std::string_view bytes);
   /// The bytes after the last complete event.
   const std::string& partial_event() const { return m_event.raw; }
--- a/Tests/Gateway/repeated_refusal_test.cc
+++ b/Tests/Gateway/repeated_refusal_test.cc
@@ -321,6 +321,39 @@
       CheckRunOnce);
 }
 
+// The answer has neither length nor chunks, so the copy is read as events.
+TEST_CASE("A copy inside an unframed stream is not relayed as events") {
+  for (const std::string path : {"/once/", "/stream/"}) {
+    for (const uint64_t events_before : {uint64_t{1}, kEvents}) {
+      GatewayFixture f(0);
+      RawBackend backend(f.context, [&](const HttpRequest& request) {
+        const std::string id =
+            FindHeader(request.headers, "Attempt-Id").value_or("");
+        return RawAnswer{
+            .bytes = RawStreamHead(id, "") +
+                     ModelServer::Body(id, 1, events_before) + Full("earlier") +
+                     ModelServer::Body(id, events_before + 1, kEvents)};
+      });
+      f.store.Put("servers", "raw-0",
+                  {{"service", "s"},
+                   {"address", "127.0.0.1:" + std::to_string(backend.port())},
+                   {"zone", "z"},
+                   {"slots", 8},
+                   {"state", "ready"},
+                   {"version", "v1"}});
+      f.AddGateway();
+      f.Run([&]() -> awaitable<void> {
+        co_await f.WaitUntilReady();
+        HttpRequest request = f.Request("POST", path + "x", "a");
+        const auto response = co_await f.Send(0, std::move(request));
+        INFO(path << ", after " << events_before
+                  << " events: " << GatewayFixture::Describe(response));
+        CHECK_FALSE((response.has_value() && response.value().status == 200));
+      });
+    }
+  }
+}
+
 TEST_CASE("An item goes on over another connection than its last run") {
   GatewayFixture f(0);
   RepeatingBackends backends(f);
