--- a/Utilities/Soak/backend.cc
+++ b/Utilities/Soak/backend.cc
@@ -74,6 +74,7 @@
           .count());
   m_end = End::kNone;
   m_is_leaving = false;
+  m_is_frozen = false;
   // A restart at the same version changes nothing that a caller can see.
   m_is_listed = version == m_version && m_is_listed;
   m_version = version;
@@ -118,6 +119,10 @@
   double extra_at = 0;
   const double idle_end = Now() + 60;
   while (m_end == End::kNone && Now() < idle_end) {
+    if (m_is_frozen) {
+      SleepFor(0.005);
+      continue;
+    }
     if (!IsReadable(connection, 10)) {
       // An extra response comes while no request is there, or before the next.
       if (!extra.empty() && extra_at > 0 && Now() > extra_at) {
@@ -214,6 +219,9 @@
   const double end = Now() + seconds;
   while (Now() < end) {
     SleepFor(std::min(0.005, std::max(0.0005, end - Now())));
+    while (m_is_frozen && m_end == End::kNone) {
+      SleepFor(0.005);
+    }
     if (m_end != End::kNone || connection.PeerClosed()) {
       return false;
     }
--- a/Utilities/Soak/backend.h
+++ b/Utilities/Soak/backend.h
@@ -55,6 +55,8 @@
   /// Whether responses announce the end of their connection.
   void SetLeaving() { m_is_leaving = true; }
 
+  /// Stops all work and all reading, as SIGSTOP does.
+  void SetFrozen(bool frozen) { m_is_frozen = frozen; }
   /// The store names this version now.
   void SetListed() { m_is_listed = true; }
 
@@ -90,6 +92,7 @@
   std::atomic<bool> m_ends_inside{false};
   std::atomic<bool> m_is_leaving{false};
   std::atomic<bool> m_is_listed{false};
+  std::atomic<bool> m_is_frozen{false};
   std::atomic<int> m_free_slots{0};
   std::atomic<int> m_waiting{0};
   std::atomic<int> m_connections{0};
--- a/Utilities/Soak/build.sh
+++ b/Utilities/Soak/build.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Builds the soak into target/soak. The stand-ins are those of the review.
+# Builds the soak into target/soak, as order-soak or by the name that is given.
+# The stand-ins are those of the review.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+name=${1:-order-soak}
 mkdir -p target/soak
 flags=(-std=c++20 -O1 -g -Wall -Wextra -Ireview/harness -IUtilities -pthread)
 for source in review/harness/harness.cc Utilities/Soak/*.cc; do
@@ -11,5 +13,5 @@
     g++ "${flags[@]}" -c "$source" -o "$object"
   fi
 done
-g++ -pthread target/soak/*.o -o target/soak/order-soak.new
-mv target/soak/order-soak.new target/soak/order-soak
+g++ -pthread target/soak/*.o -o "target/soak/$name.new"
+mv "target/soak/$name.new" "target/soak/$name"
--- a/Utilities/Soak/lane.sh
+++ b/Utilities/Soak/lane.sh
@@ -9,7 +9,7 @@
 for ((seed = first; seed <= last; seed += step)); do
   folder=target/soak/$name-$seed
   rm -rf "$folder"
-  target/soak/order-soak --seed "$seed" --block "$block" --folder "$folder" \
+  "${SOAK:-target/soak/order-soak}" --seed "$seed" --block "$block" --folder "$folder" \
     "$@" >>"target/soak/$name.$block.txt" 2>&1
   code=$?
   [[ $code == 2 ]] && echo "seed $seed could not run" >>"target/soak/$name.$block.txt"
--- a/Utilities/Soak/order_soak.cc
+++ b/Utilities/Soak/order_soak.cc
@@ -51,7 +51,8 @@
   std::set<std::string> only;
   // The share of clients that break off their own connection at all times.
   double client_break = 0.05;
-  // How many disruptions take place.
+  int releases = 2;
+  // How many other disruptions take place.
   int count = 14;
 };
 
@@ -92,6 +93,8 @@
   void PlanRestart(double at, bool other_version);
   void PlanKill(double at, Backend::End end);
   void PlanFreeze(double at);
+  void PlanBackendFreeze(double at);
+  void PlanOldBeat(double at);
   void PlanCut(double at);
   void PlanGatewayEnd(double at, int signal, bool all);
 
@@ -293,6 +296,56 @@
   });
 }
 
+void Soak::PlanBackendFreeze(double at) {
+  const double until = at + m_random.Between(0.8, 4);
+  m_plan.emplace(at, [=, this] {
+    const auto backend = Pick();
+    if (backend == nullptr) {
+      return;
+    }
+    Note("backend " + backend->id() + " stands still");
+    backend->SetFrozen(true);
+    m_plan.emplace(until, [=, this] {
+      Note("backend " + backend->id() + " goes on");
+      backend->SetFrozen(false);
+    });
+  });
+}
+
+// A backend server starts again at another version, and a late heartbeat of
+// before overwrites its entry for a while.
+void Soak::PlanOldBeat(double at) {
+  const double down = m_random.Between(0.02, 0.6);
+  const double late = m_random.Between(0.1, 1.2);
+  m_plan.emplace(at, [=, this] {
+    const auto backend = Pick();
+    if (backend == nullptr) {
+      return;
+    }
+    const std::string old = backend->Entry("ready");
+    const std::string version = "v" + std::to_string(++m_version);
+    Note("backend " + backend->id() + " starts again as " + version +
+         ", and an old heartbeat follows");
+    backend->Kill(Backend::End::kReset, false);
+    m_plan.emplace(at + down, [=, this] {
+      if (backend->is_running()) {
+        return;
+      }
+      backend->Start(version);
+      List(backend, "ready");
+      m_plan.emplace(at + down + 0.1, [=, this] {
+        Note("store: an old heartbeat of " + backend->id());
+        m_store->Put("servers", backend->id(), old);
+      });
+      m_plan.emplace(at + down + 0.1 + late, [=, this] {
+        if (backend->is_running()) {
+          List(backend, "ready");
+        }
+      });
+    });
+  });
+}
+
 void Soak::PlanCut(double at) {
   const int number = static_cast<int>(m_random.Below(kGateways));
   const double until = at + m_random.Between(2, 6);
@@ -347,11 +400,12 @@
     };
   };
   return {
-      {"release", [this](double at) { PlanRelease(at); }},
       {"restart_same", [this](double at) { PlanRestart(at, false); }},
       {"restart_other", [this](double at) { PlanRestart(at, true); }},
       {"kill_fin", [this](double at) { PlanKill(at, Backend::End::kFin); }},
       {"kill_rst", [this](double at) { PlanKill(at, Backend::End::kReset); }},
+      {"backend_freeze", [this](double at) { PlanBackendFreeze(at); }},
+      {"old_beat", [this](double at) { PlanOldBeat(at); }},
       {"cut_answers", share(m_faults.cut, 0.08, "cut_answers")},
       {"garble", share(m_faults.garble, 0.06, "garble")},
       {"extra_late", share(m_faults.extra, 0.1, "extra_late")},
@@ -405,12 +459,10 @@
   const double begin = m_settings.lead_s;
   const double end = begin + m_settings.disruption_s;
   // A quarter of the seeds has no release.
-  if (m_settings.seed % 4 == 0) {
-    std::erase_if(kinds,
-                  [](const Kind& kind) { return kind.name == "release"; });
-  } else if (IsOn("release")) {
-    PlanRelease(begin + m_random.Between(1, 4));
-    PlanRelease(begin + m_random.Between(11, 15));
+  const int releases =
+      m_settings.seed % 4 == 0 || !IsOn("release") ? 0 : m_settings.releases;
+  for (int i = 0; i < releases; ++i) {
+    PlanRelease(begin + 10 * i + m_random.Between(1, 4));
   }
   for (int i = 0; i < m_settings.count && !kinds.empty(); ++i) {
     const Kind& kind = kinds[m_random.Below(kinds.size())];
@@ -713,6 +765,8 @@
       settings.count = std::stoi(value);
     } else if (name == "--break") {
       settings.client_break = std::stod(value);
+    } else if (name == "--releases") {
+      settings.releases = std::stoi(value);
     } else if (name == "--rate") {
       settings.streams_per_s = std::stod(value);
     } else if (name == "--block") {
