--- a/Utilities/Soak/backend.cc
+++ b/Utilities/Soak/backend.cc
@@ -1,4 +1,4 @@
-#include "Soak/backend.h"
+#include "Utilities/Soak/backend.h"
 
 #include <poll.h>
 
@@ -7,7 +7,7 @@
 #include <cstdio>
 #include <utility>
 
-#include "Soak/run_log.h"
+#include "Utilities/Soak/run_log.h"
 
 namespace soak {
 
--- a/Utilities/Soak/backend.h
+++ b/Utilities/Soak/backend.h
@@ -7,8 +7,8 @@
 #include <mutex>
 #include <string>
 
-#include "Soak/random.h"
-#include "harness.h"
+#include "Utilities/Soak/random.h"
+#include "review/harness/harness.h"
 
 namespace soak {
 
--- a/Utilities/Soak/build.sh
+++ b/Utilities/Soak/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 name=${1:-order-soak}
 mkdir -p target/soak
-flags=(-std=c++20 -O1 -g -Wall -Wextra -Ireview/harness -IUtilities -pthread)
+flags=(-std=c++20 -O1 -g -Wall -Wextra -I. -pthread)
 for source in review/harness/harness.cc Utilities/Soak/*.cc; do
   object=target/soak/$(basename "$source" .cc).o
   if [[ ! -e $object || -n $(find review/harness Utilities/Soak \
--- a/Utilities/Soak/gateway_process.cc
+++ b/Utilities/Soak/gateway_process.cc
@@ -1,4 +1,4 @@
-#include "Soak/gateway_process.h"
+#include "Utilities/Soak/gateway_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <utility>
 
-#include "harness.h"
+#include "review/harness/harness.h"
 
 namespace soak {
 
--- a/Utilities/Soak/order_soak.cc
+++ b/Utilities/Soak/order_soak.cc
@@ -16,13 +16,13 @@
 #include <sstream>
 #include <thread>
 
-#include "Soak/backend.h"
-#include "Soak/gateway_process.h"
-#include "Soak/random.h"
-#include "Soak/run_log.h"
-#include "Soak/stream_client.h"
-#include "Soak/stream_history.h"
-#include "harness.h"
+#include "Utilities/Soak/backend.h"
+#include "Utilities/Soak/gateway_process.h"
+#include "Utilities/Soak/random.h"
+#include "Utilities/Soak/run_log.h"
+#include "Utilities/Soak/stream_client.h"
+#include "Utilities/Soak/stream_history.h"
+#include "review/harness/harness.h"
 
 namespace soak {
 namespace {
--- a/Utilities/Soak/stream_client.cc
+++ b/Utilities/Soak/stream_client.cc
@@ -1,4 +1,4 @@
-#include "Soak/stream_client.h"
+#include "Utilities/Soak/stream_client.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -9,8 +9,8 @@
 #include <cstring>
 #include <utility>
 
-#include "Soak/gateway_process.h"
-#include "harness.h"
+#include "Utilities/Soak/gateway_process.h"
+#include "review/harness/harness.h"
 
 namespace soak {
 
--- a/Utilities/Soak/stream_client.h
+++ b/Utilities/Soak/stream_client.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "Soak/random.h"
-#include "Soak/stream_history.h"
+#include "Utilities/Soak/random.h"
+#include "Utilities/Soak/stream_history.h"
 
 namespace soak {
 
--- a/Utilities/Soak/stream_history.cc
+++ b/Utilities/Soak/stream_history.cc
@@ -1,11 +1,12 @@
-#include "Soak/stream_history.h"
+#include "Utilities/Soak/stream_history.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <set>
 #include <sstream>
 
-#include "Soak/backend.h"
-#include "Soak/run_log.h"
+#include "Utilities/Soak/backend.h"
+#include "Utilities/Soak/run_log.h"
 
 namespace soak {
 
@@ -17,6 +18,17 @@
   return text;
 }
 
+std::vector<std::string> Split(const std::string& text, char separator) {
+  std::vector<std::string> parts;
+  size_t at = 0;
+  while (at < text.size()) {
+    const size_t end = std::min(text.find(separator, at), text.size());
+    parts.push_back(text.substr(at, end - at));
+    at = end + 1;
+  }
+  return parts;
+}
+
 // The order of numbers, which must count from 1.
 void CheckOrder(const std::vector<StreamEvent>& events,
                 const std::string& path,
@@ -50,12 +62,7 @@
 }  // namespace
 
 std::optional<StreamEvent> ParseEventData(const std::string& data) {
-  std::vector<std::string> parts;
-  std::istringstream stream(data);
-  std::string part;
-  while (std::getline(stream, part, '|')) {
-    parts.push_back(part);
-  }
+  const std::vector<std::string> parts = Split(data, '|');
   if (parts.size() != 4) {
     return std::nullopt;
   }
@@ -139,9 +146,7 @@
                                       const std::string& output) {
   std::set<std::string> broken;
   std::vector<StreamEvent> events;
-  std::istringstream stream(output);
-  std::string line;
-  while (std::getline(stream, line)) {
+  for (const std::string& line : Split(output, '\n')) {
     const auto event = ParseEventData(line);
     if (!event.has_value()) {
       broken.insert("unreadable");
