--- a/Source/Gateway/stream_end.cc
+++ b/Source/Gateway/stream_end.cc
@@ -53,8 +53,8 @@
       lease.started_at_ms() == 0) {
     co_return complete;
   }
-  // The entry may change meanwhile.
-  const auto client = lease.client();
+  // The slot may be released while the call is under way.
+  std::shared_ptr<HttpClient> client = lease.client();
   const uint64_t expected = lease.started_at_ms();
   HttpRequest call = platform::EncodeReportCall();
   const Duration timeout = kReportTimeout;
