--- a/Source/Gateway/stream_end.cc
+++ b/Source/Gateway/stream_end.cc
@@ -1,7 +1,6 @@
 #include "Gateway/stream_end.h"
 
 #include <chrono>
-#include <memory>
 #include <optional>
 #include <utility>
 
@@ -53,13 +52,12 @@
       lease.started_at_ms() == 0) {
     co_return complete;
   }
-  // The slot may be released while the call is under way.
-  std::shared_ptr<HttpClient> client = lease.client();
+  HttpClient& client = *lease.client();
   const uint64_t expected = lease.started_at_ms();
   HttpRequest call = platform::EncodeReportCall();
   const Duration timeout = kReportTimeout;
   const Result<HttpResponse> report =
-      co_await client->Send(std::move(call), timeout);
+      co_await client.Send(std::move(call), timeout);
   if (!report.has_value()) {
     // Whoever accepts a connection and does not respond in time still runs.
     co_return report.error().kind() == ErrorKind::kUnavailable
--- a/Source/Gateway/stream_end.h
+++ b/Source/Gateway/stream_end.h
@@ -25,7 +25,8 @@
 /// connections of a process that is killed as the process does at the end of a
 /// stream. Errors: also kInDoubt when nothing accepts connections there any
 /// more or another incarnation of the backend server does. A backend server
-/// whose entry or report does not tell its start is not asked about.
+/// whose entry or report does not tell its start is not asked about. `lease`
+/// must outlive the call.
 boost::asio::awaitable<Result<void>> ConfirmStreamEnd(
     const HttpResponseStream& response,
     const SseReader& events,
