--- a/Tests/PlatformAdapter/entries_test.cc
+++ b/Tests/PlatformAdapter/entries_test.cc
@@ -46,7 +46,8 @@
   REQUIRE(other_notation.has_value());
   CHECK(other_notation.value() == 1700000000000);
   // Such a backend server does not tell.
-  for (const auto& silent : {Report(404, ""), Report(200, "{}")}) {
+  for (const auto& silent : {Report(400, ""), Report(404, ""), Report(405, ""),
+                             Report(501, ""), Report(200, "{}")}) {
     const auto start = platform::DecodeReportedStart(silent);
     REQUIRE(start.has_value());
     CHECK_FALSE(start.value().has_value());
@@ -57,9 +58,11 @@
   const std::string deep = std::string(100, '[') + std::string(100, ']');
   const std::string start = R"({"born":1700000000000})";
   for (const auto& response :
-       {Report(503, start), Report(200, ""), Report(200, "[1]"),
-        Report(200, R"({"born":"x"})"), Report(200, R"({"born":-1})"),
-        Report(200, R"({"born":1.5})"), Report(200, R"({"a":)" + deep + "}"),
+       {Report(408, start), Report(421, start), Report(429, start),
+        Report(500, start), Report(503, start), Report(200, ""),
+        Report(200, "[1]"), Report(200, R"({"born":"x"})"),
+        Report(200, R"({"born":-1})"), Report(200, R"({"born":1.5})"),
+        Report(200, R"({"a":)" + deep + "}"),
         Report(200, start + std::string(platform::kMaxReportBytes, ' '))}) {
     CHECK_FALSE(platform::DecodeReportedStart(response).has_value());
   }
