StandIns: A write in doubt gets no response

The stand-in of the metadata store answered 503 to a write whose fault was a lost or delayed one. 503 promises that nothing was done, so no gateway in a test ever saw such a write in doubt. It closes the connection now.

Faults of writes wait for a write, since a poll of the gateway could use them up. Removals can be delayed too, and a name may contain an escaped slash.

--- a/Utilities/StandIns/MetadataStore/fake_document_store.cc
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.cc
@@ -24,6 +24,11 @@
   m_fault_count = count;
 }
 
+bool FakeDocumentStore::RefusesRead() {
+  // The other faults wait for a write.
+  return m_fault == StoreFault::kRefuse && TakeFault() != StoreFault::kNone;
+}
+
 StoreFault FakeDocumentStore::TakeFault() {
   if (m_fault_count == 0) {
     return StoreFault::kNone;
@@ -99,7 +104,7 @@
 
 awaitable<Result<Document>> FakeDocumentStore::Get(DocumentKind kind,
                                                    DocumentName name) {
-  if (TakeFault() != StoreFault::kNone) {
+  if (RefusesRead()) {
     co_return Refused();
   }
   const Document* document = Find(kind.value(), name.value());
@@ -111,7 +116,7 @@
 
 awaitable<Result<DocumentPage>> FakeDocumentStore::List(DocumentKind kind,
                                                         DocumentName after) {
-  if (TakeFault() != StoreFault::kNone) {
+  if (RefusesRead()) {
     co_return Refused();
   }
   DocumentPage page{.as_of = version()};
@@ -129,7 +134,7 @@
 awaitable<Result<DocumentChanges>> FakeDocumentStore::Watch(DocumentKind kind,
                                                             ObjectVersion since,
                                                             Duration) {
-  if (TakeFault() != StoreFault::kNone) {
+  if (RefusesRead()) {
     co_return Refused();
   }
   if (since.value() < m_compacted) {
@@ -206,6 +211,9 @@
 awaitable<Result<void>> FakeDocumentStore::RemoveAt(DocumentKind kind,
                                                     DocumentName name,
                                                     ObjectVersion expected) {
+  if (delays_removals) {
+    FailNext(StoreFault::kDelayWrite);
+  }
   const Result<Document> removed = Run([=, this]() -> Result<Document> {
     const Key key(kind.value(), name.value());
     const Result<Document*> found = FindAt(key, expected);
@@ -227,6 +235,13 @@
   if (TakeFault() != StoreFault::kNone) {
     co_return Refused();
   }
+  if (delays_removals) {
+    m_late.push_back([=, this]() -> Result<Document> {
+      Erase(kind.value(), name.value());
+      return Document{.name = name};
+    });
+    co_return NoAnswer();
+  }
   if (Find(kind.value(), name.value()) == nullptr) {
     co_return Error(ErrorKind::kNotFound, "No such document.");
   }
--- a/Utilities/StandIns/MetadataStore/fake_document_store.h
+++ b/Utilities/StandIns/MetadataStore/fake_document_store.h
@@ -72,6 +72,8 @@
   /// Watches report a removal with the version of the last change before it,
   /// not with that of the removal itself.
   bool removals_keep_version = false;
+  /// Removals meet StoreFault::kDelayWrite.
+  bool delays_removals = false;
   /// Called after each change.
   void OnChange(std::function<void()> callback) {
     m_on_change.push_back(std::move(callback));
@@ -87,6 +89,7 @@
   using Write = std::function<Result<Document>()>;
 
   StoreFault TakeFault();
+  bool RefusesRead();
   /// The stored document, if it is at that version. Errors: kNotFound and
   /// kConflict.
   Result<Document*> FindAt(const Key& key, ObjectVersion expected);
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -51,6 +51,9 @@
                       .body = std::move(body)};
 }
 
+// The connection is closed instead.
+constexpr int kNoResponse = 0;
+
 HttpResponse FromError(const Error& error) {
   switch (error.kind()) {
     case ErrorKind::kNotFound:
@@ -59,6 +62,8 @@
       return FromText(409, "{}");
     case ErrorKind::kHistoryLost:
       return HttpResponse{.status = 410};
+    case ErrorKind::kInDoubt:
+      return HttpResponse{.status = kNoResponse};
     default:
       return HttpResponse{.status = 503};
   }
@@ -142,7 +147,7 @@
     response = co_await Answer(request);
   }
   const ServerFault fault = FaultFor(request);
-  if (fault == ServerFault::kReset ||
+  if (fault == ServerFault::kReset || response.status == kNoResponse ||
       (fault == ServerFault::kLoseAnswers && is_write)) {
     exchange.Abort();
     co_return;
@@ -162,12 +167,18 @@
   path.erase(0, kPrefix.size());
   const size_t slash = path.find('/');
   const DocumentKind kind(PercentDecode(path.substr(0, slash)));
-  const std::string name =
-      slash == std::string::npos ? "" : PercentDecode(path.substr(slash + 1));
+  std::string segment =
+      slash == std::string::npos ? "" : path.substr(slash + 1);
+  // Before decoding, since a name may contain a slash.
+  const bool is_status = segment.ends_with(kStatus);
+  if (is_status) {
+    segment.resize(segment.size() - kStatus.size());
+  }
+  const std::string name = PercentDecode(segment);
   if (request.method == "GET") {
     co_return co_await Read(request, kind, name);
   }
-  co_return co_await Write(request, kind, name);
+  co_return co_await Write(request, kind, name, is_status);
 }
 
 awaitable<HttpResponse> MetadataServer::Read(const HttpRequest& request,
@@ -244,7 +255,8 @@
 
 awaitable<HttpResponse> MetadataServer::Write(const HttpRequest& request,
                                               DocumentKind kind,
-                                              std::string name) {
+                                              std::string name,
+                                              bool is_status) {
   if (request.method == "DELETE" && request.Query("revision").has_value()) {
     const ObjectVersion expected(Number(request, "revision"));
     const Result<void> removed =
@@ -271,8 +283,7 @@
     co_return FromDocument(document);
   }
   const ObjectVersion expected(metadata["revision"].get<uint64_t>());
-  if (name.ends_with(kStatus)) {
-    name.resize(name.size() - kStatus.size());
+  if (is_status) {
     json status = body["status"];
     const Result<Document> document = co_await m_store.ReplaceStatus(
         kind, DocumentName(name), std::move(status), expected);
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -69,7 +69,8 @@
                                                  DocumentKind kind);
   boost::asio::awaitable<HttpResponse> Write(const HttpRequest& request,
                                              DocumentKind kind,
-                                             std::string name);
+                                             std::string name,
+                                             bool is_status);
   void WakeWatches();
   void Count(const HttpRequest& request);
   ServerFault FaultFor(const HttpRequest& request) const;
