Gateway: A removal in doubt does not delete an accepted job

Cause: an offered job that exceeds the limit is withdrawn by a conditional removal of its record. When the response was lost, the gateway decided again 100 ms later; a job that fitted by then was accepted without a write, so the removal's condition still held when the store carried it out.

OfferRecords remembers removals in doubt. While one may take effect, the job is accepted by a write of its record, which moves the version and so ends the condition; without the write there is no 202. An owner that opens a job after such a removal of an offer that was never accepted does the same.

Evidence: "A late removal does not take away a job that fitted meanwhile" (gateway.waiting_tokens) failed on: the record was gone and the job answered 404.

--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -426,6 +426,10 @@
                                      std::move(*problem));
   }
   const Result<void> kept = co_await StoreInputs(submission);
+  if (kept.has_value() &&
+      m_job_runner.offer_records().MayBeRemoved(record.key, record.version)) {
+    co_return co_await AcceptDespiteRemoval(submission, std::move(record));
+  }
   if (kept.has_value() &&
       WallNow() - record.definition.submitted >= kOfferTime) {
     // Another process may have removed the offer meanwhile.
@@ -434,10 +438,7 @@
     co_return std::nullopt;
   }
   if (kept.has_value()) {
-    m_offers.erase(record.key);
-    submission->offering = false;
-    m_job_runner.AcceptOfferedJob(record, std::move(submission->items));
-    co_return AcceptedResponse();
+    co_return AcceptOffer(*submission, record);
   }
   submission->why = kept.error();
   if (IsPermanent(kept.error())) {
@@ -450,16 +451,46 @@
   co_return std::nullopt;
 }
 
+HttpResponse JobAcceptance::AcceptOffer(JobSubmission& submission,
+                                        const JobRecord& record) {
+  m_offers.erase(record.key);
+  submission.offering = false;
+  m_job_runner.AcceptOfferedJob(record, std::move(submission.items));
+  return AcceptedResponse();
+}
+
+awaitable<JobAcceptance::Step> JobAcceptance::AcceptDespiteRemoval(
+    Submission submission,
+    JobRecord record) {
+  const JobKey job = record.key;
+  const Result<Document> written =
+      co_await m_job_runner.offer_records().MarkAccepted(std::move(record));
+  m_gateway.log.Write(
+      "job_fits_after_removal",
+      {{"job", job.value()},
+       {"accepted", written.has_value()},
+       {"why", written.has_value() ? "" : written.error().message}});
+  const std::optional<JobRecord> accepted =
+      written.has_value() ? DecodeJob(written.value()) : std::nullopt;
+  if (accepted.has_value()) {
+    co_return AcceptOffer(*submission, *accepted);
+  }
+  if (!written.has_value()) {
+    submission->why = written.error();
+  }
+  co_await ReadRecord(job);
+  co_return std::nullopt;
+}
+
 awaitable<JobAcceptance::Step> JobAcceptance::WithdrawOffer(
     Submission submission,
     JobRecord record,
     Problem problem) {
-  const DocumentKind kind(kJobKind);
-  const DocumentName name = JobName(record.key);
+  const JobKey job = record.key;
   const ObjectVersion version = record.version;
-  const Result<void> removed = co_await m_store.RemoveAt(kind, name, version);
-  // When there is none, the response to an earlier removal was lost.
-  if (removed.has_value() || removed.error().kind() == ErrorKind::kNotFound) {
+  const Result<void> removed =
+      co_await m_job_runner.offer_records().Remove(job, version);
+  if (removed.has_value()) {
     m_job_runner.RemoveJob(record.key);
     EndOffer(*submission);
     co_return ProblemResponse(problem);
@@ -514,14 +545,9 @@
   if (!kept.has_value()) {
     co_return std::nullopt;
   }
-  JobStatus status = known.status;
-  status.accepted = true;
-  nlohmann::json encoded = EncodeStatus(status);
-  const DocumentKind kind(kJobKind);
-  const DocumentName name = JobName(known.key);
-  const ObjectVersion version = known.version;
+  JobRecord confirmed = known;
   const Result<Document> written =
-      co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
+      co_await m_job_runner.offer_records().MarkAccepted(std::move(confirmed));
   if (written.has_value()) {
     m_job_runner.HandleJobDocument(written.value(), "write");
     co_return AcceptedResponse();
--- a/Source/Gateway/job_acceptance.h
+++ b/Source/Gateway/job_acceptance.h
@@ -55,9 +55,9 @@
 /// WaitingTokenCore decides; the job is then accepted, which is when its items
 /// are written, or its record is removed on the condition that it is unchanged.
 /// Another process that receives the same submission meanwhile makes the
-/// acceptance known by a conditional write of the job's status. So the limit
-/// costs no call to the store for a job that is accepted where it was submitted
-/// first, or that does not fit.
+/// acceptance known by a conditional write of the job's status, as this one
+/// does after a removal in doubt. So the limit costs no call to the store for a
+/// job that is accepted where it was submitted first, or that does not fit.
 class JobAcceptance {
  public:
   JobAcceptance(GatewayContext& gateway,
@@ -115,6 +115,11 @@
   boost::asio::awaitable<Step> WithdrawOffer(Submission submission,
                                              JobRecord record,
                                              Problem problem);
+  HttpResponse AcceptOffer(JobSubmission& submission, const JobRecord& record);
+  /// Accepts an offer whose removal is in doubt, so that it takes effect no
+  /// more.
+  boost::asio::awaitable<Step> AcceptDespiteRemoval(Submission submission,
+                                                    JobRecord record);
   void EndOffer(JobSubmission& submission);
   /// Decides an offer whose client has been told to try again.
   boost::asio::awaitable<void> SettleOffer(Submission submission);
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -59,6 +59,7 @@
       m_store(store),
       m_scheduler(scheduler),
       m_options(options),
+      m_offer_records(store),
       m_pass_timer(gateway.io) {}
 
 const ResultLog* JobRunner::FindOpenResults(const JobKey& job) const {
@@ -113,10 +114,12 @@
                                           {"version", record->version.value()},
                                           {"source", source}});
   }
+  m_offer_records.RecordVersion(record->key, record->version);
   HandleEvent(JobUpdated{std::move(*record)});
 }
 
 void JobRunner::RemoveJob(const JobKey& job) {
+  m_offer_records.Forget(job);
   HandleEvent(JobRemoved{job});
   m_open_jobs.erase(job);
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -14,6 +14,7 @@
 #include "Fleet/home_regions.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/item_run.h"
+#include "Gateway/offer_records.h"
 #include "Jobs/job_scheduler.h"
 #include "Jobs/job_types.h"
 #include "Jobs/result_log.h"
@@ -65,6 +66,8 @@
   /// Accepts a job whose record exists, without its items, see
   /// JobDefinition::offered.
   void AcceptOfferedJob(const JobRecord& record, std::vector<JobItem> items);
+  /// The records of offered jobs in the store.
+  OfferRecords& offer_records() { return m_offer_records; }
   /// Stops jobs whose end another process has acknowledged.
   void HandleReportedEnds(const std::vector<JobKey>& jobs);
   /// Passes an event to the scheduler and applies the actions it returns.
@@ -110,6 +113,9 @@
   /// Removes an offered job that was never accepted: its items are not stored.
   boost::asio::awaitable<void> RemoveUnaccepted(JobKey job,
                                                 ObjectVersion version);
+  /// Accepts an offered job by a write, if a removal of its record may still
+  /// take effect.
+  boost::asio::awaitable<Result<void>> EndRemovalInDoubt(JobRecord record);
   /// Whether the job's items and results are loaded, with the results claimed
   /// under the fencing number of `record`.
   bool IsLoaded(const JobRecord& record) const;
@@ -194,6 +200,7 @@
   DocumentStore& m_store;
   JobScheduler& m_scheduler;
   const JobRunnerOptions m_options;
+  OfferRecords m_offer_records;
   std::map<JobKey, OpenedJob> m_open_jobs;
   std::map<RunKey, std::shared_ptr<ItemRun>> m_runs;
   /// Runs that were stopped before their coroutine began.
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -110,7 +110,7 @@
   const JobDefinition definition = record->definition;
   const FencingNumber fence = record->fence();
   const ObjectVersion version = record->version;
-  const bool is_accepted = record->IsAccepted();
+  const JobRecord offered = *record;
   OpenedJob opened;
   const DocumentKind kind(kInputKind);
   for (uint32_t i = 0; i < definition.input_segments; ++i) {
@@ -118,7 +118,8 @@
     const Result<Document> document = co_await m_store.Get(kind, name);
     if (!document.has_value()) {
       const bool is_given_up =
-          !is_accepted && WallNow() - definition.submitted >= 2 * kOfferTime;
+          !offered.IsAccepted() &&
+          WallNow() - definition.submitted >= 2 * kOfferTime;
       if (document.error().kind() == ErrorKind::kNotFound && is_given_up) {
         co_await RemoveUnaccepted(job, version);
         co_return Error(ErrorKind::kConflict, "The job was never accepted.");
@@ -139,6 +140,10 @@
                     "The job's input documents hold other items than its "
                     "record.");
   }
+  const Result<void> kept = co_await EndRemovalInDoubt(offered);
+  if (!kept.has_value()) {
+    co_return kept.error();
+  }
   opened.results = std::make_shared<ResultLog>(m_store, job, fence);
   const Result<void> results = co_await opened.results->Claim();
   if (!results.has_value()) {
@@ -162,19 +167,38 @@
 
 // Conditional, because another process may accept the job at the same time.
 awaitable<void> JobRunner::RemoveUnaccepted(JobKey job, ObjectVersion version) {
-  const DocumentKind kind(kJobKind);
-  const DocumentName name = JobName(job);
-  const Result<void> removed = co_await m_store.RemoveAt(kind, name, version);
+  const Result<void> removed = co_await m_offer_records.Remove(job, version);
   m_gateway.log.Write(
       "job_never_accepted",
       {{"job", job.value()},
        {"removed", removed.has_value()},
        {"why", removed.has_value() ? "" : removed.error().message}});
-  if (removed.has_value() || removed.error().kind() == ErrorKind::kNotFound) {
+  if (removed.has_value()) {
     RemoveJob(job);
   }
 }
 
+awaitable<Result<void>> JobRunner::EndRemovalInDoubt(JobRecord record) {
+  if (!m_offer_records.MayBeRemoved(record.key, record.version)) {
+    co_return Ok();
+  }
+  const JobKey job = record.key;
+  const Result<Document> written =
+      co_await m_offer_records.MarkAccepted(std::move(record));
+  m_gateway.log.Write(
+      "job_removal_in_doubt",
+      {{"job", job.value()},
+       {"accepted", written.has_value()},
+       {"why", written.has_value() ? "" : written.error().message}});
+  if (!written.has_value()) {
+    co_return written.error();
+  }
+  HandleJobDocument(written.value(), "write");
+  // What was read belongs to the version before.
+  co_return Error(ErrorKind::kConflict,
+                  "The job's document has changed. Read the job again.");
+}
+
 awaitable<Result<void>> JobRunner::ReadSavedProgress(JobKey job,
                                                      OpenedJob& opened) {
   const DocumentKind kind(kProgressKind);
@@ -313,7 +337,26 @@
   if (record == nullptr) {
     co_return;
   }
-  const JobDefinition definition = record->definition;
+  const ObjectVersion version = record->version;
+  JobDefinition definition = record->definition;
+  Result<void> removed = co_await RemoveParts(job, std::move(definition));
+  if (removed.has_value()) {
+    const DocumentKind jobs(kJobKind);
+    const DocumentName name = JobName(job);
+    removed = co_await m_store.RemoveAt(jobs, name, version);
+  }
+  m_gateway.log.Write(
+      "job_deleted",
+      {{"job", job.value()},
+       {"removed", removed.has_value()},
+       {"why", removed.has_value() ? "" : removed.error().message}});
+  if (!removed.has_value()) {
+    HandleEvent(JobDeletionFailed{job});
+  }
+}
+
+awaitable<Result<void>> JobRunner::RemoveParts(JobKey job,
+                                               JobDefinition definition) {
   const DocumentKind inputs(kInputKind);
   for (uint32_t i = 0; i < definition.input_segments; ++i) {
     const DocumentName name = InputName(job, definition.digest, i);
--- a/Tests/Gateway/waiting_tokens_test.cc
+++ b/Tests/Gateway/waiting_tokens_test.cc
@@ -169,6 +169,50 @@
   });
 }
 
+// Guards against a removal of an offer that the store carries out after the job
+// was accepted: its client then got 404.
+TEST_CASE("A late removal does not take away a job that fitted meanwhile") {
+  Fixture f(1000);
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    // Both jobs are offered before either is known elsewhere, so the one that
+    // comes second is withdrawn.
+    f.store.delays_removals = true;
+    std::map<std::string, int> statuses;
+    for (size_t i = 0; i < 2; ++i) {
+      boost::asio::co_spawn(
+          f.context,
+          [&, i]() -> awaitable<void> {
+            const std::string job = i == 0 ? "a" : "b";
+            const int status = co_await f.StatusOf(i, job, 6);
+            statuses[job] = status;
+          },
+          boost::asio::detached);
+    }
+    while (statuses.empty()) {
+      co_await f.Sleep(1ms);
+    }
+    const std::string first = statuses.begin()->first;
+    const std::string second = first == "a" ? "b" : "a";
+    REQUIRE(statuses[first] == 202);
+    HttpRequest end = f.Request("DELETE", "/lots/" + first, "end");
+    const auto ended = co_await f.Send(0, std::move(end));
+    REQUIRE(ended.value().status == 200);
+    while (!statuses.contains(second)) {
+      co_await f.Sleep(1ms);
+    }
+    REQUIRE(statuses[second] == 202);
+    f.store.DoLateWrites();
+    CHECK(f.StoredJobs({second}).size() == 1);
+    co_await f.Sleep(300ms);
+    HttpRequest read = f.Request("GET", "/lots/" + second, "read");
+    const auto found = co_await f.Send(1, std::move(read));
+    CHECK(found.value().status == 200);
+  });
+}
+
 TEST_CASE("An offer whose gateway was lost is accepted where it is repeated") {
   Fixture f(1000);
   f.AddKillableGateway();
