Jobs: Items of a split route go to all its services

A first service of weight 0 got all items.

Cause: the batch path took the first service of a split, in four places, where online requests drew one by weight. It stated a rule of the route in its own way.

PartsOf() computes the parts of a split for both paths: by weight, over the services that accept requests in the home regions. ItemServices draws the service of each run of an item; after 2.5 s without a free slot there the item moves to a service that has one. The share of the backlog and the deadline check count by the same parts. Online requests, which were refused when they drew a service without backend servers, use the function too.

JobScheduler::RunningItems() has no caller any more: runs are counted by service.

For a route with one service the parts are as before.

--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -15,6 +15,7 @@
 #include "Base/time.h"
 #include "Fleet/home_regions.h"
 #include "Fleet/request_rate.h"
+#include "Fleet/traffic_split.h"
 
 namespace cowslip {
 
@@ -31,13 +32,6 @@
   kBatch,
 };
 
-/// \class TrafficShare
-/// \brief One service's share of a route's requests.
-struct TrafficShare {
-  ServiceId service;
-  uint32_t weight = 1;
-};
-
 /// \class FleetRoute
 /// \brief Maps requests to services, with the limits and latency targets that
 /// apply to them.
--- a/Source/Gateway/item_run.h
+++ b/Source/Gateway/item_run.h
@@ -55,6 +55,8 @@
   void Stop();
 
   const ItemProgress& progress() const { return m_request.progress; }
+  /// The service of the backend server that is called.
+  const ServiceId& service() const { return m_request.service; }
   /// Whether the backend server has begun to answer.
   bool answer_began() const { return m_response != nullptr; }
   /// The number of whole events that this run has received.
--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -1,6 +1,7 @@
 #include "Gateway/job_acceptance.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -110,10 +111,11 @@
     };
     JobDefinition definition{.id = std::move(id),
                              .organisation = std::move(organisation),
+                             .route = route.id,
                              .submitted = now,
                              .due = after(route.completion_target),
                              .give_up = after(route.retention)};
-    problem = CheckDeadline(definition, route.split.front().service, 1);
+    problem = CheckDeadline(definition, 1);
   }
   if (!problem.has_value()) {
     co_return std::nullopt;
@@ -260,14 +262,18 @@
   }
   if (!problem.has_value()) {
     const auto items = static_cast<uint32_t>(record.definition.items.size());
-    problem = CheckDeadline(record.definition, submission.service, items);
+    problem = CheckDeadline(record.definition, items);
   }
   return problem;
 }
 
 std::optional<Problem> JobAcceptance::CheckDeadline(JobDefinition& definition,
-                                                    const ServiceId& service,
                                                     uint32_t items) {
+  std::vector<ServiceId> services;
+  for (ServicePart& part :
+       m_job_runner.ServicesOf(definition.route, definition.organisation)) {
+    services.push_back(std::move(part.service));
+  }
   std::vector<JobWork> work = UnfinishedWork();
   const auto configuration = m_gateway.configuration;
   std::map<RouteId, bool> serves;
@@ -275,13 +281,17 @@
     const auto [found, is_new] = serves.try_emplace(other.route, false);
     if (is_new && configuration != nullptr) {
       const FleetRoute* route = configuration->FindRoute(other.route);
-      found->second = route != nullptr && route->SplitsTo(service);
+      found->second =
+          route != nullptr && std::any_of(services.begin(), services.end(),
+                                          [&](const ServiceId& service) {
+                                            return route->SplitsTo(service);
+                                          });
     }
     return !found->second;
   });
   const JobDeadlineAction action = m_deadlines.Handle(
       JobDeadlineRequested{
-          .service = service,
+          .services = std::move(services),
           .organisation = definition.organisation,
           .items = items,
           .time_to_due = definition.due - definition.submitted,
@@ -671,13 +681,18 @@
     return;
   }
   bool has_limit = false;
+  std::set<ServiceId> services;
   for (const FleetRoute& route : configuration->routes()) {
     if (route.kind != RequestKind::kBatch || route.split.empty()) {
       continue;
     }
     has_limit |= route.max_waiting_tokens.value_or(0) > 0;
-    const ServiceId& service = route.split.front().service;
-    const PlacementCore& placement = m_gateway.dispatcher.placement_core();
+    for (const TrafficShare& share : route.split) {
+      services.insert(share.service);
+    }
+  }
+  const PlacementCore& placement = m_gateway.dispatcher.placement_core();
+  for (const ServiceId& service : services) {
     m_deadlines.Handle(
         BatchSlotsSampled{
             .service = service,
--- a/Source/Gateway/job_acceptance.h
+++ b/Source/Gateway/job_acceptance.h
@@ -30,7 +30,6 @@
 struct JobSubmission {
   JobRecord record;
   std::vector<JobItem> items;
-  ServiceId service;
   /// 0 means no limit, see FleetRoute::max_waiting_tokens.
   uint64_t max_waiting_tokens = 0;
   MonotonicTime arrived;
@@ -99,7 +98,6 @@
       const OrganisationId& organisation) const;
   /// Sets `spare_slots_only` of a job that fits but would be late.
   std::optional<Problem> CheckDeadline(JobDefinition& definition,
-                                       const ServiceId& service,
                                        uint32_t items);
   /// `record.created` is 0 before the record is written.
   std::optional<Problem> CheckWaitingTokens(const JobSubmission& submission,
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -153,9 +153,6 @@
       .max_waiting_tokens = route.max_waiting_tokens.value_or(0),
       .arrived = arrived,
       .give_up = MonotonicClock::now() + kSubmitTimeout};
-  if (!route.split.empty()) {
-    submission.service = route.split.front().service;
-  }
   JobDefinition& definition = submission.record.definition;
   for (const JobItem& item : items.value()) {
     if (!item.tokens.has_value() && submission.max_waiting_tokens > 0) {
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -1,6 +1,7 @@
 #include "Gateway/job_runner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include <boost/asio/co_spawn.hpp>
@@ -60,6 +61,7 @@
       m_scheduler(scheduler),
       m_options(options),
       m_offer_records(store),
+      m_item_services({.seed = options.seed}),
       m_pass_timer(gateway.io) {}
 
 const ResultLog* JobRunner::FindOpenResults(const JobKey& job) const {
@@ -226,6 +228,7 @@
                                      {"owner", status.owner.value()},
                                      {"ended", m_scheduler.IsEnded(action.job)},
                                      {"finished", status.finished}});
+  m_item_services.Forget(action.job);
   m_open_jobs.erase(action.job);
 }
 
@@ -276,24 +279,25 @@
   for (auto& [key, open] : m_open_jobs) {
     const JobRecord* record = m_scheduler.Find(key);
     if (record != nullptr) {
-      const std::optional<ServiceId> service = ServiceOf(open, *record);
-      if (service.has_value()) {
-        services.insert(*service);
+      for (ServicePart& part : ServicesOfOpenJob(open, *record)) {
+        services.insert(std::move(part.service));
       }
     }
   }
   const PlacementCore& placement = m_gateway.dispatcher.placement_core();
   m_unclaimed_in_pass.clear();
-  bool any_free = false;
+  m_free_in_pass.clear();
   for (const ServiceId& service : services) {
     const bool is_free =
         placement.PlaceBatch({.service = service}, now.monotonic).has_value();
     if (m_unclaimed_slots.Check(service, is_free, now.monotonic)) {
       m_unclaimed_in_pass.insert(service);
     }
-    any_free |= is_free;
+    if (is_free) {
+      m_free_in_pass.insert(service);
+    }
   }
-  return any_free;
+  return !m_free_in_pass.empty();
 }
 
 void JobRunner::PreemptItems(ClockReadings now) {
@@ -322,17 +326,28 @@
   }
 }
 
-std::optional<ServiceId> JobRunner::ServiceOf(OpenedJob& job,
-                                              const JobRecord& record) {
+std::vector<ServicePart> JobRunner::ServicesOf(
+    const RouteId& id,
+    const OrganisationId& organisation) const {
   const auto& configuration = m_gateway.configuration;
   const FleetRoute* route =
-      configuration == nullptr
-          ? nullptr
-          : configuration->FindRoute(record.definition.route);
-  if (route != nullptr && !route->split.empty()) {
+      configuration == nullptr ? nullptr : configuration->FindRoute(id);
+  if (route == nullptr) {
+    return {};
+  }
+  return m_gateway.dispatcher.placement_core().PartsOf(
+      route->split, configuration->HomeRegionsFor(id, organisation));
+}
+
+std::vector<ServicePart> JobRunner::ServicesOfOpenJob(OpenedJob& job,
+                                                      const JobRecord& record) {
+  std::vector<ServicePart> parts =
+      ServicesOf(record.definition.route, record.definition.organisation);
+  if (!parts.empty()) {
     job.route_missing_since.reset();
-    return route->split.front().service;
+    return parts;
   }
+  const auto& configuration = m_gateway.configuration;
   const MonotonicTime now = MonotonicClock::now();
   if (!job.route_missing_since.has_value()) {
     job.route_missing_since = now;
@@ -344,7 +359,26 @@
                          {"route", record.definition.route.value()}});
     HandleEvent(JobRouteRemoved{record.key});
   }
-  return std::nullopt;
+  return parts;
+}
+
+// An item that has begun is resumed where it began, if it can be.
+ServiceId JobRunner::ServiceFor(const RunnableItem& item,
+                                const std::vector<ServicePart>& parts,
+                                const HomeRegions& regions,
+                                MonotonicTime now) {
+  const ItemProgress& progress = *item.progress;
+  const bool resumes_there =
+      progress.last_event > 0 && !progress.service.empty() &&
+      std::any_of(parts.begin(), parts.end(),
+                  [&](const ServicePart& part) {
+                    return part.service == progress.service;
+                  }) &&
+      m_gateway.dispatcher.placement_core().Serves(progress.service,
+                                                   progress.version, regions);
+  return resumes_there ? progress.service
+                       : m_item_services.Choose(item.job, item.item, parts,
+                                                m_free_in_pass, now);
 }
 
 std::optional<SoftwareVersion> JobRunner::VersionToResume(
@@ -371,17 +405,17 @@
 }
 
 std::map<ServiceId, int64_t> JobRunner::ItemsAllowed(ClockReadings now) const {
-  const auto& configuration = m_gateway.configuration;
   std::map<ServiceId, BacklogShareRequest> backlogs;
   std::map<ServiceId, int64_t> running;
-  for (JobWork& work : m_scheduler.UnfinishedWork()) {
-    const FleetRoute* route = configuration == nullptr
-                                  ? nullptr
-                                  : configuration->FindRoute(work.route);
-    if (route != nullptr && !route->split.empty()) {
-      const ServiceId& service = route->split.front().service;
-      running[service] += m_scheduler.RunningItems(work.job);
-      backlogs[service].work.push_back(std::move(work));
+  for (const auto& [key, run] : m_runs) {
+    ++running[run->service()];
+  }
+  for (const JobWork& work : m_scheduler.UnfinishedWork()) {
+    for (const ServicePart& part : ServicesOf(work.route, work.organisation)) {
+      JobWork part_of_work = work;
+      part_of_work.items =
+          static_cast<uint32_t>(std::ceil(work.items * part.part));
+      backlogs[part.service].work.push_back(std::move(part_of_work));
     }
   }
   std::map<ServiceId, int64_t> allowed;
@@ -419,17 +453,22 @@
     if (open == m_open_jobs.end() || record == nullptr) {
       continue;
     }
-    const auto service = ServiceOf(open->second, *record);
+    const std::vector<ServicePart> parts =
+        ServicesOfOpenJob(open->second, *record);
     const auto item = open->second.items.find(runnable.item);
+    if (parts.empty() || item == open->second.items.end()) {
+      continue;
+    }
     const HomeRegions regions = HomeRegionsOf(*record);
-    if (!service.has_value() ||
-        full.contains({*service, std::nullopt, regions}) ||
-        item == open->second.items.end() || allowed[*service] <= 0) {
+    const ServiceId service =
+        ServiceFor(runnable, parts, regions, now.monotonic);
+    if (full.contains({service, std::nullopt, regions}) ||
+        allowed[service] <= 0) {
       continue;
     }
     const std::optional<SoftwareVersion> version =
-        VersionToResume(runnable, *service, regions);
-    if (full.contains({*service, version, regions})) {
+        VersionToResume(runnable, service, regions);
+    if (full.contains({service, version, regions})) {
       continue;
     }
     std::shared_ptr<PromptTrial> trial;
@@ -438,13 +477,14 @@
     }
     std::unique_ptr<AttemptLease> lease =
         m_gateway.dispatcher.PlaceBatch(PlacementQuery{
-            .service = *service, .version = version, .home_regions = regions});
+            .service = service, .version = version, .home_regions = regions});
     if (lease == nullptr) {
-      full.insert({*service, version, regions});
+      full.insert({service, version, regions});
       continue;
     }
     ++started;
-    --allowed[*service];
+    --allowed[service];
+    m_item_services.Forget(runnable.job, runnable.item);
     ItemProgress progress = *runnable.progress;
     HandleEvent(ItemStarted{runnable.job, runnable.item, lease->backend()});
     boost::asio::co_spawn(
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -15,6 +15,7 @@
 #include "Gateway/gateway_context.h"
 #include "Gateway/item_run.h"
 #include "Gateway/offer_records.h"
+#include "Jobs/item_services.h"
 #include "Jobs/job_scheduler.h"
 #include "Jobs/job_types.h"
 #include "Jobs/result_log.h"
@@ -45,6 +46,8 @@
   Duration missing_route_timeout = std::chrono::seconds(3);
   /// How often a blocked prompt part is logged.
   Duration blocked_log_interval = std::chrono::seconds(1);
+  /// Seed of the draws among the services of a split route.
+  uint64_t seed = 0;
 };
 
 /// \class JobRunner
@@ -80,6 +83,10 @@
   /// All results of a job that is open in this process. Null for any other job,
   /// and while another process may know more results.
   const ResultLog* FindOpenResults(const JobKey& job) const;
+  /// The services that run the items of the organisation's jobs on the route,
+  /// with the parts that they get. Empty while the route is missing.
+  std::vector<ServicePart> ServicesOf(const RouteId& route,
+                                      const OrganisationId& organisation) const;
   /// An item of a job that is open in this process, else null.
   const JobItem* FindItem(const JobKey& job, const ItemId& item) const;
 
@@ -157,7 +164,7 @@
 
   void RunPass();
   /// Whether an item of any open job may find a free slot. Finds the services
-  /// with unclaimed slots.
+  /// with free and with unclaimed slots.
   bool FindFreeSlots(ClockReadings now);
   /// The software version that must resume the item; nullopt for an item that
   /// has not begun. An item whose version no longer serves is
@@ -192,9 +199,15 @@
                     uint64_t started_at_ms,
                     bool is_trial);
   void PreemptItems(ClockReadings now);
-  /// The service that runs a job's items; nullopt while the job's route is
-  /// missing.
-  std::optional<ServiceId> ServiceOf(OpenedJob& job, const JobRecord& record);
+  /// As ServicesOf(); gives the job's items up once its route has been missing
+  /// for long.
+  std::vector<ServicePart> ServicesOfOpenJob(OpenedJob& job,
+                                             const JobRecord& record);
+  /// The service of the item's next run, one of `parts`.
+  ServiceId ServiceFor(const RunnableItem& item,
+                       const std::vector<ServicePart>& parts,
+                       const HomeRegions& regions,
+                       MonotonicTime now);
 
   GatewayContext& m_gateway;
   DocumentStore& m_store;
@@ -211,6 +224,9 @@
   /// When items with a blocked prompt part were last logged.
   std::map<PromptPartId, MonotonicTime> m_blocked_logged;
   UnclaimedSlots m_unclaimed_slots{UnclaimedSlotsOptions{}};
+  ItemServices m_item_services;
+  /// The services with a free slot found in the current pass.
+  std::set<ServiceId> m_free_in_pass;
   /// The services with unclaimed slots found in the current pass.
   std::set<ServiceId> m_unclaimed_in_pass;
   boost::asio::steady_timer m_pass_timer;
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -181,23 +181,15 @@
   return std::nullopt;
 }
 
-ServiceId RequestRouter::PickService(const FleetRoute& route) {
-  uint64_t total = 0;
-  for (const TrafficShare& share : route.split) {
-    total += share.weight;
-  }
-  if (total == 0) {
-    return route.split.empty() ? ServiceId() : route.split.front().service;
-  }
-  uint64_t drawn =
-      std::uniform_int_distribution<uint64_t>(0, total - 1)(m_random);
-  for (const TrafficShare& share : route.split) {
-    if (drawn < share.weight) {
-      return share.service;
-    }
-    drawn -= share.weight;
-  }
-  return route.split.back().service;
+ServiceId RequestRouter::PickService(const FleetRoute& route,
+                                     const HomeRegions& home_regions) {
+  const std::vector<ServicePart> parts =
+      m_gateway.dispatcher.placement_core().PartsOf(route.split, home_regions);
+  if (parts.empty()) {
+    return ServiceId();
+  }
+  return ServiceAt(parts,
+                   std::uniform_real_distribution<double>(0, 1)(m_random));
 }
 
 awaitable<void> RequestRouter::HandleOnline(HttpExchange& exchange,
@@ -218,13 +210,14 @@
           : route.home_regions.Intersect(fleet_organisation->home_regions);
   const bool own_priority =
       fleet_organisation != nullptr && fleet_organisation->priority >= 0;
+  ServiceId service = PickService(route, home_regions);
   RelayRequest request{
       .caller = std::move(caller),
       .route = &route,
       .configuration = m_gateway.configuration,
       .organisation = std::move(organisation),
       .priority = own_priority ? fleet_organisation->priority : route.priority,
-      .service = PickService(route),
+      .service = std::move(service),
       .arrived = arrived,
       .home_regions = std::move(home_regions)};
   RelaySession session(m_gateway, exchange, std::move(request));
--- a/Source/Gateway/request_router.h
+++ b/Source/Gateway/request_router.h
@@ -45,7 +45,8 @@
                                       OrganisationId& organisation) const;
   std::optional<Problem> CheckQuota(const CallerRequest& caller,
                                     const OrganisationId& organisation);
-  ServiceId PickService(const FleetRoute& route);
+  ServiceId PickService(const FleetRoute& route,
+                        const HomeRegions& home_regions);
 
   GatewayContext& m_gateway;
   JobHandler& m_job_handler;
--- a/Source/Jobs/job_deadline_core.cc
+++ b/Source/Jobs/job_deadline_core.cc
@@ -57,16 +57,26 @@
 
 JobDeadlineAction JobDeadlineCore::Apply(const JobDeadlineRequested& event,
                                          MonotonicTime) {
-  const auto found = m_slots.find(event.service);
-  if (found == m_slots.end() || event.item_time <= Duration::zero()) {
+  bool is_known = false;
+  double slots = 0;
+  double all_slots = 0;
+  for (const ServiceId& service : event.services) {
+    const auto found = m_slots.find(service);
+    if (found != m_slots.end()) {
+      is_known = true;
+      slots += found->second.slots;
+      all_slots += found->second.all_slots;
+    }
+  }
+  if (!is_known || event.item_time <= Duration::zero()) {
     return JobFits{};
   }
-  if (found->second.all_slots == 0) {
+  if (all_slots == 0) {
     // Nothing is known of the rate.
     return JobFits{.in_time = false};
   }
   const double item_time = ToSeconds(event.item_time);
-  const double rate = found->second.slots / item_time;
+  const double rate = slots / item_time;
   const Backlog in_time = BacklogOf(event, true);
   const double room_in_time =
       rate * ToSeconds(event.time_to_due - event.item_span);
@@ -74,8 +84,7 @@
     return JobFits{.in_time = true};
   }
   const Backlog all = BacklogOf(event, false);
-  const double room =
-      found->second.all_slots / item_time * ToSeconds(event.time_left);
+  const double room = all_slots / item_time * ToSeconds(event.time_left);
   const double excess = Excess(room, all, event.items);
   if (excess <= 0) {
     return JobFits{.in_time = false};
--- a/Source/Jobs/job_deadline_core.h
+++ b/Source/Jobs/job_deadline_core.h
@@ -40,7 +40,8 @@
 };
 /// A job was submitted.
 struct JobDeadlineRequested {
-  ServiceId service;
+  /// The services that may run its items.
+  std::vector<ServiceId> services;
   OrganisationId organisation;
   uint32_t items = 0;
   /// Time until its results are due, and until its unfinished items may be
@@ -51,7 +52,7 @@
   Duration item_time{0};
   Duration item_span{0};
   WallTime now;
-  /// The unfinished jobs of the service.
+  /// The unfinished jobs of these services.
   std::vector<JobWork> work;
 };
 using JobDeadlineEvent = std::variant<BatchSlotsSampled, JobDeadlineRequested>;
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -792,17 +792,6 @@
   m_actions.push_back(DeleteJob{job.record.key});
 }
 
-size_t JobScheduler::RunningItems(const JobKey& key) const {
-  const auto found = m_jobs.find(key);
-  if (found == m_jobs.end()) {
-    return 0;
-  }
-  const auto& items = found->second.items;
-  return std::count_if(items.begin(), items.end(), [](const auto& item) {
-    return item.second.phase == ItemPhase::kRunning;
-  });
-}
-
 std::vector<RunnableItem> JobScheduler::RunnableItems(ClockReadings now) const {
   if (m_stopping) {
     return {};
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -312,8 +312,6 @@
   /// What is left to do of every job that is not over, whoever owns it. Results
   /// that this process has not heard of count as left to do.
   std::vector<JobWork> UnfinishedWork() const;
-  /// The items of the job that this process runs.
-  size_t RunningItems(const JobKey& job) const;
   /// Whether this process is about to accept or withdraw the job.
   bool IsOffered(const JobKey& job) const { return m_offers.contains(job); }
   const VmId& self() const { return m_options.self; }
--- a/Source/Placement/placement_core.cc
+++ b/Source/Placement/placement_core.cc
@@ -291,14 +291,24 @@
   m_evacuated_zones = event.zones;
 }
 
-bool PlacementCore::AcceptsAny(const ServiceId& service) const {
+bool PlacementCore::AcceptsAny(const ServiceId& service,
+                               const HomeRegions& home_regions) const {
   return std::any_of(
       m_backends.begin(), m_backends.end(), [&](const auto& entry) {
         const BackendRecord& record = entry.second.record;
-        return record.service == service && AcceptsRequests(record);
+        return record.service == service && IsInRegions(record, home_regions) &&
+               AcceptsRequests(record);
       });
 }
 
+std::vector<ServicePart> PlacementCore::PartsOf(
+    const std::vector<TrafficShare>& split,
+    const HomeRegions& home_regions) const {
+  return cowslip::PartsOf(split, [&](const ServiceId& service) {
+    return AcceptsAny(service, home_regions);
+  });
+}
+
 size_t PlacementCore::CountInZone(const ZoneId& zone) const {
   return static_cast<size_t>(std::count_if(
       m_backends.begin(), m_backends.end(),
--- a/Source/Placement/placement_core.h
+++ b/Source/Placement/placement_core.h
@@ -16,6 +16,7 @@
 #include "Base/work_class.h"
 #include "Fleet/backend_record.h"
 #include "Fleet/home_regions.h"
+#include "Fleet/traffic_split.h"
 #include "Peers/peer_message.h"
 #include "Placement/cold_backend_core.h"
 #include "Placement/rate_shares.h"
@@ -260,11 +261,17 @@
   bool Serves(const ServiceId& service,
               const SoftwareVersion& version,
               const HomeRegions& home_regions = HomeRegions()) const;
-  /// Whether any backend server of the service accepts new requests.
-  bool AcceptsAny(const ServiceId& service) const;
+  /// Whether any backend server of the service in these regions accepts new
+  /// requests.
+  bool AcceptsAny(const ServiceId& service,
+                  const HomeRegions& home_regions = HomeRegions()) const;
   bool IsEvacuated(const ZoneId& zone) const {
     return m_evacuated_zones.contains(zone);
   }
+  /// The parts of a route's requests, with the services that accept some in
+  /// these regions. See cowslip::PartsOf().
+  std::vector<ServicePart> PartsOf(const std::vector<TrafficShare>& split,
+                                   const HomeRegions& home_regions) const;
   /// The backend servers in the zone, whether they accept requests or not.
   size_t CountInZone(const ZoneId& zone) const;
   size_t backend_count() const { return m_backends.size(); }
--- a/Tests/Jobs/overload_replay_test.cc
+++ b/Tests/Jobs/overload_replay_test.cc
@@ -130,7 +130,7 @@
     m_outcome.submitted_by[organisation] += kItems;
     m_exact_queue.insert(m_exact_queue.end(), kItems, now);
     const auto action = gateway.deadlines.Handle(
-        JobDeadlineRequested{.service = kService,
+        JobDeadlineRequested{.services = {kService},
                              .organisation = OrganisationId(organisation),
                              .items = kItems,
                              .time_to_due = kTarget,
