Net: No head holds the text of a caller unchecked

An item with a header of 70 kB threw in its run and stayed running for ever.

Cause: items arrive as JSON, whose strings hold any character, and Beast's serializer writes what it is given.

Net/http_head says what a head may hold. A submission with other text gets 400, which names the item and the field. HttpClient checks each head before it connects, and HttpServer leaves a header with such text out, so that no caller of that code can write a control character. An item that an earlier release accepted is given up.

--- a/Source/Gateway/item_run.cc
+++ b/Source/Gateway/item_run.cc
@@ -114,6 +114,11 @@
       std::move(request), timeout, m_abort, std::move(tag), PeerCheck::kNeeded);
   EndRead();
   if (!opened.has_value()) {
+    if (opened.error().kind() == ErrorKind::kInvalidArgument) {
+      // Submitted under an earlier release that accepted it.
+      m_failure_reason = opened.error().message;
+      co_return ItemRunOutcome::kUnprocessable;
+    }
     if (opened.error().kind() == ErrorKind::kUnavailable && !m_stopped) {
       m_withheld = lease.was_withheld();
       m_unverified = m_abort->check_failed();
--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -599,6 +599,9 @@
   if (outcome == ItemRunOutcome::kNotRun && run.was_unverified()) {
     return;
   }
+  if (outcome == ItemRunOutcome::kUnprocessable && !run.answer_began()) {
+    return;
+  }
   if (outcome == ItemRunOutcome::kNotRun && !run.answer_began()) {
     suspects.Handle(BackendRefusedConnection{backend, started_at_ms}, now);
   } else if (run.broke_off()) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -552,6 +552,9 @@
   }
   if (!opened.has_value()) {
     const Error& error = opened.error();
+    if (error.kind() == ErrorKind::kInvalidArgument) {
+      co_return EndAttemptNotRun(AttemptOutcome::kCancelled, error.message);
+    }
     if (error.kind() == ErrorKind::kUnavailable) {
       RecordRefusedConnection(lease);
       co_return EndAttemptNotRun(lease.was_withheld()
--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -12,6 +12,7 @@
 
 #include "Net/beast.h"
 #include "Net/connection_check.h"
+#include "Net/http_head.h"
 
 namespace cowslip {
 
@@ -147,6 +148,7 @@
                "The call was given up before the request was sent.");
 }
 
+// Beast writes what it is given, so the head must have been checked.
 http::request<http::string_body> ToBeast(HttpRequest request,
                                          const Endpoint& endpoint) {
   http::request<http::string_body> message;
@@ -307,6 +309,10 @@
   const AbortBinding binding(abort, connection);
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
+  const Result<void> checked = CheckRequestHead(check.request);
+  if (!checked.has_value()) {
+    co_return checked.error();
+  }
   const auto message = ToBeast(check.request, m_endpoint);
   connection.stream.expires_after(timeout);
   http::request_serializer<http::string_body> serializer(message);
@@ -465,6 +471,10 @@
     RequestTag tag,
     PeerCheck check) {
   const auto impl = m_impl;
+  const Result<void> head = CheckRequestHead(request);
+  if (!head.has_value()) {
+    co_return head.error();
+  }
   const bool is_checked =
       check == PeerCheck::kNeeded && impl->options().check != nullptr;
   const MonotonicTime began = MonotonicClock::now();
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -127,7 +127,8 @@
 /// \class HttpClient
 /// \brief Sends HTTP/1.1 requests to one endpoint over persistent connections.
 ///
-/// Errors: kUnavailable when no byte of the request can have reached the
+/// Errors: kInvalidArgument when no head can carry the request, see
+/// CheckRequestHead(); kUnavailable when no byte of it can have reached the
 /// server; kInDoubt when some may have; kTimeout when the timeout passed after
 /// sending began. The client never sends a request twice. An idle connection
 /// that is found closed before anything was written is replaced by another.
--- a/Source/Net/http_server.cc
+++ b/Source/Net/http_server.cc
@@ -12,6 +12,7 @@
 #include "Base/log.h"
 #include "Net/beast.h"
 #include "Net/http_exchange.h"
+#include "Net/http_head.h"
 #include "Net/http_refusals.h"
 
 namespace cowslip {
@@ -572,7 +573,14 @@
 void HttpServer::Impl::Connection::SetFields(Message& message,
                                              const HttpHeaders& headers) {
   for (const HttpHeader& header : headers) {
-    message.insert(header.name, header.value);
+    // Beast writes what it is given.
+    const Result<void> checked = CheckHeader(header);
+    if (checked.has_value()) {
+      message.insert(header.name, header.value);
+    } else {
+      LOG(ERROR) << "http: A header was left out of a response. "
+                 << checked.error().message;
+    }
   }
   if (m_server->m_draining) {
     CloseAfterLastRequest();
--- a/Tests/PlatformAdapter/messages_test.cc
+++ b/Tests/PlatformAdapter/messages_test.cc
@@ -173,6 +173,29 @@
   }
 }
 
+// Guards against items that smuggle requests to a backend server: JSON strings
+// may hold line breaks, which end a header or a request line.
+TEST_CASE("An item whose text no request head can carry is rejected") {
+  const std::pair<const char*, const char*> cases[] = {
+      {R"({"id":"a\r\nTenant: x","path":"/p"})", "id"},
+      {R"({"id":"a","path":"/p HTTP/1.1\r\nTenant: x"})", "path"},
+      {R"({"id":"a","path":"/p q"})", "path"},
+      {R"({"id":"a","path":"/p\u0000"})", "path"},
+      {R"({"id":"a","path":"/p","headers":{"X":"1\r\nTenant: x"}})", "`X`"},
+      {R"({"id":"a","path":"/p","headers":{"X":"1\nTenant: x"}})", "`X`"},
+      {R"({"id":"a","path":"/p","headers":{"X: 1\r\nTenant":"x"}})", "name"},
+      {R"({"id":"a","path":"/p","headers":{"Tenant ":"x"}})", "name"},
+      {R"({"id":"a","path":"/p","headers":{"":"x"}})", "name"}};
+  for (const auto& [item, word] : cases) {
+    const auto items = platform::DecodeSubmission(
+        R"({"items":[{"id":"first","path":"/p"},)" + std::string(item) + "]}");
+    REQUIRE_FALSE(items.has_value());
+    INFO(items.error().message);
+    CHECK(items.error().message.find("Item 1") != std::string::npos);
+    CHECK(items.error().message.find(word) != std::string::npos);
+  }
+}
+
 TEST_CASE("The tokens of an item are a whole number, or not stated") {
   const auto decode = [](const std::string& tokens) {
     return platform::DecodeSubmission(
