Gateway: Begin no run that the end of the process would cut off

Cause: a stopping gateway passed on each request that it had read until its answers were due, whatever time was left for the run.

RunTimeRecord keeps the longest recent run of each route. A request that comes after the load balancer has removed this VM, or gets its slot then, is begun only if such a run or its own deadline ends before the answers are due; otherwise it gets 503 at once, and another VM serves it.

Evidence: "A request whose run would not end before the exit is not begun" (gateway.shutdown) failed on: four of four requests were passed on, the streams were cut.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -21,6 +21,7 @@
 class GatewayMetrics;
 class QuotaCore;
 class RouteHistory;
+class RunTimeRecord;
 class ShutdownNotice;
 class StartupGate;
 class StreamOriginDirectory;
@@ -38,6 +39,8 @@
   StreamOriginDirectory& stream_origins;
   VersionHistory& version_history;
   RouteHistory& route_history;
+  /// Of online requests.
+  RunTimeRecord& run_times;
   EventLog& log;
   GatewayMetrics& metrics;
   StartupGate& startup_gate;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -120,6 +120,7 @@
                 .stream_origins = m_stream_origins,
                 .version_history = m_version_history,
                 .route_history = m_route_history,
+                .run_times = m_run_times,
                 .log = m_log,
                 .metrics = m_metrics,
                 .startup_gate = m_startup_gate,
@@ -575,7 +576,8 @@
   m_log.Write("shutdown_began",
               {{"active_requests", m_caller_server->active_requests()}});
   m_caller_server->DisableKeepAlive();
-  m_shutdown_notice.SetDue(AnswersDue());
+  m_shutdown_notice.SetDue(m_shutdown_start + kBalancerRemovalTime,
+                           AnswersDue());
   m_job_runner.HandleEvent(SchedulerStopping{});
   m_gossip->StateChanged();
 }
@@ -598,7 +600,8 @@
 
 void GatewayDaemon::ContinueShutdown() {
   // A reload may have changed the grace time.
-  m_shutdown_notice.SetDue(AnswersDue());
+  m_shutdown_notice.SetDue(m_shutdown_start + kBalancerRemovalTime,
+                           AnswersDue());
   if (MonotonicClock::now() >= AnswersDue()) {
     EndRequests();
   }
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -12,6 +12,7 @@
 #include "Gateway/problem_response.h"
 #include "Gateway/prompt_trial.h"
 #include "Gateway/response_classification.h"
+#include "Gateway/run_time_record.h"
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/stream_end.h"
 #include "Gateway/stream_move.h"
@@ -177,6 +178,10 @@
     if (!MaySendRequest() || !MaySendPrompt()) {
       break;
     }
+    if (IsTooLateToBegin()) {
+      co_await RejectLateRequest();
+      co_return;
+    }
     OnlinePlacementRequest placement{
         .service = m_request.service,
         .shared_prompt = m_request.caller.shared_prompt,
@@ -220,6 +225,11 @@
       co_return;
     }
     auto lease = std::move(std::get<std::unique_ptr<AttemptLease>>(placed));
+    if (IsTooLateToBegin()) {
+      lease.reset();
+      co_await RejectLateRequest();
+      co_return;
+    }
     // Backend servers may have crashed while the request waited.
     if ((m_trial == nullptr && !MaySendPrompt()) || !BeginTrial()) {
       break;
@@ -244,6 +254,26 @@
   co_await FinishWithFailure();
 }
 
+bool RelaySession::IsTooLateToBegin() const {
+  const bool may_have_run = m_in_doubt_attempts > 0 || m_head_sent;
+  const MonotonicTime now = MonotonicClock::now();
+  return !may_have_run &&
+         m_gateway.shutdown_notice.IsTooLate(
+             m_deadline, m_gateway.run_times.Longest(m_request.route->id, now),
+             now);
+}
+
+// Other VMs can serve the request at once, so there is no Retry-After.
+awaitable<void> RelaySession::RejectLateRequest() {
+  m_last_failure = "this gateway shuts down";
+  Problem problem{.kind = ProblemKind::kNotReady,
+                  .detail =
+                      "This VM shuts down before the request could be "
+                      "completed. Send it to another one.",
+                  .not_run = true};
+  co_await RespondWithProblem(std::move(problem));
+}
+
 // Ends a request for which no complete response comes from a backend server.
 awaitable<void> RelaySession::FinishWithFailure() {
   m_deadline_timer.cancel();
@@ -811,6 +841,7 @@
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.dispatcher.HandleEvent(
       SlotTimeMeasured{lease.backend(), now - m_attempt->start()});
+  m_gateway.run_times.Add(m_request.route->id, now - m_attempt->start(), now);
   if (m_attempt_event_count > 1) {
     m_gateway.dispatcher.HandleEvent(EventIntervalMeasured{
         lease.backend(),
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -139,6 +139,10 @@
   void LogStall(const StallNote& note);
   /// Whether the request is suspected of crashing backend servers.
   bool IsBlocked();
+  /// Whether the request has not been sent to a backend server yet, and this
+  /// process ends before its run would.
+  bool IsTooLateToBegin() const;
+  boost::asio::awaitable<void> RejectLateRequest();
   /// Whether the request may be sent, or is held back because it is suspected
   /// of crashing backend servers. If it is held back, the time until it may be
   /// tried is kept in `m_blocked_for`.
--- a/Source/Gateway/shutdown_notice.cc
+++ b/Source/Gateway/shutdown_notice.cc
@@ -21,6 +21,16 @@
   return m_due.has_value() ? std::min(deadline, *m_due) : deadline;
 }
 
+bool ShutdownNotice::IsTooLate(MonotonicTime deadline,
+                               std::optional<Duration> run_time,
+                               MonotonicTime now) const {
+  if (!m_due.has_value() || now < m_late_from || deadline <= *m_due) {
+    return false;
+  }
+  const Duration needed = run_time.value_or((*m_due - m_late_from) / 2);
+  return *m_due - now < needed;
+}
+
 ShutdownNotice::Registration ShutdownNotice::OnExpired(
     std::function<void()> callback) {
   m_callbacks->emplace(++m_last_number, std::move(callback));
--- a/Source/Gateway/shutdown_notice.h
+++ b/Source/Gateway/shutdown_notice.h
@@ -35,8 +35,20 @@
     const uint64_t m_number;
   };
 
-  /// A shutdown has begun, or its end has been moved.
-  void SetDue(MonotonicTime due) { m_due = due; }
+  /// A shutdown has begun, or its end has been moved. Requests that come from
+  /// `late_from` on are late.
+  void SetDue(MonotonicTime late_from, MonotonicTime due) {
+    m_late_from = late_from;
+    m_due = due;
+  }
+  /// Whether a request that has not been sent to a backend server would be cut
+  /// off there: it is late, and neither its deadline nor `run_time`, nullopt
+  /// if nothing is known of it, ends before the process has to answer. Without
+  /// a known time, a request may begin in the first half of the time that late
+  /// requests have.
+  bool IsTooLate(MonotonicTime deadline,
+                 std::optional<Duration> run_time,
+                 MonotonicTime now) const;
   /// Calls back all requests in progress: their time is up.
   void Expire();
   bool expired() const { return m_expired; }
@@ -52,6 +64,7 @@
 
  private:
   std::optional<MonotonicTime> m_due;
+  MonotonicTime m_late_from;
   bool m_expired = false;
   uint64_t m_last_number = 0;
   const std::shared_ptr<Callbacks> m_callbacks = std::make_shared<Callbacks>();
--- a/Tests/Gateway/shutdown_test.cc
+++ b/Tests/Gateway/shutdown_test.cc
@@ -172,6 +172,49 @@
   CHECK_THAT(client->Received(), Catch::Contains("\"not_run\":true"));
 }
 
+// Guards against requests that come late in the grace time, are passed on and
+// are cut off in the middle of their run.
+TEST_CASE("A request whose run would not end before the exit is not begun") {
+  StoppingGateway gateway(1);
+  gateway.f.backend(0).behaviour() = {.events = 150, .pause = 20ms};
+  std::map<std::string, std::unique_ptr<Client>> clients;
+  gateway.Run([&]() -> awaitable<void> {
+    for (const char* route : {"once", "unsafe", "safe", "stream"}) {
+      const std::string request =
+          RawRequest("POST", "/" + std::string(route) + "/x", route, "body");
+      auto& client = clients[route];
+      client = std::make_unique<Client>(gateway.port());
+      client->Send(request.substr(0, request.size() - 1));
+      gateway.At(5500ms, [&client, request] {
+        client->Send(request.substr(request.size() - 1));
+      });
+    }
+    co_return;
+  });
+  CHECK(gateway.f.RequestsAt(0) == 0);
+  for (const auto& [route, client] : clients) {
+    INFO(route);
+    CHECK(client->Status() == "HTTP/1.1 503 Service Unavailable");
+    CHECK_THAT(client->Received(), Catch::Contains("\"not_run\":true"));
+  }
+}
+
+TEST_CASE("A late request is served if the runs of its route are short") {
+  StoppingGateway gateway(1);
+  std::unique_ptr<Client> client;
+  const std::string request = RawRequest("POST", "/unsafe/x", "late", "body");
+  gateway.Run([&]() -> awaitable<void> {
+    HttpRequest before = GatewayFixture::Request("POST", "/unsafe/x", "before");
+    const auto response = co_await gateway.f.Send(0, std::move(before));
+    REQUIRE(response.has_value());
+    client = std::make_unique<Client>(gateway.port());
+    client->Send(request.substr(0, request.size() - 1));
+    gateway.At(5500ms,
+               [&] { client->Send(request.substr(request.size() - 1)); });
+  });
+  CHECK(client->Status() == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("A request that waits for a slot gets 503 before the exit") {
   StoppingGateway gateway(1, 4s);
   gateway.f.backend(0).behaviour().pause = 20s;
