Jobs: A job's key tells clients apart whatever ids they choose

A client could read, end or replace a job of another organisation whose name ends like its own: the key joined id and organisation by a dot, so that job `a.b` of `c` and job `a` of `b.c` were one. A slash in an id led to another path of the store.

Ids of letters and digits have the keys that they had.

--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -97,11 +97,12 @@
                                    OrganisationId organisation) {
   const MonotonicTime arrived = MonotonicClock::now();
   HttpResponse response;
-  if (exchange.request().method != "POST" || caller.attempt.empty()) {
-    response =
-        ProblemResponse(Problem{.kind = ProblemKind::kBadRequest,
-                                .detail = "Submit a job by POST, with its id.",
-                                .not_run = true});
+  if (exchange.request().method != "POST" ||
+      !platform::IsJobId(caller.attempt.value())) {
+    response = ProblemResponse(
+        Problem{.kind = ProblemKind::kBadRequest,
+                .detail = "Submit a job by POST, with an id that has no slash.",
+                .not_run = true});
   } else {
     JobId id(caller.attempt.value());
     std::optional<HttpResponse> rejected =
--- a/Source/Jobs/job_documents.cc
+++ b/Source/Jobs/job_documents.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Base/base64.h"
+#include "Net/percent_encoding.h"
 
 namespace cowslip {
 
@@ -131,8 +132,18 @@
 
 }  // namespace
 
+// The first dot ends the id, so that no two clients' jobs have the same key,
+// whatever ids they choose.
 JobKey JobKeyFor(const JobId& id, const OrganisationId& organisation) {
-  return JobKey(id.value() + "." + organisation.value());
+  std::string key;
+  for (const char c : PercentEncodeSegment(id.value())) {
+    if (c == '.') {
+      key += "%2E";
+    } else {
+      key += c;
+    }
+  }
+  return JobKey(key + "." + organisation.value());
 }
 
 DocumentName JobName(const JobKey& key) {
--- a/Source/Net/percent_encoding.cc
+++ b/Source/Net/percent_encoding.cc
@@ -39,6 +39,18 @@
   return encoded;
 }
 
+std::string PercentEncodeSegment(std::string_view text) {
+  std::string encoded;
+  for (const char c : PercentEncode(text)) {
+    if (c == '/') {
+      encoded += "%2F";
+    } else {
+      encoded += c;
+    }
+  }
+  return encoded;
+}
+
 std::string PercentDecode(std::string_view text) {
   std::string decoded;
   for (size_t i = 0; i < text.size(); ++i) {
--- a/Source/Net/percent_encoding.h
+++ b/Source/Net/percent_encoding.h
@@ -10,6 +10,10 @@
 /// slash, so that the result can be used as a path and as a query value.
 std::string PercentEncode(std::string_view text);
 
+/// As above, with the slash encoded too, so that the result is one segment of a
+/// path.
+std::string PercentEncodeSegment(std::string_view text);
+
 /// Decodes percent-encoded text. Malformed escapes are copied unchanged.
 std::string PercentDecode(std::string_view text);
 
--- a/Tests/Jobs/job_documents_test.cc
+++ b/Tests/Jobs/job_documents_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
@@ -22,6 +24,28 @@
           .accepted_incarnation = Incarnation(77)};
 }
 
+// Guards against clients that read, end or replace jobs of another organisation
+// under an id of their choice.
+TEST_CASE("Jobs of different clients never have the same key") {
+  CHECK(JobKeyFor(JobId("7c41e09b52d6a3f8"), OrganisationId("mill")) ==
+        JobKey("7c41e09b52d6a3f8.mill"));
+  CHECK(JobKeyFor(JobId("a.b"), OrganisationId("c")) !=
+        JobKeyFor(JobId("a"), OrganisationId("b.c")));
+  rc::check([](const std::string& id, const std::string& organisation,
+               const std::string& other_id,
+               const std::string& other_organisation) {
+    const JobKey key = JobKeyFor(JobId(id), OrganisationId(organisation));
+    RC_ASSERT((key == JobKeyFor(JobId(other_id),
+                                OrganisationId(other_organisation))) ==
+              (id == other_id && organisation == other_organisation));
+    // Only the organisation's name comes from the operators.
+    const std::string of_client = key.value().substr(0, key.value().find('.'));
+    RC_ASSERT(std::all_of(of_client.begin(), of_client.end(), [](char c) {
+      return c > ' ' && c <= '~' && c != '/';
+    }));
+  });
+}
+
 TEST_CASE("A job without a status belongs to the process that accepted it") {
   const Document document{.name = DocumentName("j1.mill"),
                           .version = ObjectVersion(5),
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -60,6 +60,29 @@
   }
 };
 
+// Guards against names that lead to the path of another document.
+TEST_CASE("A name with a slash is one segment of the store's paths") {
+  Fixture f;
+  f.Run([&]() -> awaitable<void> {
+    f.store.Put("things", "a", {{"x", 1}});
+    const DocumentName name("a/status");
+    nlohmann::json first = {{"x", 2}};
+    const auto created =
+        co_await f.client->Create(kKind, name, std::move(first));
+    REQUIRE(created.has_value());
+    const auto read = co_await f.client->Get(kKind, name);
+    REQUIRE(read.has_value());
+    CHECK(read.value().content["x"] == 2);
+    nlohmann::json content = {{"x", 3}};
+    const ObjectVersion version = read.value().version;
+    const auto replaced =
+        co_await f.client->Replace(kKind, name, std::move(content), version);
+    CHECK(replaced.has_value());
+    CHECK(f.store.Find("things", "a")->content["x"] == 1);
+    CHECK(f.store.Find("things", "a")->status.is_null());
+  });
+}
+
 TEST_CASE("Documents are created, read, replaced and removed") {
   Fixture f;
   f.Run([&]() -> awaitable<void> {
