Jobs: Delete a job's record last, and only after sure removals

A removal that the store carries out late could take the documents of a later job with the same id. The record was removed although other removals were in doubt, and it was removed whatever its version. A deletion that failed was never repeated.

JobDeletionFailed repeats the deletion after 30 s, longer than a late write takes.

--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -151,6 +151,10 @@
   boost::asio::awaitable<Result<void>> ReadSavedProgress(JobKey job,
                                                          OpenedJob& opened);
   boost::asio::awaitable<void> Delete(JobKey job);
+  /// Removes the job's documents apart from its record. Errors: those of the
+  /// first removal that did not complete.
+  boost::asio::awaitable<Result<void>> RemoveParts(JobKey job,
+                                                   JobDefinition definition);
   boost::asio::awaitable<void> RunItem(RunKey key,
                                        ItemProgress progress,
                                        uint32_t in_doubt_runs,
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -332,6 +332,9 @@
                       {{"job", job.value()}, {"why", written.error().message}});
 }
 
+// The record is removed last, and only once all other removals are certain:
+// while it exists, nobody can submit a job with its id, whose documents a
+// removal that is carried out late would take away.
 awaitable<void> JobRunner::Delete(JobKey job) {
   const JobRecord* record = m_scheduler.Find(job);
   if (record == nullptr) {
@@ -360,7 +363,11 @@
   const DocumentKind inputs(kInputKind);
   for (uint32_t i = 0; i < definition.input_segments; ++i) {
     const DocumentName name = InputName(job, definition.digest, i);
-    (void)co_await m_store.Remove(inputs, name);
+    const Result<void> removed = co_await m_store.Remove(inputs, name);
+    if (!removed.has_value() &&
+        removed.error().kind() != ErrorKind::kNotFound) {
+      co_return removed;
+    }
   }
   const DocumentKind results(kResultKind);
   Result<void> removed = Ok();
@@ -368,14 +375,16 @@
     const DocumentName name = ResultName(job, i);
     removed = co_await m_store.Remove(results, name);
   }
+  if (removed.error().kind() != ErrorKind::kNotFound) {
+    co_return removed;
+  }
   const DocumentKind progress(kProgressKind);
-  const DocumentName progress_name = ProgressName(job);
-  (void)co_await m_store.Remove(progress, progress_name);
-  const DocumentKind jobs(kJobKind);
-  const DocumentName name = JobName(job);
-  removed = co_await m_store.Remove(jobs, name);
-  m_gateway.log.Write("job_deleted",
-                      {{"job", job.value()}, {"removed", removed.has_value()}});
+  const DocumentName name = ProgressName(job);
+  removed = co_await m_store.Remove(progress, name);
+  if (!removed.has_value() && removed.error().kind() != ErrorKind::kNotFound) {
+    co_return removed;
+  }
+  co_return Ok();
 }
 
 }  // namespace cowslip
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -718,6 +718,14 @@
   }
 }
 
+void JobScheduler::Apply(const JobDeletionFailed& event, ClockReadings now) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr) {
+    job->delete_requested = false;
+    job->next_delete_at = now.monotonic + m_options.deletion_retry_delay;
+  }
+}
+
 void JobScheduler::Apply(const JobRouteRemoved& event, ClockReadings now) {
   Job* job = FindJob(event.job);
   if (job == nullptr || job->ownership != Ownership::kOpen) {
@@ -784,7 +792,8 @@
                definition.submitted +
                    std::chrono::duration_cast<std::chrono::milliseconds>(
                        m_options.retention));
-  if (job.delete_requested || !IsOver(job) || now.wall < expires ||
+  if (job.delete_requested || now.monotonic < job.next_delete_at ||
+      !IsOver(job) || now.wall < expires ||
       !IsAmongFirst(job, m_peers.LiveProcesses(), 1)) {
     return;
   }
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -70,6 +70,10 @@
   size_t max_reported_progress = 64;
   /// Finished jobs are deleted this long after they were submitted.
   Duration retention = std::chrono::seconds(180);
+  /// The delay before a deletion that did not complete is repeated: longer than
+  /// the store may take to carry out a removal without a response, which is
+  /// some seconds.
+  Duration deletion_retry_delay = std::chrono::seconds(30);
 };
 
 /// A job was created or changed in the store.
@@ -181,6 +185,10 @@
 struct HandBackEnded {
   JobKey job;
 };
+/// The job's documents could not be deleted, or may not have been.
+struct JobDeletionFailed {
+  JobKey job;
+};
 /// The job's route was removed from the current configuration.
 struct JobRouteRemoved {
   JobKey job;
@@ -207,6 +215,7 @@
                                        ResultsNotWritten,
                                        ProgressSaved,
                                        HandBackEnded,
+                                       JobDeletionFailed,
                                        JobRouteRemoved,
                                        SchedulerTick>;
 
@@ -250,7 +259,7 @@
 struct CloseJob {
   JobKey job;
 };
-/// Delete the job's documents.
+/// Delete the job's documents; JobRemoved or JobDeletionFailed follows.
 struct DeleteJob {
   JobKey job;
 };
@@ -369,6 +378,7 @@
     bool handed_back = false;
     bool handing_back = false;
     bool delete_requested = false;
+    MonotonicTime next_delete_at;
     /// Events received by interrupted items since the last save, the earliest
     /// time of the next save, and whether a save is in progress.
     uint64_t unsaved_events = 0;
@@ -399,6 +409,7 @@
   void Apply(const ResultsNotWritten& event, ClockReadings now);
   void Apply(const ProgressSaved& event, ClockReadings now);
   void Apply(const HandBackEnded& event, ClockReadings now);
+  void Apply(const JobDeletionFailed& event, ClockReadings now);
   void Apply(const JobRouteRemoved& event, ClockReadings now);
   void Apply(const SchedulerTick&, ClockReadings now);
 
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -150,6 +150,28 @@
   CHECK(f.Status().ended);
 }
 
+// Guards against a removal that the store carries out late, when another job
+// has the id: the record keeps the id in use until then.
+TEST_CASE("A job's record stays until its other documents are surely gone") {
+  Fixture f;
+  f.OpenJob();
+  JobDefinition old = DecodeJob(f.Job())->definition;
+  old.submitted -= 200s;
+  old.give_up -= 200s;
+  JobStatus finished = f.Status();
+  finished.finished = true;
+  f.store.Put(kJobKind, kJob.value(), EncodeDefinition(old));
+  f.PutStatus(finished);
+  f.runner.HandleJobDocument(f.Job(), "watch");
+  f.store.delays_removals = true;
+  f.runner.Tick();
+  f.Poll();
+  REQUIRE(f.store.Find(kJobKind, kJob.value()) != nullptr);
+  f.store.DoLateWrites();
+  f.store.delays_removals = false;
+  CHECK(f.store.Find(kJobKind, kJob.value()) != nullptr);
+}
+
 TEST_CASE("A hand-back keeps the output of items out of the job's record") {
   Fixture f;
   f.OpenJob();
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -586,5 +586,20 @@
   CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 182s)) == nullptr);
 }
 
+// Guards against documents of a job that stay in the store for ever, and
+// against a second removal while the first one may still be carried out.
+TEST_CASE("A deletion that failed is repeated after the time of late writes") {
+  Fixture f;
+  JobRecord record = Record("j", "vm1", 1);
+  record.status.finished = true;
+  f.Handle(JobUpdated{record}, 0s);
+  f.MakePeerSilent(199s);
+  CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 200s)) != nullptr);
+  CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 201s)) == nullptr);
+  f.Handle(JobDeletionFailed{record.key}, 202s);
+  CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 231s)) == nullptr);
+  CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 233s)) != nullptr);
+}
+
 }  // namespace
 }  // namespace cowslip
