Gateway: No promise for the end of a job in doubt

The end of a job whose write had no response got 503 when the record could not be read afterwards. 503 promises that nothing was done, and the write could still end the job.

--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -368,11 +368,13 @@
   const DocumentKind kind(kJobKind);
   const DocumentName name = JobName(key);
   Result<JobRecord> record = co_await FindJob(key);
+  // A write without a response may still end the job.
+  bool in_doubt = false;
   for (int i = 0; i < kMaxEndJobAttempts; ++i) {
     if (!record.has_value()) {
       co_return record.error().kind() == ErrorKind::kNotFound
           ? NoSuchJobResponse()
-          : UnavailableResponse(record.error());
+          : EndNotConfirmedResponse(record.error(), in_doubt);
     }
     if (record.value().status.ended) {
       co_return AcknowledgeEnd(key);
@@ -389,20 +391,33 @@
       co_return AcknowledgeEnd(key);
     }
     if (written.error().kind() == ErrorKind::kUnavailable) {
-      co_return UnavailableResponse(written.error());
+      co_return EndNotConfirmedResponse(written.error(), in_doubt);
     }
+    in_doubt |= written.error().kind() == ErrorKind::kInDoubt;
     // Another process has written the record, or this write had no response.
     const Result<Document> now = co_await m_store.Get(kind, name);
     if (!now.has_value()) {
       co_return now.error().kind() == ErrorKind::kNotFound
           ? NoSuchJobResponse()
-          : UnavailableResponse(now.error());
+          : EndNotConfirmedResponse(now.error(), in_doubt);
     }
     m_job_runner.HandleJobDocument(now.value(), "read");
     record = co_await FindJob(key);
   }
-  co_return UnavailableResponse(
-      Error(ErrorKind::kUnavailable, "the job's record changes too often"));
+  co_return EndNotConfirmedResponse(
+      Error(ErrorKind::kUnavailable, "the job's record changes too often"),
+      in_doubt);
+}
+
+HttpResponse JobHandler::EndNotConfirmedResponse(const Error& error,
+                                                 bool in_doubt) const {
+  if (!in_doubt) {
+    return UnavailableResponse(error);
+  }
+  return ProblemResponse(
+      Problem{.kind = ProblemKind::kDeadlinePassed,
+              .detail = "The job may have been ended. Send the call again: " +
+                        error.message});
 }
 
 }  // namespace cowslip
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -81,6 +81,8 @@
   /// memory, but never `in_use`, whose results are about to be read.
   void EvictResultReaders(const ResultReader& in_use);
   HttpResponse UnavailableResponse(const Error& error) const;
+  /// `in_doubt` tells whether the job may end nevertheless.
+  HttpResponse EndNotConfirmedResponse(const Error& error, bool in_doubt) const;
   HttpResponse AcknowledgeEnd(const JobKey& job);
 
   GatewayContext& m_gateway;
--- a/Tests/Gateway/job_end_test.cc
+++ b/Tests/Gateway/job_end_test.cc
@@ -40,5 +40,30 @@
   });
 }
 
+// Guards against a 503, which promises that nothing was done, for an end whose
+// write the store carries out later.
+TEST_CASE("An end that may still take effect is not answered with a promise") {
+  GatewayFixture f(1);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.backend(0).behaviour().pause = 1s;
+    HttpRequest submission = f.Submission("j1", 1);
+    const auto accepted = co_await f.Send(0, std::move(submission));
+    REQUIRE(accepted.value().status == 202);
+    co_await f.Sleep(300ms);
+    f.server.SetFault(ServerFault::kReadsBusy, kJobKind);
+    // The watches that this ends must not meet the fault of the write.
+    co_await f.Sleep(100ms);
+    f.store.FailNext(StoreFault::kDelayWrite);
+    HttpRequest end = f.Request("DELETE", "/lots/j1", "end");
+    const auto ended = co_await f.Send(0, std::move(end));
+    INFO(GatewayFixture::Describe(ended));
+    REQUIRE(ended.has_value());
+    CHECK(ended.value().status == 504);
+    CHECK(ended.value().body.find("\"not_run\":true") == std::string::npos);
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
