Gateway: A removed registration comes back

The registration of a gateway that was silent for 45 s is removed by its peers. The removal was unconditional, so one that the store carried out late took the entry that the gateway had written since; and a gateway whose entry was gone never wrote it again. Its peers sent it nothing any more.

The removal names the version that was read, and a gateway registers again when its entry is removed.

Evidence: gateway.peer_registrations passes.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -78,7 +78,9 @@
       m_quota(QuotaOptions{.failure_detection_time =
                                PeerTableOptions{}.silent_after}),
       m_peer_table(
-          PeerTableOptions{.self = m_settings.vm, .region = m_settings.region}),
+          PeerTableOptions{.self = m_settings.vm,
+                           .region = m_settings.region,
+                           .remove_after = m_options.remove_peers_after}),
       m_aborted_runs(
           AbortedRunTrackerOptions{.self = m_settings.vm,
                                    .incarnation = m_options.incarnation},
@@ -283,10 +285,17 @@
       boost::asio::detached);
 }
 
+// Conditional, because the peer may register again before the store carries the
+// removal out.
 awaitable<void> GatewayDaemon::RemovePeer(VmId vm) {
+  const auto known = m_peer_versions.find(vm);
+  if (known == m_peer_versions.end()) {
+    co_return;
+  }
   const DocumentKind kind(kPeerKind);
   const DocumentName name(vm.value());
-  const Result<void> removed = co_await m_store.Remove(kind, name);
+  const ObjectVersion version = known->second;
+  const Result<void> removed = co_await m_store.RemoveAt(kind, name, version);
   if (!removed.has_value()) {
     m_log.Write("peer_removal_failed",
                 {{"peer", vm.value()}, {"why", removed.error().message}});
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -55,6 +55,8 @@
   int log_descriptor = 1;
   /// Called once the shutdown that Shutdown() starts is complete.
   std::function<void()> on_stopped;
+  /// See PeerTableOptions::remove_after.
+  Duration remove_peers_after = PeerTableOptions().remove_after;
 };
 
 /// \class GatewayDaemon
@@ -106,6 +108,7 @@
   void StartEvacuations();
   /// Call it with the first listing of the peers.
   void BeginRegistration(const std::vector<DocumentChange>& listed);
+  void RegisterAgain();
   void UpdatePeerTable();
   void MaybeActivateJobs();
   void UpdateHomeRegions();
@@ -176,6 +179,8 @@
   AbortedRunTracker m_aborted_runs;
   CrashSuspectCore m_crash_suspects;
   std::map<VmId, PeerRecord> m_peer_records;
+  /// The versions of their documents.
+  std::map<VmId, ObjectVersion> m_peer_versions;
   BackendDirectory m_backend_directory;
   std::unique_ptr<PeerGossip> m_gossip;
   IncarnationVerifier m_incarnation_verifier;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -554,10 +554,27 @@
 
 void GatewayDaemon::ApplyPeerChange(const DocumentChange& change) {
   const auto record = DecodePeer(change.document);
+  const VmId vm(change.document.name.value());
+  const bool was_known = m_peer_records.contains(vm);
   if (change.removed || !record.has_value()) {
-    m_peer_records.erase(VmId(change.document.name.value()));
+    m_peer_records.erase(vm);
+    m_peer_versions.erase(vm);
   } else {
-    m_peer_records[record->vm] = *record;
+    m_peer_records[vm] = *record;
+    m_peer_versions[vm] = change.document.version;
+  }
+  if (vm == m_settings.vm && was_known && !m_peer_records.contains(vm)) {
+    RegisterAgain();
+  }
+}
+
+// The peers take a process that they have not heard of for long to be gone, and
+// remove its entry. Without one they would send it nothing.
+void GatewayDaemon::RegisterAgain() {
+  m_log.Write("registration_lost", {{"vm", m_settings.vm.value()}});
+  if (std::exchange(m_registered, false)) {
+    boost::asio::co_spawn(
+        m_context, [this] { return Register(); }, boost::asio::detached);
   }
 }
 
--- a/Tests/Gateway/gateway_fixture.cc
+++ b/Tests/Gateway/gateway_fixture.cc
@@ -168,7 +168,8 @@
       GatewayDaemonOptions{.settings = settings,
                            .incarnation = Incarnation(100 + index),
                            .log_descriptor = GatewayLogDescriptor(),
-                           .on_stopped = on_stopped}));
+                           .on_stopped = on_stopped,
+                           .remove_peers_after = remove_peers_after}));
   const Result<void> started = m_gateways.back()->Start();
   INFO((started.has_value() ? "" : started.error().message));
   REQUIRE(started.has_value());
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -92,6 +92,8 @@
   Duration stop_grace = GatewaySettings().stop_grace;
   /// The bound of evacuations of gateways that are added from now on.
   std::optional<Duration> evacuate_within;
+  /// When gateways that are added from now on remove silent peers.
+  Duration remove_peers_after = PeerTableOptions().remove_after;
   /// The bounds at cold backend servers of gateways that are added from now on.
   std::optional<ColdBounds> cold_bounds;
   /// The entry of a backend server, as registered at first.
