--- a/Source/Net/http_head.cc
+++ b/Source/Net/http_head.cc
@@ -13,6 +13,9 @@
 // The longest name or value that Beast can hold in a field.
 constexpr size_t kMaxFieldBytes = 0xfffd;
 
+// How much of a wrong name an error message shows.
+constexpr size_t kMaxShownBytes = 40;
+
 bool IsAlphanumeric(char c) {
   return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
          (c >= 'a' && c <= 'z');
@@ -28,8 +31,7 @@
 
 // A name with text that a log line and an error message can show.
 std::string Printable(std::string_view text) {
-  constexpr size_t kMaxShown = 40;
-  std::string shown(text.substr(0, kMaxShown));
+  std::string shown(text.substr(0, kMaxShownBytes));
   std::replace_if(shown.begin(), shown.end(), IsControl, '?');
   return shown;
 }
