--- a/Tests/Gateway/broken_answer_test.cc
+++ b/Tests/Gateway/broken_answer_test.cc
@@ -20,18 +20,6 @@
 constexpr uint64_t kEventsBeforeBreak = 2;
 constexpr char kErrorText[] = "out of memory";
 
-void RegisterRawBackend(GatewayFixture& f,
-                        const std::string& id,
-                        const RawBackend& backend) {
-  f.store.Put("servers", id,
-              {{"service", "s"},
-               {"address", "127.0.0.1:" + std::to_string(backend.port())},
-               {"zone", "z"},
-               {"slots", 8},
-               {"state", "ready"},
-               {"version", "v1"}});
-}
-
 std::string AttemptOf(const HttpRequest& request) {
   return FindHeader(request.headers, "Attempt-Id").value_or("");
 }
--- a/Tests/Gateway/raw_backend.cc
+++ b/Tests/Gateway/raw_backend.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Net/sleep_for.h"
+#include "gateway_fixture.h"
 #include "raw_request.h"
 
 namespace cowslip {
@@ -80,4 +81,16 @@
   }
 }
 
+void RegisterRawBackend(GatewayFixture& f,
+                        const std::string& id,
+                        const RawBackend& backend) {
+  f.store.Put("servers", id,
+              {{"service", "s"},
+               {"address", "127.0.0.1:" + std::to_string(backend.port())},
+               {"zone", "z"},
+               {"slots", 8},
+               {"state", "ready"},
+               {"version", "v1"}});
+}
+
 }  // namespace cowslip
--- a/Tests/Gateway/raw_backend.h
+++ b/Tests/Gateway/raw_backend.h
@@ -14,6 +14,8 @@
 
 namespace cowslip {
 
+class GatewayFixture;
+
 /// How a connection ends after an answer.
 enum class ConnectionEnd { kKeptOpen, kClosed, kReset };
 
@@ -62,6 +64,11 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
 };
 
+/// Registers it as a backend server of the service `s` and version v1.
+void RegisterRawBackend(GatewayFixture& f,
+                        const std::string& id,
+                        const RawBackend& backend);
+
 }  // namespace cowslip
 
 #endif  // TESTS_GATEWAY_RAW_BACKEND_H_
--- a/Tests/Gateway/stream_end_test.cc
+++ b/Tests/Gateway/stream_end_test.cc
@@ -47,18 +47,6 @@
   return {};
 }
 
-void RegisterRawBackend(GatewayFixture& f,
-                        const std::string& id,
-                        const RawBackend& backend) {
-  f.store.Put("servers", id,
-              {{"service", "s"},
-               {"address", "127.0.0.1:" + std::to_string(backend.port())},
-               {"zone", "z"},
-               {"slots", 8},
-               {"state", "ready"},
-               {"version", "v1"}});
-}
-
 // Two backend servers of one service. The next stream that begins at either is
 // truncated as `truncated` says; all other streams are whole.
 class TruncatingBackends {
