--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A backend server crashes while it writes an answer that has no length."""
+"""Backend servers crash while they write streams and items without a length."""
 
 import asyncio
 import os
@@ -14,9 +14,12 @@
 import stand_ins as s  # noqa: E402
 
 RUNNERS = 6                  # one of them is 0.167 of all; srv_crash: 0.17
-PIECES = 40
-PAUSE = 0.05
+EVENTS = 100
+JOBS = 6
+ITEMS = 20
+CRASHES = 8
 DOWN = 4.5                   # srv_crash: for_s = 4.5
+GONE = 3 * 1.2               # three heartbeat intervals
 KEY = "i9n73hh2b9wu3fexd9dn"
 
 
@@ -25,9 +28,8 @@
 
     def __init__(self, deployment, number):
         self.deployment = deployment
-        self.number = number
         self.address = f"{deployment.base}.{100 + number}"
-        self.port = 9001
+        self.number = number
         self.starts = 0
         self.process = None
         self.id = ""
@@ -37,12 +39,12 @@
         self.id = f"i-{self.number:04x}{self.starts:04x}"
         born = int(time.time() * 1000)
         self.process = subprocess.Popen(
-            [sys.executable, os.path.join(HARNESS, "unframed_runner.py"),
-             self.address, str(self.port), self.id, str(born), str(PIECES),
-             str(PAUSE)], stdout=subprocess.PIPE, text=True)
+            [sys.executable, os.path.join(HARNESS, "stream_runner.py"),
+             self.address, "9001", self.id, str(born),
+             "/lohu930/long,/pule252"], stdout=subprocess.PIPE, text=True)
         await asyncio.to_thread(self.process.stdout.readline)
         self.deployment.store.put("servers", self.id, {
-            "service": "grain-llm", "address": f"{self.address}:{self.port}",
+            "service": "grain-llm", "address": f"{self.address}:9001",
             "zone": "kr-south-a", "version": "v1", "slots": 8,
             "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
             "born": born})
@@ -50,28 +52,28 @@
     def kill(self):
         self.process.kill()
         self.process.wait()
-        # Discovery removes the entry of a server that is silent.
-        asyncio.get_running_loop().call_later(
-            3 * 1.2, self.deployment.store.remove, "servers", self.id)
 
 
 async def body(record, trouble):
-    rng = random.Random(2)
+    rng = random.Random()
     deployment = s.Deployment(record, 3, 0)
     processes = [Process(deployment, n) for n in range(RUNNERS)]
-    routes = [s.route("lookup", "/lohu930/", "safe"),
-              s.route("booking", "/mano11/", "unsafe", max_attempts=1)]
-    broken = []
-    counts = {"whole": 0, "cut": 0, "refused": 0}
+    routes = [s.route("match-short", "/lohu930/", "streaming", max_attempts=1,
+                      resumable=False), s.batch_route()]
+    short_streams = []
+    counts = {"whole": 0, "cut": 0, "refused": 0, "short": 0}
 
-    async def request(prefix):
+    async def request(path):
         attempt = s.attempt_id(rng)
         gateway = rng.choice(deployment.gateways)
-        record.write(f"sent     {attempt} {prefix} to {gateway.name}")
-        answer = await s.call(gateway.ip, 8689, "POST", prefix + "2f",
+        is_long = path.endswith("long")
+        answer = await s.call(gateway.ip, 8689, "POST", path,
                               s.stream_headers(attempt, KEY), b"{}", 5.0)
-        whole = b"".join(f"{attempt} piece {n}\n".encode()
-                         for n in range(PIECES))
+        if not is_long:
+            counts["short"] += 1
+            return
+        whole = "".join(f"id: {n}\ndata: {attempt}-{n}\n\n"
+                        for n in range(1, EVENTS + 1)).encode()
         if answer is None or answer["status"] in (502, 504):
             kind = "cut"
         elif answer["status"] != 200:
@@ -80,15 +82,19 @@
             kind = "whole"
         else:
             kind = "cut"
-            broken.append(attempt)
-            pieces = answer["body"].count(b"\n")
-            record.write(f"BROKEN   {attempt}: a complete 200 with "
-                         f"{pieces} of {PIECES} pieces, signature "
-                         f"{answer['headers'].get('response-signature')}")
+            short_streams.append(attempt)
+            events = answer["body"].count(b"\n\n")
+            record.write(f"BROKEN   stream {attempt} ends as complete after "
+                         f"event {events} of {EVENTS}")
         counts[kind] += 1
         record.write(f"answer   {attempt} "
                      f"{answer['status'] if answer else 'broken off'} {kind}")
 
+    async def short_requests():
+        while True:
+            await asyncio.gather(*[request("/lohu930/x") for _ in range(12)])
+            await asyncio.sleep(0.3)
+
     try:
         await deployment.store.start(f"{deployment.base}.1")
         for process in processes:
@@ -96,19 +102,39 @@
         if not await deployment.start_gateways(s.configuration(
                 2, [{"name": "kaje80", "api_keys": [KEY]}], routes)):
             return None
-        await asyncio.sleep(1)
-        for turn in range(4):
-            requests = [asyncio.create_task(request(prefix))
-                        for prefix in ("/lohu930/", "/mano11/") * 9]
-            await asyncio.sleep(rng.uniform(0.5, 1.5))
+        await asyncio.sleep(1.5)
+        jobs = {}
+        for n in range(JOBS):
+            job = s.attempt_id(rng)
+            jobs[job] = [s.attempt_id(rng) for _ in range(ITEMS)]
+            status = await s.submit(deployment.gateways[n % 3], job, KEY,
+                                    s.job_body(jobs[job]))
+            record.write(f"job      {job} with {ITEMS} items: {status}")
+            if status != 202:
+                return None
+        background = asyncio.create_task(short_requests())
+        for turn in range(CRASHES):
+            streams = [asyncio.create_task(request("/lohu930/long"))
+                       for _ in range(10)]
+            await asyncio.sleep(1.5)
             victim = processes[turn % RUNNERS]
             if trouble:
                 record.write(f"SIGKILL  {victim.id}")
                 victim.kill()
-            await asyncio.gather(*requests)
-            await asyncio.sleep(DOWN)
+            await asyncio.sleep(GONE)
+            if trouble:
+                deployment.store.remove("servers", victim.id)
+            await asyncio.sleep(DOWN - GONE)
             if trouble:
                 await victim.start()
+            await asyncio.gather(*streams)
+        background.cancel()
+        end = s.now() + 25
+        listed = {}
+        while s.now() < end and sum(map(len, listed.values())) < JOBS * ITEMS:
+            for job in jobs:
+                read = await s.read_all(deployment.gateways[0], job, KEY, 2)
+                listed[job] = read[1] if read else []
             await asyncio.sleep(1)
     finally:
         for process in processes:
@@ -116,11 +142,22 @@
                 process.process.send_signal(signal.SIGKILL)
                 process.process.wait()
         await deployment.stop()
-    text = (f"{len(broken)} of {sum(counts.values())} requests got a complete "
-            f"200 with a part of the body; {counts}")
+    wrong = 0
+    for job, results in listed.items():
+        for result in results:
+            item = result["id"]
+            whole = "\n".join(f"{item}-{n}" for n in range(1, EVENTS + 1))
+            if result["state"] == "completed" and result["output"] != whole:
+                wrong += 1
+                events = result["output"].count("\n") + 1
+                record.write(f"BROKEN   item {item} of job {job} is listed as "
+                             f"completed with {events} of {EVENTS} events")
+    text = (f"{wrong} of {sum(map(len, listed.values()))} listed items are "
+            f"completed with a part of their output; {len(short_streams)} "
+            f"streams end as complete before their last event; {counts}")
     record.write(text)
     print(text)
-    return bool(broken)
+    return wrong > 0 or len(short_streams) > 0
 
 
 s.main(__file__, body)
