--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,14 +3,9 @@
 import asyncio
 import os
 import random
-import signal
-import subprocess
 import sys
-import time
 
-HARNESS = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..",
-                       "harness-2")
-sys.path.insert(0, HARNESS)
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "harness-2"))
 import stand_ins as s  # noqa: E402
 
 RUNNERS = 6                  # one of them is 0.167 of all; srv_crash: 0.17
@@ -23,41 +18,12 @@
 KEY = "i9n73hh2b9wu3fexd9dn"
 
 
-class Process:
-    """A backend server that can be killed."""
-
-    def __init__(self, deployment, number):
-        self.deployment = deployment
-        self.address = f"{deployment.base}.{100 + number}"
-        self.number = number
-        self.starts = 0
-        self.process = None
-        self.id = ""
-
-    async def start(self):
-        self.starts += 1
-        self.id = f"i-{self.number:04x}{self.starts:04x}"
-        born = int(time.time() * 1000)
-        self.process = subprocess.Popen(
-            [sys.executable, os.path.join(HARNESS, "stream_runner.py"),
-             self.address, "9001", self.id, str(born),
-             "/lohu930/long,/pule252"], stdout=subprocess.PIPE, text=True)
-        await asyncio.to_thread(self.process.stdout.readline)
-        self.deployment.store.put("servers", self.id, {
-            "service": "grain-llm", "address": f"{self.address}:9001",
-            "zone": "kr-south-a", "version": "v1", "slots": 8,
-            "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
-            "born": born})
-
-    def kill(self):
-        self.process.kill()
-        self.process.wait()
-
-
 async def body(record, trouble):
     rng = random.Random()
     deployment = s.Deployment(record, 3, 0)
-    processes = [Process(deployment, n) for n in range(RUNNERS)]
+    processes = [s.RunnerProcess(deployment, n, "stream_runner.py",
+                                 "/lohu930/long,/pule252")
+                 for n in range(RUNNERS)]
     routes = [s.route("match-short", "/lohu930/", "streaming", max_attempts=1,
                       resumable=False), s.batch_route()]
     short_streams = []
@@ -67,10 +33,13 @@
         attempt = s.attempt_id(rng)
         gateway = rng.choice(deployment.gateways)
         is_long = path.endswith("long")
+        record.write(f"sent     {attempt} {path} to {gateway.name}")
         answer = await s.call(gateway.ip, 8689, "POST", path,
                               s.stream_headers(attempt, KEY), b"{}", 5.0)
         if not is_long:
             counts["short"] += 1
+            record.write(f"answer   {attempt} "
+                         f"{answer['status'] if answer else 'broken off'}")
             return
         whole = "".join(f"id: {n}\ndata: {attempt}-{n}\n\n"
                         for n in range(1, EVENTS + 1)).encode()
@@ -119,7 +88,6 @@
             await asyncio.sleep(1.5)
             victim = processes[turn % RUNNERS]
             if trouble:
-                record.write(f"SIGKILL  {victim.id}")
                 victim.kill()
             await asyncio.sleep(GONE)
             if trouble:
@@ -138,9 +106,8 @@
             await asyncio.sleep(1)
     finally:
         for process in processes:
-            if process.process is not None and process.process.poll() is None:
-                process.process.send_signal(signal.SIGKILL)
-                process.process.wait()
+            process.end()
+            process.write_runs()
         await deployment.stop()
     wrong = 0
     for job, results in listed.items():
--- a/review/harness-2/stand_ins.py
+++ b/review/harness-2/stand_ins.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -30,14 +31,17 @@
     """Writes what was sent, answered and run."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.path = path
         self.start = now()
+        self.lines = []
 
-    def write(self, text):
-        self.file.write(f"{now() - self.start:9.3f}  {text}\n")
+    def write(self, text, at=None):
+        self.lines.append((now() if at is None else at, text))
 
     def close(self):
-        self.file.close()
+        with open(self.path, "w", encoding="utf-8") as file:
+            for at, text in sorted(self.lines, key=lambda line: line[0]):
+                file.write(f"{at - self.start:9.3f}  {text}\n")
 
 
 async def read_head(reader):
@@ -613,6 +617,72 @@
                       key=lambda run: run["at"])
 
 
+class RunnerProcess:
+    """A backend server as a process of its own, which can be killed.
+
+    `program` is a file of this folder. Its arguments are the address, the port,
+    the id, the time of the start and `arguments`. It writes `run MONOTONIC TEXT`
+    for each request that it begins to run.
+    """
+
+    PORT = 9001
+
+    def __init__(self, deployment, number, program, *arguments):
+        self.deployment = deployment
+        self.number = number
+        self.program = program
+        self.arguments = arguments
+        self.address = f"{deployment.base}.{100 + number}"
+        self.starts = 0
+        self.process = None
+        self.id = ""
+        self.log_path = os.path.join(deployment.folder.name,
+                                     f"runner-{number}.log")
+
+    async def start(self):
+        self.starts += 1
+        self.id = f"i-{self.number:04x}{self.starts:04x}"
+        born = int(time.time() * 1000)
+        program = os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                               self.program)
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", program, self.address, str(self.PORT),
+                 self.id, str(born), *self.arguments],
+                stdin=subprocess.DEVNULL, stdout=log)
+        end = now() + 10
+        while await call(self.address, self.PORT, "GET", "/report", {}, b"",
+                         1.0) is None:
+            if now() > end:
+                raise RuntimeError(f"{self.id} does not start")
+            await asyncio.sleep(0.02)
+        self.deployment.record.write(f"start    {self.id}")
+        self.deployment.store.put("servers", self.id, {
+            "service": "grain-llm", "address": f"{self.address}:{self.PORT}",
+            "zone": "kr-south-a", "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+            "born": born})
+
+    def kill(self):
+        self.deployment.record.write(f"SIGKILL  {self.id}")
+        self.process.kill()
+        self.process.wait()
+
+    def end(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def write_runs(self):
+        """Adds what this server ran to the record."""
+        record = self.deployment.record
+        with open(self.log_path, encoding="utf-8") as log:
+            for line in log:
+                word, at, text = line.rstrip("\n").split(" ", 2)
+                if word == "run":
+                    record.write(text, float(at))
+
+
 def main(case, body):
     """Runs `body(record, trouble)`; exits with 1 if it returns True."""
     folder = os.path.dirname(os.path.abspath(case))
--- a/review/harness-2/stream_runner.py
+++ b/review/harness-2/stream_runner.py
@@ -34,6 +34,8 @@
                                         "Content-Length": 0}))
         return True
     last = int(headers.get("last-event-id", "0"))
+    print("run", s.now(), f"run      {attempt} at {ID} from {last + 1}",
+          flush=True)
     is_long = target.startswith(tuple(LONG.split(",")))
     answer = {"Attempt-Id": attempt, "Content-Type": "text/event-stream",
               "Response-Signature": f"s.{attempt}"}
@@ -56,7 +58,6 @@
 async def main():
     server = s.Server(handle)
     await server.start(ADDRESS, int(PORT))
-    print("ready", flush=True)
     await asyncio.Event().wait()
 
 
--- a/review/harness-2/unframed_runner.py
+++ b/review/harness-2/unframed_runner.py
@@ -37,7 +37,7 @@
                                         "Not-Executed": "1",
                                         "Content-Length": 0}))
         return True
-    print("run", attempt, flush=True)
+    print("run", s.now(), f"run      {attempt} at {ID}", flush=True)
     writer.write(s.head_bytes(200, {
         "Attempt-Id": attempt, "Content-Type": "text/plain",
         "Response-Signature": f"s.{attempt}", "Connection": "close"}))
@@ -51,7 +51,6 @@
 async def main():
     server = s.Server(handle)
     await server.start(ADDRESS, int(PORT))
-    print("ready", flush=True)
     await asyncio.Event().wait()
 
 
