--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,8 +10,9 @@
 
 RUNNERS = 6                  # one of them is 0.167 of all; srv_crash: 0.17
 EVENTS = 100
-JOBS = 6
+JOBS = 2                     # submitted before each crash
 ITEMS = 20
+STREAMS = 14                 # begun before each crash
 CRASHES = 8
 DOWN = 4.5                   # srv_crash: for_s = 4.5
 GONE = 3 * 1.2               # three heartbeat intervals
@@ -64,6 +65,20 @@
             await asyncio.gather(*[request("/lohu930/x") for _ in range(12)])
             await asyncio.sleep(0.3)
 
+    jobs = {}
+
+    async def submit_job():
+        """Submits a job; at another gateway when one turns it away."""
+        job = s.attempt_id(rng)
+        items = [s.attempt_id(rng) for _ in range(ITEMS)]
+        for gateway in rng.sample(deployment.gateways, 3):
+            status = await s.submit(gateway, job, KEY, s.job_body(items))
+            record.write(f"job      {job} with {ITEMS} items at "
+                         f"{gateway.name}: {status}")
+            if status == 202:
+                jobs[job] = items
+                return
+
     try:
         await deployment.store.start(f"{deployment.base}.1")
         for process in processes:
@@ -72,19 +87,12 @@
                 2, [{"name": "kaje80", "api_keys": [KEY]}], routes)):
             return None
         await asyncio.sleep(1.5)
-        jobs = {}
-        for n in range(JOBS):
-            job = s.attempt_id(rng)
-            jobs[job] = [s.attempt_id(rng) for _ in range(ITEMS)]
-            status = await s.submit(deployment.gateways[n % 3], job, KEY,
-                                    s.job_body(jobs[job]))
-            record.write(f"job      {job} with {ITEMS} items: {status}")
-            if status != 202:
-                return None
         background = asyncio.create_task(short_requests())
         for turn in range(CRASHES):
+            for _ in range(JOBS):
+                await submit_job()
             streams = [asyncio.create_task(request("/lohu930/long"))
-                       for _ in range(10)]
+                       for _ in range(STREAMS)]
             await asyncio.sleep(1.5)
             victim = processes[turn % RUNNERS]
             if trouble:
@@ -99,7 +107,8 @@
         background.cancel()
         end = s.now() + 25
         listed = {}
-        while s.now() < end and sum(map(len, listed.values())) < JOBS * ITEMS:
+        owed = sum(map(len, jobs.values()))
+        while s.now() < end and sum(map(len, listed.values())) < owed:
             for job in jobs:
                 read = await s.read_all(deployment.gateways[0], job, KEY, 2)
                 listed[job] = read[1] if read else []
