--- a/review/6/case.py
+++ b/review/6/case.py
@@ -91,4 +91,4 @@
     return bool(left) and now - last > CALM
 
 
-s.main(__file__, body)
+s.main(body)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -113,4 +113,4 @@
     return len(late) > ALLOWED
 
 
-s.main(__file__, body)
+s.main(body)
--- a/review/harness-2/stand_ins.py
+++ b/review/harness-2/stand_ins.py
@@ -683,10 +683,13 @@
                     record.write(text, float(at))
 
 
-def main(case, body):
-    """Runs `body(record, trouble)`; exits with 1 if it returns True."""
-    folder = os.path.dirname(os.path.abspath(case))
-    record = Record(os.path.join(folder, "record.txt"))
+def main(body):
+    """Runs `body(record, trouble)`; exits with 1 if it returns True.
+
+    The argument is the path of the record. TROUBLE=0 asks for a run without the
+    disruption.
+    """
+    record = Record(os.path.abspath(sys.argv[1]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
     try:
