Jobs: The record decides on a claim whose response and read are lost

Their owner was killed, another gateway claimed them, and the store carried the claim out but lost the response and refused the read after it. All gateways then waited for each other.

Cause: a claim ended as won or lost by what its call said, once. The scheduler looked at the record when the watch brought it, while the claim was still under way, and never when the claim had ended as lost. The others saw a live owner.

Change: ClaimEnded says no more than that the call has ended; the record tells who owns the job. At each tick a gateway resumes a job that the record gives to it and for which it does nothing, which also replaces the retry of hand-backs: that one went on with what had been read before another owner may have written. The failure of the read is logged.

Why it works: whichever of watch, read and outcome comes last, a look at the record follows it, at the latest with the next tick.

--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -38,22 +38,16 @@
   nlohmann::json encoded = EncodeStatus(status);
   const Result<Document> claimed =
       co_await m_store.ReplaceStatus(kind, name, std::move(encoded), version);
-  bool won = claimed.has_value();
-  if (won) {
+  if (claimed.has_value()) {
     HandleJobDocument(claimed.value(), "claim");
   } else {
     m_gateway.log.Write("job_claim_failed", {{"job", job.value()},
                                              {"why", claimed.error().message}});
-    // This claim or another process's may have succeeded. Read the document to
-    // find out.
-    const Result<Document> now = co_await m_store.Get(kind, name);
-    if (now.has_value()) {
-      HandleJobDocument(now.value(), "read");
-      const JobRecord* record = m_scheduler.Find(job);
-      won = record != nullptr && m_scheduler.Owns(*record);
-    }
+    // This claim or another process's may have succeeded. If the read fails
+    // too, the watch tells.
+    co_await ReadRecord(job);
   }
-  HandleEvent(ClaimEnded{job, won});
+  HandleEvent(ClaimEnded{job});
   SchedulePass();
 }
 
@@ -63,7 +57,11 @@
   const Result<Document> document = co_await m_store.Get(kind, name);
   if (document.has_value()) {
     HandleJobDocument(document.value(), "read");
+    co_return;
   }
+  m_gateway.log.Write("job_record_not_read",
+                      {{"job", job.value()},
+                       {"why", document.error().message}});
 }
 
 awaitable<void> JobRunner::Open(JobKey job) {
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -312,7 +312,7 @@
   }
   job->ownership = Ownership::kNone;
   job->next_claim_at = now.monotonic + m_options.claim_backoff;
-  if (event.won && IsOwner(*job) && !IsOver(*job)) {
+  if (IsOwner(*job) && !IsOver(*job)) {
     job->handed_back = false;
     Open(*job);
   }
@@ -609,24 +609,31 @@
   job.ownership = Ownership::kNone;
   job.handed_back = true;
   job.handing_back = true;
+  // What this process did as an earlier owner may be further along.
+  std::map<ItemId, ItemProgress> progress = job.record.status.progress;
+  for (auto& [id, known] : CollectProgress(job)) {
+    ItemProgress& handed = progress[id];
+    const uint32_t failed_runs =
+        std::max(handed.failed_runs, known.failed_runs);
+    if (handed.last_event < known.last_event) {
+      handed = std::move(known);
+    }
+    handed.failed_runs = failed_runs;
+  }
   m_actions.push_back(HandBackJob{.job = job.record.key,
-                                  .progress = job.record.status.progress});
+                                  .progress = std::move(progress)});
 }
 
-// The job's document still names this process, which lives, so no other one
-// would claim the job.
-void JobScheduler::MaybeRetryHandBack(Job& job, ClockReadings now) {
-  if (m_stopping || !job.handed_back || job.handing_back || IsOver(job) ||
-      !IsOwner(job) || job.ownership != Ownership::kNone ||
+// The job's record names this process, which lives, so no other one would claim
+// the job.
+void JobScheduler::MaybeResume(Job& job, ClockReadings now) {
+  if (m_stopping || job.ownership != Ownership::kNone || job.handing_back ||
+      IsOver(job) || !IsOwner(job) || IsOffered(job.record.key) ||
       now.monotonic < job.next_claim_at) {
     return;
   }
   job.handed_back = false;
-  if (job.items.empty()) {
-    MaybeOpen(job);
-  } else {
-    job.ownership = Ownership::kOpen;
-  }
+  Open(job);
 }
 
 std::map<ItemId, ItemProgress> JobScheduler::CollectProgress(const Job& job) {
@@ -738,7 +745,7 @@
   ForgetOldEnds(now.monotonic);
   for (auto& [key, job] : m_jobs) {
     MaybeTakeOver(job, now);
-    MaybeRetryHandBack(job, now);
+    MaybeResume(job, now);
     DeadLetterExpired(job, now);
     MaybeWriteResults(job, now);
     MaybeSaveProgress(job, now);
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -116,10 +116,11 @@
 /// This process is shutting down: it starts no more items and hands its jobs
 /// back.
 struct SchedulerStopping {};
-/// An attempt to claim a job has ended.
+/// An attempt to claim a job has ended. The job's record tells who owns it: an
+/// attempt without a response may have succeeded, and its outcome may be known
+/// from a watch before or after this.
 struct ClaimEnded {
   JobKey job;
-  bool won = false;
 };
 /// The job's items and existing results have been read.
 struct JobOpened {
@@ -443,10 +444,11 @@
   void MaybeWriteResults(Job& job, ClockReadings now);
   void MaybeFinish(Job& job);
   void MaybeHandBack(Job& job);
-  /// Hands a job back whose items this process has not read.
+  /// Hands a job back without reading its items.
   void HandBackUnread(Job& job);
-  /// Hands a job back again if the last try has failed.
-  void MaybeRetryHandBack(Job& job, ClockReadings now);
+  /// Opens a job that this process owns and does nothing about: the response to
+  /// a claim or a hand-back was lost, or its write has failed.
+  void MaybeResume(Job& job, ClockReadings now);
   void MaybeSaveProgress(Job& job, ClockReadings now);
   void AddUnsavedEvents(Job& job, uint64_t events, ClockReadings now);
   /// Replaces the progress of a pending item by its entry in `known` if that is
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -1,6 +1,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -75,7 +77,11 @@
                          .shutdown_notice = shutdown_notice,
                          .reported_state_changed = [] {}};
   JobScheduler scheduler{
-      JobSchedulerOptions{.self = kSelf, .incarnation = Incarnation(1)}, peers};
+      JobSchedulerOptions{.self = kSelf,
+                          .incarnation = Incarnation(1),
+                          .claim_backoff = 10ms,
+                          .peer_discovery_time = 0ms},
+      peers};
   JobRunner runner{gateway, store, scheduler, JobRunnerOptions{}};
 
   ~Fixture() { ::close(null); }
@@ -106,6 +112,25 @@
   }
   // Opens a job of two items that this process owns.
   void OpenJob() {
+    JobStatus status;
+    scheduler.SetOwner(status);
+    StoreJob(status);
+    runner.HandleJobDocument(Job(), "list");
+    Poll();
+    REQUIRE(scheduler.IsOpen(kJob));
+  }
+  // Ticks until the job is open, for at most a second.
+  bool IsOpenedSoon() {
+    const MonotonicTime end = MonotonicClock::now() + 1s;
+    while (!scheduler.IsOpen(kJob) && MonotonicClock::now() < end) {
+      runner.Tick();
+      Poll();
+      std::this_thread::sleep_for(5ms);
+    }
+    return scheduler.IsOpen(kJob);
+  }
+  // Stores a job of two items.
+  void StoreJob(const JobStatus& status) {
     const std::vector<JobItem> items = {{.id = ItemId("a")},
                                         {.id = ItemId("b")}};
     const JobDefinition definition{.id = JobId("j"),
@@ -119,12 +144,7 @@
     store.Put(kInputKind, InputName(kJob, definition.digest, 0).value(),
               EncodeInputs(items).front());
     store.Put(kJobKind, kJob.value(), EncodeDefinition(definition));
-    JobStatus status;
-    scheduler.SetOwner(status);
     PutStatus(status);
-    runner.HandleJobDocument(Job(), "list");
-    Poll();
-    REQUIRE(scheduler.IsOpen(kJob));
   }
   void RunItem(const char* item) {
     runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
@@ -172,6 +192,25 @@
   CHECK(f.store.Find(kJobKind, kJob.value()) != nullptr);
 }
 
+// Guards against a job that nobody runs: the store loses the response to its
+// claim and refuses the read after it, and the watch shows the claim meanwhile.
+TEST_CASE("A job whose claim got no response is run once the claim is known") {
+  Fixture f;
+  f.runner.HandleEvent(SchedulerActivated{});
+  f.StoreJob(JobStatus{.owner = VmId("vm9"), .incarnation = Incarnation(9)});
+  f.store.FailNext(StoreFault::kLoseAnswer);
+  bool is_claimed = false;
+  f.store.OnChange([&] {
+    is_claimed = true;
+    f.runner.HandleJobDocument(f.Job(), "watch");
+    f.store.FailNext(StoreFault::kRefuse);
+  });
+  f.runner.HandleJobDocument(f.Job(), "list");
+  f.Poll();
+  REQUIRE(is_claimed);
+  CHECK(f.IsOpenedSoon());
+}
+
 TEST_CASE("A hand-back keeps the output of items out of the job's record") {
   Fixture f;
   f.OpenJob();
--- a/Tests/Jobs/job_home_region_test.cc
+++ b/Tests/Jobs/job_home_region_test.cc
@@ -149,7 +149,7 @@
   CHECK(Count<ClaimJob>(f.Handle(JobUpdated{Record(kJob, "vm9", 9)}, 2s)) == 1);
   f.DeclareHome(kSouth, 2100ms);
   f.Handle(JobUpdated{Record(kJob, "vm1", 1, 2)}, 2200ms);
-  const auto ended = f.Handle(ClaimEnded{kJob, true}, 2200ms);
+  const auto ended = f.Handle(ClaimEnded{kJob}, 2200ms);
   CHECK(Count<OpenJob>(ended) == 0);
   CHECK(Count<HandBackJob>(ended) == 1);
   f.Handle(HandBackEnded{kJob}, 2300ms);
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -121,7 +121,7 @@
   JobRecord claimed = Record("j", "vm1", 1);
   claimed.version = ObjectVersion(2);
   f.Handle(JobUpdated{claimed}, 6200ms);
-  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j"), true}, 6200ms)) !=
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 6200ms)) !=
         nullptr);
 }
 
@@ -131,11 +131,102 @@
   f.MakePeerSilent(3s);
   CHECK(Find<ClaimJob>(f.Handle(JobUpdated{Record("j", "vm2", 2)}, 3s)) !=
         nullptr);
-  f.Handle(ClaimEnded{JobKey("j"), false}, 3100ms);
+  f.Handle(ClaimEnded{JobKey("j")}, 3100ms);
   CHECK(Find<ClaimJob>(f.Handle(SchedulerTick{}, 3200ms)) == nullptr);
   CHECK(Find<ClaimJob>(f.Handle(SchedulerTick{}, 3800ms)) != nullptr);
 }
 
+// Lets vm1 claim the job, and returns the record that its claim writes.
+JobRecord ClaimWithoutResponse(Fixture& f, bool was_handed_back) {
+  f.Handle(SchedulerActivated{}, 0s);
+  JobRecord record = Record("j", "vm2", 2);
+  if (was_handed_back) {
+    f.Handle(HomeRegionsChanged{}, 0s);
+    f.Open(Record("j", "vm1", 1));
+    f.RunItem("a", ItemRunOutcome::kInterrupted, 1s);
+    const std::map<RouteId, HomeRegions> elsewhere = {
+        {RouteId(), HomeRegions(std::set<RegionId>{RegionId("south")})}};
+    CHECK(Find<HandBackJob>(
+              f.Handle(HomeRegionsChanged{elsewhere, {}}, 1100ms)) != nullptr);
+    record = Record("j", "", 0);
+    record.version = ObjectVersion(2);
+    f.Handle(JobUpdated{record}, 1200ms);
+    f.Handle(HandBackEnded{JobKey("j")}, 1300ms);
+    f.Handle(HomeRegionsChanged{{{RouteId(), HomeRegions()}}, {}}, 1400ms);
+  }
+  f.MakePeerSilent(6s);
+  f.Handle(JobUpdated{record}, 6s);
+  size_t claims = 0;
+  for (Duration at = 6s; at <= 9s; at += 100ms) {
+    claims += Find<ClaimJob>(f.Handle(SchedulerTick{}, at)) == nullptr ? 0 : 1;
+  }
+  CHECK(claims <= 1);
+  JobRecord claimed = Record("j", "vm1", 1);
+  claimed.version = ObjectVersion(3);
+  return claimed;
+}
+
+size_t CountOpened(Fixture& f, Duration from, Duration until) {
+  size_t opened = 0;
+  for (Duration at = from; at <= until; at += 100ms) {
+    opened += Find<OpenJob>(f.Handle(SchedulerTick{}, at)) == nullptr ? 0 : 1;
+  }
+  return opened;
+}
+
+// Guards against a job that nobody runs: its claim was stored, the response and
+// the read after it were lost, and the others leave it to its live owner.
+TEST_CASE("A job whose claim is in doubt is opened once the claim is known") {
+  const bool was_handed_back = GENERATE(false, true);
+  const bool watch_comes_first = GENERATE(false, true);
+  Fixture f;
+  const JobRecord claimed = ClaimWithoutResponse(f, was_handed_back);
+  size_t opened = 0;
+  const auto handle = [&](const JobSchedulerEvent& event, Duration at) {
+    opened += Find<OpenJob>(f.Handle(event, at)) == nullptr ? 0 : 1;
+  };
+  if (watch_comes_first) {
+    handle(JobUpdated{claimed}, 9100ms);
+    handle(ClaimEnded{JobKey("j")}, 9200ms);
+  } else {
+    handle(ClaimEnded{JobKey("j")}, 9100ms);
+    handle(JobUpdated{claimed}, 9200ms);
+  }
+  opened += CountOpened(f, 9300ms, 12s);
+  CHECK(opened == 1);
+  f.Handle(JobOpened{JobKey("j"), {}}, 12100ms);
+  CHECK(f.scheduler.RunnableItems(At(13s)).size() == 2);
+}
+
+// Guards against a job whose late claim is stored while the next one is made:
+// the latter fails on it, and no read tells.
+TEST_CASE("A claim that is carried out during the next one opens the job") {
+  Fixture f;
+  const JobRecord claimed = ClaimWithoutResponse(f, false);
+  f.Handle(ClaimEnded{JobKey("j")}, 9100ms);
+  CHECK(Find<ClaimJob>(f.Handle(SchedulerTick{}, 9800ms)) != nullptr);
+  CHECK(Find<OpenJob>(f.Handle(JobUpdated{claimed}, 9900ms)) == nullptr);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 10s)) != nullptr);
+}
+
+// Guards against a resumed job whose documents another owner has changed since
+// it was handed back here: it has to be read again.
+TEST_CASE("A job that was handed back is read before it is resumed") {
+  Fixture f;
+  f.Handle(SchedulerActivated{}, 0s);
+  f.Open(Record("j", "vm1", 1));
+  const std::map<RouteId, HomeRegions> elsewhere = {
+      {RouteId(), HomeRegions(std::set<RegionId>{RegionId("south")})}};
+  CHECK(Find<HandBackJob>(f.Handle(HomeRegionsChanged{elsewhere, {}}, 1s)) !=
+        nullptr);
+  f.Handle(HandBackEnded{JobKey("j")}, 1100ms);
+  f.Handle(HomeRegionsChanged{{{RouteId(), HomeRegions()}}, {}}, 1200ms);
+  CHECK(CountOpened(f, 1300ms, 3s) == 1);
+  CHECK(f.scheduler.RunnableItems(At(3s)).empty());
+  f.Handle(JobOpened{JobKey("j"), {ItemId("a")}}, 3100ms);
+  CHECK(f.scheduler.RunnableItems(At(3200ms)).size() == 1);
+}
+
 TEST_CASE("A process that has just started takes over no jobs") {
   Fixture f;
   f.MakePeerSilent(3s);
@@ -212,7 +303,7 @@
   JobRecord claimed = Record("l", "vm1", 1);
   claimed.version = ObjectVersion(2);
   f.Handle(JobUpdated{claimed}, 12s);
-  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("l"), true}, 12s)) == nullptr);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("l")}, 12s)) == nullptr);
 }
 
 TEST_CASE("A new job under the id of a removed one that had ended is opened") {
@@ -307,7 +398,7 @@
   JobRecord claimed = Record("j", "vm1", 1);
   claimed.version = ObjectVersion(2);
   f.Handle(JobUpdated{claimed}, 3200ms);
-  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j"), true}, 3200ms)) !=
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 3200ms)) !=
         nullptr);
   const auto opened = f.Handle(JobOpened{JobKey("j"), {}}, 3300ms);
   CHECK(Find<HandBackJob>(opened) != nullptr);
