Jobs: A write of results that finds its job closed ends with an event

Cause: WriteResults runs a moment after it was decided. When another gateway's claim closed the job in between, AppendResults() returned without an event, so the job counted as being written for good. Once the gateway owned the job again, it wrote none of its results and could not hand it back.

Change: it reports ResultsNotWritten, as each other failure does.

Evidence: gateway.job_records "Results are written by an owner that was replaced before" failed on the former code: the job is never finished. It passes now.

Why it works: each WriteResults is followed by ResultsWritten or ResultsNotWritten, which end the state that holds the next write back.

--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -287,6 +287,8 @@
                                          std::vector<ItemResult> results) {
   const auto open = m_open_jobs.find(job);
   if (open == m_open_jobs.end()) {
+    // The job was closed before the write began.
+    HandleEvent(ResultsNotWritten{job});
     co_return;
   }
   // The job may be closed during the call; the shared pointer keeps the log
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -211,6 +211,31 @@
   CHECK(f.IsOpenedSoon());
 }
 
+// Guards against results that are never written: the job was closed before
+// their write began, and is opened again later.
+TEST_CASE("Results are written by an owner that was replaced before") {
+  Fixture f;
+  f.runner.HandleEvent(SchedulerActivated{});
+  f.OpenJob();
+  const auto complete = [&](const char* item) {
+    f.runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
+    f.runner.HandleEvent(ItemRunEnded{kJob, ItemId(item),
+                                      ItemRunOutcome::kCompleted,
+                                      {.last_event = 1, .output = "out"}});
+  };
+  f.PutStatus(JobStatus{.owner = VmId("vm9"), .incarnation = Incarnation(9)});
+  complete("a");
+  complete("b");
+  f.runner.HandleJobDocument(f.Job(), "watch");
+  f.Poll();
+  REQUIRE(f.IsOpenedSoon());
+  complete("a");
+  complete("b");
+  f.Poll();
+  f.runner.HandleJobDocument(f.Job(), "watch");
+  CHECK(f.Status().finished);
+}
+
 TEST_CASE("A hand-back keeps the output of items out of the job's record") {
   Fixture f;
   f.OpenJob();
