Jobs: A job that could not be marked as finished is marked later

If the write that finishes a job failed, its record stayed unfinished, and was never deleted, as long as its owner lived; a response that was lost together with the watch had the same effect.

Cause: the mark was requested once in an ownership, and nothing looked at its outcome.

A failed write of a status reads the record, unless the store said that nothing was done.

Evidence: gateway.job_records "A job whose end could not be written is finished later" failed on the former code and passes now.

--- a/Source/Gateway/job_runner.cc
+++ b/Source/Gateway/job_runner.cc
@@ -186,7 +186,7 @@
   boost::asio::co_spawn(
       m_gateway.io,
       [this, job = action.job, status, version = record->version] {
-        return WriteStatus(job, status, version);
+        return Finish(job, status, version);
       },
       boost::asio::detached);
 }
--- a/Source/Gateway/job_runner.h
+++ b/Source/Gateway/job_runner.h
@@ -136,6 +136,9 @@
   boost::asio::awaitable<void> WriteStatus(JobKey job,
                                            JobStatus status,
                                            ObjectVersion based_on);
+  boost::asio::awaitable<void> Finish(JobKey job,
+                                      JobStatus status,
+                                      ObjectVersion based_on);
   boost::asio::awaitable<void> HandBack(
       JobKey job,
       JobStatus status,
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -326,10 +326,19 @@
     HandleJobDocument(written.value(), "write");
     co_return;
   }
-  // A failed write does not affect the results: the next owner derives the same
-  // status from them, and a job whose owner is lost is taken over.
   m_gateway.log.Write("job_status_not_written",
                       {{"job", job.value()}, {"why", written.error().message}});
+  if (written.error().kind() != ErrorKind::kUnavailable) {
+    // This write or another process's may have succeeded.
+    co_await ReadRecord(job);
+  }
+}
+
+awaitable<void> JobRunner::Finish(JobKey job,
+                                  JobStatus status,
+                                  ObjectVersion based_on) {
+  co_await WriteStatus(job, std::move(status), based_on);
+  HandleEvent(FinishEnded{job});
 }
 
 // The record is removed last, and only once all other removals are certain:
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -368,7 +368,7 @@
     }
   }
   DeadLetterExpired(*job, now);
-  MaybeFinish(*job);
+  MaybeFinish(*job, now);
   MaybeHandBack(*job);
 }
 
@@ -562,7 +562,7 @@
   }
   job->flush_timer_start = now.monotonic;
   MaybeWriteResults(*job, now);
-  MaybeFinish(*job);
+  MaybeFinish(*job, now);
   MaybeHandBack(*job);
 }
 
@@ -574,9 +574,9 @@
   }
 }
 
-void JobScheduler::MaybeFinish(Job& job) {
+void JobScheduler::MaybeFinish(Job& job, ClockReadings now) {
   if (job.ownership == Ownership::kOpen && !job.finish_requested &&
-      AllRecorded(job)) {
+      now.monotonic >= job.next_finish_at && AllRecorded(job)) {
     job.finish_requested = true;
     m_actions.push_back(FinishJob{job.record.key});
   }
@@ -706,6 +706,14 @@
   }
 }
 
+void JobScheduler::Apply(const FinishEnded& event, ClockReadings now) {
+  Job* job = FindJob(event.job);
+  if (job != nullptr) {
+    job->finish_requested = false;
+    job->next_finish_at = now.monotonic + m_options.claim_backoff;
+  }
+}
+
 void JobScheduler::DeadLetterExpired(Job& job, ClockReadings now) {
   if (job.ownership == Ownership::kOpen &&
       now.wall >= job.record.definition.give_up) {
@@ -748,6 +756,7 @@
     MaybeResume(job, now);
     DeadLetterExpired(job, now);
     MaybeWriteResults(job, now);
+    MaybeFinish(job, now);
     MaybeSaveProgress(job, now);
     MaybeHandBack(job);
     MaybeDelete(job, now);
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -186,6 +186,11 @@
 struct HandBackEnded {
   JobKey job;
 };
+/// The write that marks the job as finished has ended; the job's record tells
+/// whether it took effect.
+struct FinishEnded {
+  JobKey job;
+};
 /// The job's documents could not be deleted, or may not have been.
 struct JobDeletionFailed {
   JobKey job;
@@ -216,6 +221,7 @@
                                        ResultsNotWritten,
                                        ProgressSaved,
                                        HandBackEnded,
+                                       FinishEnded,
                                        JobDeletionFailed,
                                        JobRouteRemoved,
                                        SchedulerTick>;
@@ -240,7 +246,8 @@
   JobKey job;
   std::vector<ItemResult> results;
 };
-/// Mark the job as finished in its status: every item has a result.
+/// Mark the job as finished in its status: every item has a result. FinishEnded
+/// follows.
 struct FinishJob {
   JobKey job;
 };
@@ -376,6 +383,7 @@
     MonotonicTime flush_timer_start;
     bool writing = false;
     bool finish_requested = false;
+    MonotonicTime next_finish_at;
     bool handed_back = false;
     bool handing_back = false;
     bool delete_requested = false;
@@ -410,6 +418,7 @@
   void Apply(const ResultsNotWritten& event, ClockReadings now);
   void Apply(const ProgressSaved& event, ClockReadings now);
   void Apply(const HandBackEnded& event, ClockReadings now);
+  void Apply(const FinishEnded& event, ClockReadings now);
   void Apply(const JobDeletionFailed& event, ClockReadings now);
   void Apply(const JobRouteRemoved& event, ClockReadings now);
   void Apply(const SchedulerTick&, ClockReadings now);
@@ -442,7 +451,7 @@
   void DeadLetterExpired(Job& job, ClockReadings now);
   void DeadLetterPending(Job& job, ClockReadings now);
   void MaybeWriteResults(Job& job, ClockReadings now);
-  void MaybeFinish(Job& job);
+  void MaybeFinish(Job& job, ClockReadings now);
   void MaybeHandBack(Job& job);
   /// Hands a job back without reading its items.
   void HandBackUnread(Job& job);
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -211,6 +211,27 @@
   CHECK(f.IsOpenedSoon());
 }
 
+// Guards against a job that stays unfinished, and is never deleted, because the
+// write that finishes it had no effect.
+TEST_CASE("A job whose end could not be written is finished later") {
+  Fixture f;
+  f.OpenJob();
+  for (const char* item : {"a", "b"}) {
+    f.runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
+    f.runner.HandleEvent(ItemRunEnded{kJob, ItemId(item),
+                                      ItemRunOutcome::kCompleted,
+                                      {.last_event = 1, .output = "out"}});
+  }
+  f.store.OnChange([&] { f.store.FailNext(StoreFault::kRefuse); });
+  f.Poll();
+  REQUIRE_FALSE(f.Status().finished);
+  f.store.FailNext(StoreFault::kNone);
+  std::this_thread::sleep_for(20ms);
+  f.runner.Tick();
+  f.Poll();
+  CHECK(f.Status().finished);
+}
+
 // Guards against results that are never written: the job was closed before
 // their write began, and is opened again later.
 TEST_CASE("Results are written by an owner that was replaced before") {
