Gateway: Blocks and trials of crashing requests outlive a loss of all gateways

Each crash breaks off what else the server runs.

Cause: the aborted runs, the block and the trials were in the memory of the gateways, which tell each other. After a loss of all nobody knows of them.

Change: what blocks a request is recorded in the store, in one document for each VM that has observed a run of it, with counts by observer; a gateway that starts lists them while requests are held. A trial is recorded before it is sent. Until the records are read, one aborted run blocks a request. Where the store was out of reach at the start, so that the last runs may be missing, a request without a record gets three runs in all.

Why it works: beyond the third run nothing is sent that is not in the store first, so a process that knows no more than the store continues the count instead of beginning it.

--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -13,6 +13,7 @@
 
 namespace cowslip {
 
+class AbortedRunRecords;
 class AbortedRunTracker;
 class CrashSuspectCore;
 class Dispatcher;
@@ -36,6 +37,7 @@
   Dispatcher& dispatcher;
   QuotaCore& quota;
   AbortedRunTracker& aborted_runs;
+  AbortedRunRecords& aborted_run_records;
   CrashSuspectCore& crash_suspects;
   StreamOriginDirectory& stream_origins;
   VersionHistory& version_history;
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -52,6 +52,10 @@
 // The body of a readiness check or of a request for metrics, which have none.
 constexpr size_t kMaxProbeBodyBytes = 4096;
 
+// Processes that were killed together are back within a second, give or take
+// the delay of their messages.
+constexpr Duration kSameStart = std::chrono::seconds(5);
+
 // The interval between attempts to register while the store is unavailable.
 constexpr Duration kRegisterRetryInterval = std::chrono::milliseconds(300);
 
@@ -94,6 +98,13 @@
           AbortedRunTrackerOptions{.self = m_settings.vm,
                                    .incarnation = m_options.incarnation},
           &m_peer_table),
+      m_aborted_run_records(context,
+                            m_store,
+                            m_aborted_runs,
+                            m_peer_table,
+                            m_log,
+                            AbortedRunRecordsOptions{.self = m_settings.vm},
+                            [this] { MaybeOpenStartupGate(); }),
       m_crash_suspects(CrashSuspectOptions{.self = m_settings.vm},
                        m_peer_table),
       m_backend_directory(BackendDirectoryOptions{}),
@@ -128,6 +139,7 @@
                 .dispatcher = m_dispatcher,
                 .quota = m_quota,
                 .aborted_runs = m_aborted_runs,
+                .aborted_run_records = m_aborted_run_records,
                 .crash_suspects = m_crash_suspects,
                 .stream_origins = m_stream_origins,
                 .version_history = m_version_history,
@@ -141,7 +153,11 @@
                 .region = m_settings.region,
                 .jobs_as_of = [this] { return m_job_watcher->as_of(); },
                 .refresh_jobs = [this] { m_job_watcher->Refresh(); },
-                .reported_state_changed = [this] { m_gossip->StateChanged(); }},
+                .reported_state_changed =
+                    [this] {
+                      m_gossip->StateChanged();
+                      m_aborted_run_records.Update();
+                    }},
       m_scheduler(JobSchedulerOptions{.self = m_settings.vm,
                                       .incarnation = m_options.incarnation,
                                       .region = m_settings.region},
@@ -182,6 +198,7 @@
     m_log.Write("setting_unusable", {{"why", why}});
   }
   StartWatchers();
+  m_aborted_run_records.Start();
   const Result<void> gossip = m_gossip->Start();
   if (!gossip.has_value()) {
     return gossip.error();
@@ -335,7 +352,9 @@
       PeerAbortedRunsReported{.vm = message.vm,
                               .runs = message.aborted_runs,
                               .incarnation = message.incarnation,
-                              .completed = message.completed_requests},
+                              .completed = message.completed_requests,
+                              .has_run_longer = message.uptime >
+                                                now - m_start_time + kSameStart},
       now);
   m_crash_suspects.Handle(
       PeerCrashEvidenceReported{message.vm, message.crash_evidence}, now);
@@ -564,6 +583,7 @@
     HandlePeerEvent(PeerTick{});
     HandlePollEvent(PollersChanged{m_peer_table.LiveProcesses()});
     m_version_history.Handle(VersionHistoryTick{});
+    m_aborted_run_records.Update();
     if (m_evacuations != nullptr) {
       m_evacuations->Tick();
     }
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -14,6 +14,7 @@
 #include "Base/event_log.h"
 #include "Base/pause_detector.h"
 #include "Fleet/gateway_settings.h"
+#include "Gateway/aborted_run_records.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/evacuations.h"
 #include "Gateway/gateway_context.h"
@@ -179,6 +180,7 @@
   QuotaCore m_quota;
   PeerTable m_peer_table;
   AbortedRunTracker m_aborted_runs;
+  AbortedRunRecords m_aborted_run_records;
   CrashSuspectCore m_crash_suspects;
   std::map<VmId, PeerRecord> m_peer_records;
   /// The versions of their documents.
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -315,7 +315,7 @@
 
 void GatewayDaemon::MaybeOpenStartupGate() {
   if (m_startup_gate.is_open() || m_gateway.configuration == nullptr ||
-      !m_backends_known ||
+      !m_backends_known || !m_aborted_runs.records_are_known() ||
       (m_evacuations != nullptr && !m_evacuations->may_place())) {
     return;
   }
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Base/event_log.h"
+#include "Gateway/aborted_run_records.h"
 #include "Gateway/backend_attempt.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
@@ -232,7 +233,11 @@
       co_return;
     }
     // Backend servers may have crashed while the request waited.
-    if ((m_trial == nullptr && !MaySendPrompt()) || !BeginTrial()) {
+    if (m_trial == nullptr && !MaySendPrompt()) {
+      break;
+    }
+    const bool may_send = co_await BeginTrial();
+    if (!may_send || *m_stopped) {
       break;
     }
     const AttemptResult result = co_await RunAttempts(std::move(lease));
@@ -493,19 +498,32 @@
   return false;
 }
 
-bool RelaySession::BeginTrial() {
+// A trial is recorded before it is sent: one that only this process knows of
+// would be forgotten with it.
+awaitable<bool> RelaySession::BeginTrial() {
   // Backend servers may have crashed while the request waited.
   if (!MaySendRequest()) {
-    return false;
+    co_return false;
   }
-  if (m_is_request_trial) {
-    m_gateway.aborted_runs.Handle(TrialBegun{RequestFingerprint()},
-                                  MonotonicClock::now());
-    m_gateway.reported_state_changed();
-    m_gateway.log.Write("blocked_request_tried",
-                        {{"id", m_request.caller.attempt.value()}});
+  if (!m_is_request_trial) {
+    co_return true;
   }
-  return true;
+  m_gateway.aborted_runs.Handle(TrialBegun{RequestFingerprint()},
+                                MonotonicClock::now());
+  m_gateway.reported_state_changed();
+  const bool is_recorded = co_await m_gateway.aborted_run_records.Record();
+  m_gateway.log.Write("blocked_request_tried",
+                      {{"id", m_request.caller.attempt.value()},
+                       {"is_recorded", is_recorded}});
+  if (is_recorded && !*m_stopped) {
+    co_return true;
+  }
+  m_is_request_trial = false;
+  m_gateway.aborted_runs.Handle(TrialNotRun{RequestFingerprint()},
+                                MonotonicClock::now());
+  m_blocked_for = m_gateway.aborted_runs.TimeUntilTrial(RequestFingerprint(),
+                                                        MonotonicClock::now());
+  co_return false;
 }
 
 RelaySession::AttemptResult RelaySession::EndAttemptNotRun(
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -148,9 +148,10 @@
   /// of crashing backend servers. If it is held back, the time until it may be
   /// tried is kept in `m_blocked_for`.
   bool MaySendRequest();
-  /// Counts the next attempt as a trial, if it is one. Returns false when
-  /// another trial has begun in the meantime.
-  bool BeginTrial();
+  /// Counts and records the next attempt as a trial, if it is one. Returns
+  /// false when another trial has begun in the meantime, or the store does not
+  /// take the record.
+  boost::asio::awaitable<bool> BeginTrial();
   /// Whether a request with this prompt may be sent. If not, the reason is kept
   /// in `m_blocked_prompt`.
   bool MaySendPrompt();
--- a/Source/Placement/aborted_run_tracker.cc
+++ b/Source/Placement/aborted_run_tracker.cc
@@ -14,6 +14,10 @@
 // How often expired records are removed.
 constexpr Duration kRemovalInterval = std::chrono::seconds(1);
 
+// Stands for the processes that have observed runs and are lost with their
+// counts. No VM has this name.
+constexpr char kLostObserver[] = "?";
+
 }  // namespace
 
 AbortedRunTracker::AbortedRunTracker(AbortedRunTrackerOptions options,
@@ -45,6 +49,7 @@
   Observed& own =
       found->second.observed[{m_options.self, m_options.incarnation}];
   own.cleared = std::min(own.cleared + 1, own.count);
+  ++m_record_changes;
 }
 
 void AbortedRunTracker::RecordOwnRun(const Fingerprint& fingerprint,
@@ -54,6 +59,32 @@
   ++own.count;
   own.last = now;
   record.last_abort = now;
+  AssumeLostRuns(record, now);
+  if (IsBlocked(record, now)) {
+    ++m_record_changes;
+  }
+}
+
+bool AbortedRunTracker::HasObserved(const Record& record) const {
+  return std::any_of(record.observed.begin(), record.observed.end(),
+                     [this](const auto& observed) {
+                       return observed.first.first == m_options.self;
+                     });
+}
+
+// The runs that are known and the trials that are left then make `max_trials`.
+void AbortedRunTracker::AssumeLostRuns(Record& record, MonotonicTime now) {
+  const bool may_be_lost = m_lost_runs_count_until.has_value() &&
+                           now < *m_lost_runs_count_until &&
+                           !record.was_recorded;
+  if (!may_be_lost || CountOf(record) + 1 < m_options.max_trials) {
+    return;
+  }
+  Observed& lost = record.observed[{VmId(kLostObserver), Incarnation()}];
+  if (lost.count == 0) {
+    lost.count = m_options.block_threshold;
+    lost.last = record.last_abort;
+  }
 }
 
 void AbortedRunTracker::Apply(const RunCompleted& event, MonotonicTime now) {
@@ -71,6 +102,9 @@
 
 void AbortedRunTracker::Apply(const PeerAbortedRunsReported& event,
                               MonotonicTime now) {
+  if (event.has_run_longer) {
+    m_lost_runs_count_until.reset();
+  }
   for (const AbortedRuns& runs : event.runs) {
     const Observer observer = runs.vm.empty()
                                   ? Observer(event.vm, event.incarnation)
@@ -95,6 +129,7 @@
   }
   const MonotonicTime last = now - runs.age;
   Record& record = m_records[runs.fingerprint];
+  const bool was_blocked = IsBlocked(record, now);
   Observed& known = record.observed[observer];
   if (runs.count > known.count) {
     known.count = runs.count;
@@ -105,6 +140,10 @@
   }
   record.last_abort = std::max(record.last_abort, known.last);
   if (known.last > record.completed) {
+    AssumeLostRuns(record, now);
+    if (!was_blocked && IsBlocked(record, now) && HasObserved(record)) {
+      ++m_record_changes;
+    }
     return;
   }
   known.cleared = known.count;
@@ -114,13 +153,35 @@
   }
 }
 
+void AbortedRunTracker::Apply(const AbortedRunRecordsAwaited&, MonotonicTime) {
+  m_records_are_known = false;
+}
+
+void AbortedRunTracker::Apply(const AbortedRunRecordsRead& event,
+                              MonotonicTime now) {
+  m_records_are_known = true;
+  if (!event.are_complete) {
+    m_lost_runs_count_until = now + m_options.lifetime;
+  }
+  for (const AbortedRuns& runs : event.runs) {
+    if (runs.age <= m_options.lifetime) {
+      m_records[runs.fingerprint].was_recorded = true;
+      RecordAbortedRuns({runs.vm, runs.incarnation}, runs, now);
+    }
+  }
+}
+
 void AbortedRunTracker::RecordCompletion(Record& record, MonotonicTime time) {
+  const bool counted = CountOf(record) > 0;
   record.completed = std::max(record.completed, time);
   for (auto& [observer, observed] : record.observed) {
     if (observed.last <= record.completed) {
       observed.cleared = observed.count;
     }
   }
+  if (counted && CountOf(record) == 0 && HasObserved(record)) {
+    ++m_record_changes;
+  }
 }
 
 uint32_t AbortedRunTracker::CountOf(const Record& record) {
@@ -133,8 +194,10 @@
 
 bool AbortedRunTracker::IsBlocked(const Record& record,
                                   MonotonicTime now) const {
+  const uint32_t threshold =
+      m_records_are_known ? m_options.block_threshold : 1;
   return now - record.last_abort <= m_options.lifetime &&
-         CountOf(record) >= m_options.block_threshold;
+         CountOf(record) >= threshold;
 }
 
 bool AbortedRunTracker::IsBlocked(const Fingerprint& fingerprint,
@@ -162,6 +225,9 @@
   if (found == m_records.end() || !IsBlocked(found->second, now)) {
     return std::nullopt;
   }
+  if (!m_records_are_known) {
+    return m_options.unread_records_delay;
+  }
   const Record& record = found->second;
   const uint32_t trials = CountOf(record) - m_options.block_threshold;
   if (trials >= m_options.max_trials) {
@@ -236,6 +302,34 @@
   return reported;
 }
 
+std::vector<AbortedRuns> AbortedRunTracker::RunsToRecord(
+    MonotonicTime now) const {
+  std::vector<std::pair<MonotonicTime, Fingerprint>> blocked;
+  for (const auto& [fingerprint, record] : m_records) {
+    if (IsBlocked(record, now) && HasObserved(record)) {
+      blocked.emplace_back(record.last_abort, fingerprint);
+    }
+  }
+  std::sort(blocked.rbegin(), blocked.rend());
+  blocked.resize(std::min(blocked.size(), m_options.max_recorded));
+  std::vector<AbortedRuns> runs;
+  for (const auto& [last, fingerprint] : blocked) {
+    uint32_t count = 0;
+    for (const auto& [observer, observed] : m_records.at(fingerprint).observed) {
+      if (observed.count > observed.cleared &&
+          count < m_options.block_threshold + m_options.max_trials) {
+        count += observed.count - observed.cleared;
+        runs.push_back({.fingerprint = fingerprint,
+                        .count = observed.count - observed.cleared,
+                        .age = now - observed.last,
+                        .vm = observer.first,
+                        .incarnation = observer.second});
+      }
+    }
+  }
+  return runs;
+}
+
 std::vector<CompletedRequest> AbortedRunTracker::CompletionsToReport(
     MonotonicTime now) const {
   std::vector<CompletedRequest> completed;
--- a/Source/Placement/aborted_run_tracker.h
+++ b/Source/Placement/aborted_run_tracker.h
@@ -58,6 +58,12 @@
   size_t max_relayed = 8;
   /// Maximum number of tracked requests; the oldest are evicted first.
   size_t max_records = 4000;
+  /// Maximum number of blocked requests that are recorded, the newest first: a
+  /// document of about 50 kB.
+  size_t max_recorded = 64;
+  /// When a request that is blocked until the records are read may come again:
+  /// a store that can be reached is read within a few round trips.
+  Duration unread_records_delay = std::chrono::milliseconds(500);
 };
 
 /// During a run of the request, the connection to the backend server was closed
@@ -84,12 +90,27 @@
   std::vector<AbortedRuns> runs;
   Incarnation incarnation{};
   std::vector<CompletedRequest> completed{};
+  /// It has run since before this process started, so it knows what happened
+  /// before.
+  bool has_run_longer = false;
+};
+/// This process has started and does not know yet what earlier ones have
+/// recorded; AbortedRunRecordsRead follows.
+struct AbortedRunRecordsAwaited {};
+/// What earlier processes have recorded.
+struct AbortedRunRecordsRead {
+  std::vector<AbortedRuns> runs;
+  /// Whether the store could be reached when this process started. Otherwise
+  /// those that ended then may have been unable to record their last runs.
+  bool are_complete = true;
 };
 using AbortedRunEvent = std::variant<RunAborted,
                                      TrialBegun,
                                      TrialNotRun,
                                      RunCompleted,
-                                     PeerAbortedRunsReported>;
+                                     PeerAbortedRunsReported,
+                                     AbortedRunRecordsAwaited,
+                                     AbortedRunRecordsRead>;
 
 /// \class AbortedRunTracker
 /// \brief Detects requests that crash the backend servers that run them, also
@@ -104,6 +125,12 @@
 /// without a completed one in between count. A harmless request may reach the
 /// threshold while many backend servers crash, so a blocked one is tried a few
 /// times, at one process after the other.
+///
+/// What blocks a request is recorded in the store, so that it outlives a loss
+/// of all processes. Until the records are read, one aborted run blocks a
+/// request. Where the records may lack the last runs, a request without one is
+/// blocked so early that all its runs together are no more than the trials of a
+/// blocked request.
 class AbortedRunTracker {
  public:
   /// Without `peers`, this process takes itself to be the only one.
@@ -126,6 +153,13 @@
   /// The requests with aborted runs that this process has run to completion
   /// lately.
   std::vector<CompletedRequest> CompletionsToReport(MonotonicTime now) const;
+  /// What this VM has to record: the runs, whoever has observed them, that
+  /// block requests of which it has observed a run.
+  std::vector<AbortedRuns> RunsToRecord(MonotonicTime now) const;
+  /// Increases whenever RunsToRecord() has to be recorded anew.
+  uint64_t record_changes() const { return m_record_changes; }
+  /// Whether what earlier processes have recorded is known.
+  bool records_are_known() const { return m_records_are_known; }
 
  private:
   /// A process that observes runs.
@@ -145,6 +179,8 @@
     /// When this process last completed a run, and until when it reports that.
     MonotonicTime own_completed;
     MonotonicTime report_completed_until;
+    /// Whether an earlier process has recorded the request.
+    bool was_recorded = false;
   };
 
   void Apply(const RunAborted& event, MonotonicTime now);
@@ -152,12 +188,19 @@
   void Apply(const TrialNotRun& event, MonotonicTime now);
   void Apply(const RunCompleted& event, MonotonicTime now);
   void Apply(const PeerAbortedRunsReported& event, MonotonicTime now);
+  void Apply(const AbortedRunRecordsAwaited&, MonotonicTime now);
+  void Apply(const AbortedRunRecordsRead& event, MonotonicTime now);
   void RecordOwnRun(const Fingerprint& fingerprint, MonotonicTime now);
   void RecordAbortedRuns(const Observer& observer,
                          const AbortedRuns& runs,
                          MonotonicTime now);
-  static void RecordCompletion(Record& record, MonotonicTime time);
+  void RecordCompletion(Record& record, MonotonicTime time);
   static uint32_t CountOf(const Record& record);
+  /// Whether this VM has observed a run of the request.
+  bool HasObserved(const Record& record) const;
+  /// Counts the runs that may have been lost with all processes, see
+  /// AbortedRunRecordsRead::are_complete.
+  void AssumeLostRuns(Record& record, MonotonicTime now);
   bool IsBlocked(const Record& record, MonotonicTime now) const;
   /// How many other processes try the request before this one.
   int64_t ProcessesBefore(const Fingerprint& fingerprint) const;
@@ -170,6 +213,10 @@
   const PeerTable* const m_peers;
   std::map<Fingerprint, Record> m_records;
   MonotonicTime m_last_removal;
+  uint64_t m_record_changes = 0;
+  bool m_records_are_known = true;
+  /// Until when runs that were not recorded would count.
+  std::optional<MonotonicTime> m_lost_runs_count_until;
 };
 
 }  // namespace cowslip
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "Base/event_log.h"
+#include "Gateway/aborted_run_records.h"
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_context.h"
 #include "Gateway/gateway_metrics.h"
@@ -46,11 +47,14 @@
                         [] {}};
   QuotaCore quota{QuotaOptions{}};
   AbortedRunTracker aborted_runs{AbortedRunTrackerOptions{}};
+  EventLog log{EventLogOptions{.descriptor = null}};
+  AbortedRunRecords aborted_run_records{
+      io,  store,          aborted_runs, peers, log, {.self = kSelf},
+      [] {}};
   CrashSuspectCore crash_suspects{CrashSuspectOptions{.self = kSelf}, peers};
   StreamOriginDirectory stream_origins{
       io.get_executor(), StreamOriginOptions{.self = kSelf}, peers,
       [](const Endpoint&, const auto&) {}};
-  EventLog log{EventLogOptions{.descriptor = null}};
   VersionHistory version_history{io,
                                  store,
                                  peers,
@@ -66,6 +70,7 @@
                          .dispatcher = dispatcher,
                          .quota = quota,
                          .aborted_runs = aborted_runs,
+                         .aborted_run_records = aborted_run_records,
                          .crash_suspects = crash_suspects,
                          .stream_origins = stream_origins,
                          .version_history = version_history,
