--- a/Source/Gateway/aborted_run_documents.cc
+++ b/Source/Gateway/aborted_run_documents.cc
@@ -33,12 +33,11 @@
     for (const nlohmann::json& entry : document.content.at(kRunsField)) {
       const WallTime last(
           std::chrono::milliseconds(entry.at(4).get<int64_t>()));
-      runs.push_back(
-          {.fingerprint = entry.at(0).get<Fingerprint>(),
-           .count = entry.at(3).get<uint32_t>(),
-           .age = std::max<Duration>(now - last, Duration::zero()),
-           .vm = entry.at(1).get<VmId>(),
-           .incarnation = Incarnation(entry.at(2).get<uint64_t>())});
+      runs.push_back({.fingerprint = entry.at(0).get<Fingerprint>(),
+                      .count = entry.at(3).get<uint32_t>(),
+                      .age = std::max<Duration>(now - last, Duration::zero()),
+                      .vm = entry.at(1).get<VmId>(),
+                      .incarnation = Incarnation(entry.at(2).get<uint64_t>())});
     }
     return runs;
   } catch (const nlohmann::json::exception& error) {
--- a/Source/Gateway/aborted_run_records.h
+++ b/Source/Gateway/aborted_run_records.h
@@ -92,7 +92,8 @@
   const AbortedRunRecordsOptions m_options;
   const std::function<void()> m_known;
   const MonotonicTime m_start = MonotonicClock::now();
-  // The version of this VM's document, 0 while there is none, and what it holds.
+  // The version of this VM's document, 0 while there is none, and what it
+  // holds.
   ObjectVersion m_version;
   std::vector<AbortedRuns> m_recorded_runs;
   // Whether a write may have taken effect that is not known of.
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -349,12 +349,12 @@
                                    message.uptime, message.usage},
                  now);
   m_aborted_runs.Handle(
-      PeerAbortedRunsReported{.vm = message.vm,
-                              .runs = message.aborted_runs,
-                              .incarnation = message.incarnation,
-                              .completed = message.completed_requests,
-                              .has_run_longer = message.uptime >
-                                                now - m_start_time + kSameStart},
+      PeerAbortedRunsReported{
+          .vm = message.vm,
+          .runs = message.aborted_runs,
+          .incarnation = message.incarnation,
+          .completed = message.completed_requests,
+          .has_run_longer = message.uptime > now - m_start_time + kSameStart},
       now);
   m_crash_suspects.Handle(
       PeerCrashEvidenceReported{message.vm, message.crash_evidence}, now);
--- a/Source/Gateway/job_runner_store.cc
+++ b/Source/Gateway/job_runner_store.cc
@@ -59,9 +59,9 @@
     HandleJobDocument(document.value(), "read");
     co_return;
   }
-  m_gateway.log.Write("job_record_not_read",
-                      {{"job", job.value()},
-                       {"why", document.error().message}});
+  m_gateway.log.Write(
+      "job_record_not_read",
+      {{"job", job.value()}, {"why", document.error().message}});
 }
 
 awaitable<void> JobRunner::Open(JobKey job) {
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -512,9 +512,9 @@
                                 MonotonicClock::now());
   m_gateway.reported_state_changed();
   const bool is_recorded = co_await m_gateway.aborted_run_records.Record();
-  m_gateway.log.Write("blocked_request_tried",
-                      {{"id", m_request.caller.attempt.value()},
-                       {"is_recorded", is_recorded}});
+  m_gateway.log.Write(
+      "blocked_request_tried",
+      {{"id", m_request.caller.attempt.value()}, {"is_recorded", is_recorded}});
   if (is_recorded && !*m_stopped) {
     co_return true;
   }
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -620,8 +620,8 @@
     }
     handed.failed_runs = failed_runs;
   }
-  m_actions.push_back(HandBackJob{.job = job.record.key,
-                                  .progress = std::move(progress)});
+  m_actions.push_back(
+      HandBackJob{.job = job.record.key, .progress = std::move(progress)});
 }
 
 // The job's record names this process, which lives, so no other one would claim
--- a/Source/Placement/aborted_run_tracker.cc
+++ b/Source/Placement/aborted_run_tracker.cc
@@ -315,7 +315,8 @@
   std::vector<AbortedRuns> runs;
   for (const auto& [last, fingerprint] : blocked) {
     uint32_t count = 0;
-    for (const auto& [observer, observed] : m_records.at(fingerprint).observed) {
+    for (const auto& [observer, observed] :
+         m_records.at(fingerprint).observed) {
       if (observed.count > observed.cleared &&
           count < m_options.block_threshold + m_options.max_trials) {
         count += observed.count - observed.cleared;
--- a/Tests/Gateway/aborted_run_record_test.cc
+++ b/Tests/Gateway/aborted_run_record_test.cc
@@ -49,8 +49,8 @@
 
   // The status, or 0 without a response.
   awaitable<int> Send(size_t gateway) {
-    HttpRequest request = f.Request("POST", kCrashing,
-                                    "a" + std::to_string(++m_sent), "same");
+    HttpRequest request =
+        f.Request("POST", kCrashing, "a" + std::to_string(++m_sent), "same");
     const auto response = co_await f.Send(gateway, std::move(request));
     INFO(GatewayFixture::Describe(response));
     co_return response.has_value() ? response.value().status : 0;
--- a/Tests/Gateway/job_record_test.cc
+++ b/Tests/Gateway/job_record_test.cc
@@ -49,8 +49,7 @@
   AbortedRunTracker aborted_runs{AbortedRunTrackerOptions{}};
   EventLog log{EventLogOptions{.descriptor = null}};
   AbortedRunRecords aborted_run_records{
-      io,  store,          aborted_runs, peers, log, {.self = kSelf},
-      [] {}};
+      io, store, aborted_runs, peers, log, {.self = kSelf}, [] {}};
   CrashSuspectCore crash_suspects{CrashSuspectOptions{.self = kSelf}, peers};
   StreamOriginDirectory stream_origins{
       io.get_executor(), StreamOriginOptions{.self = kSelf}, peers,
@@ -81,12 +80,11 @@
                          .startup_gate = startup_gate,
                          .shutdown_notice = shutdown_notice,
                          .reported_state_changed = [] {}};
-  JobScheduler scheduler{
-      JobSchedulerOptions{.self = kSelf,
-                          .incarnation = Incarnation(1),
-                          .claim_backoff = 10ms,
-                          .peer_discovery_time = 0ms},
-      peers};
+  JobScheduler scheduler{JobSchedulerOptions{.self = kSelf,
+                                             .incarnation = Incarnation(1),
+                                             .claim_backoff = 10ms,
+                                             .peer_discovery_time = 0ms},
+                         peers};
   JobRunner runner{gateway, store, scheduler, JobRunnerOptions{}};
 
   ~Fixture() { ::close(null); }
@@ -223,7 +221,8 @@
   f.OpenJob();
   for (const char* item : {"a", "b"}) {
     f.runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
-    f.runner.HandleEvent(ItemRunEnded{kJob, ItemId(item),
+    f.runner.HandleEvent(ItemRunEnded{kJob,
+                                      ItemId(item),
                                       ItemRunOutcome::kCompleted,
                                       {.last_event = 1, .output = "out"}});
   }
@@ -245,7 +244,8 @@
   f.OpenJob();
   const auto complete = [&](const char* item) {
     f.runner.HandleEvent(ItemStarted{kJob, ItemId(item), BackendId("x")});
-    f.runner.HandleEvent(ItemRunEnded{kJob, ItemId(item),
+    f.runner.HandleEvent(ItemRunEnded{kJob,
+                                      ItemId(item),
                                       ItemRunOutcome::kCompleted,
                                       {.last_event = 1, .output = "out"}});
   };
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -121,8 +121,7 @@
   JobRecord claimed = Record("j", "vm1", 1);
   claimed.version = ObjectVersion(2);
   f.Handle(JobUpdated{claimed}, 6200ms);
-  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 6200ms)) !=
-        nullptr);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 6200ms)) != nullptr);
 }
 
 TEST_CASE("A failed claim is retried after a delay") {
@@ -398,8 +397,7 @@
   JobRecord claimed = Record("j", "vm1", 1);
   claimed.version = ObjectVersion(2);
   f.Handle(JobUpdated{claimed}, 3200ms);
-  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 3200ms)) !=
-        nullptr);
+  CHECK(Find<OpenJob>(f.Handle(ClaimEnded{JobKey("j")}, 3200ms)) != nullptr);
   const auto opened = f.Handle(JobOpened{JobKey("j"), {}}, 3300ms);
   CHECK(Find<HandBackJob>(opened) != nullptr);
   CHECK_FALSE(f.scheduler.IsIdle());
--- a/Tests/Placement/aborted_run_record_test.cc
+++ b/Tests/Placement/aborted_run_record_test.cc
@@ -76,10 +76,9 @@
       tracker.Handle(RunAborted{kRequest}, At(at));
     }
     const Gateway& sender = *m_gateways[index];
-    const PeerAbortedRunsReported report{
-        .vm = sender.vm,
-        .runs = tracker.RunsToReport(At(at)),
-        .incarnation = Incarnation(m_starts)};
+    const PeerAbortedRunsReported report{.vm = sender.vm,
+                                         .runs = tracker.RunsToReport(At(at)),
+                                         .incarnation = Incarnation(m_starts)};
     for (const auto& gateway : m_gateways) {
       if (gateway->vm != sender.vm) {
         gateway->tracker.Handle(report, At(at));
