Net: The end of an unframed response counts once the request has arrived

The backend server had answered a long upload at once without a length, ended its side, and reset the connection while the upload was on its way.

Cause: sending had succeeded, since the rest of the upload lay in the system's buffers, so the end of the connection counted as the end of the body; the reset came later.

Change: a body that ends with its connection is whole once the server's system has acknowledged all bytes of the request. A reset until then fails the read.

Evidence: on the former code net.reset_responses "A reset behind the end of a response..." failed for 300 kB, and gateway.early_answers on streams of both kinds, safe and unsafe routes and for items, with a half close before the reset; a reset or a close without one was no complete answer before either. All pass now, as does a server that ends its response first and reads the request later.

Why it works: a server that has received the request can lose nothing of it by a reset, so its end is that of the answer; until then the end is not believed.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -1,6 +1,8 @@
 #include "Net/http_client.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -15,6 +17,7 @@
 #include "Net/connection_check.h"
 #include "Net/growing_body.h"
 #include "Net/http_head.h"
+#include "Net/sleep_for.h"
 
 namespace cowslip {
 
@@ -38,6 +41,11 @@
 // now and then after a complete response.
 constexpr int kMaxNewChecked = 2;
 
+// How often the rest of a request is looked at that the server has not received
+// when its response ends with the connection. Most servers receive it within a
+// round trip.
+constexpr Duration kDeliveryCheckInterval = std::chrono::milliseconds(5);
+
 struct ClientConnection {
   explicit ClientConnection(const asio::any_io_executor& executor)
       : stream(executor), buffer(kMaxBufferedBytes) {}
@@ -106,6 +114,40 @@
   return error == asio::error::would_block;
 }
 
+// Whether the server's system has not acknowledged all bytes of the request.
+bool HasUndelivered(tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+// A server that ends its response while the request is still on its way may be
+// about to reset the connection, which would show that the response is not
+// whole. Returns once the request is delivered, or with the reason why not.
+asio::awaitable<boost::system::error_code> AwaitDelivery(tcp::socket& socket,
+                                                         MonotonicTime end) {
+  while (true) {
+    const bool is_delivered = !HasUndelivered(socket);
+    // After the bytes: a reset discards them.
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &failure,
+                     &size) != 0) {
+      failure = errno;
+    }
+    if (failure != 0) {
+      co_return boost::system::error_code(failure,
+                                          boost::system::system_category());
+    }
+    if (is_delivered) {
+      co_return boost::system::error_code();
+    }
+    if (MonotonicClock::now() >= end) {
+      co_return beast::error::timeout;
+    }
+    co_await SleepFor(kDeliveryCheckInterval);
+  }
+}
+
 void SetDeadPeerTimeout(tcp::socket& socket, Duration timeout) {
   const int on = 1;
   const int seconds = std::max<int>(
@@ -347,7 +389,8 @@
         co_return MemoryError();
       }
     }
-  } while (!error && parser->get().result_int() < 200);
+  } while (!error &&
+           MeaningOf(parser->get().result_int()) == StatusMeaning::kInterim);
   if (error) {
     co_return CallError(error, "waiting for the response to the check");
   }
@@ -426,6 +469,7 @@
       body.data = m_read_buffer.data();
       body.size = m_read_buffer.size();
       body.more = true;
+      const MonotonicTime end = MonotonicClock::now() + timeout;
       m_connection->stream.expires_after(timeout);
       co_await http::async_read_some(m_connection->stream, m_connection->buffer,
                                      *m_parser, token);
@@ -433,8 +477,11 @@
         error = {};
       }
       const bool has_ended = !error && m_parser->is_done();
-      if (has_ended && m_ends_with_connection && m_connection->send_error) {
+      if (has_ended && m_ends_with_connection) {
         error = m_connection->send_error;
+        if (!error) {
+          error = co_await AwaitDelivery(m_connection->stream.socket(), end);
+        }
       }
       if (error) {
         m_connection.reset();
@@ -556,7 +603,8 @@
     parser->body_limit(impl->options().max_response_bytes);
     co_await http::async_read_header(connection->stream, connection->buffer,
                                      *parser, token);
-  } while (!error && parser->get().result_int() < 200);
+  } while (!error &&
+           MeaningOf(parser->get().result_int()) == StatusMeaning::kInterim);
   if (error) {
     co_return CallError(send_error ? send_error : error,
                         "waiting for the response");
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -122,7 +122,9 @@
   virtual bool ends_with_connection() const = 0;
   /// Returns the next chunk, or nullopt at the regular end of the body. Errors:
   /// kInDoubt when the body is truncated, or ends with its connection although
-  /// the request could not be sent whole; kTimeout.
+  /// the request could not be sent whole or did not reach the server; kTimeout.
+  /// The end of a body that ends with its connection is returned once the
+  /// server has received the request.
   virtual boost::asio::awaitable<Result<std::optional<std::string>>> ReadSome(
       Duration timeout) = 0;
   /// Closes the connection at once; a pending ReadSome fails.
