Net: A response whose status is not one of HTTP is an error

Answers with 600 and more were passed on.

Cause: each status below 200 was skipped as interim, in calls and in the check of a connection, and what followed was read as the next head.

Change: only 100 and 102 to 199 are interim (101 answers an upgrade that is never asked for), only 200 to 599 are final. Anything else fails the call at once as one in doubt, on streams, whole answers, items, reports, checks and the store's calls, which share this place.

Why it works: what is no response of HTTP is not interpreted further, so nothing behind it can be taken for the response.

--- a/Source/Net/http_client.cc
+++ b/Source/Net/http_client.cc
@@ -185,6 +185,31 @@
   const std::shared_ptr<HttpAbort> m_abort;
 };
 
+// What the status of a response says about it (RFC 9110, section 15).
+enum class StatusMeaning {
+  /// The final response follows.
+  kInterim,
+  kFinal,
+  /// No status at all, or one that answers no request of this client: it never
+  /// asks for another protocol (101).
+  kInvalid,
+};
+
+StatusMeaning MeaningOf(unsigned status) {
+  if (status >= 200 && status <= 599) {
+    return StatusMeaning::kFinal;
+  }
+  const bool is_interim = status >= 100 && status <= 199 && status != 101;
+  return is_interim ? StatusMeaning::kInterim : StatusMeaning::kInvalid;
+}
+
+Error StatusError(unsigned status) {
+  return Error(ErrorKind::kInDoubt,
+               "The server sent the status " + std::to_string(status) +
+                   ", which no response to the request has. Check the server, "
+                   "and retry only what is idempotent.");
+}
+
 Error MemoryError() {
   return Error(ErrorKind::kInDoubt,
                "There is no room in memory for the response. Give the process "
@@ -394,6 +419,9 @@
   if (error) {
     co_return CallError(error, "waiting for the response to the check");
   }
+  if (MeaningOf(parser->get().result_int()) == StatusMeaning::kInvalid) {
+    co_return StatusError(parser->get().result_int());
+  }
   connection.stream.expires_never();
   HttpResponse response;
   response.status = parser->get().result_int();
@@ -598,7 +626,7 @@
   error = {};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser;
   do {
-    // Interim (1xx) responses are skipped; the final response follows them.
+    // Interim responses are skipped; the final response follows them.
     parser = std::make_unique<http::response_parser<http::buffer_body>>();
     parser->body_limit(impl->options().max_response_bytes);
     co_await http::async_read_header(connection->stream, connection->buffer,
@@ -609,6 +637,9 @@
     co_return CallError(send_error ? send_error : error,
                         "waiting for the response");
   }
+  if (MeaningOf(parser->get().result_int()) == StatusMeaning::kInvalid) {
+    co_return StatusError(parser->get().result_int());
+  }
   std::unique_ptr<HttpResponseStream> stream = std::make_unique<ResponseStream>(
       impl, std::move(connection), std::move(parser));
   co_return stream;
--- a/Source/Net/http_client.h
+++ b/Source/Net/http_client.h
@@ -136,7 +136,8 @@
 ///
 /// Errors: kInvalidArgument when no head can carry the request, see
 /// CheckRequestHead(); kUnavailable when no byte of it can have reached the
-/// server; kInDoubt when some may have; kTimeout when the timeout passed after
+/// server; kInDoubt when some may have, also when the status of the response is
+/// not one of 200 to 599; kTimeout when the timeout passed after
 /// sending began. The client never sends a request twice. An idle connection
 /// that is found closed before anything was written is replaced by another.
 ///
--- a/Tests/Gateway/early_answer_test.cc
+++ b/Tests/Gateway/early_answer_test.cc
@@ -1,4 +1,5 @@
-// Backend servers that answer while they still receive the request.
+// Backend servers that answer while they still receive the request, or with a
+// status that no answer has.
 #include <memory>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "Base/base64.h"
 #include "Net/sleep_for.h"
 #include "gateway_fixture.h"
+#include "raw_backend.h"
 #include "raw_request.h"
 
 namespace cowslip {
@@ -175,5 +177,79 @@
   });
 }
 
+// An answer of this status whose body reads like a whole signed answer.
+RawAnswer Disguised(const std::string& status, const std::string& attempt) {
+  const std::string events = ModelServer::Body(attempt, 1, kEvents);
+  const std::string body =
+      RawStreamHead(attempt, "Content-Length: " +
+                                 std::to_string(events.size()) + "\r\n") +
+      events;
+  return {.bytes = "HTTP/1.1 " + status + " X\r\nAttempt-Id: " + attempt +
+                   "\r\nResponse-Signature: sig\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body,
+          .end = ConnectionEnd::kKeptOpen};
+}
+
+void CheckStatus(const std::string& path, const std::string& status) {
+  INFO(path << ", status " << status);
+  GatewayFixture f(0);
+  RawBackend backend(f.context, [&](const HttpRequest& request) {
+    return Disguised(status,
+                     FindHeader(request.headers, "Attempt-Id").value_or(""));
+  });
+  RegisterRawBackend(f, "raw-0", backend);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    HttpRequest request = f.Request("POST", path + "a1", "a1");
+    const auto response = co_await f.Send(0, std::move(request));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 502);
+    CHECK_FALSE(
+        FindHeader(response.value().headers, "Response-Signature").has_value());
+  });
+}
+
+// Guards against an answer that is none: its status was skipped as interim, and
+// its body was delivered as the answer.
+TEST_CASE("An answer without a status of HTTP is not delivered") {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    for (const char* path : {"/stream/", "/once/", "/safe/", "/unsafe/"}) {
+      CheckStatus(path, status);
+    }
+  }
+}
+
+TEST_CASE("An item with an answer without a status of HTTP is run again") {
+  GatewayFixture f(0);
+  size_t runs = 0;
+  const std::vector<std::string> statuses = {"000", "101", "600"};
+  RawBackend backend(f.context, [&](const HttpRequest& request) {
+    const std::string attempt =
+        FindHeader(request.headers, "Attempt-Id").value_or("");
+    if (runs < statuses.size()) {
+      return Disguised(statuses[runs++], attempt);
+    }
+    const std::string events = ModelServer::Body(attempt, 1, kEvents);
+    return RawAnswer{
+        .bytes = RawStreamHead(attempt, "Transfer-Encoding: chunked\r\n") +
+                 RawChunk(events) + "0\r\n\r\n",
+        .end = ConnectionEnd::kKeptOpen};
+  });
+  RegisterRawBackend(f, "raw-0", backend);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    HttpRequest submission = f.Submission("j", 1);
+    const auto accepted = co_await f.Send(0, std::move(submission));
+    REQUIRE(accepted.has_value());
+    const nlohmann::json results = co_await f.ReadAllResults(0, "j");
+    CHECK(runs == statuses.size());
+    REQUIRE(results.size() == 1);
+    CHECK(results[0]["state"] == "completed");
+    CHECK(results[0]["output"] == "j-0-1\nj-0-2\nj-0-3\nj-0-4");
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
