Jobs: Failed runs of an item outlive its owners

Cause: the count of failed runs was saved only beside 150 events of output, which an item that fails has not, and an owner took it over only from progress that was further along. So it lived in the memory of each owner alone.

Change: a failed run is saved 150 ms later, before the item is run again, together with others; beyond the size of a save the counts are kept without their output; failed runs count whichever progress is further along.

Evidence: jobs.scheduler "The failed runs of an item outlive its owners" failed on the former code (not dead-lettered after five owners) and passes now with three runs.

Why it works: the next owner reads the saved counts before it runs an item.

--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -376,17 +376,19 @@
                                  const std::map<ItemId, ItemProgress>& known,
                                  const ItemId& id) const {
   const auto found = known.find(id);
-  if (found != known.end() && item.phase == ItemPhase::kPending &&
-      item.progress.last_event < found->second.last_event) {
-    const uint32_t failed_runs = item.progress.failed_runs;
+  if (found == known.end() || item.phase != ItemPhase::kPending) {
+    return;
+  }
+  // Failed runs count whichever progress is further along.
+  const uint32_t failed_runs =
+      std::max(item.progress.failed_runs, found->second.failed_runs);
+  if (item.progress.last_event < found->second.last_event) {
     item.progress = found->second;
     item.slot_time = std::max(item.slot_time,
                               std::chrono::duration_cast<Duration>(
                                   m_item_time * DoneFraction(item.progress)));
-    // Runs that failed after the progress was saved still count.
-    item.progress.failed_runs =
-        std::max(item.progress.failed_runs, failed_runs);
   }
+  item.progress.failed_runs = failed_runs;
 }
 
 void JobScheduler::Apply(const JobOpenFailed& event, ClockReadings) {
@@ -447,6 +449,7 @@
         EndItem(*job, event.item, ItemState::kDeadLettered, now);
       } else {
         item.not_before = now.monotonic + m_options.retry_backoff;
+        AddFailedRun(*job, now);
       }
       break;
     case ItemRunOutcome::kInDoubt: {
@@ -659,6 +662,12 @@
   job.unsaved_events += events;
 }
 
+void JobScheduler::AddFailedRun(Job& job, ClockReadings now) {
+  AddUnsavedEvents(job, m_options.min_events_to_save, now);
+  job.save_at =
+      std::min(job.save_at, now.monotonic + m_options.failed_run_save_delay);
+}
+
 void JobScheduler::MaybeSaveProgress(Job& job, ClockReadings now) {
   if (job.ownership != Ownership::kOpen || job.saving || job.finish_requested ||
       m_stopping || job.unsaved_events < m_options.min_events_to_save ||
@@ -670,9 +679,11 @@
   for (auto& [id, progress] : CollectProgress(job)) {
     bytes += progress.output.size();
     if (bytes > m_options.max_saved_bytes) {
-      break;
+      progress = ItemProgress{.failed_runs = progress.failed_runs};
+    }
+    if (progress.last_event > 0 || progress.failed_runs > 0) {
+      action.progress[id] = std::move(progress);
     }
-    action.progress[id] = std::move(progress);
   }
   job.unsaved_events = 0;
   if (action.progress.empty()) {
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -59,8 +59,11 @@
   /// a second.
   uint64_t min_events_to_save = 150;
   Duration save_delay = std::chrono::milliseconds(1000);
+  /// Failed runs are saved together after this time, before their items are run
+  /// again.
+  Duration failed_run_save_delay = std::chrono::milliseconds(150);
   /// Maximum bytes of output in one save, a fraction of the maximum size of a
-  /// document; progress beyond it is not saved.
+  /// document; of progress beyond it only the failed runs are saved.
   size_t max_saved_bytes = 256 * 1024;
   /// How long the other processes are told of an acknowledged end: longer than
   /// a watch waits, and at most `max_reported_ends` at a time.
@@ -460,8 +463,11 @@
   void MaybeResume(Job& job, ClockReadings now);
   void MaybeSaveProgress(Job& job, ClockReadings now);
   void AddUnsavedEvents(Job& job, uint64_t events, ClockReadings now);
+  /// A failed run has to be saved: the next owner must not run the item as
+  /// often again.
+  void AddFailedRun(Job& job, ClockReadings now);
   /// Replaces the progress of a pending item by its entry in `known` if that is
-  /// further along.
+  /// further along. The failed runs of both count.
   void AdoptProgress(Item& item,
                      const std::map<ItemId, ItemProgress>& known,
                      const ItemId& id) const;
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -512,6 +512,30 @@
   CHECK(write->results[0].output.empty());
 }
 
+// Guards against an item that fails for ever: each owner was lost before the
+// item's last attempt, and the next one began to count anew.
+TEST_CASE("The failed runs of an item outlive its owners") {
+  std::map<ItemId, ItemProgress> saved;
+  size_t runs = 0;
+  bool is_dead_lettered = false;
+  for (int owner = 0; owner < 5 && !is_dead_lettered; ++owner) {
+    Fixture f;
+    f.Handle(JobUpdated{Record("j", "vm1", 1)}, 0s);
+    f.Handle(JobOpened{JobKey("j"), {}, saved}, 0s);
+    f.RunItem("a", ItemRunOutcome::kFailed, 1s);
+    ++runs;
+    for (Duration at = 1s; at <= 1300ms; at += 100ms) {
+      const auto actions = f.Handle(SchedulerTick{}, at);
+      if (const auto* save = Find<SaveProgress>(actions)) {
+        saved = save->progress;
+      }
+      is_dead_lettered |= Find<WriteResults>(actions) != nullptr;
+    }
+  }
+  CHECK(is_dead_lettered);
+  CHECK(runs == 3);
+}
+
 TEST_CASE("Runs in doubt are retried with growing delays") {
   Fixture f;
   f.Open(Record("j", "vm1", 1));
