Quota: A process that doesn't know the others takes no whole burst

Cause: a new bucket holds burst / members. A gateway that read the configuration before the registrations knew one member, itself.

Change: until the number of processes is known, a new bucket is empty and refills; then it gets its equal part. The number is told once the registrations are listed, also if it is one.

Evidence: quota.core "A process that doesn't know the others takes no whole burst" failed on the former code (39 requests instead of 10) and passes now.

--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -290,9 +290,8 @@
 }
 
 void GatewayDaemon::ApplyAction(const PeerCountsChanged& counted) {
-  m_quota.Handle(
-      FleetSizeChanged{.members = counted.members, .silent = counted.silent},
-      MonotonicClock::now());
+  m_fleet_size = {.members = counted.members, .silent = counted.silent};
+  m_quota.Handle(m_fleet_size, MonotonicClock::now());
   m_dispatcher.SetMemberCount(counted.members - counted.silent);
   m_log.Write("peers_counted",
               {{"members", counted.members}, {"silent", counted.silent}});
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -234,6 +234,7 @@
   MonotonicTime m_idle_closes_logged_at;
   bool m_backends_known = false;
   bool m_peers_known = false;
+  FleetSizeChanged m_fleet_size;
   bool m_jobs_known = false;
   bool m_registered = false;
   // The entry of an earlier incarnation, until the first attempt to register.
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -236,6 +236,8 @@
                         }
                         UpdatePeerTable();
                         if (!std::exchange(m_peers_known, true)) {
+                          // Also if this process is the only one.
+                          m_quota.Handle(m_fleet_size, MonotonicClock::now());
                           BeginRegistration(changes);
                           UpdateResumableServices();
                         }
--- a/Source/Quota/quota_core.cc
+++ b/Source/Quota/quota_core.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cowslip {
 
@@ -108,12 +109,22 @@
   return QuotaNoAction{};
 }
 
+double QuotaCore::InitialLevel(double burst) const {
+  return burst / std::max<uint32_t>(m_fleet.members, 1);
+}
+
 QuotaAction QuotaCore::Apply(const FleetSizeChanged& event, MonotonicTime now) {
   const double before = SilentFraction();
   for (auto& [id, bucket] : m_buckets) {
     Refill(bucket, now);
   }
   m_fleet = event;
+  if (!std::exchange(m_fleet_is_known, true)) {
+    for (auto& [id, bucket] : m_buckets) {
+      bucket.level =
+          std::min(bucket.burst, bucket.level + InitialLevel(bucket.burst));
+    }
+  }
   const double newly_silent = SilentFraction() - before;
   if (newly_silent > 0) {
     for (auto& [id, bucket] : m_buckets) {
@@ -130,7 +141,7 @@
       continue;
     }
     const double burst = std::max(quota.burst, 1.0);
-    Bucket bucket{.level = burst / std::max<uint32_t>(m_fleet.members, 1),
+    Bucket bucket{.level = m_fleet_is_known ? InitialLevel(burst) : 0,
                   .updated_at = now,
                   .peer_updated_at = now};
     const auto known = m_buckets.find(quota.organisation);
--- a/Source/Quota/quota_core.h
+++ b/Source/Quota/quota_core.h
@@ -56,7 +56,7 @@
   std::vector<OrganisationUsage> usage;
 };
 /// The number of processes that share the quotas, this one included, or the
-/// number of silent ones among them has changed.
+/// number of silent ones among them is known for the first time or has changed.
 struct FleetSizeChanged {
   uint32_t members = 1;
   uint32_t silent = 0;
@@ -104,7 +104,8 @@
 /// itself uses no more than that, so that both sides of a network partition
 /// together stay within the quota. When the partition heals, each side is
 /// charged only for what the other admitted before the silence was detected. A
-/// process that joins is not charged for admissions before its start.
+/// process that joins is not charged for admissions before its start, and has
+/// its equal part of the burst once it knows how many processes there are.
 class QuotaCore {
  public:
   explicit QuotaCore(QuotaOptions options);
@@ -139,6 +140,8 @@
   void Refill(Bucket& bucket, MonotonicTime now) const;
   void ChargePeerUsage(Bucket& bucket, double count, MonotonicTime now) const;
   double SilentFraction() const;
+  /// What this process may take of the burst when a quota is new to it.
+  double InitialLevel(double burst) const;
   /// The fraction of what a process admitted during `silence` that is charged
   /// to this bucket: the bucket was refilled with that process's part of the
   /// rate only while this process ran and had not yet detected the silence.
@@ -148,6 +151,7 @@
   std::map<OrganisationId, Bucket> m_buckets;
   std::map<VmId, PeerUsage> m_peers;
   FleetSizeChanged m_fleet;
+  bool m_fleet_is_known = false;
   // When this process began to refill its buckets.
   std::optional<MonotonicTime> m_started_at;
 };
--- a/Tests/Quota/quota_core_test.cc
+++ b/Tests/Quota/quota_core_test.cc
@@ -232,6 +232,23 @@
   CHECK(FirstAdmission(core, 20ms) <= 100ms);
 }
 
+// Guards against a fleet that restarts at once and hands out a burst for each
+// process: the quotas may be known before the other processes are.
+TEST_CASE("A process that doesn't know the others takes no whole burst") {
+  QuotaCore core{QuotaOptions{}};
+  SetQuota(core, 1, 40, 0s);
+  CHECK_FALSE(Admits(core, 0s));
+  core.Handle(FleetSizeChanged{.members = 4}, At(0s));
+  int admitted = 0;
+  while (Admits(core, 0s)) {
+    ++admitted;
+  }
+  CHECK(admitted == 10);
+  // Later changes of the fleet bring nothing.
+  core.Handle(FleetSizeChanged{.members = 5}, At(100ms));
+  CHECK_FALSE(Admits(core, 100ms));
+}
+
 TEST_CASE("After a silence only the usage before its detection is charged") {
   QuotaCore core{QuotaOptions{}};
   core.Handle(FleetSizeChanged{.members = 2}, At(0s));
