Quota: Counts of admitted requests outlive the buckets

Cause: a gateway reports how many requests it has admitted, and the others charge what exceeds the highest count that they know. The count lived in the bucket, which goes with the quota, so it began anew below what the others knew and was taken for an old report.

Change: the counts are kept apart from the buckets, for as long as the process runs.

Why it works: the counts of an incarnation only grow, which is what the reports rely on.

--- a/Source/Quota/quota_core.cc
+++ b/Source/Quota/quota_core.cc
@@ -51,7 +51,7 @@
   const double missing = 1 + unseen - bucket.level;
   if (missing <= 0) {
     bucket.level -= 1;
-    ++bucket.admitted;
+    ++m_admitted[event.organisation];
     return QuotaAdmitted{.level = bucket.level};
   }
   return QuotaExceeded{
@@ -160,9 +160,9 @@
 
 std::vector<OrganisationUsage> QuotaCore::Usage() const {
   std::vector<OrganisationUsage> usage;
-  for (const auto& [organisation, bucket] : m_buckets) {
-    if (bucket.admitted > 0) {
-      usage.push_back({organisation, bucket.admitted});
+  for (const auto& [organisation, admitted] : m_admitted) {
+    if (m_buckets.contains(organisation)) {
+      usage.push_back({organisation, admitted});
     }
   }
   return usage;
--- a/Source/Quota/quota_core.h
+++ b/Source/Quota/quota_core.h
@@ -121,7 +121,6 @@
     double burst = 0;
     double level = 0;
     MonotonicTime updated_at;
-    uint64_t admitted = 0;
     // Admissions per second of the other processes, averaged over about a
     // second.
     double peer_rate = 0;
@@ -149,6 +148,9 @@
 
   const QuotaOptions m_options;
   std::map<OrganisationId, Bucket> m_buckets;
+  // The counts that the other processes know. They outlive the buckets, since a
+  // count that began anew would be taken for an old report.
+  std::map<OrganisationId, uint64_t> m_admitted;
   std::map<VmId, PeerUsage> m_peers;
   FleetSizeChanged m_fleet;
   bool m_fleet_is_known = false;
--- a/Tests/Quota/quota_core_test.cc
+++ b/Tests/Quota/quota_core_test.cc
@@ -295,6 +295,45 @@
   CHECK(Admits(core, 0s));
 }
 
+// Guards against processes that each keep to a restored quota alone: their
+// counts began anew and were taken for old reports.
+TEST_CASE("A quota that is lifted and restored holds over all processes") {
+  QuotaCore core{QuotaOptions{}};
+  QuotaCore peer{QuotaOptions{}};
+  const auto change_both = [&](double rate, double burst, Duration at) {
+    SetQuota(core, rate, burst, at);
+    SetQuota(peer, rate, burst, at);
+  };
+  const auto report = [&](Duration at) {
+    core.Handle(PeerUsageReported{.vm = VmId("b"),
+                                  .incarnation = Incarnation(1),
+                                  .uptime = at,
+                                  .usage = peer.Usage()},
+                At(at));
+  };
+  for (QuotaCore* each : {&core, &peer}) {
+    each->Handle(FleetSizeChanged{.members = 2}, At(0s));
+  }
+  change_both(10, 20, 0s);
+  for (Duration at = 0s; at < 5s; at += 100ms) {
+    (void)Admits(peer, at);
+    report(at);
+  }
+  change_both(0, 0, 5s);
+  report(5s);
+  change_both(10, 20, 6s);
+  int admitted = 0;
+  for (Duration at = 6s; at < 16s; at += 20ms) {
+    admitted += Admits(peer, at) ? 1 : 0;
+    report(at);
+  }
+  while (Admits(core, 16s)) {
+    ++admitted;
+  }
+  // The rate over ten seconds and the burst.
+  CHECK(admitted <= 10 * 10 + 20);
+}
+
 TEST_CASE("A refusal states when the next request can be admitted") {
   QuotaCore core{QuotaOptions{}};
   core.Handle(FleetSizeChanged{.members = 1}, At(0s));
