Gateway: A report that a crash cuts off is no sign of life

Their backend server had been killed, and its kernel closed the connection of the report that should tell so as well.

Cause: only a refused connection counted as the end of the process. A kernel closes the connections of a killed process one after the other, so a call on a kept one may go out and then be reset.

--- a/Source/Gateway/stream_end.h
+++ b/Source/Gateway/stream_end.h
@@ -20,13 +20,18 @@
 Result<void> CheckStreamEnd(const HttpResponseStream& response,
                             const SseReader& events);
 
-/// As CheckStreamEnd(), and asks whether the process that wrote the stream
-/// still runs if the body ends with its connection: the kernel closes the
-/// connections of a process that is killed as the process does at the end of a
-/// stream. Errors: also kInDoubt when nothing accepts connections there any
-/// more or another incarnation of the backend server does. A backend server
-/// whose entry or report does not tell its start is not asked about. `lease`
-/// must outlive the call.
+/// If the body ends with its connection, asks whether the process that wrote it
+/// still runs: the kernel closes the connections of a process that is killed as
+/// the process does at the end of a body. A call that is cut off is repeated,
+/// since the kernel closes them one after the other. Errors: kInDoubt when
+/// nothing accepts connections there any more or another incarnation of the
+/// backend server does. A backend server whose entry or report does not tell
+/// its start is not asked about. `lease` must outlive the call.
+boost::asio::awaitable<Result<void>> ConfirmBodyEnd(
+    const HttpResponseStream& response,
+    const AttemptLease& lease);
+
+/// CheckStreamEnd() and ConfirmBodyEnd().
 boost::asio::awaitable<Result<void>> ConfirmStreamEnd(
     const HttpResponseStream& response,
     const SseReader& events,
--- a/Tests/Gateway/dead_backend_end_test.cc
+++ b/Tests/Gateway/dead_backend_end_test.cc
@@ -19,7 +19,16 @@
 constexpr uint64_t kBorn = 1000;
 
 // What becomes of the first backend server after its first answer.
-enum class Fate { kLives, kEnds, kRestarts, kTellsNothing };
+enum class Fate {
+  kLives,
+  kEnds,
+  kRestarts,
+  kTellsNothing,
+  /// Its kernel closes the connection of the first report in the middle.
+  kEndsDuringReport,
+  /// As above, but the process lives and answers the second one.
+  kResetsReport,
+};
 
 std::string EventsOf(const HttpRequest& request, uint64_t last) {
   const std::string attempt =
@@ -68,6 +77,13 @@
           FindHeader(request.headers, "Attempt-Id").value_or("");
       if (request.target == "/report") {
         const bool is_first = m_first == index;
+        if (fate == Fate::kEndsDuringReport && is_first) {
+          m_backends[index]->Stop();
+          return RawAnswer{.bytes = "", .end = ConnectionEnd::kReset};
+        }
+        if (fate == Fate::kResetsReport && is_first && m_reports++ == 0) {
+          return RawAnswer{.bytes = "", .end = ConnectionEnd::kReset};
+        }
         if (fate == Fate::kTellsNothing) {
           return RawAnswer{
               .bytes = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
@@ -94,6 +110,7 @@
   std::unique_ptr<RawBackend> m_backends[2];
   size_t m_first = 2;
   size_t m_runs = 0;
+  size_t m_reports = 0;
 };
 
 void CheckStream(const std::string& path,
@@ -140,8 +157,20 @@
   }
 }
 
+// Guards against a part of an answer that counts as complete: the report that
+// should tell was reset by the same crash.
+TEST_CASE("A report that a crash cuts off is no sign of life") {
+  const std::string whole = ModelServer::Body("a1", 1, kEvents);
+  CheckStream("/stream/x", Fate::kEndsDuringReport, kEventsBeforeTheEnd, whole);
+  CheckStream("/once/x", Fate::kEndsDuringReport, kEventsBeforeTheEnd, "");
+  for (const char* path : {"/stream/x", "/once/x"}) {
+    CheckStream(path, Fate::kResetsReport, kEvents, whole);
+  }
+}
+
 TEST_CASE("An item goes on when the process that wrote it has ended") {
-  for (const Fate fate : {Fate::kEnds, Fate::kRestarts}) {
+  for (const Fate fate :
+       {Fate::kEnds, Fate::kRestarts, Fate::kEndsDuringReport}) {
     GatewayFixture f(0);
     EndingBackends backends(f, fate, kEventsBeforeTheEnd);
     f.AddGateway();
