--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -728,12 +728,17 @@
           "the events are out of order, not taken, or without room");
     }
   }
+  // Two statements: GCC 12 destroys the temporaries of a conditional expression
+  // with two awaits twice.
+  Result<void> complete = Ok();
   if (m_request.route->kind == RequestKind::kStreaming) {
-    const Result<void> complete =
+    complete =
         co_await ConfirmStreamEnd(response, m_event_reader, m_attempt->lease());
-    if (!complete.has_value()) {
-      co_return HandleResponseError(complete.error());
-    }
+  } else {
+    complete = co_await ConfirmBodyEnd(response, m_attempt->lease());
+  }
+  if (!complete.has_value()) {
+    co_return HandleResponseError(complete.error());
   }
   if (!m_head_sent) {
     // A successful response without a body: only the head is left to send.
--- a/Tests/Gateway/dead_backend_end_test.cc
+++ b/Tests/Gateway/dead_backend_end_test.cc
@@ -157,6 +157,22 @@
   }
 }
 
+// Guards against a part of an answer that a client finds as a whole one: only
+// the ends of streams were confirmed.
+TEST_CASE(
+    "An answer of a process that has ended is not complete on any route") {
+  for (const char* path : {"/safe/x", "/unsafe/x"}) {
+    for (const Fate fate :
+         {Fate::kEnds, Fate::kRestarts, Fate::kEndsDuringReport}) {
+      CheckStream(path, fate, kEventsBeforeTheEnd, "");
+    }
+    for (const Fate fate :
+         {Fate::kLives, Fate::kTellsNothing, Fate::kResetsReport}) {
+      CheckStream(path, fate, kEvents, ModelServer::Body("a1", 1, kEvents));
+    }
+  }
+}
+
 // Guards against a part of an answer that counts as complete: the report that
 // should tell was reset by the same crash.
 TEST_CASE("A report that a crash cuts off is no sign of life") {
