Gateway: The interval of aborted-run records is not rounded to seconds

What was wrong: found by reading. One second times the number of gateways, divided by the writes per second, was computed in whole seconds, so it was 0 below 50 gateways and the bound on the fleet's writes did not hold.

Evidence: gateway.aborted_run_records "Records are written at a bounded rate" failed before (the second record was written at once) and passes now.

--- a/Source/Gateway/aborted_run_records.cc
+++ b/Source/Gateway/aborted_run_records.cc
@@ -118,7 +118,7 @@
 
 Duration AbortedRunRecords::WriteInterval() const {
   const auto processes = static_cast<int64_t>(m_peers.LiveProcesses().size());
-  return std::chrono::seconds(1) * processes / m_options.writes_per_s;
+  return Duration(std::chrono::seconds(1)) * processes / m_options.writes_per_s;
 }
 
 void AbortedRunRecords::Update() {
--- a/Tests/Gateway/aborted_run_record_test.cc
+++ b/Tests/Gateway/aborted_run_record_test.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -193,6 +194,22 @@
   CHECK(f.RecordedEntries() == 0);
 }
 
+// Guards against an interval that is rounded to whole seconds.
+TEST_CASE("Records are written at a bounded rate") {
+  RecordsFixture f({.self = kSelf, .writes_per_s = 10});
+  f.records.Start();
+  f.Poll();
+  f.Block(Fingerprint("a"));
+  f.Poll();
+  CHECK(f.RecordedEntries() == 1);
+  f.Block(Fingerprint("b"));
+  f.Poll();
+  CHECK(f.RecordedEntries() == 1);
+  std::this_thread::sleep_for(120ms);
+  f.Poll();
+  CHECK(f.RecordedEntries() == 2);
+}
+
 TEST_CASE("A late write of an earlier incarnation is kept in the record") {
   RecordsFixture f({.self = kSelf, .retry_delay = 0s});
   f.records.Start();
