Gateway: A record write in doubt is always followed by another one

What could happen: found by reading. A blocked request was completed, the write of the empty record got no response, and the request was blocked again. The document, not yet changed, held what was to be recorded, so nothing was written; the store then carried the late write out, and the block was gone from the store.

Cause: a document that looks as it should ended the attempt, while the condition of the write in doubt still held.

Change: after a write in doubt the record is written in any case, until a write succeeds, which ends that condition.

Evidence: gateway.aborted_run_records "A write in doubt does not take effect after the block came back" failed before (0 entries) and passes now.

--- a/Source/Gateway/aborted_run_records.cc
+++ b/Source/Gateway/aborted_run_records.cc
@@ -156,6 +156,8 @@
 }
 
 awaitable<Result<void>> AbortedRunRecords::WriteRecord() {
+  // A write in doubt may still be carried out while the document is unchanged.
+  const bool must_write = m_must_read;
   if (m_must_read) {
     const Result<void> read = co_await ReadOwnRecord();
     if (!read.has_value()) {
@@ -164,8 +166,10 @@
   }
   const std::vector<AbortedRuns> runs =
       m_tracker.RunsToRecord(MonotonicClock::now());
-  if (std::equal(runs.begin(), runs.end(), m_recorded_runs.begin(),
-                 m_recorded_runs.end(), IsSame)) {
+  const bool is_recorded =
+      std::equal(runs.begin(), runs.end(), m_recorded_runs.begin(),
+                 m_recorded_runs.end(), IsSame);
+  if (is_recorded && !must_write) {
     co_return Ok();
   }
   const DocumentKind kind(kAbortedRunsKind);
@@ -179,7 +183,8 @@
     written = co_await m_store.Replace(kind, name, std::move(content), version);
   }
   if (!written.has_value()) {
-    m_must_read = written.error().kind() != ErrorKind::kUnavailable;
+    m_must_read =
+        must_write || written.error().kind() != ErrorKind::kUnavailable;
     co_return written.error();
   }
   m_version = written.value().version;
--- a/Tests/Gateway/aborted_run_record_test.cc
+++ b/Tests/Gateway/aborted_run_record_test.cc
@@ -227,6 +227,27 @@
   CHECK(f.tracker.IsBlocked(Fingerprint("late"), MonotonicClock::now()));
 }
 
+// Guards against a record that a late write takes away: it held nothing, and
+// the document looked as it should when the write was in doubt.
+TEST_CASE("A write in doubt does not take effect after the block came back") {
+  RecordsFixture f({.self = kSelf, .retry_delay = 0s});
+  const Fingerprint request("f");
+  f.records.Start();
+  f.Poll();
+  f.Block(request);
+  f.Poll();
+  REQUIRE(f.RecordedEntries() == 1);
+  f.tracker.Handle(RunCompleted{request}, MonotonicClock::now());
+  f.store.FailNext(StoreFault::kDelayWrite);
+  std::this_thread::sleep_for(30ms);
+  f.Poll();
+  f.Block(request);
+  f.Poll();
+  f.Poll();
+  f.store.DoLateWrites();
+  CHECK(f.RecordedEntries() == 1);
+}
+
 TEST_CASE("Records of VMs that write no more are removed") {
   RecordsFixture f({.self = kSelf, .removal_delay = 0s});
   const AbortedRuns old{.fingerprint = Fingerprint("f"),
