--- a/Tests/Gateway/aborted_run_record_test.cc
+++ b/Tests/Gateway/aborted_run_record_test.cc
@@ -190,6 +190,8 @@
   }
   CHECK(f.store.version() == written);
   f.tracker.Handle(RunCompleted{Fingerprint("blocked")}, MonotonicClock::now());
+  // The interval between two writes passes.
+  std::this_thread::sleep_for(1ms);
   f.Poll();
   CHECK(f.RecordedEntries() == 0);
 }
