Gateway: The startup gate waits until the other gateways are known

What callers saw: since a request within its organisation's quota could get 429 right after a start, when the configuration was read before the registrations: the bucket is empty until the number of gateways is known. Found by reading.

Evidence: gateway.startup_gate "A request at the gate waits until the other gateways are known" failed before (429) and passes now.

--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -240,6 +240,7 @@
                           m_quota.Handle(m_fleet_size, MonotonicClock::now());
                           BeginRegistration(changes);
                           UpdateResumableServices();
+                          MaybeOpenStartupGate();
                         }
                         MaybeActivateJobs();
                       },
@@ -317,7 +318,8 @@
 
 void GatewayDaemon::MaybeOpenStartupGate() {
   if (m_startup_gate.is_open() || m_gateway.configuration == nullptr ||
-      !m_backends_known || !m_aborted_runs.records_are_known() ||
+      !m_backends_known || !m_peers_known ||
+      !m_aborted_runs.records_are_known() ||
       (m_evacuations != nullptr && !m_evacuations->may_place())) {
     return;
   }
--- a/Tests/Gateway/startup_gate_test.cc
+++ b/Tests/Gateway/startup_gate_test.cc
@@ -98,6 +98,33 @@
   }
 }
 
+// Guards against requests within the quota that are refused because the number
+// of gateways, and so the part of the burst, is not known yet.
+TEST_CASE("A request at the gate waits until the other gateways are known") {
+  GatewayFixture f(1);
+  f.server.SetFault(ServerFault::kBusy, "cowslip-gateways");
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    boost::asio::co_spawn(
+        f.context,
+        [&]() -> awaitable<void> {
+          co_await f.Sleep(150ms);
+          f.server.SetFault(ServerFault::kNone);
+        },
+        boost::asio::detached);
+    HttpRequest request = f.Request("POST", "/safe/x", "a1");
+    for (HttpHeader& header : request.headers) {
+      if (header.name == "Key") {
+        header.value = "key2";
+      }
+    }
+    const auto response = co_await f.Send(0, std::move(request));
+    INFO(GatewayFixture::Describe(response));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == 200);
+  });
+}
+
 TEST_CASE("Requests at the gate are refused when the store stays away") {
   RunHeld(3s, kHeld + kMargin,
           [](GatewayFixture&) -> awaitable<void> { co_return; });
