Review: A planned stop cuts a request that was sent late

LOST: a request that is sent on an open channel more than 3 s after SIGTERM is passed on, and cut 7 s after it.

--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -316,14 +316,16 @@
     def event(self, attempt, number):
         return f"id: {number}\ndata: {attempt}.{number}\n\n".encode()
 
-    async def stream(self, run, writer):
+    async def stream(self, run, writer, events=None, pause=None):
+        events = self.events if events is None else events
+        pause = self.pause if pause is None else pause
         attempt = run["id"]
         writer.write(message("HTTP/1.1 200 OK", {
             "Attempt-Id": attempt, "Response-Signature": f"sig.{attempt}",
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked"}))
-        for number in range(run["after"] + 1, self.events + 1):
-            await asyncio.sleep(self.pause)
+        for number in range(run["after"] + 1, events + 1):
+            await asyncio.sleep(pause)
             if writer.transport.is_closing():
                 return False
             event = self.event(attempt, number)
