--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -290,6 +290,10 @@
                                   json.dumps(report).encode()))
             return True
         attempt = headers.get("attempt-id", "")
+        if not attempt:
+            self._journal.note("asked", self.name, "without an id:", line)
+            writer.write(response(400, {"Not-Executed": 1}))
+            return True
         if headers.get("expect-instance", self.name) != self.name:
             writer.write(response(421, {"Instance-Id": self.name,
                                         "Attempt-Id": attempt}))
