--- a/review/harness-3/failing_runner.py
+++ b/review/harness-3/failing_runner.py
@@ -3,7 +3,8 @@
     failing_runner.py IP PORT ID BORN STATUS
 
 It answers each request with a failure of its own. The answer has no length and
-ends with its channel; its two halves are written a second apart.
+ends with its channel; its two halves are written a second apart. A line `ran
+ATTEMPT` is printed for each request.
 """
 
 import asyncio
