--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -11,6 +11,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -529,14 +530,28 @@
     def __init__(self, journal, gateways, runners, **of_runners):
         self.journal = journal
         self._folder = tempfile.TemporaryDirectory()
-        self.prefix = f"127.{random.randrange(20, 220)}." \
-                      f"{random.randrange(1, 250)}"
+        self.prefix = self._free_prefix(gateways)
         self.store = MetadataStore()
         self.runners = [ModelRunner(self.store, journal, f"i-7f3a91{n:02x}",
                                     **of_runners) for n in range(runners)]
         self._gateways = gateways
         self.gateways = []
 
+    @staticmethod
+    def _free_prefix(gateways):
+        """Looks for loopback addresses on which the gateways' ports are free."""
+        while True:
+            prefix = f"127.{random.randrange(20, 220)}." \
+                     f"{random.randrange(1, 250)}"
+            try:
+                for n in range(gateways):
+                    for port in (7360, 7375, 8687, 8689):
+                        with socket.socket() as probe:
+                            probe.bind((f"{prefix}.{10 + n}", port))
+                return prefix
+            except OSError:
+                continue
+
     async def open(self, first_configuration):
         await self.store.open(f"{self.prefix}.1")
         for n, runner in enumerate(self.runners):
