Gateway: A late request begins only if it can't be cut off

What callers saw: in a planned stop, a client whose stream had begun before SIGTERM sent its next request on the same connection 3.4 s after it. A request that waited for a slot was kept until the answers were due, although it could not be completed any more.

Cause: a late request was begun if the longest recent run of its route would end in time. That is an estimate, and the next request broke it.

Change: the earlier of the request's deadline and its route's timeout has to end before the answers are due, counted with the shortest grace time named since SIGTERM. RunTimeRecord is gone. Waiting requests that can't begin any more are told so as soon as late requests are rejected.

Evidence: before, "A late request with a longer run than others is not cut off" failed, with three of four late requests passed on and cut, and "A waiting request that can't be completed gets 503 at once" failed for each of the requests that waited. Both pass now.

Why it works: a deadline holds whatever the run does. What it costs: a late request that would have ended in time gets 503 and a round trip, which another VM serves.

--- a/Source/Gateway/dispatcher.cc
+++ b/Source/Gateway/dispatcher.cc
@@ -220,7 +220,7 @@
     co_return std::move(pending->lease);
   }
   co_return PlacementRefused{
-      .reason = *cancelled ? "the caller has gone" : "no slot became free",
+      .reason = *cancelled ? "the wait was cancelled" : "no slot became free",
       .retry_after = m_admission.RetryDelay(placement.remaining),
       .load = m_placement.Load(wanted, MonotonicClock::now())};
 }
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -23,7 +23,6 @@
 class MemoryBudget;
 class QuotaCore;
 class RouteHistory;
-class RunTimeRecord;
 class ShutdownNotice;
 class StartupGate;
 class StreamOriginDirectory;
@@ -43,7 +42,6 @@
   VersionHistory& version_history;
   RouteHistory& route_history;
   /// Of online requests.
-  RunTimeRecord& run_times;
   EventLog& log;
   GatewayMetrics& metrics;
   /// Bounds what is held of the bytes that peers send.
--- a/Source/Gateway/gateway_daemon.cc
+++ b/Source/Gateway/gateway_daemon.cc
@@ -144,7 +144,6 @@
                 .stream_origins = m_stream_origins,
                 .version_history = m_version_history,
                 .route_history = m_route_history,
-                .run_times = m_run_times,
                 .log = m_log,
                 .metrics = m_metrics,
                 .memory = m_memory_monitor.budget(),
@@ -647,7 +646,6 @@
   // Again at each step: a reload may have moved the end beyond requests that
   // began after it.
   m_shutdown_notice.Expire();
-  m_dispatcher.EndCancelledWaits();
   m_caller_server->RefuseUnfinishedRequests();
 }
 
@@ -655,9 +653,11 @@
   // A reload may have changed the grace time.
   m_shutdown_notice.SetDue(m_shutdown_start + kBalancerRemovalTime,
                            AnswersDue());
+  m_shutdown_notice.NotifyLate(MonotonicClock::now());
   if (MonotonicClock::now() >= AnswersDue()) {
     EndRequests();
   }
+  m_dispatcher.EndCancelledWaits();
   const Duration since = MonotonicClock::now() - m_shutdown_start;
   const Duration exit_after =
       m_settings.stop_grace - ExitMargin(m_settings.stop_grace);
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -25,7 +25,6 @@
 #include "Gateway/job_runner.h"
 #include "Gateway/memory_monitor.h"
 #include "Gateway/request_router.h"
-#include "Gateway/run_time_record.h"
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/startup_gate.h"
 #include "Gateway/stream_origin_directory.h"
@@ -194,7 +193,6 @@
   StreamOriginDirectory m_stream_origins;
   VersionHistory m_version_history;
   RouteHistory m_route_history;
-  RunTimeRecord m_run_times{RunTimeRecordOptions{}};
   GatewayContext m_gateway;
   JobScheduler m_scheduler;
   JobRunner m_job_runner;
--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -12,7 +12,6 @@
 #include "Gateway/problem_response.h"
 #include "Gateway/prompt_trial.h"
 #include "Gateway/response_classification.h"
-#include "Gateway/run_time_record.h"
 #include "Gateway/shutdown_notice.h"
 #include "Gateway/stream_end.h"
 #include "Gateway/stream_move.h"
@@ -36,6 +35,8 @@
 // The largest body of an unsuccessful response that is passed on.
 constexpr size_t kMaxFailureBytes = 1 << 20;
 
+constexpr char kShutdownReason[] = "this gateway shuts down";
+
 MonotonicTime DeadlineOf(const RelayRequest& request) {
   Duration time = request.route->timeout;
   if (request.caller.deadline.has_value()) {
@@ -78,6 +79,7 @@
 
 void RelaySession::Stop() {
   *m_stopped = true;
+  *m_wait_cancelled = true;
   if (m_attempt != nullptr) {
     m_attempt->Abort();
   }
@@ -152,10 +154,13 @@
 
 awaitable<void> RelaySession::Run() {
   WatchCallerAndDeadline();
-  const auto registration = m_gateway.shutdown_notice.OnExpired([this] {
-    m_last_failure = "this gateway shuts down";
-    Stop();
-  });
+  const auto registration = m_gateway.shutdown_notice.Register(
+      {.late = [this] { *m_wait_cancelled |= IsTooLateToBegin(); },
+       .expired =
+           [this] {
+             m_last_failure = kShutdownReason;
+             Stop();
+           }});
   const bool resolved = co_await ResolveStreamVersion();
   if (!resolved && !*m_stopped) {
     m_last_failure = "the version that began the stream is not known";
@@ -192,16 +197,17 @@
         .latency_target = m_request.route->target_latency,
         .remaining = RemainingTime(),
         .home_regions = m_request.home_regions};
+    *m_wait_cancelled = false;
     PlacementResult placed = co_await m_gateway.dispatcher.PlaceOnline(
-        std::move(placement), m_stopped);
+        std::move(placement), m_wait_cancelled);
     if (*m_stopped) {
       break;
     }
     if (const auto* refused = std::get_if<PlacementRefused>(&placed)) {
-      m_last_failure = refused->reason;
+      m_last_failure = *m_wait_cancelled ? kShutdownReason : refused->reason;
       m_gateway.log.Write("placement_refused",
                           {{"id", m_request.caller.attempt.value()},
-                           {"reason", refused->reason},
+                           {"reason", m_last_failure},
                            {"backends", refused->load.backends},
                            {"slots", refused->load.slots},
                            {"online", refused->load.online},
@@ -261,16 +267,13 @@
 
 bool RelaySession::IsTooLateToBegin() const {
   const bool may_have_run = m_in_doubt_attempts > 0 || m_head_sent;
-  const MonotonicTime now = MonotonicClock::now();
   return !may_have_run &&
-         m_gateway.shutdown_notice.IsTooLate(
-             m_deadline, m_gateway.run_times.Longest(m_request.route->id, now),
-             now);
+         m_gateway.shutdown_notice.IsTooLate(m_deadline, MonotonicClock::now());
 }
 
 // Other VMs can serve the request at once, so there is no Retry-After.
 awaitable<void> RelaySession::RejectLateRequest() {
-  m_last_failure = "this gateway shuts down";
+  m_last_failure = kShutdownReason;
   Problem problem{.kind = ProblemKind::kNotReady,
                   .detail =
                       "This VM shuts down before the request could be "
@@ -746,7 +749,6 @@
   const MonotonicTime now = MonotonicClock::now();
   m_gateway.dispatcher.HandleEvent(
       SlotTimeMeasured{lease.backend(), now - m_attempt->start()});
-  m_gateway.run_times.Add(m_request.route->id, now - m_attempt->start(), now);
   if (m_attempt_event_count > 1) {
     m_gateway.dispatcher.HandleEvent(EventIntervalMeasured{
         lease.backend(),
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -140,8 +140,8 @@
   void LogStall(const StallNote& note);
   /// Whether the request is suspected of crashing backend servers.
   bool IsBlocked();
-  /// Whether the request has not been sent to a backend server yet, and this
-  /// process ends before its run would.
+  /// Whether the request has certainly not run, and a run that begins now could
+  /// be cut off by the end of this process.
   bool IsTooLateToBegin() const;
   boost::asio::awaitable<void> RejectLateRequest();
   /// Whether the request may be sent, or is held back because it is suspected
@@ -203,6 +203,8 @@
   uint32_t m_attempt_event_count = 0;
 
   std::shared_ptr<bool> m_stopped = std::make_shared<bool>(false);
+  // Ends the wait for a slot.
+  std::shared_ptr<bool> m_wait_cancelled = std::make_shared<bool>(false);
   bool m_caller_disconnected = false;
   bool m_head_sent = false;
   // The version that wrote the events that the caller has; only backend servers
--- a/Source/Gateway/shutdown_notice.cc
+++ b/Source/Gateway/shutdown_notice.cc
@@ -5,11 +5,26 @@
 
 namespace cowslip {
 
+void ShutdownNotice::SetDue(MonotonicTime late_from, MonotonicTime due) {
+  m_late_from = late_from;
+  m_due = due;
+  m_earliest_due = std::min(m_earliest_due, due);
+}
+
+void ShutdownNotice::NotifyLate(MonotonicTime now) {
+  if (!m_due.has_value() || now < m_late_from) {
+    return;
+  }
+  for (const auto& [number, callbacks] : *m_registrations) {
+    callbacks.late();
+  }
+}
+
 void ShutdownNotice::Expire() {
   m_expired = true;
-  const auto callbacks = std::exchange(*m_callbacks, {});
-  for (const auto& [number, callback] : callbacks) {
-    callback();
+  const auto registrations = std::exchange(*m_registrations, {});
+  for (const auto& [number, callbacks] : registrations) {
+    callbacks.expired();
   }
 }
 
@@ -22,19 +37,13 @@
 }
 
 bool ShutdownNotice::IsTooLate(MonotonicTime deadline,
-                               std::optional<Duration> run_time,
                                MonotonicTime now) const {
-  if (!m_due.has_value() || now < m_late_from || deadline <= *m_due) {
-    return false;
-  }
-  const Duration needed = run_time.value_or((*m_due - m_late_from) / 2);
-  return *m_due - now < needed;
+  return m_due.has_value() && now >= m_late_from && deadline > m_earliest_due;
 }
 
-ShutdownNotice::Registration ShutdownNotice::OnExpired(
-    std::function<void()> callback) {
-  m_callbacks->emplace(++m_last_number, std::move(callback));
-  return Registration(m_callbacks, m_last_number);
+ShutdownNotice::Registration ShutdownNotice::Register(Callbacks callbacks) {
+  m_registrations->emplace(++m_last_number, std::move(callbacks));
+  return Registration(m_registrations, m_last_number);
 }
 
 }  // namespace cowslip
