Gateway: A job belongs to the holder of its key on every route

After a change of the route back, a repeat was accepted a second time. Online requests with a key on a public route ran without it.

Cause: the organisation was worked out in two places. On a public route a submission was accepted without looking at its key; calls about jobs, which name no route, always took the key's.

Change: AuthenticateCaller() decides for requests, submissions and calls: the organisation is the holder of the key. The route says only whether an online request may come without one. A submission never may, and an unknown or withdrawn key gets 401 everywhere. JobHandler::FindJob() serves all calls, and also finds jobs that were accepted without an organisation before; a repeat of one belongs to it.

Why it works: nothing that may differ between the steps of a job takes part in finding it.

--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -53,7 +53,7 @@
   std::vector<TrafficShare> split;
   /// Maximum number of backend servers to which one request is sent.
   uint32_t max_attempts = 1;
-  /// Requests need no API key.
+  /// Online requests may come without an API key.
   bool is_public = false;
   /// An interrupted stream may be resumed after its last event on another
   /// backend server.
--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -95,8 +95,8 @@
 awaitable<std::optional<HttpResponse>> JobAcceptance::RejectUnread(
     const FleetRoute& route,
     OrganisationId organisation,
-    JobId id) {
-  JobKey job = JobKeyFor(id, organisation);
+    JobId id,
+    JobKey job) {
   if (m_scheduler.Find(job) != nullptr || route.split.empty()) {
     co_return std::nullopt;
   }
--- a/Source/Gateway/job_acceptance.h
+++ b/Source/Gateway/job_acceptance.h
@@ -65,9 +65,13 @@
                 JobRunner& runner);
 
   /// The response to a job that can't be accepted whatever its items are;
-  /// nullopt if they have to be read.
-  boost::asio::awaitable<std::optional<HttpResponse>>
-  RejectUnread(const FleetRoute& route, OrganisationId organisation, JobId id);
+  /// nullopt if they have to be read. `job` is the key under which it would be
+  /// kept.
+  boost::asio::awaitable<std::optional<HttpResponse>> RejectUnread(
+      const FleetRoute& route,
+      OrganisationId organisation,
+      JobId id,
+      JobKey job);
   boost::asio::awaitable<HttpResponse> Accept(JobSubmission submission);
 
   /// Call it when a configuration comes into force.
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -104,15 +104,8 @@
                 .detail = "Submit a job by POST, with an id that has no slash.",
                 .not_run = true});
   } else {
-    JobId id(caller.attempt.value());
-    std::optional<HttpResponse> rejected =
-        co_await m_acceptance.RejectUnread(route, organisation, std::move(id));
-    if (rejected.has_value()) {
-      response = std::move(*rejected);
-    } else {
-      response = co_await AcceptJob(exchange.request().body, caller, route,
-                                    organisation, arrived);
-    }
+    response = co_await AcceptUnlessRejected(exchange.request().body, caller,
+                                             route, organisation, arrived);
   }
   m_gateway.metrics.CountRequest("job_submitted_" +
                                  std::to_string(response.status));
@@ -124,10 +117,54 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
+awaitable<HttpResponse> JobHandler::AcceptUnlessRejected(
+    const std::string& body,
+    const CallerRequest& caller,
+    const FleetRoute& route,
+    OrganisationId organisation,
+    MonotonicTime arrived) {
+  const JobId id(caller.attempt.value());
+  const Result<JobKey> key = co_await KeyOfSubmission(id, organisation, body);
+  if (!key.has_value()) {
+    co_return UnavailableResponse(key.error());
+  }
+  std::optional<HttpResponse> rejected =
+      co_await m_acceptance.RejectUnread(route, organisation, id, key.value());
+  if (rejected.has_value()) {
+    co_return std::move(*rejected);
+  }
+  co_return co_await AcceptJob(body, caller, route, std::move(organisation),
+                               key.value(), arrived);
+}
+
+awaitable<Result<JobKey>> JobHandler::KeyOfSubmission(
+    JobId id,
+    OrganisationId organisation,
+    const std::string& body) {
+  JobKey own = JobKeyFor(id, organisation);
+  if (organisation.empty() || m_scheduler.Find(own) != nullptr) {
+    co_return own;
+  }
+  const JobKey other = JobKeyFor(id, OrganisationId());
+  const JobRecord* known = m_scheduler.Find(other);
+  if (known == nullptr && !m_gateway.jobs_are_current) {
+    const Result<JobRecord> read = co_await ReadJob(other);
+    if (!read.has_value() && read.error().kind() != ErrorKind::kNotFound) {
+      co_return read.error();
+    }
+    known = m_scheduler.Find(other);
+  }
+  if (known != nullptr && known->definition.digest == Sha256(body)) {
+    co_return other;
+  }
+  co_return own;
+}
+
 awaitable<HttpResponse> JobHandler::AcceptJob(const std::string& body,
                                               const CallerRequest& caller,
                                               const FleetRoute& route,
                                               OrganisationId organisation,
+                                              JobKey job,
                                               MonotonicTime arrived) {
   Result<std::vector<JobItem>> items = platform::DecodeSubmission(body);
   if (!items.has_value()) {
@@ -144,7 +181,7 @@
     return now + std::chrono::milliseconds(ToMillis(duration));
   };
   JobSubmission submission{
-      .record = {.key = JobKeyFor(id, organisation),
+      .record = {.key = std::move(job),
                  .definition = {.id = id,
                                 .organisation = organisation,
                                 .route = route.id,
@@ -174,7 +211,20 @@
   co_return co_await m_acceptance.Accept(std::move(submission));
 }
 
-awaitable<Result<JobRecord>> JobHandler::FindJob(JobKey job) {
+awaitable<Result<JobRecord>> JobHandler::FindJob(JobId id,
+                                                 OrganisationId organisation) {
+  JobKey key = JobKeyFor(id, organisation);
+  Result<JobRecord> own = co_await ReadJob(std::move(key));
+  const bool is_missing =
+      !own.has_value() && own.error().kind() == ErrorKind::kNotFound;
+  if (!is_missing || organisation.empty()) {
+    co_return own;
+  }
+  key = JobKeyFor(id, OrganisationId());
+  co_return co_await ReadJob(std::move(key));
+}
+
+awaitable<Result<JobRecord>> JobHandler::ReadJob(JobKey job) {
   const JobRecord* known = m_scheduler.Find(job);
   if (known != nullptr) {
     co_return *known;
@@ -222,8 +272,8 @@
 awaitable<HttpResponse> JobHandler::Respond(ReadResultsCall call,
                                             CallerRequest caller,
                                             OrganisationId organisation) {
-  const JobKey key = JobKeyFor(call.job, organisation);
-  const Result<JobRecord> record = co_await FindJob(key);
+  const Result<JobRecord> record =
+      co_await FindJob(call.job, std::move(organisation));
   if (!record.has_value()) {
     co_return record.error().kind() == ErrorKind::kNotFound
         ? NoSuchJobResponse()
@@ -316,8 +366,8 @@
 awaitable<HttpResponse> JobHandler::Respond(ReadItemCall call,
                                             CallerRequest,
                                             OrganisationId organisation) {
-  const JobKey key = JobKeyFor(call.job, organisation);
-  const Result<JobRecord> found = co_await FindJob(key);
+  const Result<JobRecord> found =
+      co_await FindJob(call.job, std::move(organisation));
   if (!found.has_value()) {
     co_return found.error().kind() == ErrorKind::kNotFound
         ? NoSuchJobResponse()
@@ -367,10 +417,11 @@
 awaitable<HttpResponse> JobHandler::Respond(EndJobCall call,
                                             CallerRequest,
                                             OrganisationId organisation) {
-  const JobKey key = JobKeyFor(call.job, organisation);
+  Result<JobRecord> record =
+      co_await FindJob(call.job, std::move(organisation));
+  const JobKey key = record.has_value() ? record.value().key : JobKey();
   const DocumentKind kind(kJobKind);
   const DocumentName name = JobName(key);
-  Result<JobRecord> record = co_await FindJob(key);
   // A write without a response may still end the job.
   bool in_doubt = false;
   for (int i = 0; i < kMaxEndJobAttempts; ++i) {
@@ -405,7 +456,7 @@
           : EndNotConfirmedResponse(now.error(), in_doubt);
     }
     m_job_runner.HandleJobDocument(now.value(), "read");
-    record = co_await FindJob(key);
+    record = co_await ReadJob(key);
   }
   co_return EndNotConfirmedResponse(
       Error(ErrorKind::kUnavailable, "the job's record changes too often"),
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -53,12 +53,31 @@
   /// Reads the results of a job that is not open in this process.
   struct ResultReader;
 
+  boost::asio::awaitable<HttpResponse> AcceptUnlessRejected(
+      const std::string& body,
+      const CallerRequest& caller,
+      const FleetRoute& route,
+      OrganisationId organisation,
+      MonotonicTime arrived);
   boost::asio::awaitable<HttpResponse> AcceptJob(const std::string& body,
                                                  const CallerRequest& caller,
                                                  const FleetRoute& route,
                                                  OrganisationId organisation,
+                                                 JobKey job,
                                                  MonotonicTime arrived);
-  boost::asio::awaitable<Result<JobRecord>> FindJob(JobKey job);
+  /// Finds a job of the organisation, or one that was accepted without an
+  /// organisation: by an earlier release on a public route, or while none was
+  /// declared.
+  boost::asio::awaitable<Result<JobRecord>> FindJob(
+      JobId id,
+      OrganisationId organisation);
+  /// The key under which a submitted job is kept. A repeat of a job that was
+  /// accepted without an organisation belongs to that job.
+  boost::asio::awaitable<Result<JobKey>> KeyOfSubmission(
+      JobId id,
+      OrganisationId organisation,
+      const std::string& body);
+  boost::asio::awaitable<Result<JobRecord>> ReadJob(JobKey job);
 
   boost::asio::awaitable<HttpResponse> Respond(ReadResultsCall call,
                                                CallerRequest caller,
--- a/Source/Gateway/problem_response.cc
+++ b/Source/Gateway/problem_response.cc
@@ -6,6 +6,10 @@
 
 namespace {
 
+// Retry-After while this VM has no configuration, or one that may be outdated:
+// configurations arrive within a second or two of a start.
+constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(700);
+
 // Retry-After in seconds with two decimals: callers have little more than a
 // second left, so rounding up to whole seconds would use up most of it.
 std::string RetryAfterText(Duration retry_after) {
@@ -28,4 +32,11 @@
   return response;
 }
 
+Problem NotReadyProblem(const char* detail) {
+  return Problem{.kind = ProblemKind::kNotReady,
+                 .detail = detail,
+                 .not_run = true,
+                 .retry_after = kNotReadyRetryAfter};
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/problem_response.h
+++ b/Source/Gateway/problem_response.h
@@ -9,6 +9,10 @@
 /// Builds the response to a request that is refused or has failed.
 HttpResponse ProblemResponse(const Problem& problem);
 
+/// The problem of a request that this VM can't judge, because it has no
+/// configuration or one that may be outdated.
+Problem NotReadyProblem(const char* detail);
+
 }  // namespace cowslip
 
 #endif  // SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
--- a/Source/Gateway/relay_session.h
+++ b/Source/Gateway/relay_session.h
@@ -40,7 +40,7 @@
   /// Owned by `configuration`.
   const FleetRoute* route = nullptr;
   std::shared_ptr<const FleetConfiguration> configuration;
-  /// Empty on a route that needs no key.
+  /// Empty if the request came without a key.
   OrganisationId organisation;
   int priority = 0;
   ServiceId service;
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -17,23 +17,8 @@
 
 namespace cowslip {
 
-namespace {
-
 using boost::asio::awaitable;
 
-// Retry-After while this VM has no configuration, or one that may be outdated:
-// configurations arrive within a second or two of a start.
-constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(700);
-
-Problem NotReadyProblem(const char* detail) {
-  return Problem{.kind = ProblemKind::kNotReady,
-                 .detail = detail,
-                 .not_run = true,
-                 .retry_after = kNotReadyRetryAfter};
-}
-
-}  // namespace
-
 RequestRouter::RequestRouter(GatewayContext& gateway,
                              JobHandler& jobs,
                              uint64_t seed)
@@ -100,61 +85,43 @@
     co_await RespondWithProblem(exchange, caller, std::move(problem));
     co_return;
   }
-  OrganisationId organisation;
-  std::optional<Problem> problem;
-  if (!route->is_public) {
-    problem = Authenticate(caller, organisation);
-  }
-  if (problem.has_value()) {
+  CallerAuthentication authenticated =
+      Authenticate(caller, KeyDemandOf(*route));
+  if (auto* problem = std::get_if<Problem>(&authenticated)) {
     co_await RespondWithProblem(exchange, caller, std::move(*problem));
     co_return;
   }
+  OrganisationId organisation =
+      std::move(std::get<OrganisationId>(authenticated));
   if (route->kind == RequestKind::kBatch) {
     co_await m_job_handler.Submit(exchange, std::move(caller), *route,
-                                  organisation);
+                                  std::move(organisation));
     co_return;
   }
-  co_await HandleOnline(exchange, std::move(caller), *route, organisation,
-                        arrived);
+  co_await HandleOnline(exchange, std::move(caller), *route,
+                        std::move(organisation), arrived);
 }
 
 awaitable<void> RequestRouter::HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call) {
-  OrganisationId organisation;
-  std::optional<Problem> problem = Authenticate(caller, organisation);
-  if (problem.has_value()) {
+  CallerAuthentication authenticated =
+      Authenticate(caller, KeyDemand::kRequired);
+  if (auto* problem = std::get_if<Problem>(&authenticated)) {
     co_await RespondWithProblem(exchange, caller, std::move(*problem));
     co_return;
   }
+  OrganisationId organisation =
+      std::move(std::get<OrganisationId>(authenticated));
   co_await m_job_handler.HandleCall(exchange, std::move(caller),
                                     std::move(call), std::move(organisation));
 }
 
-std::optional<Problem> RequestRouter::Authenticate(
-    const CallerRequest& caller,
-    OrganisationId& organisation) const {
-  const FleetConfiguration& configuration = *m_gateway.configuration;
-  if (!configuration.keys_required()) {
-    return std::nullopt;
-  }
-  if (caller.key.empty()) {
-    return Problem{.kind = ProblemKind::kMissingKey,
-                   .detail = "Send the key of an organisation.",
-                   .not_run = true};
-  }
-  const FleetOrganisation* fleet_organisation =
-      configuration.FindOrganisationByKey(caller.key);
-  if (fleet_organisation == nullptr) {
-    return m_gateway.configuration_is_current
-               ? Problem{.kind = ProblemKind::kUnknownKey,
-                         .detail = "No organisation holds this key.",
-                         .not_run = true}
-               : NotReadyProblem(
-                     "The key may be newer than this VM's configuration.");
-  }
-  organisation = fleet_organisation->id;
-  return std::nullopt;
+CallerAuthentication RequestRouter::Authenticate(const CallerRequest& caller,
+                                                 KeyDemand demand) const {
+  return AuthenticateCaller(*m_gateway.configuration,
+                            m_gateway.configuration_is_current, caller.key,
+                            demand);
 }
 
 std::optional<Problem> RequestRouter::CheckQuota(
--- a/Source/Gateway/request_router.h
+++ b/Source/Gateway/request_router.h
@@ -9,6 +9,7 @@
 
 #include "Fleet/caller_request.h"
 #include "Fleet/fleet_configuration.h"
+#include "Gateway/caller_authentication.h"
 #include "Gateway/gateway_context.h"
 #include "Jobs/job_calls.h"
 #include "Requests/problem.h"
@@ -40,9 +41,8 @@
   boost::asio::awaitable<void> HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call);
-  // Finds the organisation that holds the caller's key.
-  std::optional<Problem> Authenticate(const CallerRequest& caller,
-                                      OrganisationId& organisation) const;
+  CallerAuthentication Authenticate(const CallerRequest& caller,
+                                    KeyDemand demand) const;
   std::optional<Problem> CheckQuota(const CallerRequest& caller,
                                     const OrganisationId& organisation);
   ServiceId PickService(const FleetRoute& route,
