Gateway: A failure that a crash cut short is not passed on as whole

What callers saw: a backend server answered with a failure of its own that had neither length nor chunks, and was killed between the halves of its body.

Cause: RelayFailure() took the end of the connection for the end of the body. Only successes were confirmed by a report of the process that wrote them.

Change: RelayFailure() calls ConfirmBodyEnd(), and an end that is not confirmed is a run in doubt, as it is for successes: tried elsewhere where the request may run again, a 502 otherwise.

Evidence: "A failure of a process that has ended is not complete" failed before in the 14 of its 28 requests whose failure was cut short, and passes now.

Why it works: a kernel closes the connections of a killed process in order; whether the process still runs is the only difference, and it is asked for.

--- a/Source/Gateway/relay_session.cc
+++ b/Source/Gateway/relay_session.cc
@@ -562,7 +562,7 @@
     Result<std::optional<std::string>> chunk =
         co_await m_attempt->ReadSome(timeout);
     if (!chunk.has_value()) {
-      co_return EndAttemptInDoubt(chunk.error().message);
+      co_return HandleResponseError(chunk.error());
     }
     if (!chunk.value().has_value()) {
       break;
@@ -573,6 +573,11 @@
       co_return EndAttemptInDoubt("the backend server's failure is too long");
     }
   }
+  const Result<void> complete =
+      co_await ConfirmBodyEnd(failure, m_attempt->lease());
+  if (!complete.has_value()) {
+    co_return HandleResponseError(complete.error());
+  }
   m_attempt->lease().SetOutcome(AttemptOutcome::kCompleted);
   LogRequestEnd("backend_failure", status);
   (void)co_await m_exchange.Respond(std::move(response));
--- a/Tests/Gateway/dead_backend_end_test.cc
+++ b/Tests/Gateway/dead_backend_end_test.cc
@@ -48,14 +48,23 @@
           .end = ConnectionEnd::kKeptOpen};
 }
 
+// The head of an answer that ends with its connection.
+std::string HeadOf(const std::string& attempt, int status) {
+  std::string head = RawStreamHead(attempt, "");
+  return head.replace(head.find("200 OK"), 6, std::to_string(status) + " S");
+}
+
 // Two backend servers. The first answer of the one that is asked first has
 // neither length nor chunks; it ends after `events` events with its connection.
 class EndingBackends {
  public:
-  EndingBackends(GatewayFixture& f, Fate fate, uint64_t events) {
+  EndingBackends(GatewayFixture& f,
+                 Fate fate,
+                 uint64_t events,
+                 int status = 200) {
     for (size_t i = 0; i < 2; ++i) {
-      m_backends[i] =
-          std::make_unique<RawBackend>(f.context, Script(i, fate, events));
+      m_backends[i] = std::make_unique<RawBackend>(
+          f.context, Script(i, fate, events, status));
       f.store.Put(
           "servers", "raw-" + std::to_string(i),
           {{"service", "s"},
@@ -71,8 +80,11 @@
   size_t runs() const { return m_runs; }
 
  private:
-  RawBackend::Script Script(size_t index, Fate fate, uint64_t events) {
-    return [this, index, fate, events](const HttpRequest& request) {
+  RawBackend::Script Script(size_t index,
+                            Fate fate,
+                            uint64_t events,
+                            int status) {
+    return [this, index, fate, events, status](const HttpRequest& request) {
       const std::string attempt =
           FindHeader(request.headers, "Attempt-Id").value_or("");
       if (request.target == "/report") {
@@ -97,7 +109,7 @@
           m_backends[index]->Stop();
         }
         return RawAnswer{
-            .bytes = RawStreamHead(attempt, "") + EventsOf(request, events),
+            .bytes = HeadOf(attempt, status) + EventsOf(request, events),
             .end = ConnectionEnd::kClosed};
       }
       return RawAnswer{
@@ -173,6 +185,54 @@
   }
 }
 
+// Sends a request whose first answer is a failure.
+void CheckFailure(const std::string& path,
+                  Fate fate,
+                  int status,
+                  int expected_status) {
+  GatewayFixture f(0);
+  const bool is_whole = expected_status == status;
+  EndingBackends backends(f, fate, is_whole ? kEvents : kEventsBeforeTheEnd,
+                          status);
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    HttpRequest request = f.Request("POST", path, "a1");
+    const auto response = co_await f.Send(0, std::move(request));
+    INFO(path << " " << status << ": " << GatewayFixture::Describe(response));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == expected_status);
+    const auto signature =
+        FindHeader(response.value().headers, "Response-Signature");
+    CHECK(signature.has_value() == (expected_status != 502));
+    if (signature.has_value()) {
+      CHECK(response.value().body == ModelServer::Body("a1", 1, kEvents));
+    }
+  });
+}
+
+// Guards against a part of a failure that a client finds as a whole one: only
+// the ends of successes were confirmed.
+TEST_CASE("A failure of a process that has ended is not complete") {
+  for (const int status : {422, 500}) {
+    for (const char* path : {"/once/x", "/unsafe/x"}) {
+      for (const Fate fate :
+           {Fate::kEnds, Fate::kRestarts, Fate::kEndsDuringReport}) {
+        CheckFailure(path, fate, status, 502);
+      }
+      for (const Fate fate :
+           {Fate::kLives, Fate::kTellsNothing, Fate::kResetsReport}) {
+        CheckFailure(path, fate, status, status);
+      }
+    }
+  }
+  // What may run again is answered by another backend server.
+  for (const char* path : {"/safe/x", "/stream/x"}) {
+    CheckFailure(path, Fate::kEnds, 422, 200);
+    CheckFailure(path, Fate::kLives, 422, 422);
+  }
+}
+
 // Guards against a part of an answer that counts as complete: the report that
 // should tell was reset by the same crash.
 TEST_CASE("A report that a crash cuts off is no sign of life") {
