Gateway: Calls about jobs precede the routes of hosts that have jobs

What callers saw: the operators added a route with the prefix / to the host of a batch job.

Cause: a request was a call about a job only if no route began its path, so whether an accepted job can be reached depended on routes declared later.

Change: a valid call comes first where there can be jobs: a route of the host accepts them, or a known job was submitted to it. Other requests, and all requests of other hosts, go by the longest prefix as before.

Why it works: what decides is whether jobs can exist, and a job that does is known until its record is removed.

--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -91,6 +91,12 @@
       .retry_after = kSubmitRetryAfter});
 }
 
+bool JobHandler::MayHaveJobs(const std::string& host) const {
+  const auto configuration = m_gateway.configuration;
+  return (configuration != nullptr && configuration->AcceptsJobs(host)) ||
+         m_scheduler.HasJobOf(host);
+}
+
 awaitable<void> JobHandler::Submit(HttpExchange& exchange,
                                    CallerRequest caller,
                                    const FleetRoute& route,
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -38,6 +38,9 @@
              JobRunner& runner,
              JobAcceptance& acceptance);
 
+  /// Whether there can be jobs of the host: a route of it accepts some, or has
+  /// accepted some before it was removed.
+  bool MayHaveJobs(const std::string& host) const;
   /// Accepts a new job, or a repeated submission of one.
   boost::asio::awaitable<void> Submit(HttpExchange& exchange,
                                       CallerRequest caller,
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -68,13 +68,13 @@
   }
   const std::string path = exchange.request().Path();
   const FleetRoute* route = configuration->FindRoute(caller.host, path);
+  std::optional<JobCall> call =
+      FindJobCall(exchange.request(), caller.host, route);
+  if (call.has_value()) {
+    co_await HandleJobCall(exchange, std::move(caller), std::move(*call));
+    co_return;
+  }
   if (route == nullptr) {
-    const std::optional<JobCall> call =
-        platform::DecodeJobCall(exchange.request());
-    if (call.has_value()) {
-      co_await HandleJobCall(exchange, std::move(caller), *call);
-      co_return;
-    }
     Problem problem =
         m_gateway.configuration_is_current
             ? Problem{.kind = ProblemKind::kNoSuchRoute,
@@ -102,6 +102,18 @@
                         std::move(organisation), arrived);
 }
 
+std::optional<JobCall> RequestRouter::FindJobCall(
+    const HttpRequest& request,
+    const std::string& host,
+    const FleetRoute* route) const {
+  std::optional<JobCall> call = platform::DecodeJobCall(request);
+  if (!call.has_value() || route == nullptr) {
+    return call;
+  }
+  const bool is_valid = !std::holds_alternative<MalformedJobCall>(*call);
+  return is_valid && m_job_handler.MayHaveJobs(host) ? call : std::nullopt;
+}
+
 awaitable<void> RequestRouter::HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call) {
--- a/Source/Gateway/request_router.h
+++ b/Source/Gateway/request_router.h
@@ -18,6 +18,7 @@
 
 class HttpExchange;
 class JobHandler;
+struct HttpRequest;
 
 /// \class RequestRouter
 /// \brief Handles every request of callers: finds its route and organisation,
@@ -38,6 +39,12 @@
   boost::asio::awaitable<void> RespondWithProblem(HttpExchange& exchange,
                                                   const CallerRequest& caller,
                                                   Problem problem);
+  /// The call about a job that the request is. `route` is the route of its
+  /// path, if any: a valid call precedes it where there can be jobs, because
+  /// they outlive the configuration that accepted them.
+  std::optional<JobCall> FindJobCall(const HttpRequest& request,
+                                     const std::string& host,
+                                     const FleetRoute* route) const;
   boost::asio::awaitable<void> HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call);
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Base/rendezvous.h"
+#include "Fleet/fleet_configuration.h"
 #include "Jobs/backlog_share.h"
 
 namespace cowslip {
@@ -34,6 +35,13 @@
   return found == m_jobs.end() ? nullptr : &found->second.record;
 }
 
+bool JobScheduler::HasJobOf(const std::string& host) const {
+  const std::string normal = NormaliseHost(host);
+  return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
+    return NormaliseHost(entry.second.record.definition.host) == normal;
+  });
+}
+
 bool JobScheduler::IsOpen(const JobKey& job) const {
   const auto found = m_jobs.find(job);
   return found != m_jobs.end() && found->second.ownership == Ownership::kOpen;
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -319,6 +319,9 @@
   /// Items that may start now, in the order in which they should start.
   std::vector<RunnableItem> RunnableItems(ClockReadings now) const;
   const JobRecord* Find(const JobKey& job) const;
+  /// Whether a known job was submitted to the host, finished or not. Compares
+  /// all jobs.
+  bool HasJobOf(const std::string& host) const;
   /// Sets this process as the owner in `status`.
   void SetOwner(JobStatus& status) const;
   /// Whether this process is the owner.
--- /dev/null
+++ b/Tests/Gateway/job_call_path_test.cc
@@ -0,0 +1,149 @@
+// Calls about jobs share their paths with the routes that operators declare.
+#include <string>
+#include <vector>
+
+#include "gateway_fixture.h"
+
+namespace cowslip {
+namespace {
+
+using boost::asio::awaitable;
+using namespace std::chrono_literals;
+
+constexpr size_t kItems = 2;
+constexpr size_t kJobRoute = 4;
+
+nlohmann::json RouteWithPrefix(const GatewayFixture& f,
+                               const std::string& host,
+                               const std::string& prefix) {
+  nlohmann::json route = f.configuration["routes"][2];
+  route["name"] = "rest";
+  route["host"] = host;
+  route["path_prefix"] = prefix;
+  return route;
+}
+
+awaitable<void> PublishNext(GatewayFixture& f) {
+  f.configuration["version"] = 2;
+  f.Publish();
+  co_await f.Sleep(300ms);
+}
+
+// Sends the call to both gateways. GCC 12 may run a co_await within CHECK()
+// twice, so the checks are in here.
+awaitable<void> CheckCall(GatewayFixture& f,
+                          int status,
+                          std::string method,
+                          std::string target,
+                          std::string host = "h.example") {
+  for (const size_t gateway : {0, 1}) {
+    HttpRequest request = f.Request(method, target, "call");
+    request.headers[0].value = host;
+    const auto response = co_await f.Send(gateway, std::move(request));
+    INFO(method << " " << host << target << " at gateway " << gateway << ": "
+                << GatewayFixture::Describe(response));
+    REQUIRE(response.has_value());
+    CHECK(response.value().status == status);
+  }
+}
+
+awaitable<void> RunJob(GatewayFixture& f) {
+  HttpRequest submission = f.Submission("j1", kItems);
+  const auto accepted = co_await f.Send(0, std::move(submission));
+  REQUIRE(accepted.has_value());
+  REQUIRE(accepted.value().status == 202);
+  const nlohmann::json results = co_await f.ReadAllResults(1, "j1");
+  REQUIRE(results.size() == kItems);
+}
+
+size_t Runs(GatewayFixture& f) {
+  return f.RequestsAt(0) + f.RequestsAt(1);
+}
+
+// All calls about the job are answered by the gateways.
+awaitable<void> CheckServed(GatewayFixture& f) {
+  const size_t runs = Runs(f);
+  const nlohmann::json results = co_await f.ReadAllResults(0, "j1");
+  CHECK(results.size() == kItems);
+  co_await CheckCall(f, 200, "GET", "/lots/j1?after=1");
+  co_await CheckCall(f, 200, "GET", "/items/j1?id=j1-0");
+  co_await CheckCall(f, 404, "GET", "/lots/none");
+  co_await CheckCall(f, 200, "DELETE", "/lots/j1");
+  CHECK(Runs(f) == runs);
+}
+
+template <class Body>
+void RunGateways(Body body) {
+  GatewayFixture f(2);
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await body(f);
+  });
+}
+
+// Guards against jobs that can't be read or ended because a route begins the
+// paths of the calls about them.
+TEST_CASE("A route that begins the paths of job calls does not hide jobs") {
+  for (const char* prefix : {"/", "/lots/", "/items/"}) {
+    INFO("prefix " << prefix);
+    RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+      co_await RunJob(f);
+      f.configuration["routes"].push_back(
+          RouteWithPrefix(f, "h.example", prefix));
+      co_await PublishNext(f);
+      co_await CheckServed(f);
+    });
+  }
+}
+
+TEST_CASE("A job of a route that was removed is not hidden by another route") {
+  RunGateways([](GatewayFixture& f) -> awaitable<void> {
+    co_await RunJob(f);
+    f.configuration["routes"][kJobRoute] = RouteWithPrefix(f, "h.example", "/");
+    co_await PublishNext(f);
+    co_await CheckServed(f);
+  });
+}
+
+TEST_CASE("Jobs are found if their own route begins the paths of job calls") {
+  GatewayFixture f(2);
+  f.configuration["routes"][kJobRoute]["path_prefix"] = "/";
+  f.Publish();
+  f.AddGateway();
+  f.AddGateway();
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    co_await RunJob(f);
+    co_await CheckServed(f);
+  });
+}
+
+TEST_CASE("A route gets the paths of job calls where there are no jobs") {
+  RunGateways([](GatewayFixture& f) -> awaitable<void> {
+    co_await RunJob(f);
+    f.configuration["routes"].push_back(
+        RouteWithPrefix(f, "other.example", "/"));
+    co_await PublishNext(f);
+    const size_t runs = Runs(f);
+    co_await CheckCall(f, 200, "GET", "/lots/j1", "other.example");
+    co_await CheckCall(f, 200, "GET", "/items/j1?id=j1-0", "other.example");
+    CHECK(Runs(f) == runs + 4);
+  });
+}
+
+TEST_CASE("A route gets what is no call about a job") {
+  RunGateways([](GatewayFixture& f) -> awaitable<void> {
+    f.configuration["routes"].push_back(RouteWithPrefix(f, "h.example", "/"));
+    co_await PublishNext(f);
+    const size_t runs = Runs(f);
+    co_await CheckCall(f, 200, "POST", "/lots/j1");
+    co_await CheckCall(f, 200, "GET", "/lots/j1/more");
+    co_await CheckCall(f, 200, "GET", "/items/j1");
+    CHECK(Runs(f) == runs + 6);
+  });
+}
+
+}  // namespace
+}  // namespace cowslip
