Gateway: A call about a job is not passed on where the jobs are unknown

What callers saw: a gateway that had just started, and whose listings of the jobs the store turned away, passed reads and ends of accepted jobs to backend servers, one after another, if a route began their path. So did a gateway that was cut off from the store, and one whose view was old.

Cause: whether there can be jobs was one bit. What the gateway had not read, or had read long ago, counted as "there are none".

Change: JobPresenceCore decides between possible, none, unconfirmed and unknown, from the configuration, the known jobs and how current both are: listed, watches working, a complete poll younger than the bound on staleness, and no peer that knows more. JobRequestFinder is the only place that tells calls about jobs from requests of a route. In doubt, it asks the store for the job, and answers 503 itself if that does not tell. Stand-in: listings alone can be turned away.

Why it works: only a view that has proved to be current within the bound says that there are no jobs, and a job's record can be read whatever the views are.

--- a/Source/Fleet/fleet_configuration.cc
+++ b/Source/Fleet/fleet_configuration.cc
@@ -57,15 +57,6 @@
   return found == m_routes.end() ? nullptr : found->second;
 }
 
-bool FleetConfiguration::AcceptsJobs(std::string_view host) const {
-  const auto routes = m_routes_by_host.find(NormaliseHost(host));
-  return routes != m_routes_by_host.end() &&
-         std::any_of(routes->second.begin(), routes->second.end(),
-                     [](const FleetRoute* route) {
-                       return route->kind == RequestKind::kBatch;
-                     });
-}
-
 const FleetOrganisation* FleetConfiguration::FindOrganisation(
     const OrganisationId& id) const {
   const auto found = m_organisations.find(id);
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -163,8 +163,6 @@
   const FleetRoute* FindRoute(std::string_view host,
                               std::string_view path) const;
   const FleetRoute* FindRoute(const RouteId& id) const;
-  /// Whether a route of the host accepts batch jobs.
-  bool AcceptsJobs(std::string_view host) const;
   const FleetOrganisation* FindOrganisation(const OrganisationId& id) const;
   /// Where requests of the organisation on the route may run. What is not
   /// declared restricts nothing.
--- a/Source/Gateway/gateway_context.h
+++ b/Source/Gateway/gateway_context.h
@@ -6,6 +6,7 @@
 
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Jobs/job_presence_core.h"
 
 namespace boost::asio {
 class io_context;
@@ -59,6 +60,8 @@
   /// Whether the watch on jobs works, so that a takeover of a job by another
   /// process would be noticed.
   bool jobs_are_current = false;
+  /// How far the configuration and the jobs are known.
+  std::function<JobView()> job_view;
   /// Whether this process has processor time left for more batch work.
   bool has_time_left = true;
   /// The version of the store up to which this process knows all jobs.
--- a/Source/Gateway/gateway_daemon.h
+++ b/Source/Gateway/gateway_daemon.h
@@ -22,6 +22,7 @@
 #include "Gateway/incarnation_verifier.h"
 #include "Gateway/job_acceptance.h"
 #include "Gateway/job_handler.h"
+#include "Gateway/job_request_finder.h"
 #include "Gateway/job_runner.h"
 #include "Gateway/memory_monitor.h"
 #include "Gateway/request_router.h"
@@ -132,6 +133,9 @@
   void HandleDivergenceEvent(const DivergenceEvent& event);
   /// Empty until all compared kinds were listed.
   StoreDigests OwnStoreDigests() const;
+  /// Whether the configuration and the jobs are known up to the bound on
+  /// staleness.
+  JobView ViewOfJobs() const;
   void HandleDirectoryEvent(const DirectoryEvent& event);
   /// Tells which services callers may resume streams of.
   void UpdateResumableServices();
@@ -170,6 +174,9 @@
   boost::asio::io_context& m_context;
   const GatewayDaemonOptions m_options;
   GatewaySettings m_settings;
+  // From the bounds of the settings that the process has started with.
+  const StalenessBudget m_staleness{
+      DivideBound(m_options.settings.apply_bound)};
   EventLog m_log;
   GatewayMetrics m_metrics;
   MemoryMonitor m_memory_monitor;
@@ -198,6 +205,7 @@
   JobRunner m_job_runner;
   JobAcceptance m_job_acceptance;
   JobHandler m_job_handler;
+  JobRequestFinder m_job_requests;
   RequestRouter m_request_router;
   std::unique_ptr<HttpServer> m_caller_server;
   std::unique_ptr<HttpServer> m_readiness_server;
@@ -215,9 +223,6 @@
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_poll_timer;
   PauseDetector m_pause_detector;
-  // From the bounds of the settings that the process has started with.
-  const StalenessBudget m_staleness{
-      DivideBound(m_options.settings.apply_bound)};
   PollTurnCore m_poll_turns{
       PollTurnOptions{.self = m_options.settings.vm,
                       .interval = m_staleness.poll_interval,
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -192,6 +192,30 @@
   return digests;
 }
 
+JobView GatewayDaemon::ViewOfJobs() const {
+  const MonotonicTime now = MonotonicClock::now();
+  std::optional<MonotonicTime> differs_since;
+  const std::vector<DocumentWatcher*> watchers = ComparedWatchers();
+  for (size_t kind = 0; kind < watchers.size(); ++kind) {
+    const bool matters = watchers[kind] == m_configuration_watcher.get() ||
+                         watchers[kind] == m_job_watcher.get();
+    const auto since = m_divergence_detector.DiffersSince(kind);
+    if (matters && since.has_value()) {
+      differs_since = std::min(differs_since.value_or(*since), *since);
+    }
+  }
+  // Watches may be silent while the store is cut off; then polls fail, or the
+  // peers know more.
+  const bool is_polled =
+      now - m_poll_turns.LastCompletePoll() <= m_staleness.bound;
+  const bool differs_long = differs_since.has_value() &&
+                            now - *differs_since > m_staleness.grace_period;
+  return {.is_current = m_gateway.configuration_is_current &&
+                        m_gateway.jobs_are_current && is_polled &&
+                        !differs_long,
+          .agrees_with_peers = !differs_since.has_value()};
+}
+
 void GatewayDaemon::StartWatchers() {
   m_configuration_watcher = StartWatcher(
       platform::kConfigurationKind,
@@ -366,6 +390,7 @@
   }
   m_quota.Handle(quotas, MonotonicClock::now());
   m_job_acceptance.ApplyLimits(now);
+  m_job_requests.ApplyConfiguration(now);
   UpdateHomeRegions();
   MaybeActivateJobs();
   for (const FleetService& service : now.services()) {
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -26,9 +26,6 @@
 
 using boost::asio::awaitable;
 
-// How long a submission is retried at the store. Another VM may reach the store
-// when this one does not, so the client is told early enough to retry there.
-constexpr Duration kSubmitTimeout = std::chrono::milliseconds(1300);
 // Retry-After of submissions and calls that could not be served.
 constexpr Duration kSubmitRetryAfter = std::chrono::milliseconds(300);
 // How often the end of a job is written to its record before the client is told
@@ -91,12 +88,6 @@
       .retry_after = kSubmitRetryAfter});
 }
 
-bool JobHandler::MayHaveJobs(const std::string& host) const {
-  const auto configuration = m_gateway.configuration;
-  return (configuration != nullptr && configuration->AcceptsJobs(host)) ||
-         m_scheduler.HasJobOf(host);
-}
-
 awaitable<void> JobHandler::Submit(HttpExchange& exchange,
                                    CallerRequest caller,
                                    const FleetRoute& route,
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -26,6 +26,11 @@
 class JobRunner;
 struct HttpResponse;
 
+/// How long a submission is retried at the store. Another VM may reach the
+/// store when this one does not, so the client is told early enough to retry
+/// there.
+inline constexpr Duration kSubmitTimeout = std::chrono::milliseconds(1300);
+
 /// \class JobHandler
 /// \brief Serves submissions of batch jobs and calls about them. Any process
 /// can serve any job, because everything that a response promises is in the
@@ -38,9 +43,6 @@
              JobRunner& runner,
              JobAcceptance& acceptance);
 
-  /// Whether there can be jobs of the host: a route of it accepts some, or has
-  /// accepted some before it was removed.
-  bool MayHaveJobs(const std::string& host) const;
   /// Accepts a new job, or a repeated submission of one.
   boost::asio::awaitable<void> Submit(HttpExchange& exchange,
                                       CallerRequest caller,
@@ -51,6 +53,13 @@
                                           CallerRequest caller,
                                           JobCall call,
                                           OrganisationId organisation);
+  /// Finds a job of the organisation, or one that was accepted without an
+  /// organisation: by an earlier release on a public route, or while none was
+  /// declared. Asks the store unless the job is known. Errors: kNotFound, and
+  /// those of DocumentStore::Get().
+  boost::asio::awaitable<Result<JobRecord>> FindJob(
+      JobId id,
+      OrganisationId organisation);
 
  private:
   /// Reads the results of a job that is not open in this process.
@@ -68,12 +77,6 @@
                                                  OrganisationId organisation,
                                                  JobKey job,
                                                  MonotonicTime arrived);
-  /// Finds a job of the organisation, or one that was accepted without an
-  /// organisation: by an earlier release on a public route, or while none was
-  /// declared.
-  boost::asio::awaitable<Result<JobRecord>> FindJob(
-      JobId id,
-      OrganisationId organisation);
   /// The key under which a submitted job is kept. A repeat of a job that was
   /// accepted without an organisation belongs to that job.
   boost::asio::awaitable<Result<JobKey>> KeyOfSubmission(
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -7,12 +7,12 @@
 #include "Gateway/dispatcher.h"
 #include "Gateway/gateway_metrics.h"
 #include "Gateway/job_handler.h"
+#include "Gateway/job_request_finder.h"
 #include "Gateway/problem_response.h"
 #include "Gateway/relay_session.h"
 #include "Gateway/startup_gate.h"
 #include "Net/http_exchange.h"
 #include "Quota/quota_core.h"
-#include "platform/job_messages.h"
 #include "platform/request_headers.h"
 
 namespace cowslip {
@@ -21,8 +21,12 @@
 
 RequestRouter::RequestRouter(GatewayContext& gateway,
                              JobHandler& jobs,
+                             JobRequestFinder& finder,
                              uint64_t seed)
-    : m_gateway(gateway), m_job_handler(jobs), m_random(seed) {}
+    : m_gateway(gateway),
+      m_job_handler(jobs),
+      m_job_requests(finder),
+      m_random(seed) {}
 
 awaitable<void> RequestRouter::RespondWithProblem(HttpExchange& exchange,
                                                   const CallerRequest& caller,
@@ -68,12 +72,16 @@
   }
   const std::string path = exchange.request().Path();
   const FleetRoute* route = configuration->FindRoute(caller.host, path);
-  std::optional<JobCall> call =
-      FindJobCall(exchange.request(), caller.host, route);
-  if (call.has_value()) {
+  JobRequest job_request =
+      co_await m_job_requests.FindCall(exchange.request(), caller, route);
+  if (auto* call = std::get_if<JobCall>(&job_request)) {
     co_await HandleJobCall(exchange, std::move(caller), std::move(*call));
     co_return;
   }
+  if (auto* problem = std::get_if<Problem>(&job_request)) {
+    co_await RespondWithProblem(exchange, caller, std::move(*problem));
+    co_return;
+  }
   if (route == nullptr) {
     Problem problem =
         m_gateway.configuration_is_current
@@ -102,18 +110,6 @@
                         std::move(organisation), arrived);
 }
 
-std::optional<JobCall> RequestRouter::FindJobCall(
-    const HttpRequest& request,
-    const std::string& host,
-    const FleetRoute* route) const {
-  std::optional<JobCall> call = platform::DecodeJobCall(request);
-  if (!call.has_value() || route == nullptr) {
-    return call;
-  }
-  const bool is_valid = !std::holds_alternative<MalformedJobCall>(*call);
-  return is_valid && m_job_handler.MayHaveJobs(host) ? call : std::nullopt;
-}
-
 awaitable<void> RequestRouter::HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call) {
--- a/Source/Gateway/request_router.h
+++ b/Source/Gateway/request_router.h
@@ -18,15 +18,19 @@
 
 class HttpExchange;
 class JobHandler;
-struct HttpRequest;
+class JobRequestFinder;
 
 /// \class RequestRouter
 /// \brief Handles every request of callers: finds its route and organisation,
 /// checks the quota, and passes it to a RelaySession or to the JobHandler.
 class RequestRouter {
  public:
-  /// `jobs` handles submissions of batch jobs and calls about them.
-  RequestRouter(GatewayContext& gateway, JobHandler& jobs, uint64_t seed);
+  /// `jobs` handles submissions of batch jobs and calls about them, which
+  /// `finder` finds.
+  RequestRouter(GatewayContext& gateway,
+                JobHandler& jobs,
+                JobRequestFinder& finder,
+                uint64_t seed);
 
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
@@ -39,12 +43,6 @@
   boost::asio::awaitable<void> RespondWithProblem(HttpExchange& exchange,
                                                   const CallerRequest& caller,
                                                   Problem problem);
-  /// The call about a job that the request is. `route` is the route of its
-  /// path, if any: a valid call precedes it where there can be jobs, because
-  /// they outlive the configuration that accepted them.
-  std::optional<JobCall> FindJobCall(const HttpRequest& request,
-                                     const std::string& host,
-                                     const FleetRoute* route) const;
   boost::asio::awaitable<void> HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call);
@@ -57,6 +55,7 @@
 
   GatewayContext& m_gateway;
   JobHandler& m_job_handler;
+  JobRequestFinder& m_job_requests;
   std::mt19937_64 m_random;
 };
 
--- /dev/null
+++ b/Source/Jobs/job_presence_core.cc
@@ -0,0 +1,84 @@
+#include "Jobs/job_presence_core.h"
+
+#include "Fleet/fleet_configuration.h"
+
+namespace cowslip {
+
+const char* NameOf(JobPresence presence) {
+  switch (presence) {
+    case JobPresence::kPossible:
+      return "possible";
+    case JobPresence::kUnconfirmed:
+      return "unconfirmed";
+    case JobPresence::kUnknown:
+      return "unknown";
+    case JobPresence::kNone:
+      return "none";
+  }
+  return "";
+}
+
+JobHostsChanged JobHostsOf(const FleetConfiguration& configuration) {
+  JobHostsChanged event;
+  for (const FleetRoute& route : configuration.routes()) {
+    JobHostRoutes& host = event.hosts[NormaliseHost(route.host)];
+    const bool accepts_jobs = route.kind == RequestKind::kBatch;
+    (accepts_jobs ? host.accepting_jobs : host.others)
+        .insert(route.path_prefix);
+  }
+  std::erase_if(event.hosts, [](const auto& entry) {
+    return entry.second.accepting_jobs.empty();
+  });
+  return event;
+}
+
+void JobPresenceCore::Handle(const JobPresenceEvent& event, MonotonicTime now) {
+  std::visit([&](const auto& alternative) { Apply(alternative, now); }, event);
+}
+
+void JobPresenceCore::Apply(const JobHostsChanged& event, MonotonicTime now) {
+  if (!m_started.has_value()) {
+    m_started = now;
+  }
+  std::erase_if(m_changes, [&](const auto& change) {
+    return now - change.second > m_options.unseen_time;
+  });
+  for (const auto& [host, routes] : m_hosts) {
+    const auto successor = event.hosts.find(host);
+    if (successor == event.hosts.end() || successor->second != routes) {
+      m_changes[host] = now;
+    }
+  }
+  m_hosts = event.hosts;
+}
+
+bool JobPresenceCore::HasChangedLately(const std::string& host,
+                                       MonotonicTime now) const {
+  const auto change = m_changes.find(host);
+  return !m_started.has_value() || now - *m_started <= m_options.unseen_time ||
+         (change != m_changes.end() &&
+          now - change->second <= m_options.unseen_time);
+}
+
+bool JobPresenceCore::KnowsAllJobs(const std::string& host,
+                                   const JobView& view,
+                                   MonotonicTime now) const {
+  return view.is_current && view.agrees_with_peers &&
+         !HasChangedLately(host, now);
+}
+
+JobPresence JobPresenceCore::PresenceOn(const std::string& host,
+                                        const JobView& view,
+                                        bool has_job,
+                                        MonotonicTime now) const {
+  if (has_job || m_hosts.contains(host)) {
+    return JobPresence::kPossible;
+  }
+  if (!view.is_current) {
+    return JobPresence::kUnknown;
+  }
+  return KnowsAllJobs(host, view, now) ? JobPresence::kNone
+                                       : JobPresence::kUnconfirmed;
+}
+
+}  // namespace cowslip
--- /dev/null
+++ b/Source/Jobs/job_presence_core.h
@@ -0,0 +1,102 @@
+#ifndef SOURCE_JOBS_JOB_PRESENCE_CORE_H_
+#define SOURCE_JOBS_JOB_PRESENCE_CORE_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "Base/time.h"
+
+namespace cowslip {
+
+class FleetConfiguration;
+
+/// \class JobPresenceOptions
+/// \brief How far processes may lag behind each other.
+struct JobPresenceOptions {
+  /// After a change of a host's routes, another process may accept a job by the
+  /// old ones for this long, or this process may not have seen its record.
+  Duration unseen_time = std::chrono::seconds(6);
+};
+
+/// \class JobView
+/// \brief What this process knows of the configuration and of the jobs.
+struct JobView {
+  /// Everything that is older than the bound on staleness is known.
+  bool is_current = false;
+  /// No other process reports contents that are unknown here.
+  bool agrees_with_peers = false;
+};
+
+/// \class JobHostRoutes
+/// \brief The path prefixes of a host's routes.
+struct JobHostRoutes {
+  std::set<std::string> accepting_jobs;
+  std::set<std::string> others;
+
+  friend bool operator==(const JobHostRoutes&, const JobHostRoutes&) = default;
+};
+
+/// A configuration has come into force.
+struct JobHostsChanged {
+  /// The hosts that accept jobs, each as NormaliseHost() returns it.
+  std::map<std::string, JobHostRoutes> hosts;
+};
+using JobPresenceEvent = std::variant<JobHostsChanged>;
+
+/// Whether there can be batch jobs of a host.
+enum class JobPresence {
+  /// A route of it accepts jobs, or there is one.
+  kPossible,
+  /// None is known. One may have been accepted a moment ago; the store tells.
+  kUnconfirmed,
+  /// This process can't tell.
+  kUnknown,
+  kNone,
+};
+
+/// The name of a presence in the log.
+const char* NameOf(JobPresence presence);
+
+/// Returns the event for a configuration.
+JobHostsChanged JobHostsOf(const FleetConfiguration& configuration);
+
+/// \class JobPresenceCore
+/// \brief Decides whether there can be batch jobs of a host, and whether this
+/// process knows all of them. See docs/design/job-paths.md.
+class JobPresenceCore {
+ public:
+  explicit JobPresenceCore(JobPresenceOptions options) : m_options(options) {}
+
+  void Handle(const JobPresenceEvent& event, MonotonicTime now);
+
+  /// `has_job` tells whether a job of the host is known.
+  JobPresence PresenceOn(const std::string& host,
+                         const JobView& view,
+                         bool has_job,
+                         MonotonicTime now) const;
+  /// Whether a job of the host that was accepted before is known here.
+  bool KnowsAllJobs(const std::string& host,
+                    const JobView& view,
+                    MonotonicTime now) const;
+
+ private:
+  void Apply(const JobHostsChanged& event, MonotonicTime now);
+  /// Whether the host's routes have changed within `unseen_time`.
+  bool HasChangedLately(const std::string& host, MonotonicTime now) const;
+
+  const JobPresenceOptions m_options;
+  std::map<std::string, JobHostRoutes> m_hosts;
+  /// When the first configuration came into force: what was in force before is
+  /// not known.
+  std::optional<MonotonicTime> m_started;
+  /// When the routes of a host that accepts jobs, or did so, changed last.
+  std::map<std::string, MonotonicTime> m_changes;
+};
+
+}  // namespace cowslip
+
+#endif  // SOURCE_JOBS_JOB_PRESENCE_CORE_H_
--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -36,9 +36,8 @@
 }
 
 bool JobScheduler::HasJobOf(const std::string& host) const {
-  const std::string normal = NormaliseHost(host);
   return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
-    return NormaliseHost(entry.second.record.definition.host) == normal;
+    return NormaliseHost(entry.second.record.definition.host) == host;
   });
 }
 
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -319,8 +319,8 @@
   /// Items that may start now, in the order in which they should start.
   std::vector<RunnableItem> RunnableItems(ClockReadings now) const;
   const JobRecord* Find(const JobKey& job) const;
-  /// Whether a known job was submitted to the host, finished or not. Compares
-  /// all jobs.
+  /// Whether a known job was submitted to the host, finished or not. `host` is
+  /// in the form of NormaliseHost(). Compares all jobs.
   bool HasJobOf(const std::string& host) const;
   /// Sets this process as the owner in `status`.
   void SetOwner(JobStatus& status) const;
--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -106,6 +106,20 @@
   }
 }
 
+std::optional<MonotonicTime> DivergenceDetector::DiffersSince(
+    size_t kind) const {
+  std::optional<MonotonicTime> since;
+  if (kind < m_kinds.size()) {
+    for (const auto& [vm, peer] : m_kinds[kind].peers) {
+      if (peer.differs_since.has_value()) {
+        since =
+            std::min(since.value_or(*peer.differs_since), *peer.differs_since);
+      }
+    }
+  }
+  return since;
+}
+
 std::optional<DivergenceAction> DivergenceDetector::RefreshIfDue(
     size_t index,
     MonotonicTime now) {
--- a/Source/Peers/divergence_detector.h
+++ b/Source/Peers/divergence_detector.h
@@ -93,6 +93,10 @@
   std::vector<DivergenceAction> Handle(const DivergenceEvent& event,
                                        MonotonicTime now);
 
+  /// Since when a peer reports contents of the kind that are unknown here;
+  /// nullopt if none does.
+  std::optional<MonotonicTime> DiffersSince(size_t kind) const;
+
  private:
   struct PeerDigest {
     uint64_t digest = 0;
--- a/Source/Peers/poll_turn_core.h
+++ b/Source/Peers/poll_turn_core.h
@@ -68,6 +68,9 @@
   /// When this process polls if nothing else is heard until then.
   MonotonicTime NextTurn() const;
   PollReport Report(MonotonicTime now) const;
+  /// When the newest complete poll began that is known, of any process; or the
+  /// start of this process.
+  MonotonicTime LastCompletePoll() const { return m_last_poll; }
 
  private:
   void Apply(const PollersChanged& event, MonotonicTime now);
--- a/Source/Peers/staleness_budget.h
+++ b/Source/Peers/staleness_budget.h
@@ -16,6 +16,8 @@
 /// stands still, 300 ms for its answer, 100 ms for the datagrams, 150 ms of
 /// grace and 100 ms until the next tick, and 300 ms for the listing.
 struct StalenessBudget {
+  /// The time that is divided.
+  Duration bound{0};
   /// From the begin of one process's poll to that of the next one's.
   Duration poll_interval{0};
   /// A read without an answer is repeated after this time. The store answers
@@ -36,7 +38,8 @@
   using std::chrono::milliseconds;
   const Duration total =
       std::clamp<Duration>(bound, milliseconds(500), milliseconds(3000));
-  return {.poll_interval = total * 2 / 5,
+  return {.bound = total,
+          .poll_interval = total * 2 / 5,
           .read_timeout = total / 4,
           .grace_period = total * 3 / 40};
 }
--- a/Tests/Gateway/job_call_path_test.cc
+++ b/Tests/Gateway/job_call_path_test.cc
@@ -1,7 +1,9 @@
 // Calls about jobs share their paths with the routes that operators declare.
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "Jobs/job_documents.h"
 #include "gateway_fixture.h"
 
 namespace cowslip {
@@ -145,5 +147,98 @@
   });
 }
 
+// Sends each call about the job to one gateway, where its jobs can't be known:
+// the gateway answers with 200 or 503, and no backend server gets a call.
+awaitable<void> CheckNotHandedOver(GatewayFixture& f,
+                                   size_t gateway,
+                                   std::string host) {
+  const size_t runs = Runs(f);
+  const std::vector<std::pair<std::string, std::string>> calls = {
+      {"GET", "/lots/none?after=0"},
+      {"GET", "/lots/j1?after=0"},
+      {"GET", "/items/j1?id=j1-0"},
+      {"DELETE", "/lots/j1"}};
+  for (const auto& [method, target] : calls) {
+    HttpRequest request = f.Request(method, target, "call");
+    request.headers[0].value = host;
+    const auto response = co_await f.Send(gateway, std::move(request));
+    INFO(method << " " << target << ": " << GatewayFixture::Describe(response));
+    REQUIRE(response.has_value());
+    const bool is_refused = response.value().status == 503;
+    CHECK((response.value().status == 200 || is_refused));
+    CHECK(FindHeader(response.value().headers, "Retry-After").has_value() ==
+          is_refused);
+  }
+  CHECK(Runs(f) == runs);
+}
+
+// Guards against a gateway that has just started, whose listings of the jobs
+// fail, and that passes calls about them to backend servers.
+TEST_CASE("A gateway that has not listed the jobs hands no call to a route") {
+  for (const ServerFault fault :
+       {ServerFault::kListingsBusy, ServerFault::kReadsBusy}) {
+    RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+      co_await RunJob(f);
+      f.configuration["routes"][kJobRoute] =
+          RouteWithPrefix(f, "h.example", "/");
+      co_await PublishNext(f);
+      f.server.SetFault(fault, kJobKind);
+      const size_t late = f.AddGateway();
+      co_await f.Sleep(1s);
+      co_await CheckNotHandedOver(f, late, "h.example");
+      f.server.SetFault(ServerFault::kNone);
+      co_await f.WaitUntilReady();
+      const nlohmann::json results = co_await f.ReadAllResults(late, "j1");
+      CHECK(results.size() == kItems);
+    });
+  }
+}
+
+// Guards against a gateway without the store that takes its old configuration
+// for proof that a host has no jobs.
+TEST_CASE("A gateway that is cut off hands no call about a job to a route") {
+  GatewayFixture f(2);
+  f.configuration["routes"].push_back(RouteWithPrefix(f, "other.example", "/"));
+  f.Publish();
+  f.AddGateway(f.other_server.port());
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    f.other_server.SetFault(ServerFault::kReset);
+    co_await f.Sleep(3s);
+    co_await CheckNotHandedOver(f, 0, "other.example");
+    // Online requests go on.
+    HttpRequest online = f.Request("GET", "/rest/x", "online");
+    online.headers[0].value = "other.example";
+    const auto served = co_await f.Send(0, std::move(online));
+    REQUIRE(served.has_value());
+    CHECK(served.value().status == 200);
+  });
+}
+
+// Guards against the same while the store is silent: no call fails, and the
+// gateway's watches seem to work.
+TEST_CASE("A gateway with an old view hands no call about a job to a route") {
+  GatewayFixture f(2);
+  f.configuration["routes"].push_back(RouteWithPrefix(f, "other.example", "/"));
+  f.Publish();
+  f.AddGateway();
+  const size_t behind = f.AddGateway(f.other_server.port());
+  f.Run([&]() -> awaitable<void> {
+    co_await f.WaitUntilReady();
+    // The window after a start is over.
+    co_await f.Sleep(6s);
+    f.other_server.SetDelay(30s);
+    f.configuration["routes"][kJobRoute]["host"] = "other.example";
+    co_await PublishNext(f);
+    HttpRequest submission = f.Submission("j1", kItems);
+    submission.headers[0].value = "other.example";
+    const auto accepted = co_await f.Send(0, std::move(submission));
+    REQUIRE(accepted.has_value());
+    REQUIRE(accepted.value().status == 202);
+    co_await f.Sleep(400ms);
+    co_await CheckNotHandedOver(f, behind, "other.example");
+  });
+}
+
 }  // namespace
 }  // namespace cowslip
--- /dev/null
+++ b/Tests/Jobs/job_presence_test.cc
@@ -0,0 +1,106 @@
+// Whether there can be batch jobs of a host, which decides who gets the calls
+// about them.
+#include <map>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "Fleet/fleet_configuration.h"
+#include "Jobs/job_presence_core.h"
+
+namespace cowslip {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr JobView kCurrent{.is_current = true, .agrees_with_peers = true};
+constexpr JobView kAhead{.is_current = true, .agrees_with_peers = false};
+constexpr JobView kOld{.is_current = false, .agrees_with_peers = true};
+constexpr Duration kUnseen = 6s;
+const std::string kHost = "h.example";
+
+class Presence {
+ public:
+  // Applies a configuration with these routes of the host.
+  void Publish(const std::map<std::string, RequestKind>& prefixes) {
+    FleetConfigurationParts parts;
+    for (const auto& [prefix, kind] : prefixes) {
+      parts.routes.push_back({.id = RouteId(prefix),
+                              .host = "H.example:8689",
+                              .path_prefix = prefix,
+                              .kind = kind});
+    }
+    m_core.Handle(JobHostsOf(FleetConfiguration(std::move(parts))), m_now);
+  }
+  void Wait(Duration time) { m_now += time; }
+  JobPresence On(const JobView& view, bool has_job = false) const {
+    return m_core.PresenceOn(kHost, view, has_job, m_now);
+  }
+  bool KnowsAll(const JobView& view) const {
+    return m_core.KnowsAllJobs(kHost, view, m_now);
+  }
+
+ private:
+  MonotonicTime m_now{1h};
+  JobPresenceCore m_core{JobPresenceOptions{.unseen_time = kUnseen}};
+};
+
+TEST_CASE("There can be jobs where a route accepts them or one is known") {
+  Presence presence;
+  presence.Publish(
+      {{"/jobs/", RequestKind::kBatch}, {"/", RequestKind::kSafe}});
+  CHECK(presence.On(kCurrent) == JobPresence::kPossible);
+  CHECK(presence.On(kOld) == JobPresence::kPossible);
+  presence.Publish({{"/", RequestKind::kSafe}});
+  CHECK(presence.On(kOld, true) == JobPresence::kPossible);
+}
+
+// Guards against a gateway that takes what it has not read for nothing.
+TEST_CASE(
+    "A process that can't know the jobs does not say that there are none") {
+  Presence presence;
+  CHECK(presence.On(kOld) == JobPresence::kUnknown);
+  presence.Publish({{"/", RequestKind::kSafe}});
+  CHECK(presence.On(kOld) == JobPresence::kUnknown);
+  presence.Wait(kUnseen + 1ms);
+  CHECK(presence.On(kOld) == JobPresence::kUnknown);
+  CHECK(presence.On(kAhead) == JobPresence::kUnconfirmed);
+  CHECK(presence.On(kCurrent) == JobPresence::kNone);
+}
+
+// Guards against jobs that another process has accepted by routes which this
+// process has never had, or has no more.
+TEST_CASE("Jobs may be unseen for a while after a start and after a change") {
+  Presence presence;
+  presence.Publish({{"/", RequestKind::kSafe}});
+  presence.Wait(kUnseen);
+  CHECK(presence.On(kCurrent) == JobPresence::kUnconfirmed);
+  presence.Wait(1ms);
+  CHECK(presence.On(kCurrent) == JobPresence::kNone);
+
+  presence.Publish({{"/jobs/", RequestKind::kBatch}});
+  presence.Wait(1h);
+  presence.Publish({{"/", RequestKind::kSafe}});
+  presence.Publish({{"/", RequestKind::kSafe}});
+  presence.Wait(kUnseen);
+  CHECK(presence.On(kCurrent) == JobPresence::kUnconfirmed);
+  presence.Wait(1ms);
+  CHECK(presence.On(kCurrent) == JobPresence::kNone);
+}
+
+TEST_CASE(
+    "All jobs are known unless a path of the host may have changed hands") {
+  Presence presence;
+  presence.Publish({{"/jobs/", RequestKind::kBatch}});
+  CHECK_FALSE(presence.KnowsAll(kCurrent));
+  presence.Wait(kUnseen + 1ms);
+  CHECK(presence.KnowsAll(kCurrent));
+  CHECK_FALSE(presence.KnowsAll(kAhead));
+  CHECK_FALSE(presence.KnowsAll(kOld));
+  presence.Publish(
+      {{"/jobs/", RequestKind::kBatch}, {"/jobs/x/", RequestKind::kSafe}});
+  CHECK_FALSE(presence.KnowsAll(kCurrent));
+}
+
+}  // namespace
+}  // namespace cowslip
--- a/Utilities/StandIns/MetadataStore/metadata_server.cc
+++ b/Utilities/StandIns/MetadataStore/metadata_server.cc
@@ -78,6 +78,11 @@
 constexpr std::string_view kStatus = "/status";
 constexpr auto kNever = std::chrono::steady_clock::time_point::max();
 
+// A listing or a watch.
+bool NamesNoDocument(const HttpRequest& request) {
+  return request.Path().find('/', kPrefix.size()) == std::string::npos;
+}
+
 uint64_t Number(const HttpRequest& request, const char* name) {
   return std::stoull(request.Query(name).value_or("0"));
 }
@@ -140,8 +145,10 @@
   }
   HttpResponse response{.status = 503};
   const bool is_write = request.method != "GET";
+  const bool is_listing = !is_write && NamesNoDocument(request);
   const bool is_busy =
       FaultFor(request) == ServerFault::kBusy ||
+      (FaultFor(request) == ServerFault::kListingsBusy && is_listing) ||
       (FaultFor(request) == ServerFault::kReadsBusy && !is_write);
   if (!is_busy) {
     response = co_await Answer(request);
--- a/Utilities/StandIns/MetadataStore/metadata_server.h
+++ b/Utilities/StandIns/MetadataStore/metadata_server.h
@@ -29,6 +29,8 @@
   kSlow,
   /// Status 503 to reads; writes are carried out and answered.
   kReadsBusy,
+  /// Status 503 to listings and watches; other calls are answered.
+  kListingsBusy,
   /// The history is forgotten all the time: status 410 to every watch.
   kNoHistory,
   /// As kNoHistory for new watches, while those that wait hear nothing.
