Gateway: A repeated submission finds its job without the route of the job

What callers saw: a client whose 202 was lost sent its job again after the operators had removed the job's route, or given its path to another route. It got 404, or a backend server ran the submission as an online request.

Cause: repeats were recognised behind the route that accepts jobs, so they hung on what the operators declared since.

Change: a POST with the id and the digest of an accepted job of the key's organisation is a repeat whatever its route: 202. A gateway that may not know the job reads its record if the body is a submission, and answers 503 if it can't.

Why it works: the id and the digest are what makes a repeat, and both are in the job's record, which outlives the route.

--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -114,6 +114,23 @@
   (void)co_await exchange.Respond(std::move(response));
 }
 
+awaitable<void> JobHandler::RespondToRepeat(HttpExchange& exchange,
+                                            JobRecord job) {
+  HttpResponse response{.status = 202};
+  if (!job.IsAccepted()) {
+    response = UnavailableResponse(Error(
+        ErrorKind::kUnavailable, "it is about to be accepted or rejected"));
+  }
+  m_gateway.metrics.CountRequest("job_repeated_" +
+                                 std::to_string(response.status));
+  m_gateway.log.Write("job_repeated",
+                      {{"id", job.definition.id.value()},
+                       {"organisation", job.definition.organisation.value()},
+                       {"path", exchange.request().Path()},
+                       {"status", response.status}});
+  (void)co_await exchange.Respond(std::move(response));
+}
+
 awaitable<HttpResponse> JobHandler::AcceptUnlessRejected(
     const std::string& body,
     const CallerRequest& caller,
--- a/Source/Gateway/job_handler.h
+++ b/Source/Gateway/job_handler.h
@@ -48,6 +48,9 @@
                                       CallerRequest caller,
                                       const FleetRoute& route,
                                       OrganisationId organisation);
+  /// Answers a repeated submission that no route for jobs gets any more.
+  boost::asio::awaitable<void> RespondToRepeat(HttpExchange& exchange,
+                                               JobRecord job);
   /// Serves a call about an accepted job.
   boost::asio::awaitable<void> HandleCall(HttpExchange& exchange,
                                           CallerRequest caller,
--- a/Source/Gateway/job_request_finder.cc
+++ b/Source/Gateway/job_request_finder.cc
@@ -5,9 +5,11 @@
 
 #include "Base/event_log.h"
 #include "Base/overloaded.h"
+#include "Base/sha256.h"
 #include "Gateway/caller_authentication.h"
 #include "Gateway/job_handler.h"
 #include "Gateway/problem_response.h"
+#include "Jobs/job_documents.h"
 #include "Net/http_message.h"
 #include "platform/job_messages.h"
 
@@ -113,4 +115,43 @@
       "It is not known yet whether this host has batch jobs.");
 }
 
+const JobRecord* JobRequestFinder::FindKnown(
+    const JobId& id,
+    const OrganisationId& organisation) const {
+  const JobRecord* own = m_scheduler.Find(JobKeyFor(id, organisation));
+  return own != nullptr || organisation.empty()
+             ? own
+             : m_scheduler.Find(JobKeyFor(id, OrganisationId()));
+}
+
+awaitable<JobRequest> JobRequestFinder::FindRepeat(
+    const HttpRequest& request,
+    const CallerRequest& caller,
+    OrganisationId organisation) {
+  JobId id(caller.attempt.value());
+  if (request.method != "POST" || !platform::IsJobId(id.value())) {
+    co_return NoJobRequest{};
+  }
+  std::optional<JobRecord> job;
+  if (const JobRecord* known = FindKnown(id, organisation)) {
+    job = *known;
+  } else if (!m_presence.KnowsAllJobs(NormaliseHost(caller.host),
+                                      m_gateway.job_view(),
+                                      MonotonicClock::now()) &&
+             platform::DecodeSubmission(request.body).has_value()) {
+    Result<JobRecord> read =
+        co_await m_job_handler.FindJob(std::move(id), std::move(organisation));
+    if (read.has_value()) {
+      job = std::move(read.value());
+    } else if (read.error().kind() != ErrorKind::kNotFound) {
+      co_return NotReadyProblem(
+          "It is not known yet whether this job was accepted.");
+    }
+  }
+  if (!job.has_value() || job->definition.digest != Sha256(request.body)) {
+    co_return NoJobRequest{};
+  }
+  co_return RepeatedSubmission{std::move(*job)};
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/job_request_finder.h
+++ b/Source/Gateway/job_request_finder.h
@@ -22,9 +22,14 @@
 
 /// The request goes by its route.
 struct NoJobRequest {};
+/// The request submits an accepted job once more.
+struct RepeatedSubmission {
+  JobRecord job;
+};
 /// What a request has to do with accepted batch jobs, or why this process can't
 /// tell.
-using JobRequest = std::variant<NoJobRequest, JobCall, Problem>;
+using JobRequest =
+    std::variant<NoJobRequest, JobCall, RepeatedSubmission, Problem>;
 
 /// \class JobRequestFinder
 /// \brief Tells the requests about accepted batch jobs from those that go by
@@ -48,8 +53,15 @@
   boost::asio::awaitable<JobRequest> FindCall(const HttpRequest& request,
                                               const CallerRequest& caller,
                                               const FleetRoute* route);
+  /// Finds repeated submissions among the requests that no route for jobs gets.
+  boost::asio::awaitable<JobRequest> FindRepeat(const HttpRequest& request,
+                                                const CallerRequest& caller,
+                                                OrganisationId organisation);
 
  private:
+  /// The job, if it is known here without a call to the store; else null.
+  const JobRecord* FindKnown(const JobId& id,
+                             const OrganisationId& organisation) const;
   boost::asio::awaitable<JobRequest> ConfirmCall(JobCall call,
                                                  const CallerRequest& caller,
                                                  const FleetRoute& route,
--- a/Source/Gateway/request_router.cc
+++ b/Source/Gateway/request_router.cc
@@ -74,13 +74,23 @@
   const FleetRoute* route = configuration->FindRoute(caller.host, path);
   JobRequest job_request =
       co_await m_job_requests.FindCall(exchange.request(), caller, route);
-  if (auto* call = std::get_if<JobCall>(&job_request)) {
-    co_await HandleJobCall(exchange, std::move(caller), std::move(*call));
+  if (!std::holds_alternative<NoJobRequest>(job_request)) {
+    co_await HandleJobRequest(exchange, std::move(caller),
+                              std::move(job_request));
     co_return;
   }
-  if (auto* problem = std::get_if<Problem>(&job_request)) {
-    co_await RespondWithProblem(exchange, caller, std::move(*problem));
-    co_return;
+  CallerAuthentication authenticated = Authenticate(
+      caller, route == nullptr ? KeyDemand::kRequired : KeyDemandOf(*route));
+  auto* organisation = std::get_if<OrganisationId>(&authenticated);
+  const bool submits = route != nullptr && route->kind == RequestKind::kBatch;
+  if (organisation != nullptr && !submits) {
+    job_request = co_await m_job_requests.FindRepeat(exchange.request(), caller,
+                                                     *organisation);
+    if (!std::holds_alternative<NoJobRequest>(job_request)) {
+      co_await HandleJobRequest(exchange, std::move(caller),
+                                std::move(job_request));
+      co_return;
+    }
   }
   if (route == nullptr) {
     Problem problem =
@@ -93,21 +103,29 @@
     co_await RespondWithProblem(exchange, caller, std::move(problem));
     co_return;
   }
-  CallerAuthentication authenticated =
-      Authenticate(caller, KeyDemandOf(*route));
   if (auto* problem = std::get_if<Problem>(&authenticated)) {
     co_await RespondWithProblem(exchange, caller, std::move(*problem));
     co_return;
   }
-  OrganisationId organisation =
-      std::move(std::get<OrganisationId>(authenticated));
-  if (route->kind == RequestKind::kBatch) {
+  if (submits) {
     co_await m_job_handler.Submit(exchange, std::move(caller), *route,
-                                  std::move(organisation));
+                                  std::move(*organisation));
     co_return;
   }
   co_await HandleOnline(exchange, std::move(caller), *route,
-                        std::move(organisation), arrived);
+                        std::move(*organisation), arrived);
+}
+
+awaitable<void> RequestRouter::HandleJobRequest(HttpExchange& exchange,
+                                                CallerRequest caller,
+                                                JobRequest request) {
+  if (auto* call = std::get_if<JobCall>(&request)) {
+    co_await HandleJobCall(exchange, std::move(caller), std::move(*call));
+  } else if (auto* repeat = std::get_if<RepeatedSubmission>(&request)) {
+    co_await m_job_handler.RespondToRepeat(exchange, std::move(repeat->job));
+  } else if (auto* problem = std::get_if<Problem>(&request)) {
+    co_await RespondWithProblem(exchange, caller, std::move(*problem));
+  }
 }
 
 awaitable<void> RequestRouter::HandleJobCall(HttpExchange& exchange,
--- a/Source/Gateway/request_router.h
+++ b/Source/Gateway/request_router.h
@@ -11,6 +11,7 @@
 #include "Fleet/fleet_configuration.h"
 #include "Gateway/caller_authentication.h"
 #include "Gateway/gateway_context.h"
+#include "Gateway/job_request_finder.h"
 #include "Jobs/job_calls.h"
 #include "Requests/problem.h"
 
@@ -18,7 +19,6 @@
 
 class HttpExchange;
 class JobHandler;
-class JobRequestFinder;
 
 /// \class RequestRouter
 /// \brief Handles every request of callers: finds its route and organisation,
@@ -43,6 +43,10 @@
   boost::asio::awaitable<void> RespondWithProblem(HttpExchange& exchange,
                                                   const CallerRequest& caller,
                                                   Problem problem);
+  /// `request` is not a NoJobRequest.
+  boost::asio::awaitable<void> HandleJobRequest(HttpExchange& exchange,
+                                                CallerRequest caller,
+                                                JobRequest request);
   boost::asio::awaitable<void> HandleJobCall(HttpExchange& exchange,
                                              CallerRequest caller,
                                              JobCall call);
--- a/Tests/Gateway/job_call_path_test.cc
+++ b/Tests/Gateway/job_call_path_test.cc
@@ -147,6 +147,64 @@
   });
 }
 
+// Submits the job once more, and returns the status.
+awaitable<int> Repeat(GatewayFixture& f, size_t gateway) {
+  HttpRequest submission = f.Submission("j1", kItems);
+  const auto response = co_await f.Send(gateway, std::move(submission));
+  INFO(GatewayFixture::Describe(response));
+  REQUIRE(response.has_value());
+  co_return response.value().status;
+}
+
+// Guards against a repeated submission that is rejected or run as an online
+// request, because the route that accepted the job is gone.
+TEST_CASE("A repeated submission finds its job without the route of the job") {
+  for (const bool has_other_route : {true, false}) {
+    RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+      co_await RunJob(f);
+      if (has_other_route) {
+        f.configuration["routes"][kJobRoute] =
+            RouteWithPrefix(f, "h.example", "/");
+      } else {
+        f.configuration["routes"].erase(kJobRoute);
+      }
+      co_await PublishNext(f);
+      const size_t runs = Runs(f);
+      for (const size_t gateway : {0, 1}) {
+        const int status = co_await Repeat(f, gateway);
+        CHECK(status == 202);
+      }
+      CHECK(Runs(f) == runs);
+      // The id alone is no proof.
+      HttpRequest other = f.Request("POST", "/job/submit", "j1", "other body");
+      const auto response = co_await f.Send(0, std::move(other));
+      REQUIRE(response.has_value());
+      CHECK(response.value().status == (has_other_route ? 200 : 404));
+    });
+  }
+}
+
+// Guards against the same at a gateway that has just started.
+TEST_CASE("A repeated submission is not run where the jobs are not listed") {
+  for (const ServerFault fault :
+       {ServerFault::kListingsBusy, ServerFault::kReadsBusy}) {
+    RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+      co_await RunJob(f);
+      f.configuration["routes"][kJobRoute] =
+          RouteWithPrefix(f, "h.example", "/");
+      co_await PublishNext(f);
+      f.server.SetFault(fault, kJobKind);
+      const size_t late = f.AddGateway();
+      co_await f.Sleep(1s);
+      const size_t runs = Runs(f);
+      const int status = co_await Repeat(f, late);
+      CHECK(status == (fault == ServerFault::kListingsBusy ? 202 : 503));
+      CHECK(Runs(f) == runs);
+      f.server.SetFault(ServerFault::kNone);
+    });
+  }
+}
+
 // Sends each call about the job to one gateway, where its jobs can't be known:
 // the gateway answers with 200 or 503, and no backend server gets a call.
 awaitable<void> CheckNotHandedOver(GatewayFixture& f,
