Fleet: A host with a last dot is the same host

What callers saw: a client that sends the fully qualified name, with its last dot, could read its jobs (no route was needed), but its submissions and online requests got 404, and behind a route for all paths its reads did too.

Cause: the form in which hosts are compared kept the dot, and cut an IPv6 address at its first colon.

Evidence: gateway.job_call_paths "A host is the same in other letters, ..." failed before for the two spellings with a dot (404), and passes now.

Why it works: every reader of a host compares the form of NormaliseHost().

--- a/Source/Fleet/fleet_configuration.cc
+++ b/Source/Fleet/fleet_configuration.cc
@@ -9,7 +9,13 @@
 namespace cowslip {
 
 std::string NormaliseHost(std::string_view host) {
-  host = host.substr(0, host.find(':'));
+  // An IPv6 address has colons of its own, in brackets.
+  const size_t bracket = host.rfind(']');
+  const size_t port = host.find(':', bracket == host.npos ? 0 : bracket);
+  host = host.substr(0, port);
+  if (host.ends_with('.')) {
+    host.remove_suffix(1);
+  }
   std::string lower(host);
   std::transform(lower.begin(), lower.end(), lower.begin(),
                  [](unsigned char c) { return std::tolower(c); });
--- a/Source/Fleet/fleet_configuration.h
+++ b/Source/Fleet/fleet_configuration.h
@@ -185,7 +185,7 @@
 };
 
 /// Returns the host in the form used for comparisons: lower case, without a
-/// port.
+/// port and without the dot that ends a fully qualified name.
 std::string NormaliseHost(std::string_view host);
 
 }  // namespace cowslip
--- a/Tests/Gateway/job_call_path_test.cc
+++ b/Tests/Gateway/job_call_path_test.cc
@@ -147,6 +147,34 @@
   });
 }
 
+// Guards against a host that some readers of it know by another spelling, and
+// others don't.
+TEST_CASE("A host is the same in other letters, with a port and a last dot") {
+  for (const char* host :
+       {"H.Example", "h.example:8689", "h.example.", "H.EXAMPLE.:8689"}) {
+    INFO("host " << host);
+    RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+      HttpRequest submission = f.Submission("j1", kItems);
+      submission.headers[0].value = host;
+      const auto accepted = co_await f.Send(0, std::move(submission));
+      REQUIRE(accepted.has_value());
+      CHECK(accepted.value().status == 202);
+      const nlohmann::json results = co_await f.ReadAllResults(1, "j1");
+      CHECK(results.size() == kItems);
+      f.configuration["routes"][kJobRoute] =
+          RouteWithPrefix(f, "h.example", "/");
+      co_await PublishNext(f);
+      const size_t runs = Runs(f);
+      co_await CheckCall(f, 200, "GET", "/lots/j1", host);
+      co_await CheckCall(f, 200, "GET", "/lots/j1");
+      co_await CheckCall(f, 200, "DELETE", "/lots/j1", host);
+      CHECK(Runs(f) == runs);
+      co_await CheckCall(f, 200, "GET", "/x", host);
+      CHECK(Runs(f) == runs + 2);
+    });
+  }
+}
+
 // Submits the job once more, and returns the status.
 awaitable<int> Repeat(GatewayFixture& f, size_t gateway) {
   HttpRequest submission = f.Submission("j1", kItems);
