Gateway: Items run with the host of the route

What backend servers saw: items of a job whose client had sent its host in other letters, or with a port, came with that spelling.

Cause: the job's record kept the client's `Host` for the items. PROTOCOL.md: an item is run with "the route's `Host`".

--- a/Tests/Gateway/job_call_path_test.cc
+++ b/Tests/Gateway/job_call_path_test.cc
@@ -175,6 +175,25 @@
   }
 }
 
+// Guards against items that run under the spelling of the host that the client
+// of the job has used.
+TEST_CASE("Items run with the host of the route") {
+  RunGateways([&](GatewayFixture& f) -> awaitable<void> {
+    HttpRequest submission = f.Submission("j1", kItems);
+    submission.headers[0].value = "H.EXAMPLE:8689";
+    const auto accepted = co_await f.Send(0, std::move(submission));
+    REQUIRE(accepted.has_value());
+    REQUIRE(accepted.value().status == 202);
+    const nlohmann::json results = co_await f.ReadAllResults(1, "j1");
+    REQUIRE(results.size() == kItems);
+    for (const size_t backend : {0, 1}) {
+      for (const auto& run : f.backend(backend).received()) {
+        CHECK(FindHeader(run.headers, "Host") == "h.example");
+      }
+    }
+  });
+}
+
 // Submits the job once more, and returns the status.
 awaitable<int> Repeat(GatewayFixture& f, size_t gateway) {
   HttpRequest submission = f.Submission("j1", kItems);
