--- a/Source/Jobs/job_presence_core.h
+++ b/Source/Jobs/job_presence_core.h
@@ -78,7 +78,8 @@
                          const JobView& view,
                          bool has_job,
                          MonotonicTime now) const;
-  /// Whether a job of the host that was accepted before is known here.
+  /// Whether every job of the host is known here that a route accepted which
+  /// is gone by now.
   bool KnowsAllJobs(const std::string& host,
                     const JobView& view,
                     MonotonicTime now) const;
