Gateway: Whether there can be jobs is known without a walk over all of them

What callers would have seen: on a gateway that knows hundreds of peers and thousands of jobs, each online POST walked over the digests of all peers, and each call about a job on a host with a route for all paths over all jobs.

Cause: DiffersSince() and the presence of jobs were computed anew for each request, the latter also where the configuration alone decides.

Change: the detector keeps the earliest difference, which it finds with each event anyway; the jobs are compared only if no route of the host accepts any.

Evidence: by reading; the new case of peers.divergence shows that the kept value follows the peers. No figure was measured.

--- a/Source/Gateway/job_request_finder.cc
+++ b/Source/Gateway/job_request_finder.cc
@@ -55,10 +55,9 @@
     co_return NoJobRequest{};
   }
   const std::string host = NormaliseHost(caller.host);
-  const JobPresence presence =
-      m_presence.PresenceOn(host, m_gateway.job_view(),
-                            m_scheduler.HasJobOf(host), MonotonicClock::now());
-  if (presence == JobPresence::kPossible) {
+  const JobPresence presence = m_presence.PresenceWithoutJob(
+      host, m_gateway.job_view(), MonotonicClock::now());
+  if (presence == JobPresence::kPossible || m_scheduler.HasJobOf(host)) {
     co_return std::move(*call);
   }
   if (presence == JobPresence::kNone) {
--- a/Source/Jobs/job_presence_core.cc
+++ b/Source/Jobs/job_presence_core.cc
@@ -66,11 +66,10 @@
   return view.is_current && !HasChangedLately(host, now);
 }
 
-JobPresence JobPresenceCore::PresenceOn(const std::string& host,
-                                        const JobView& view,
-                                        bool has_job,
-                                        MonotonicTime now) const {
-  if (has_job || m_hosts.contains(host)) {
+JobPresence JobPresenceCore::PresenceWithoutJob(const std::string& host,
+                                                const JobView& view,
+                                                MonotonicTime now) const {
+  if (m_hosts.contains(host)) {
     return JobPresence::kPossible;
   }
   if (!view.is_current) {
--- a/Source/Jobs/job_presence_core.h
+++ b/Source/Jobs/job_presence_core.h
@@ -73,11 +73,10 @@
 
   void Handle(const JobPresenceEvent& event, MonotonicTime now);
 
-  /// `has_job` tells whether a job of the host is known.
-  JobPresence PresenceOn(const std::string& host,
-                         const JobView& view,
-                         bool has_job,
-                         MonotonicTime now) const;
+  /// If no job of the host is known.
+  JobPresence PresenceWithoutJob(const std::string& host,
+                                 const JobView& view,
+                                 MonotonicTime now) const;
   /// Whether every job of the host is known here that a route accepted which
   /// is gone by now.
   bool KnowsAllJobs(const std::string& host,
--- a/Source/Peers/divergence_detector.cc
+++ b/Source/Peers/divergence_detector.cc
@@ -106,20 +106,6 @@
   }
 }
 
-std::optional<MonotonicTime> DivergenceDetector::DiffersSince(
-    size_t kind) const {
-  std::optional<MonotonicTime> since;
-  if (kind < m_kinds.size()) {
-    for (const auto& [vm, peer] : m_kinds[kind].peers) {
-      if (peer.differs_since.has_value()) {
-        since =
-            std::min(since.value_or(*peer.differs_since), *peer.differs_since);
-      }
-    }
-  }
-  return since;
-}
-
 std::optional<DivergenceAction> DivergenceDetector::RefreshIfDue(
     size_t index,
     MonotonicTime now) {
@@ -129,11 +115,13 @@
         return a.second.differs_since.value_or(MonotonicTime::max()) <
                b.second.differs_since.value_or(MonotonicTime::max());
       });
-  if (longest == kind.peers.end() ||
-      !longest->second.differs_since.has_value()) {
+  kind.differs_since = longest == kind.peers.end()
+                           ? std::nullopt
+                           : longest->second.differs_since;
+  if (!kind.differs_since.has_value()) {
     return std::nullopt;
   }
-  const Duration lasted = now - *longest->second.differs_since;
+  const Duration lasted = now - *kind.differs_since;
   const bool may_refresh =
       !kind.last_refresh.has_value() ||
       now - *kind.last_refresh >= m_options.min_refresh_interval;
--- a/Source/Peers/divergence_detector.h
+++ b/Source/Peers/divergence_detector.h
@@ -95,7 +95,9 @@
 
   /// Since when a peer reports contents of the kind that are unknown here;
   /// nullopt if none does.
-  std::optional<MonotonicTime> DiffersSince(size_t kind) const;
+  std::optional<MonotonicTime> DiffersSince(size_t kind) const {
+    return kind < m_kinds.size() ? m_kinds[kind].differs_since : std::nullopt;
+  }
 
  private:
   struct PeerDigest {
@@ -115,6 +117,8 @@
     // The number of the newest one, counted from 1.
     uint64_t last_state = 0;
     std::map<VmId, PeerDigest> peers;
+    // The earliest one of the peers.
+    std::optional<MonotonicTime> differs_since;
     std::optional<MonotonicTime> last_refresh;
   };
 
--- a/Tests/Peers/divergence_test.cc
+++ b/Tests/Peers/divergence_test.cc
@@ -188,5 +188,21 @@
   CHECK(detector.Handle(DivergenceTick{}, At(3s)).empty());
 }
 
+TEST_CASE("A difference lasts until the digests of all peers are known") {
+  DivergenceDetector detector{DivergenceOptions{}};
+  CHECK_FALSE(detector.DiffersSince(0).has_value());
+  detector.Handle(OwnDigestsChanged{{1, 7}}, At(0s));
+  detector.Handle(PeerDigestsReceived{VmId("b"), {1, 7}}, At(1s));
+  CHECK_FALSE(detector.DiffersSince(0).has_value());
+  detector.Handle(PeerDigestsReceived{VmId("b"), {2, 7}}, At(2s));
+  detector.Handle(PeerDigestsReceived{VmId("c"), {3, 7}}, At(3s));
+  CHECK(detector.DiffersSince(0) == At(2s));
+  CHECK_FALSE(detector.DiffersSince(1).has_value());
+  detector.Handle(OwnDigestsChanged{{2, 7}}, At(4s));
+  CHECK(detector.DiffersSince(0) == At(3s));
+  detector.Handle(PeerDigestsInvalidated{VmId("c")}, At(5s));
+  CHECK_FALSE(detector.DiffersSince(0).has_value());
+}
+
 }  // namespace
 }  // namespace cowslip
