Gateway: A repeat of a job that may be accepted gets no promise

What callers saw: 503 to a repeated submission without its route, if another gateway was about to accept the job, or if the store could not be asked. PROTOCOL.md: 503 "promises that no part of the batch job runs"; the job may run, or be running.

Cause: answered as a call does, where 503 speaks of the call alone.

Change: 504, as a submission in doubt on its route gets (JobMayBeAcceptedProblem()).

Why it works: 504 promises nothing, and the pages let the client submit again after it.

--- a/Source/Gateway/job_acceptance.cc
+++ b/Source/Gateway/job_acceptance.cc
@@ -46,10 +46,7 @@
 
 HttpResponse NotAcceptedResponse(const JobSubmission& submission) {
   if (submission.in_doubt) {
-    return ProblemResponse(
-        Problem{.kind = ProblemKind::kDeadlinePassed,
-                .detail = "The job may have been accepted. Submit it again "
-                          "under the same id."});
+    return ProblemResponse(JobMayBeAcceptedProblem());
   }
   return ProblemResponse(
       Problem{.kind = ProblemKind::kNotReady,
--- a/Source/Gateway/job_handler.cc
+++ b/Source/Gateway/job_handler.cc
@@ -118,8 +118,7 @@
                                             JobRecord job) {
   HttpResponse response{.status = 202};
   if (!job.IsAccepted()) {
-    response = UnavailableResponse(Error(
-        ErrorKind::kUnavailable, "it is about to be accepted or rejected"));
+    response = ProblemResponse(JobMayBeAcceptedProblem());
   }
   m_gateway.metrics.CountRequest("job_repeated_" +
                                  std::to_string(response.status));
--- a/Source/Gateway/job_request_finder.cc
+++ b/Source/Gateway/job_request_finder.cc
@@ -143,8 +143,7 @@
     if (read.has_value()) {
       job = std::move(read.value());
     } else if (read.error().kind() != ErrorKind::kNotFound) {
-      co_return NotReadyProblem(
-          "It is not known yet whether this job was accepted.");
+      co_return JobMayBeAcceptedProblem();
     }
   }
   if (!job.has_value() || job->definition.digest != Sha256(request.body)) {
--- a/Source/Gateway/problem_response.cc
+++ b/Source/Gateway/problem_response.cc
@@ -39,4 +39,11 @@
                  .retry_after = kNotReadyRetryAfter};
 }
 
+Problem JobMayBeAcceptedProblem() {
+  return Problem{.kind = ProblemKind::kDeadlinePassed,
+                 .detail =
+                     "The job may have been accepted. Submit it again under "
+                     "the same id."};
+}
+
 }  // namespace cowslip
--- a/Source/Gateway/problem_response.h
+++ b/Source/Gateway/problem_response.h
@@ -13,6 +13,10 @@
 /// configuration or one that may be outdated.
 Problem NotReadyProblem(const char* detail);
 
+/// The problem of a submission whose job may have been accepted already, or may
+/// be yet. It promises nothing: the items may run.
+Problem JobMayBeAcceptedProblem();
+
 }  // namespace cowslip
 
 #endif  // SOURCE_GATEWAY_PROBLEM_RESPONSE_H_
