Gateway: Versions that were never in force here may have accepted jobs

What callers would have seen: a route for jobs came, accepted one and went while a gateway stood still or was cut off; the gateway took over the newest configuration only, and within the seconds in which another one may still accept jobs by the old route it could pass a call to a backend server.

Cause: JobPresenceCore knew changes of the hosts that it had seen accept jobs, and the start of the process, but not versions that were skipped.

Change: a version that does not follow the one before it counts as a start.

Evidence: jobs.presence, "Jobs may be unseen after versions that this process never had", fails without the condition, and passes with it. Found by reading.

Why it works: for unseen_time, the store is asked about the job of each call.

--- a/Source/Jobs/job_presence_core.cc
+++ b/Source/Jobs/job_presence_core.cc
@@ -19,7 +19,7 @@
 }
 
 JobHostsChanged JobHostsOf(const FleetConfiguration& configuration) {
-  JobHostsChanged event;
+  JobHostsChanged event{.version = configuration.version()};
   for (const FleetRoute& route : configuration.routes()) {
     JobHostRoutes& host = event.hosts[NormaliseHost(route.host)];
     const bool accepts_jobs = route.kind == RequestKind::kBatch;
@@ -37,9 +37,11 @@
 }
 
 void JobPresenceCore::Apply(const JobHostsChanged& event, MonotonicTime now) {
-  if (!m_started.has_value()) {
-    m_started = now;
+  if (!m_version.has_value() ||
+      event.version.value() != m_version->value() + 1) {
+    m_gap = now;
   }
+  m_version = event.version;
   std::erase_if(m_changes, [&](const auto& change) {
     return now - change.second > m_options.unseen_time;
   });
@@ -55,7 +57,7 @@
 bool JobPresenceCore::HasChangedLately(const std::string& host,
                                        MonotonicTime now) const {
   const auto change = m_changes.find(host);
-  return !m_started.has_value() || now - *m_started <= m_options.unseen_time ||
+  return !m_gap.has_value() || now - *m_gap <= m_options.unseen_time ||
          (change != m_changes.end() &&
           now - change->second <= m_options.unseen_time);
 }
--- a/Source/Jobs/job_presence_core.h
+++ b/Source/Jobs/job_presence_core.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include "Base/ids.h"
 #include "Base/time.h"
 
 namespace cowslip {
@@ -42,6 +43,7 @@
 
 /// A configuration has come into force.
 struct JobHostsChanged {
+  ConfigVersion version;
   /// The hosts that accept jobs, each as NormaliseHost() returns it.
   std::map<std::string, JobHostRoutes> hosts;
 };
@@ -85,14 +87,16 @@
 
  private:
   void Apply(const JobHostsChanged& event, MonotonicTime now);
-  /// Whether the host's routes have changed within `unseen_time`.
+  /// Whether the host's routes have changed, or may have changed, within
+  /// `unseen_time`.
   bool HasChangedLately(const std::string& host, MonotonicTime now) const;
 
   const JobPresenceOptions m_options;
   std::map<std::string, JobHostRoutes> m_hosts;
-  /// When the first configuration came into force: what was in force before is
-  /// not known.
-  std::optional<MonotonicTime> m_started;
+  std::optional<ConfigVersion> m_version;
+  /// When a configuration came into force here without the one before it: the
+  /// first one, or one after versions that this process never had.
+  std::optional<MonotonicTime> m_gap;
   /// When the routes of a host that accepts jobs, or did so, changed last.
   std::map<std::string, MonotonicTime> m_changes;
 };
--- a/Tests/Jobs/job_presence_test.cc
+++ b/Tests/Jobs/job_presence_test.cc
@@ -23,7 +23,7 @@
  public:
   // Applies a configuration with these routes of the host.
   void Publish(const std::map<std::string, RequestKind>& prefixes) {
-    FleetConfigurationParts parts;
+    FleetConfigurationParts parts{.version = ConfigVersion(++m_version)};
     for (const auto& [prefix, kind] : prefixes) {
       parts.routes.push_back({.id = RouteId(prefix),
                               .host = "H.example:8689",
@@ -32,6 +32,8 @@
     }
     m_core.Handle(JobHostsOf(FleetConfiguration(std::move(parts))), m_now);
   }
+  // The next configurations are not seen.
+  void Skip(uint64_t versions) { m_version += versions; }
   void Wait(Duration time) { m_now += time; }
   JobPresence On(const JobView& view) const {
     return m_core.PresenceWithoutJob(kHost, view, m_now);
@@ -41,6 +43,7 @@
   }
 
  private:
+  uint64_t m_version = 7;
   MonotonicTime m_now{1h};
   JobPresenceCore m_core{JobPresenceOptions{.unseen_time = kUnseen}};
 };
@@ -86,6 +89,23 @@
   CHECK(presence.On(kCurrent) == JobPresence::kNone);
 }
 
+// Guards against jobs of a route that came and went while this process stood
+// still or was cut off.
+TEST_CASE("Jobs may be unseen after versions that this process never had") {
+  Presence presence;
+  presence.Publish({{"/", RequestKind::kSafe}});
+  presence.Wait(1h);
+  presence.Publish({{"/", RequestKind::kSafe}});
+  CHECK(presence.On(kCurrent) == JobPresence::kNone);
+  presence.Skip(1);
+  presence.Publish({{"/", RequestKind::kSafe}});
+  presence.Wait(kUnseen);
+  CHECK(presence.On(kCurrent) == JobPresence::kUnconfirmed);
+  CHECK_FALSE(presence.KnowsAll(kCurrent));
+  presence.Wait(1ms);
+  CHECK(presence.On(kCurrent) == JobPresence::kNone);
+}
+
 TEST_CASE("All jobs are known unless a path of the host may lead elsewhere") {
   Presence presence;
   presence.Publish({{"/jobs/", RequestKind::kBatch}});
