Gateway: A view of the jobs is not current after a pause or without digests

What callers would have seen: right after a gateway had stood still, and on one that had not listed some other kind of document, a call about an unknown job could be passed to a backend server by an old view.

Cause: datagrams that waited while the process stood still tell of polls as if they had just begun, until the next tick finds the pause; and while any kind isn't listed, no digest is compared, so no peer seems to be ahead.

Change: JobViewOf() concludes the view from all of its evidence, without input and output; the pause is asked for at the request, and the digests must be compared.

Evidence: jobs.presence, "A view of the jobs is current only if all that shows it holds", and base.pause_detector, "... before the next tick", which the former code has no function for. Found by reading; no run has shown the fault.

Why it works: each way in which a view can be old without a failed call is one of the conditions.

--- a/Source/Base/pause_detector.cc
+++ b/Source/Base/pause_detector.cc
@@ -1,5 +1,7 @@
 #include "Base/pause_detector.h"
 
+#include <utility>
+
 namespace cowslip {
 
 namespace {
@@ -10,13 +12,14 @@
 
 }  // namespace
 
+bool PauseDetector::IsOverdue(BootTime now) const {
+  return m_last_tick.has_value() && now - *m_last_tick > kMaxTickInterval;
+}
+
 std::optional<Duration> PauseDetector::Tick(BootTime now) {
-  const std::optional<BootTime> last = m_last_tick;
-  m_last_tick = now;
-  if (!last.has_value() || now - *last <= kMaxTickInterval) {
-    return std::nullopt;
-  }
-  return now - *last;
+  const bool is_overdue = IsOverdue(now);
+  const std::optional<BootTime> last = std::exchange(m_last_tick, now);
+  return is_overdue ? std::optional<Duration>(now - *last) : std::nullopt;
 }
 
 }  // namespace cowslip
--- a/Source/Base/pause_detector.h
+++ b/Source/Base/pause_detector.h
@@ -17,6 +17,8 @@
   /// Call this at regular intervals. Returns the time since the previous call
   /// if it is too long to be a scheduling delay, otherwise nullopt.
   std::optional<Duration> Tick(BootTime now);
+  /// Whether a call of Tick() would report a pause.
+  bool IsOverdue(BootTime now) const;
 
  private:
   std::optional<BootTime> m_last_tick;
--- a/Source/Gateway/gateway_daemon_store.cc
+++ b/Source/Gateway/gateway_daemon_store.cc
@@ -193,7 +193,6 @@
 }
 
 JobView GatewayDaemon::ViewOfJobs() const {
-  const MonotonicTime now = MonotonicClock::now();
   std::optional<MonotonicTime> differs_since;
   const std::vector<DocumentWatcher*> watchers = ComparedWatchers();
   for (size_t kind = 0; kind < watchers.size(); ++kind) {
@@ -204,16 +203,14 @@
       differs_since = std::min(differs_since.value_or(*since), *since);
     }
   }
-  // Watches may be silent while the store is cut off; then polls fail, or the
-  // peers know more.
-  const bool is_polled =
-      now - m_poll_turns.LastCompletePoll() <= m_staleness.bound;
-  const bool differs_long = differs_since.has_value() &&
-                            now - *differs_since > m_staleness.grace_period;
-  return {.is_current = m_gateway.configuration_is_current &&
-                        m_gateway.jobs_are_current && is_polled &&
-                        !differs_long,
-          .agrees_with_peers = !differs_since.has_value()};
+  const JobViewEvidence evidence{
+      .watches_work =
+          m_gateway.configuration_is_current && m_gateway.jobs_are_current,
+      .is_compared = !OwnStoreDigests().empty(),
+      .has_paused = m_pause_detector.IsOverdue(BootClock::now()),
+      .last_poll = m_poll_turns.LastCompletePoll(),
+      .differs_since = differs_since};
+  return JobViewOf(evidence, m_staleness, MonotonicClock::now());
 }
 
 void GatewayDaemon::StartWatchers() {
--- a/Source/Jobs/job_presence_core.cc
+++ b/Source/Jobs/job_presence_core.cc
@@ -18,6 +18,18 @@
   return "";
 }
 
+JobView JobViewOf(const JobViewEvidence& evidence,
+                  const StalenessBudget& staleness,
+                  MonotonicTime now) {
+  const std::optional<MonotonicTime>& differs_since = evidence.differs_since;
+  const bool differs_long = differs_since.has_value() &&
+                            now - *differs_since > staleness.grace_period;
+  return {.is_current = evidence.watches_work && evidence.is_compared &&
+                        !evidence.has_paused && !differs_long &&
+                        now - evidence.last_poll <= staleness.bound,
+          .agrees_with_peers = !differs_since.has_value()};
+}
+
 JobHostsChanged JobHostsOf(const FleetConfiguration& configuration) {
   JobHostsChanged event{.version = configuration.version()};
   for (const FleetRoute& route : configuration.routes()) {
--- a/Source/Jobs/job_presence_core.h
+++ b/Source/Jobs/job_presence_core.h
@@ -10,6 +10,7 @@
 
 #include "Base/ids.h"
 #include "Base/time.h"
+#include "Peers/staleness_budget.h"
 
 namespace cowslip {
 
@@ -32,6 +33,29 @@
   bool agrees_with_peers = false;
 };
 
+/// \class JobViewEvidence
+/// \brief What a JobView is concluded from.
+struct JobViewEvidence {
+  /// The watches on the configuration and on the jobs have not failed since
+  /// both were listed.
+  bool watches_work = false;
+  /// Everything was listed that peers compare; otherwise none of it is.
+  bool is_compared = false;
+  /// This process has stood still, and has not yet begun to read again.
+  bool has_paused = false;
+  /// When the newest complete poll of any process began.
+  MonotonicTime last_poll;
+  /// Since when a peer has reported a configuration or jobs that are unknown
+  /// here; nullopt if none does.
+  std::optional<MonotonicTime> differs_since;
+};
+
+/// Concludes how far the jobs are known. A watch may be silent while the store
+/// is cut off: then polls fail, or the peers know more.
+JobView JobViewOf(const JobViewEvidence& evidence,
+                  const StalenessBudget& staleness,
+                  MonotonicTime now);
+
 /// \class JobHostRoutes
 /// \brief The path prefixes of a host's routes.
 struct JobHostRoutes {
--- a/Tests/Base/pause_detector_test.cc
+++ b/Tests/Base/pause_detector_test.cc
@@ -27,5 +27,15 @@
   CHECK_FALSE(detector.Tick(At(4100ms)).has_value());
 }
 
+TEST_CASE("PauseDetector knows of a suspension before the next tick") {
+  PauseDetector detector;
+  CHECK_FALSE(detector.IsOverdue(At(4s)));
+  detector.Tick(At(0s));
+  CHECK_FALSE(detector.IsOverdue(At(1s)));
+  CHECK(detector.IsOverdue(At(4s)));
+  detector.Tick(At(4s));
+  CHECK_FALSE(detector.IsOverdue(At(4s)));
+}
+
 }  // namespace
 }  // namespace cowslip
--- a/Tests/Jobs/job_presence_test.cc
+++ b/Tests/Jobs/job_presence_test.cc
@@ -120,5 +120,37 @@
   CHECK_FALSE(presence.KnowsAll(kCurrent));
 }
 
+// Guards against a view that is taken for current because nothing has failed.
+TEST_CASE("A view of the jobs is current only if all that shows it holds") {
+  const StalenessBudget staleness = DivideBound(2s);
+  const MonotonicTime now{1h};
+  JobViewEvidence evidence{
+      .watches_work = true, .is_compared = true, .last_poll = now - 2s};
+  CHECK(JobViewOf(evidence, staleness, now).is_current);
+  CHECK(JobViewOf(evidence, staleness, now).agrees_with_peers);
+  SECTION("A watch has failed, or nothing was listed") {
+    evidence.watches_work = false;
+    CHECK_FALSE(JobViewOf(evidence, staleness, now).is_current);
+  }
+  SECTION("Another kind is not listed, so no digest is compared") {
+    evidence.is_compared = false;
+    CHECK_FALSE(JobViewOf(evidence, staleness, now).is_current);
+  }
+  SECTION("The process has stood still") {
+    evidence.has_paused = true;
+    CHECK_FALSE(JobViewOf(evidence, staleness, now).is_current);
+  }
+  SECTION("No poll has completed within the bound") {
+    evidence.last_poll -= 1ms;
+    CHECK_FALSE(JobViewOf(evidence, staleness, now).is_current);
+  }
+  SECTION("A peer knows more") {
+    evidence.differs_since = now - staleness.grace_period;
+    CHECK(JobViewOf(evidence, staleness, now).is_current);
+    CHECK_FALSE(JobViewOf(evidence, staleness, now).agrees_with_peers);
+    CHECK_FALSE(JobViewOf(evidence, staleness, now + 1ms).is_current);
+  }
+}
+
 }  // namespace
 }  // namespace cowslip
