Jobs: The hosts that have jobs are counted

What callers would have seen: where a host without jobs has a route on the paths of job calls, each such online request compared the hosts of all known jobs.

Cause: HasJobOf() walked over the jobs; avoided it only where a route of the host accepts jobs.

Evidence: jobs.scheduler, "A host has jobs until the last record of one is removed", also for a job that comes again with another host. By reading; no figure was measured.

--- a/Source/Jobs/job_scheduler.cc
+++ b/Source/Jobs/job_scheduler.cc
@@ -35,12 +35,6 @@
   return found == m_jobs.end() ? nullptr : &found->second.record;
 }
 
-bool JobScheduler::HasJobOf(const std::string& host) const {
-  return std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
-    return NormaliseHost(entry.second.record.definition.host) == host;
-  });
-}
-
 bool JobScheduler::IsOpen(const JobKey& job) const {
   const auto found = m_jobs.find(job);
   return found != m_jobs.end() && found->second.ownership == Ownership::kOpen;
@@ -102,11 +96,28 @@
   });
 }
 
+void JobScheduler::CountJobOf(const std::string& host) {
+  ++m_jobs_of_host[NormaliseHost(host)];
+}
+
+void JobScheduler::DiscountJobOf(const std::string& host) {
+  const auto counted = m_jobs_of_host.find(NormaliseHost(host));
+  if (counted != m_jobs_of_host.end() && --counted->second == 0) {
+    m_jobs_of_host.erase(counted);
+  }
+}
+
 void JobScheduler::Apply(const JobUpdated& event, ClockReadings now) {
-  Job& job = m_jobs[event.record.key];
-  if (event.record.version < job.record.version) {
+  const auto [entry, is_new] = m_jobs.try_emplace(event.record.key);
+  Job& job = entry->second;
+  if (!is_new && event.record.version < job.record.version) {
     return;
   }
+  // A job that was removed and submitted again may have another host.
+  if (!is_new) {
+    DiscountJobOf(job.record.definition.host);
+  }
+  CountJobOf(event.record.definition.host);
   job.record = event.record;
   const auto end = m_ends.find(event.record.key);
   if (end != m_ends.end() && !end->second.submitted.has_value()) {
@@ -133,6 +144,7 @@
   Job* job = FindJob(event.job);
   if (job != nullptr) {
     Close(*job);
+    DiscountJobOf(job->record.definition.host);
     m_jobs.erase(event.job);
   }
 }
--- a/Source/Jobs/job_scheduler.h
+++ b/Source/Jobs/job_scheduler.h
@@ -320,8 +320,10 @@
   std::vector<RunnableItem> RunnableItems(ClockReadings now) const;
   const JobRecord* Find(const JobKey& job) const;
   /// Whether a known job was submitted to the host, finished or not. `host` is
-  /// in the form of NormaliseHost(). Compares all jobs.
-  bool HasJobOf(const std::string& host) const;
+  /// in the form of NormaliseHost().
+  bool HasJobOf(const std::string& host) const {
+    return m_jobs_of_host.contains(host);
+  }
   /// Sets this process as the owner in `status`.
   void SetOwner(JobStatus& status) const;
   /// Whether this process is the owner.
@@ -405,6 +407,8 @@
   };
 
   void Apply(const JobUpdated& event, ClockReadings now);
+  void CountJobOf(const std::string& host);
+  void DiscountJobOf(const std::string& host);
   void Apply(const JobRemoved& event, ClockReadings now);
   void Apply(const JobEndAcknowledged& event, ClockReadings now);
   void Apply(const JobEndReported& event, ClockReadings now);
@@ -493,6 +497,8 @@
   const JobSchedulerOptions m_options;
   const PeerTable& m_peers;
   std::map<JobKey, Job> m_jobs;
+  /// The number of jobs of each host that has any.
+  std::map<std::string, size_t> m_jobs_of_host;
   /// Ends that this process knows of other than from the job's record. Records
   /// and listings that arrive later may be older.
   std::map<JobKey, KnownEnd> m_ends;
--- a/Tests/Jobs/job_scheduler_test.cc
+++ b/Tests/Jobs/job_scheduler_test.cc
@@ -714,5 +714,29 @@
   CHECK(Find<DeleteJob>(f.Handle(SchedulerTick{}, 233s)) != nullptr);
 }
 
+TEST_CASE("A host has jobs until the last record of one is removed") {
+  Fixture f;
+  JobRecord first = Record("j1", "vm2", 2);
+  JobRecord second = Record("j2", "vm2", 2);
+  first.definition.host = "H.example:8689";
+  second.definition.host = "h.example";
+  f.scheduler.Handle(JobUpdated{first}, At(0s));
+  f.scheduler.Handle(JobUpdated{first}, At(0s));
+  f.scheduler.Handle(JobUpdated{second}, At(0s));
+  CHECK(f.scheduler.HasJobOf("h.example"));
+  CHECK_FALSE(f.scheduler.HasJobOf("other.example"));
+  f.scheduler.Handle(JobRemoved{first.key}, At(1s));
+  f.scheduler.Handle(JobRemoved{first.key}, At(1s));
+  CHECK(f.scheduler.HasJobOf("h.example"));
+  // Removed and submitted again meanwhile.
+  second.definition.host = "other.example";
+  second.version = ObjectVersion(2);
+  f.scheduler.Handle(JobUpdated{second}, At(2s));
+  CHECK_FALSE(f.scheduler.HasJobOf("h.example"));
+  CHECK(f.scheduler.HasJobOf("other.example"));
+  f.scheduler.Handle(JobRemoved{second.key}, At(3s));
+  CHECK_FALSE(f.scheduler.HasJobOf("other.example"));
+}
+
 }  // namespace
 }  // namespace cowslip
