--- a/Tests/Jobs/job_presence_test.cc
+++ b/Tests/Jobs/job_presence_test.cc
@@ -152,5 +152,15 @@
   }
 }
 
+// Guards against an address that is cut off at its first colon, which made all
+// IPv6 hosts one.
+TEST_CASE("A host that is an IPv6 address is compared whole") {
+  CHECK(NormaliseHost("[2001:DB8::1]:8689") == "[2001:db8::1]");
+  CHECK(NormaliseHost("[2001:db8::2]") == "[2001:db8::2]");
+  CHECK(NormaliseHost("H.example.:80") == "h.example");
+  CHECK(NormaliseHost(".").empty());
+  CHECK(NormaliseHost("").empty());
+}
+
 }  // namespace
 }  // namespace cowslip
